--- /dev/null
+++ b/pollenmount/__main__.py
@@ -0,0 +1,7 @@
+"""Runs the command line with `python -m pollenmount`."""
+
+import sys
+
+from pollenmount.cmdline import main
+
+sys.exit(main(sys.argv))
--- /dev/null
+++ b/pollenmount/actions/__init__.py
@@ -0,0 +1,1 @@
+"""Non-idempotent requests: reserved before they run, recorded after."""
--- /dev/null
+++ b/pollenmount/api/__init__.py
@@ -0,0 +1,1 @@
+"""WSGI handlers, one module for each kind of peer."""
--- /dev/null
+++ b/pollenmount/api/answer.py
@@ -0,0 +1,140 @@
+"""Runs a call and turns the parts of its answer into an HTTP reply."""
+
+import contextlib
+import json
+
+from pollenmount.api.web import Reply, refusal_document, refusal_reply
+from pollenmount.errors import Refusal
+from pollenmount.log import get_logger
+from pollenmount.routing import choose, pipeline
+from pollenmount.routing.request import is_idempotent
+
+__all__ = ["Answerer"]
+
+MS_PER_S = 1000
+
+logger = get_logger("calls")
+
+
+class Answerer:
+    """Runs calls that entered at this node."""
+
+    def __init__(self, kernel):
+        self.kernel = kernel
+
+    def answer(self, call):
+        """Return the reply to one call."""
+        refusal = self.kernel.get("admission").check(call.caller)
+        if refusal:
+            return self.refuse(call, refusal)
+        stack = contextlib.ExitStack()
+        with contextlib.ExitStack() as guard:
+            guard.push(stack)
+            stack.enter_context(self.kernel.get("admission").slot(call.caller))
+            parts = stack.enter_context(contextlib.closing(self.parts(call)))
+            first, rest = pipeline.attempts(parts)
+            if isinstance(first, Refusal):
+                return self.refuse(call, first)
+            guard.pop_all()
+        record = Record(self.kernel, call, first)
+        headers = (
+            *first.headers,
+            ("Pollenmount-Request-Id", call.id),
+            ("Pollenmount-Region", first.region),
+            *([("Idempotency-Key", call.key)] if call.key else ()),
+        )
+        return Reply(first.status, headers, self.body(stack, rest, record))
+
+    def parts(self, call):
+        """Return the generator of the answer's parts."""
+        if is_idempotent(call.route):
+            return self.serve(call)
+        return self.kernel.get("actions").run(call, lambda: self.serve(call))
+
+    def serve(self, call):
+        """Return the parts of an answer from the best candidate."""
+        kernel = self.kernel
+        candidates = choose.candidates(
+            call, kernel.get("viewer").take(), kernel.get("attempter").in_flight
+        )
+        retries = kernel.get("metrics").retries.labels(call.caller.name, call.class_)
+        return pipeline.serve(call, candidates, kernel.get("attempter"), retries.inc)
+
+    def body(self, stack, parts, record):
+        """Yield the bytes of an answer; an answer that breaks ends in an error."""
+        with stack:
+            outcome = "caller_gone"
+            try:
+                for part in parts:
+                    record.chunk()
+                    yield part.data
+                outcome = "answered"
+            except pipeline.BrokenAnswerError as error:
+                outcome = str(error.refusal.kind)
+                yield error_event(error.refusal)
+                # Raised on, so that the reply gets no regular end either.
+                raise
+            finally:
+                record.end(outcome)
+
+    def refuse(self, call, refusal):
+        """Return the reply for a call that got no answer."""
+        Record(self.kernel, call, None).end(str(refusal.kind))
+        extra = [("Pollenmount-Request-Id", call.id)]
+        if call.key:
+            extra.append(("Idempotency-Key", call.key))
+        return refusal_reply(refusal, extra)
+
+
+def error_event(refusal):
+    """Return the event that ends a broken stream."""
+    document = json.dumps(refusal_document(refusal))
+    return f"event: error\ndata: {document}\n\n".encode()
+
+
+class Record:
+    """Measures one call and logs its end."""
+
+    def __init__(self, kernel, call, head):
+        self.kernel = kernel
+        self.call = call
+        self.head = head
+        self.started = kernel.clock.now()
+        self.last = None
+        labels = (call.caller.name, call.class_)
+        self.first_token = kernel.get("metrics").first_token.labels(*labels)
+        self.token_gap = kernel.get("metrics").token_gap.labels(*labels)
+
+    def chunk(self):
+        """Measure one chunk."""
+        now = self.kernel.clock.now()
+        if self.last is None:
+            self.first_token.observe((now - self.started) / MS_PER_S)
+        else:
+            self.token_gap.observe((now - self.last) / MS_PER_S)
+        self.last = now
+
+    def end(self, outcome):
+        """Count and log the end of the call."""
+        call, metrics = self.call, self.kernel.get("metrics")
+        labels = (call.caller.name, call.class_)
+        elapsed = self.kernel.clock.now() - self.started
+        metrics.outcomes.labels(*labels, outcome).inc()
+        if outcome == "answered":
+            metrics.whole_answer.labels(*labels).observe(elapsed / MS_PER_S)
+            metrics.served_in.labels(
+                call.caller.name, call.caller.home, self.head.region
+            ).inc()
+        logger.info(
+            "call ended",
+            extra={
+                "request": call.id,
+                "caller": call.caller.name,
+                "class": call.class_,
+                "outcome": outcome,
+                "elapsed_ms": elapsed,
+                "ran_in": self.head.region if self.head else "",
+                "target": self.head.target if self.head else "",
+                "plan": self.kernel.get("plans").number,
+            },
+        )
--- /dev/null
+++ b/pollenmount/api/operations/__init__.py
@@ -0,0 +1,1 @@
+"""Operations of the operators' interface, by subject."""
--- /dev/null
+++ b/pollenmount/api/operations/status.py
@@ -0,0 +1,38 @@
+"""Operations that show a node's view: status, entries, metrics."""
+
+from pollenmount.api.entries import list_entries
+from pollenmount.api.web import Reply, json_reply
+from pollenmount.metrics import render
+from pollenmount.plugin import register
+
+
+@register("pollenmount.api.operations", "GET /v1/status")
+def status(kernel, request):
+    """Return members and targets as this node sees them."""
+    in_flight = kernel.get("attempter").in_flight
+    members = [member._asdict() for member in sorted(kernel.get("members").live())]
+    targets = [
+        {
+            "name": target.said.name,
+            "kind": target.said.kind,
+            "running": target.said.running,
+            "in_flight": in_flight.get(target.said.name, 0),
+        }
+        for target in sorted(kernel.get("targets").live(), key=lambda t: t.said.name)
+    ]
+    return json_reply({"members": members, "targets": targets})
+
+
+@register("pollenmount.api.operations", "GET /v1/entries")
+def entries(kernel, request):
+    """Return all entry VMs, as callers without limits see them."""
+    settings = kernel.settings
+    members = kernel.get("members").live()
+    return json_reply(list_entries(members, settings.region, settings.failure_domain))
+
+
+@register("pollenmount.api.operations", "GET /metrics")
+def metrics(kernel, request):
+    """Return the metrics in the text format of Prometheus."""
+    data = render(kernel.get("metrics").registry)
+    return Reply(200, (("Content-Type", "text/plain; version=0.0.4"),), [data])
--- /dev/null
+++ b/pollenmount/api/peers.py
@@ -0,0 +1,92 @@
+"""Peers' interface: calls forwarded from other failure domains.
+
+The handler knows the targets of this failure domain only.
+"""
+
+import contextlib
+
+from pollenmount.api.web import Reply, refusal_reply
+from pollenmount.errors import Refusal, RefusalKind
+from pollenmount.plans.plan import (
+    get_model_by_name,
+    get_service_by_path,
+    parse_model_name,
+)
+from pollenmount.routing import choose, forward, pipeline
+from pollenmount.routing.request import ModelRoute, ServiceRoute
+from pollenmount.routing.rules import check_caller_region, check_rights
+
+__all__ = ["PeersApi"]
+
+
+class PeersApi:
+    """Handles `POST /v1/forward`."""
+
+    def __init__(self, kernel):
+        self.kernel = kernel
+
+    def handle(self, request):
+        """Answer one forwarded call."""
+        made = self.make_call(request)
+        if isinstance(made, Refusal):
+            return refuse(made)
+        kernel = self.kernel
+        candidates = choose.local_candidates(
+            made, kernel.get("viewer").take(), kernel.get("attempter").in_flight
+        )
+        with contextlib.ExitStack() as stack:
+            serving = pipeline.serve(made, candidates, kernel.get("attempter"))
+            parts = stack.enter_context(contextlib.closing(serving))
+            first, rest = pipeline.attempts(parts)
+            if isinstance(first, Refusal):
+                return refuse(first)
+            body = send(stack.pop_all(), rest)
+        return Reply(200, (forward.encode_head(first),), body)
+
+    def make_call(self, request):
+        """Return the `Call`, checked against this node's own plan, or a `Refusal`."""
+        kernel = self.kernel
+        headers = {
+            name: request.header(name)
+            for name in (forward.CALL_HEADER, forward.KEY_HEADER)
+        }
+        forwarded = forward.decode_call(headers, kernel.settings.peer_key)
+        if isinstance(forwarded, Refusal):
+            return forwarded
+        body = request.read(kernel.settings.max_body_bytes)
+        if isinstance(body, Refusal):
+            return body
+        plan = kernel.get("plans").plan
+        caller = plan.callers.get(forwarded.key_digest) if plan else None
+        route = find_route(plan, forwarded) if plan else None
+        if caller is None or route is None:
+            message = "the plan in force here doesn't know the call; come back later"
+            return Refusal(RefusalKind.NO_PLAN, message, True, 1000)
+        refusal = check_caller_region(caller, kernel.settings.region)
+        refusal = refusal or check_rights(caller, route)
+        if refusal:
+            return refusal
+        return forward.to_call(forwarded, caller, route, body, kernel.clock.now())
+
+
+def find_route(plan, forwarded):
+    """Return the route that a forwarded call names, or None."""
+    if forwarded.offer:
+        name = parse_model_name(forwarded.offer)
+        model = get_model_by_name(plan, name)
+        return ModelRoute(model, name.adapter) if model else None
+    path = forwarded.path.partition("?")[0]
+    service = get_service_by_path(plan, forwarded.method, path)
+    return ServiceRoute(service) if service else None
+
+
+def refuse(refusal):
+    """Return the reply that carries a refusal to the forwarding peer."""
+    return refusal_reply(refusal, [forward.encode_refusal(refusal)])
+
+
+def send(stack, parts):
+    """Yield the bytes of an answer; a broken one gets no regular end."""
+    with stack:
+        for part in parts:
+            yield part.data
--- /dev/null
+++ b/pollenmount/bridge/control.py
@@ -0,0 +1,146 @@
+"""Server and client of the control interface between nodes.
+
+Messages are NamedTuples encoded as msgpack arrays. A method is found by the type of its
+request: `register_call` couples request and reply types under one name.
+"""
+
+import hmac
+from concurrent import futures
+from typing import Any, NamedTuple
+
+import grpc
+import msgspec
+from result import Err, Ok
+
+from pollenmount import task
+from pollenmount.errors import TransportError
+from pollenmount.log import get_logger
+
+__all__ = ["ControlClient", "ControlServer", "register_call"]
+
+SERVICE = "pollenmount.Control"
+KEY_HEADER = "pollenmount-key"
+SERVER_THREADS = 8
+STOP_GRACE_S = 0.5
+NEVER_SENT = (grpc.StatusCode.UNIMPLEMENTED, grpc.StatusCode.UNAUTHENTICATED)
+OPTIONS = (
+    ("grpc.max_receive_message_length", 64 << 20),
+    ("grpc.max_send_message_length", 64 << 20),
+    ("grpc.initial_reconnect_backoff_ms", 100),
+    ("grpc.max_reconnect_backoff_ms", 1000),
+    ("grpc.min_reconnect_backoff_ms", 100),
+    ("grpc.enable_retries", 0),
+    ("grpc.so_reuseport", 0),
+)
+
+logger = get_logger("bridge")
+
+
+class CallType(NamedTuple):
+    """One kind of call: its name and the types of its two messages."""
+
+    name: str
+    request: type
+    reply: Any
+
+
+CALLS_BY_NAME = {}
+CALLS_BY_REQUEST = {}
+
+
+def register_call(request, reply):
+    """Couple a request type with its reply type."""
+    call = CallType(request.__name__, request, reply)
+    CALLS_BY_NAME[call.name] = call
+    CALLS_BY_REQUEST[request] = call
+
+
+class ControlServer(grpc.GenericRpcHandler):
+    """Serves calls of peers on `address`.
+
+    `handlers` maps request types to functions that take a request and return a reply;
+    they run on the event loop. Peers prove themselves by `peer_key`.
+    """
+
+    def __init__(self, hub, address, peer_key, handlers):
+        self.hub = hub
+        self.peer_key = peer_key
+        self.handlers = {type_.__name__: handlers[type_] for type_ in handlers}
+        pool = futures.ThreadPoolExecutor(SERVER_THREADS)
+        self.server = grpc.server(pool, handlers=(self,), options=OPTIONS)
+        self.server.add_insecure_port(address)
+        self.server.start()
+
+    def service(self, handler_call_details):
+        """Return the handler of one call (the interface of grpcio)."""
+        name = handler_call_details.method.rpartition("/")[2]
+        if name not in self.handlers:
+            return None
+        given = dict(handler_call_details.invocation_metadata).get(KEY_HEADER, "")
+        if not hmac.compare_digest(given.encode(), self.peer_key.encode()):
+            return grpc.unary_unary_rpc_method_handler(refuse_peer)
+        return grpc.unary_unary_rpc_method_handler(
+            lambda data, context: self.answer(name, data)
+        )
+
+    def answer(self, name, data):
+        """Decode, run the handler on the event loop and encode; on a gRPC thread."""
+        call = CALLS_BY_NAME[name]
+        request = msgspec.msgpack.decode(data, type=call.request)
+        done = futures.Future()
+        self.hub.post(self.run_handler, name, request, done)
+        return msgspec.msgpack.encode(done.result())
+
+    def run_handler(self, name, request, done):
+        """Run the handler; on the event loop."""
+        try:
+            done.set_result(self.handlers[name](request))
+        except Exception as error:
+            logger.exception("call of a peer failed", extra={"call": name})
+            done.set_exception(error)
+
+    def close(self):
+        """Stop serving, after a short grace for calls that run."""
+        self.server.stop(STOP_GRACE_S)
+
+
+def refuse_peer(data, context):
+    """Refuse a peer without the key."""
+    context.abort(grpc.StatusCode.UNAUTHENTICATED, "set the same peer_key on all VMs")
+
+
+class ControlClient:
+    """Calls peers; one channel an address, closed with the client."""
+
+    def __init__(self, hub, peer_key):
+        self.hub = hub
+        self.metadata = ((KEY_HEADER, peer_key),)
+        self.channels = {}
+
+    def call(self, address, request, timeout_ms):
+        """Send `request` to `address`; return Ok(reply) or Err(TransportError)."""
+        call = CALLS_BY_REQUEST[type(request)]
+        invoke = self.channel(address).unary_unary(f"/{SERVICE}/{call.name}")
+        data = msgspec.msgpack.encode(request)
+        future = invoke.future(
+            data, timeout=timeout_ms / task.MS_PER_S, metadata=self.metadata
+        )
+        done = task.Event()
+        future.add_done_callback(lambda _: self.hub.post(done.send, None))
+        done.wait()
+        code = future.code()
+        if code is grpc.StatusCode.OK:
+            return Ok(msgspec.msgpack.decode(future.result(), type=call.reply))
+        return Err(TransportError(address, code.name, code not in NEVER_SENT))
+
+    def channel(self, address):
+        """Return the channel to `address`, made on first use."""
+        if address not in self.channels:
+            self.channels[address] = grpc.insecure_channel(address, options=OPTIONS)
+        return self.channels[address]
+
+    def close(self):
+        """Close all channels."""
+        for channel in self.channels.values():
+            channel.close()
+        self.channels.clear()
--- /dev/null
+++ b/pollenmount/bridge/hub.py
@@ -0,0 +1,45 @@
+"""Hands closures from native threads to the event loop.
+
+A native thread appends to a deque and writes one byte to a socket pair; a task on the
+event loop reads it and runs what waits, each in a task of its own.
+"""
+
+import collections
+import contextlib
+import socket
+
+from pollenmount import task
+
+__all__ = ["Hub"]
+
+READ_BYTES = 4096
+
+
+class Hub:
+    """Runs closures of native threads on the event loop."""
+
+    def __init__(self):
+        self.waiting = collections.deque()
+        self.reader, self.writer = socket.socketpair()
+        self.writer.setblocking(False)
+        self.loop = task.spawn(self.run)
+
+    def post(self, function, *args):
+        """Queue a call; safe from every thread."""
+        self.waiting.append((function, args))
+        # A full buffer means that a wake-up is on its way already.
+        with contextlib.suppress(BlockingIOError, OSError):
+            self.writer.send(b"\0")
+
+    def run(self):
+        """Run what is queued, for ever."""
+        while self.reader.recv(READ_BYTES):
+            while self.waiting:
+                function, args = self.waiting.popleft()
+                task.spawn(function, *args)
+
+    def close(self):
+        """Stop taking closures."""
+        self.loop.kill()
+        self.reader.close()
+        self.writer.close()
--- /dev/null
+++ b/pollenmount/cmdline.py
@@ -0,0 +1,50 @@
+"""Command line: finds the command by name and runs it.
+
+Each command is a module in `pollenmount.commands` that works as a library too.
+"""
+
+import sys
+
+from absl import flags
+
+from pollenmount.errors import PollenmountError
+from pollenmount.plugin import get_plugin_by_name, load_family
+
+__all__ = ["main"]
+
+COMMANDS = "pollenmount.commands"
+EXIT_FAILED = 1
+EXIT_USAGE = 2
+
+
+def main(argv=None):
+    """Run the command that `argv` names and return its exit status."""
+    argv = list(sys.argv if argv is None else argv)
+    if len(argv) < 2 or argv[1] in ("help", "--help", "-h"):
+        print(usage())
+        return 0 if len(argv) > 1 else EXIT_USAGE
+    try:
+        command = get_plugin_by_name(COMMANDS, argv[1])()
+        values = flags.FlagValues()
+        command.define_flags(values)
+        words = values(argv[1:])[1:]
+        return command.run(values, words)
+    except flags.Error as error:
+        print(f"{argv[1]}: {error}; see: pollenmount help", file=sys.stderr)
+        return EXIT_USAGE
+    except PollenmountError as error:
+        print(error, file=sys.stderr)
+        return EXIT_FAILED
+
+
+def usage():
+    """Return the text that lists the commands."""
+    lines = [
+        "usage: pollenmount COMMAND [WORD ...] [--FLAG=VALUE ...]",
+        "",
+        "commands:",
+    ]
+    for name, command in sorted(load_family(COMMANDS).items()):
+        summary = command.__doc__.splitlines()[0]
+        lines.append(f"  {name:10} {summary}")
+    return "\n".join(lines)
--- /dev/null
+++ b/pollenmount/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of the program, one a module."""
--- /dev/null
+++ b/pollenmount/commands/base.py
@@ -0,0 +1,63 @@
+"""Base class of the commands, and the client of the operators' interface."""
+
+import json
+import os
+
+import urllib3
+from absl import flags
+
+from pollenmount.errors import PollenmountError
+
+__all__ = ["Command", "OperatorClient", "define_client_flags"]
+
+OPERATOR_KEY_VARIABLE = "POLLENMOUNT_OPERATOR_KEY"
+TIMEOUT_S = 15.0
+
+
+class Command:
+    """One command.
+
+    `define_flags` adds its flags; `run` gets them with the remaining words and returns
+    the exit status.
+    """
+
+    def define_flags(self, values):
+        """Define the flags of this command in `values`."""
+
+    def run(self, values, words):
+        """Run the command and return the exit status."""
+        raise NotImplementedError
+
+
+def define_client_flags(values):
+    """Define the flags of commands that ask a running node."""
+    flags.DEFINE_string(
+        "node",
+        "127.0.0.1:8082",
+        "operators' address of any node",
+        flag_values=values,
+    )
+
+
+class OperatorClient:
+    """Asks the operators' interface of one node.
+
+    The key is read from the environment, so that it stays out of process lists.
+    """
+
+    def __init__(self, address):
+        self.base = f"http://{address}"
+        self.pool = urllib3.PoolManager(retries=False, timeout=TIMEOUT_S)
+        self.key = os.environ.get(OPERATOR_KEY_VARIABLE, "")
+
+    def ask(self, method, path, body=None):
+        """Return (status, JSON document) of one call."""
+        headers = {"Authorization": f"Bearer {self.key}"}
+        try:
+            reply = self.pool.request(
+                method, self.base + path, body=body, headers=headers
+            )
+        except urllib3.exceptions.HTTPError as error:
+            problem = f"{self.base} gives no answer ({type(error).__name__})"
+            raise PollenmountError(f"{problem}; name another VM with --node") from error
+        return reply.status, json.loads(reply.data)
--- /dev/null
+++ b/pollenmount/commands/node.py
@@ -0,0 +1,37 @@
+"""The command that runs one node."""
+
+from absl import flags
+
+from pollenmount.commands.base import Command
+from pollenmount.plugin import register
+
+
+@register("pollenmount.commands", "node")
+class NodeCommand(Command):
+    """Run one node in the foreground until SIGTERM.
+
+    `config`
+        Path of the settings file (required).
+    """
+
+    def define_flags(self, values):
+        """Define the flags of this command in `values`."""
+        flags.DEFINE_string("config", None, "settings file", flag_values=values)
+        flags.mark_flag_as_required("config", flag_values=values)
+
+    def run(self, values, words):
+        """Run the node; return 0 after an orderly stop."""
+        from pollenmount import task
+
+        task.patch()
+        from pollenmount import log, settings
+        from pollenmount.node import run_node
+
+        node_settings = settings.load_settings(values.config)
+        log.configure(
+            node_settings.log_level,
+            vm=node_settings.name,
+            region=node_settings.region,
+            failure_domain=node_settings.failure_domain,
+        )
+        return run_node(node_settings)
--- /dev/null
+++ b/pollenmount/consensus/__init__.py
@@ -0,0 +1,1 @@
+"""Replicated logs: agreement, journal and groups."""
--- /dev/null
+++ b/pollenmount/kernel.py
@@ -0,0 +1,71 @@
+"""The kernel of a node: builds the registered parts on demand and owns them.
+
+A part is a function `build(kernel)` registered under a name in `pollenmount.parts`. It
+gets the parts it needs by name, so they are built in order and closed in reverse order.
+"""
+
+import contextlib
+import uuid
+
+from pollenmount.clock import Clock
+from pollenmount.errors import PollenmountError
+from pollenmount.plugin import get_plugin_by_name, load_family
+
+__all__ = ["Kernel", "PartCycleError"]
+
+PARTS = "pollenmount.parts"
+LAST_PART = "listeners"
+
+
+class PartCycleError(PollenmountError):
+    """Two parts need each other to be built."""
+
+
+class Kernel:
+    """Settings, clock and parts of one node.
+
+    `stopping` is set once the node leaves the directory, `refusing` once it takes no
+    new requests. `incarnation` is new with each start of the process.
+    """
+
+    def __init__(self, settings, clock=None):
+        self.settings = settings
+        self.clock = clock or Clock()
+        self.incarnation = uuid.uuid4().hex
+        self.stopping = False
+        self.refusing = False
+        self.stack = contextlib.ExitStack()
+        self.handlers = {}
+        self.parts = {}
+        self.building = []
+
+    def get(self, name):
+        """Return the part called `name`, built on first use."""
+        if name not in self.parts:
+            if name in self.building:
+                path = " -> ".join([*self.building, name])
+                raise PartCycleError(f"parts need each other: {path}; split one")
+            self.building.append(name)
+            self.parts[name] = get_plugin_by_name(PARTS, name)(self)
+            self.building.remove(name)
+        return self.parts[name]
+
+    def own(self, part):
+        """Close `part` when the kernel closes; return it."""
+        self.stack.callback(part.close)
+        return part
+
+    def handle(self, request_type, handler):
+        """Let `handler` answer calls of peers with this type of request."""
+        self.handlers[request_type] = handler
+
+    def start(self):
+        """Build all parts; the listeners come last."""
+        for name in sorted(load_family(PARTS)):
+            if name != LAST_PART:
+                self.get(name)
+        self.get(LAST_PART)
+
+    def close(self):
+        """Close all parts in reverse order."""
+        self.stack.close()
--- /dev/null
+++ b/pollenmount/members/__init__.py
@@ -0,0 +1,1 @@
+"""Nodes that this node knows of."""
--- /dev/null
+++ b/pollenmount/parts/metrics.py
@@ -0,0 +1,10 @@
+"""The metrics of a node."""
+
+from pollenmount.metrics import Metrics
+from pollenmount.plugin import register
+
+
+@register("pollenmount.parts", "metrics")
+def build(kernel):
+    """Return the node's metrics."""
+    return Metrics()
--- /dev/null
+++ b/pollenmount/parts/plans.py
@@ -0,0 +1,11 @@
+"""The plan in force on a node."""
+
+from pollenmount.plans.store import PlanStore
+from pollenmount.plugin import register
+
+
+@register("pollenmount.parts", "plans")
+def build(kernel):
+    """Return the store of the plan in force."""
+    gauge = kernel.get("metrics").plan_number
+    return PlanStore(lambda plan: gauge.set(plan.number))
--- /dev/null
+++ b/pollenmount/parts/targets.py
@@ -0,0 +1,15 @@
+"""The targets of a node's failure domain."""
+
+from pollenmount import task
+from pollenmount.plugin import register
+from pollenmount.targets.table import TargetTable
+
+SWEEP_MS = 500
+
+
+@register("pollenmount.parts", "targets")
+def build(kernel):
+    """Return the table of targets, swept regularly."""
+    table = TargetTable(kernel.clock, kernel.settings.target_ttl_ms)
+    kernel.own(task.Task(table.sweep, SWEEP_MS))
+    return table
--- /dev/null
+++ b/pollenmount/plans/__init__.py
@@ -0,0 +1,1 @@
+"""Serving plans: sheet, acceptance and spread."""
--- /dev/null
+++ b/pollenmount/plans/machine.py
@@ -0,0 +1,84 @@
+"""State machine of the replicated log of plans: which plan is accepted.
+
+Acceptance goes by number and digest, so a resend after a lost answer is recognized and
+a race under one number has one winner.
+"""
+
+from enum import StrEnum
+from typing import NamedTuple
+
+__all__ = [
+    "GROUP",
+    "AcceptPlan",
+    "Acceptance",
+    "AcceptedPlan",
+    "PlanAnswer",
+    "PlanMachine",
+]
+
+GROUP = "plans"
+
+
+class Acceptance(StrEnum):
+    """What became of a plan that was offered."""
+
+    ACCEPTED = "accepted"
+    REPEATED = "repeated"
+    REPLACED = "replaced"
+    CONFLICT = "conflict"
+    STALE = "stale"
+
+
+class AcceptPlan(NamedTuple):
+    """Command: accept this sheet."""
+
+    number: int
+    digest: str
+    sheet: bytes
+
+
+class AcceptedPlan(NamedTuple):
+    """An accepted plan with its sheet."""
+
+    number: int
+    digest: str
+    sheet: bytes
+
+
+class PlanAnswer(NamedTuple):
+    """What became of the plan, and which plan is the newest accepted one."""
+
+    acceptance: Acceptance
+    number: int
+    digest: str
+
+
+class PlanMachine:
+    """The newest accepted plan and the digests of all before it, by number."""
+
+    commands = (AcceptPlan,)
+
+    def __init__(self):
+        self.current = None
+        self.history = {}
+
+    def apply(self, command):
+        """Apply one committed `AcceptPlan` and return its `PlanAnswer`."""
+        acceptance = self.judge(command)
+        if acceptance is Acceptance.ACCEPTED:
+            self.current = AcceptedPlan(*command)
+            self.history[command.number] = command.digest
+        return PlanAnswer(acceptance, self.current.number, self.current.digest)
+
+    def judge(self, command):
+        """Return what becomes of a command, without changing anything."""
+        newest = self.current.number if self.current else 0
+        if command.number > newest:
+            return Acceptance.ACCEPTED
+        accepted_digest = self.history.get(command.number)
+        if accepted_digest is None:
+            return Acceptance.STALE
+        if accepted_digest != command.digest:
+            return Acceptance.CONFLICT
+        same = command.number == newest
+        return Acceptance.REPEATED if same else Acceptance.REPLACED
--- /dev/null
+++ b/pollenmount/plans/records/__init__.py
@@ -0,0 +1,1 @@
+"""Kinds of rows of a plan sheet, one a module."""
--- /dev/null
+++ b/pollenmount/plans/records/service.py
@@ -0,0 +1,49 @@
+"""Rows that name a kind of call of a plain service."""
+
+from pollenmount.plans import cells
+from pollenmount.plans.plan import CLASSES, INTERACTIVE, REPEATS, Service
+from pollenmount.plans.records.base import Record, check_known
+from pollenmount.plugin import register
+
+METHODS = ("GET", "POST", "PUT", "PATCH", "DELETE")
+PATH_PATTERN = r"/[A-Za-z0-9._~/-]*"
+
+
+@register("pollenmount.plans.records", "service")
+class ServiceRecord(Record):
+    """A service: name, methods, paths, regions, repeat, class.
+
+    `repeat`
+        `idempotent`, `once` or `deduplicated` (the service itself drops repeats of an
+        idempotency key).
+    """
+
+    columns = ("name", "methods", "paths", "regions", "repeat", "class")
+
+    def parse(self, row):
+        """Return a `Service`."""
+        methods = cells.get_list(row, "methods")
+        check_known("methods", methods, METHODS)
+        paths = cells.get_list(row, "paths")
+        for path in paths:
+            check_path(path)
+        return Service(
+            name=cells.get_name(row),
+            methods=methods,
+            paths=paths,
+            regions=cells.get_names(row, "regions"),
+            repeat=cells.get_choice(row, "repeat", REPEATS),
+            class_=cells.get_choice(row, "class", CLASSES, INTERACTIVE),
+        )
+
+    def check(self, parsed, draft):
+        """Check that the regions are known."""
+        check_known("regions", parsed.regions, draft.regions)
+
+
+def check_path(path):
+    """Raise `CellError` unless `path` is a plain path outside `/v1`."""
+    row = {"paths": path}
+    cells.get_pattern(row, "paths", PATH_PATTERN, "use plain paths such as /filings")
+    if path == "/v1" or path.startswith("/v1/"):
+        raise cells.CellError("paths", path, "choose a path outside /v1")
--- /dev/null
+++ b/pollenmount/plans/sheet.py
@@ -0,0 +1,163 @@
+"""Reads a plan sheet: the CSV file that planners' office tools export.
+
+A byte-order mark, CRLF, quoted cells and either `;` or `,` between cells are accepted.
+One sheet is one whole plan; every fault is reported at once, with row and column.
+"""
+
+import csv
+import hashlib
+import io
+import json
+from typing import NamedTuple
+
+from pollenmount.errors import Fault, SheetError
+from pollenmount.plans import cells
+from pollenmount.plans.plan import Plan
+from pollenmount.plugin import load_family
+
+__all__ = ["MAX_SHEET_BYTES", "parse_sheet"]
+
+RECORDS = "pollenmount.plans.records"
+PLAN_RECORD = "plan"
+MAX_SHEET_BYTES = 8 << 20
+
+
+class Row(NamedTuple):
+    """One filled row: its line in the file and its non-empty cells by column."""
+
+    line: int
+    cells: dict[str, str]
+
+
+class Draft(NamedTuple):
+    """The parsed rows of one sheet, by kind and name."""
+
+    numbers: list[int]
+    regions: dict
+    models: dict
+    services: dict
+    callers: dict
+
+
+def parse_sheet(data):
+    """Return the `Plan` in the bytes of a sheet, or raise `SheetError`."""
+    rows = read_rows(data)
+    draft = Draft([], {}, {}, {}, {})
+    parsed_rows = []
+    faults = []
+    for row in rows:
+        try:
+            parsed_rows.append((row, *parse_row(row, draft)))
+        except cells.CellError as error:
+            faults.append(to_fault(row, error))
+    for row, record, parsed in parsed_rows:
+        try:
+            record.check(parsed, draft)
+        except cells.CellError as error:
+            faults.append(to_fault(row, error))
+    if len(draft.numbers) != 1 and not faults:
+        problem = f"has {len(draft.numbers)} rows of record 'plan'"
+        faults.append(Fault("sheet", problem, "give one, with the plan's number"))
+    if faults:
+        raise SheetError(sorted(faults, key=fault_line))
+    return Plan(draft.numbers[0], digest_rows(rows), *draft[1:])
+
+
+def read_rows(data):
+    """Return the rows of a sheet; raise `SheetError` if it is no table."""
+    if len(data) > MAX_SHEET_BYTES:
+        remedy = f"keep it under {MAX_SHEET_BYTES} bytes"
+        raise SheetError([Fault("sheet", "is too large", remedy)])
+    try:
+        text = data.decode("utf-8-sig")
+        lines = list(csv.reader(io.StringIO(text, newline=""), delimiter=pick(text)))
+    except (UnicodeDecodeError, csv.Error) as error:
+        remedy = "export it as CSV in UTF-8"
+        raise SheetError([Fault("sheet", str(error), remedy)]) from error
+    header = [name.strip().lower() for name in lines[0]] if lines else []
+    if "record" not in header or len(set(header)) < len(header):
+        remedy = "name each column once, 'record' among them"
+        raise SheetError([Fault("row 1", "is no header", remedy)])
+    return [*to_rows(header, lines)]
+
+
+def pick(text):
+    """Return the separator that the header line uses."""
+    header = text.partition("\n")[0]
+    return ";" if header.count(";") >= header.count(",") else ","
+
+
+def to_rows(header, lines):
+    """Yield a `Row` for each line that isn't empty."""
+    for line, values in enumerate(lines[1:], start=2):
+        if not any(value.strip() for value in values):
+            continue
+        if len(values) > len(header) and any(values[len(header) :]):
+            problem = f"has {len(values)} cells under {len(header)} columns"
+            raise SheetError([Fault(f"row {line}", problem, "remove what is too much")])
+        named = zip(header, values, strict=False)
+        yield Row(line, {name: v.strip() for name, v in named if v.strip()})
+
+
+def parse_row(row, draft):
+    """Parse one row into `draft`; return its record and its data."""
+    kind = cells.get_text(row.cells, "record")
+    if kind == PLAN_RECORD:
+        draft.numbers.append(cells.get_int(row.cells, "name", low=1, high=2**53))
+        return records()["region"], None
+    if kind not in records():
+        known = ", ".join([PLAN_RECORD, *sorted(records())])
+        raise cells.CellError("record", kind, f"use one of: {known}")
+    record = records()[kind]
+    for column, value in row.cells.items():
+        if column != "record" and column not in record.columns:
+            raise cells.CellError(column, value, f"leave it empty for a {kind}")
+    parsed = record.parse(row.cells)
+    add(kind, parsed, draft)
+    return record, parsed
+
+
+def records():
+    """Return one instance of each record class, by name."""
+    return {name: record() for name, record in load_family(RECORDS).items()}
+
+
+def add(kind, parsed, draft):
+    """Add one parsed row to `draft`, or raise `CellError` if it is there already."""
+    if kind == "model":
+        versions = draft.models.get(parsed.name, ())
+        if any(model.version == parsed.version for model in versions):
+            raise cells.CellError("version", parsed.version, "list a version once")
+        draft.models[parsed.name] = (*versions, parsed)
+        return
+    table = getattr(draft, f"{kind}s")
+    if kind == "caller":
+        if parsed.name in {caller.name for caller in table.values()}:
+            raise cells.CellError("name", parsed.name, "list a caller once")
+        if parsed.key_digest in table:
+            raise cells.CellError(
+                "key_sha256", parsed.key_digest, "give each its own key"
+            )
+        table[parsed.key_digest] = parsed
+        return
+    if parsed.name in table:
+        raise cells.CellError("name", parsed.name, f"list a {kind} once")
+    table[parsed.name] = parsed
+
+
+def digest_rows(rows):
+    """Return the digest of the rows; separators, quoting and line ends don't count."""
+    canonical = json.dumps([sorted(row.cells.items()) for row in rows])
+    return hashlib.sha256(canonical.encode()).hexdigest()
+
+
+def to_fault(row, error):
+    """Return the fault for one bad cell."""
+    where = f"row {row.line}, column {error.column}"
+    return Fault(where, error.problem, error.remedy)
+
+
+def fault_line(fault):
+    """Return the line of a fault, for sorting."""
+    digits = fault.where.split(",")[0].removeprefix("row ")
+    return int(digits) if digits.isdigit() else 0
--- /dev/null
+++ b/pollenmount/plugin.py
@@ -0,0 +1,41 @@
+"""Registry of plug-ins, by family and name.
+
+A family is a sub-package; each of its modules registers its members when imported, so
+adding a member touches one file.
+"""
+
+import importlib
+import pkgutil
+
+from pollenmount.errors import UnknownPluginError
+
+__all__ = ["get_plugin_by_name", "load_family", "register"]
+
+FAMILIES = {}
+
+
+def register(family, name):
+    """Return a decorator that registers a class or function under `name`."""
+
+    def decorate(member):
+        FAMILIES.setdefault(family, {})[name] = member
+        return member
+
+    return decorate
+
+
+def load_family(package_name):
+    """Import every module of the sub-package and return its members by name."""
+    package = importlib.import_module(package_name)
+    for module in pkgutil.iter_modules(package.__path__):
+        importlib.import_module(f"{package_name}.{module.name}")
+    return FAMILIES.get(package_name, {})
+
+
+def get_plugin_by_name(family, name):
+    """Return the member called `name`, or raise `UnknownPluginError`."""
+    members = load_family(family)
+    if name not in members:
+        known = ", ".join(sorted(members))
+        raise UnknownPluginError(f"no {name!r} in {family}; use one of: {known}")
+    return members[name]
--- /dev/null
+++ b/pollenmount/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Way of one request from entry to answer."""
--- /dev/null
+++ b/pollenmount/routing/forward.py
@@ -0,0 +1,147 @@
+"""The one hop of a request to an entry VM of another failure domain.
+
+The receiver gets a `ForwardedCall` on a listener of its own, whose handler knows local
+targets only: a forwarded call has no way to be forwarded again.
+"""
+
+import contextlib
+import hmac
+from typing import NamedTuple
+
+import msgspec
+
+from pollenmount.errors import Refusal, RefusalKind
+from pollenmount.routing.request import Call, Head, ModelRoute, offer_name
+from pollenmount.targets.upstream import UpstreamError
+
+__all__ = [
+    "PATH",
+    "ForwardRefusedError",
+    "ForwardedCall",
+    "decode_call",
+    "decode_head",
+    "encode_headers",
+    "encode_refusal",
+    "raise_refusal",
+]
+
+PATH = "/v1/forward"
+CALL_HEADER = "Pollenmount-Call"
+KEY_HEADER = "Pollenmount-Key"
+REFUSAL_HEADER = "Pollenmount-Refusal"
+HEAD_HEADER = "Pollenmount-Head"
+
+
+class ForwardedCall(NamedTuple):
+    """A call without its body, as it goes to another failure domain.
+
+    The receiver looks the caller up in its own plan. `offer` names the model with its
+    version and adapter ('' for a service); `remaining_ms` is the time left, since
+    clocks of two VMs can't be compared.
+    """
+
+    id: str
+    key_digest: str
+    offer: str
+    method: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    class_: str
+    remaining_ms: int
+    key: str
+    stream: bool
+
+
+class ForwardRefusedError(UpstreamError):
+    """The other failure domain gave a typed refusal."""
+
+    def __init__(self, refusal):
+        super().__init__(refusal.message, refusal.not_run)
+        self.refusal = refusal
+
+
+def encode_headers(call, now, peer_key):
+    """Return the headers that carry a call to a peer."""
+    forwarded = ForwardedCall(
+        call.id,
+        call.caller.key_digest,
+        model_name(call.route),
+        call.method,
+        call.path,
+        call.headers,
+        call.class_,
+        call.deadline - now,
+        call.key,
+        call.stream,
+    )
+    encoded = msgspec.json.encode(forwarded).decode("latin-1")
+    return {CALL_HEADER: encoded, KEY_HEADER: peer_key}
+
+
+def model_name(route):
+    """Return `name@version[+adapter]` of a model's route, '' for a service's."""
+    if not isinstance(route, ModelRoute):
+        return ""
+    adapter = f"+{route.adapter}" if route.adapter else ""
+    return offer_name(route) + adapter
+
+
+def decode_call(headers, peer_key):
+    """Return the `ForwardedCall` in the headers, or a `Refusal` without the key."""
+    if not hmac.compare_digest(headers.get(KEY_HEADER, "").encode(), peer_key.encode()):
+        message = "this listener is for peers; set the same peer_key on all VMs"
+        return Refusal(RefusalKind.UNAUTHENTICATED, message)
+    encoded = headers.get(CALL_HEADER, "").encode("latin-1")
+    try:
+        return msgspec.json.decode(encoded, type=ForwardedCall)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        message = "the forwarded call can't be read; run one version on all VMs"
+        return Refusal(RefusalKind.BAD_REQUEST, message)
+
+
+def to_call(forwarded, caller, route, body, now):
+    """Return the `Call` that a forwarded one stands for on this node."""
+    return Call(
+        forwarded.id,
+        caller,
+        route,
+        forwarded.method,
+        forwarded.path,
+        forwarded.headers,
+        body,
+        forwarded.class_,
+        now + forwarded.remaining_ms,
+        forwarded.key,
+        forwarded.stream,
+    )
+
+
+def encode_refusal(refusal):
+    """Return the header that carries a refusal back to the forwarding peer."""
+    return REFUSAL_HEADER, msgspec.json.encode(refusal).decode("latin-1")
+
+
+def raise_refusal(response):
+    """Raise `ForwardRefusedError` if the peer's answer is a refusal."""
+    encoded = response.headers.get(REFUSAL_HEADER)
+    if encoded is None:
+        return
+    response.close()
+    with contextlib.suppress(msgspec.DecodeError):
+        refusal = msgspec.json.decode(encoded, type=Refusal)
+        raise ForwardRefusedError(refusal)
+    raise UpstreamError("the peer's refusal can't be read")
+
+
+def encode_head(head):
+    """Return the header that carries the head of the target's answer."""
+    return HEAD_HEADER, msgspec.json.encode(head).decode("latin-1")
+
+
+def decode_head(response):
+    """Return the `Head` in a peer's answer."""
+    try:
+        return msgspec.json.decode(response.headers[HEAD_HEADER], type=Head)
+    except (KeyError, msgspec.DecodeError) as error:
+        response.close()
+        raise UpstreamError("the peer's answer can't be read") from error
--- /dev/null
+++ b/pollenmount/targets/__init__.py
@@ -0,0 +1,1 @@
+"""Targets of this failure domain, as they announce themselves."""
--- /dev/null
+++ b/pollenmount/task.py
@@ -0,0 +1,66 @@
+"""Green tasks and their mailboxes; the only module that starts green threads.
+
+Everything else names `Task`, `Mailbox`, `sleep` and `Event`, so the hub underneath can
+change in one place.
+"""
+
+import eventlet
+import eventlet.event
+import eventlet.queue
+
+from pollenmount.log import get_logger
+
+__all__ = ["Event", "Mailbox", "Task", "Timeout", "patch", "sleep", "spawn"]
+
+MS_PER_S = 1000
+
+Event = eventlet.event.Event
+Mailbox = eventlet.queue.LightQueue
+Timeout = eventlet.Timeout
+
+logger = get_logger("task")
+
+
+def patch():
+    """Make the standard library cooperative; native threads stay native for gRPC."""
+    eventlet.monkey_patch(thread=False)
+
+
+def sleep(ms=0):
+    """Let other tasks run for at least `ms` milliseconds."""
+    eventlet.sleep(ms / MS_PER_S)
+
+
+def spawn(function, *args):
+    """Run `function` once in the background; a fault in it is logged."""
+    return eventlet.spawn(run_logged, function, *args)
+
+
+def run_logged(function, *args):
+    """Call `function` and log the exception that ends it, if any."""
+    try:
+        return function(*args)
+    except Exception:
+        logger.exception("background task failed", extra={"task": function.__name__})
+        return None
+
+
+class Task:
+    """A loop that calls `step` every `interval_ms` until it is closed.
+
+    A fault in one step is logged and the loop goes on.
+    """
+
+    def __init__(self, step, interval_ms):
+        self.step = step
+        self.interval_ms = interval_ms
+        self.thread = eventlet.spawn(self._run)
+
+    def _run(self):
+        while True:
+            run_logged(self.step)
+            sleep(self.interval_ms)
+
+    def close(self):
+        """Stop the loop."""
+        self.thread.kill()
--- /dev/null
+++ b/scripts/demo.py
@@ -0,0 +1,169 @@
+"""The demonstration: seven nodes, twelve stand-ins, requests from each region."""
+
+import argparse
+import json
+import sys
+import tempfile
+import time
+from typing import NamedTuple
+
+from scripts.examples import INZIRA, OPERATOR_KEY, PORTS, addresses, make_settings
+from standins.cluster import ROOT, Cluster, chat_body, wait_until
+
+ENGINES_A_REGION = 3
+ROW = "{:9} {:22} {:>6} {:9} {:>8}  {}"
+
+
+class Step(NamedTuple):
+    """One request of the demonstration and the status it must get."""
+
+    title: str
+    method: str
+    path: str
+    body: bytes | None
+    headers: dict
+    expected: int
+
+
+STEPS = (
+    Step(
+        "chat",
+        "POST",
+        "/v1/chat/completions",
+        chat_body("drafting", "Which form opens a custody petition?"),
+        {},
+        200,
+    ),
+    Step(
+        "chat, streamed",
+        "POST",
+        "/v1/chat/completions",
+        chat_body("drafting+custody", "Draft a custody petition.", stream=True),
+        {},
+        200,
+    ),
+    Step("lookup", "GET", "/cases/17", None, {}, 200),
+    Step("filing", "POST", "/filings", b"petition", {"Idempotency-Key": "f-1"}, 201),
+    Step(
+        "filing, repeated",
+        "POST",
+        "/filings",
+        b"petition",
+        {"Idempotency-Key": "f-1"},
+        201,
+    ),
+    Step(
+        "unknown model",
+        "POST",
+        "/v1/chat/completions",
+        chat_body("other", "x"),
+        {},
+        404,
+    ),
+)
+
+
+def start(cluster, deployment):
+    """Start nodes and stand-ins of the deployment."""
+    settings = make_settings(deployment)
+    for document in settings.values():
+        cluster.start_node(document)
+    for number, region in enumerate(deployment.vms, start=1):
+        entries = ",".join(
+            document["listen"]["targets"]
+            for document in settings.values()
+            if document["region"] == region
+        )
+        for index in range(1, ENGINES_A_REGION + 1):
+            cluster.start_standin(
+                "engine",
+                f"{region}-engine-{index}",
+                f"127.{deployment.network}.{number}.{100 + index}:9000",
+                entries,
+                "--models=drafting@v1+custody+maintenance",
+            )
+        cluster.start_standin(
+            "service",
+            f"{region}-service",
+            f"127.{deployment.network}.{number}.100:9000",
+            entries,
+            "--services=filing,lookup",
+        )
+    return settings
+
+
+def apply_plan(cluster, operators):
+    """Apply the example's sheet once its log has a leader; wait until it's in force."""
+    sheet = (ROOT / "examples" / INZIRA.name / "plan.csv").read_bytes()
+
+    def accepted():
+        answer = cluster.call(operators, "PUT", "/v1/plan", OPERATOR_KEY, sheet)
+        return answer.status == 200
+
+    def in_force():
+        status = cluster.call(operators, "GET", "/v1/plan/status", OPERATOR_KEY).json
+        vms = [name for row in status["regions"] for name in row["in_force"]]
+        return len(vms) == sum(INZIRA.vms.values())
+
+    wait_until(accepted)
+    wait_until(in_force)
+
+
+def run_step(cluster, region, address, step):
+    """Run one step, print its row, return whether it went as expected."""
+    key = f"key-aid-{region}"
+    started = time.monotonic()
+    headers = dict(step.headers)
+    answer = cluster.call(address, step.method, step.path, key, step.body, headers)
+    elapsed_ms = (time.monotonic() - started) * 1000
+    ran_in = answer.headers.get("Pollenmount-Region", "") or "-"
+    excerpt = answer.body[:48].decode().replace("\n", " ")
+    print(
+        ROW.format(
+            region, step.title, answer.status, ran_in, f"{elapsed_ms:.0f} ms", excerpt
+        )
+    )
+    whole = (
+        b"[DONE]" in answer.body if b'"stream": true' in (step.body or b"") else True
+    )
+    return answer.status == step.expected and whole
+
+
+def count_filings(cluster, deployment):
+    """Return how often each filing key ran, over all regions."""
+    runs = []
+    for number in range(1, len(deployment.vms) + 1):
+        address = f"127.{deployment.network}.{number}.100:9000"
+        counts = cluster.call(address, "GET", "/standin/counts").json
+        runs.extend(counts["runs"].values())
+    return runs
+
+
+def main():
+    """Run the demonstration; return 0 if all went as expected."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--network", type=int, default=INZIRA.network)
+    deployment = INZIRA._replace(network=parser.parse_args().network)
+    with tempfile.TemporaryDirectory() as folder, Cluster(folder) as cluster:
+        settings = start(cluster, deployment)
+        operators = next(iter(settings.values()))["listen"]["operators"]
+        cluster.wait_members(len(settings), OPERATOR_KEY)
+        apply_plan(cluster, operators)
+        time.sleep(1.5)
+        print(ROW.format("region", "request", "status", "ran in", "took", "answer"))
+        good = []
+        for region, name, ip in addresses(deployment):
+            if name == f"{region}-1":
+                callers = f"{ip}:{PORTS['callers']}"
+                good += [run_step(cluster, region, callers, step) for step in STEPS]
+        runs = count_filings(cluster, deployment)
+        print(f"filings run, by key: {json.dumps(runs)}")
+        if not all(good) or runs != [1] * len(deployment.vms):
+            print("not as expected", file=sys.stderr)
+            return 1
+    print("all as expected")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/scripts/examples.py
@@ -0,0 +1,183 @@
+"""Writes the settings and sheets of the two example deployments into examples/.
+
+The callers' and operators' keys in them are for demonstrations only.
+"""
+
+import csv
+import json
+from pathlib import Path
+from typing import NamedTuple
+
+from pollenmount.plans.plan import digest_key
+
+PORTS = {
+    "callers": 8080,
+    "targets": 8081,
+    "operators": 8082,
+    "peers": 8083,
+    "control": 8084,
+}
+PEER_KEY = "example-peer-key-replace-me"
+OPERATOR_KEY = "example-operator-key"
+COLUMNS = (
+    *("record", "name", "version", "adapters", "failure_domains", "methods", "paths"),
+    *("regions", "repeat", "class", "fencing", "key_sha256", "home", "uses", "weighs"),
+    *("rate", "concurrency", "tokens"),
+)
+
+
+class Deployment(NamedTuple):
+    """One example: VMs per region, host number of its first network, and its rows."""
+
+    name: str
+    vms: dict[str, int]
+    network: int
+    separator: str
+    rows: tuple
+
+
+def caller(name, home, uses, weighs, regions=""):
+    """Return the row of a caller whose key is `key-NAME`."""
+    return {
+        "record": "caller",
+        "name": name,
+        "key_sha256": digest_key(f"key-{name}"),
+        "home": home,
+        "regions": regions,
+        "uses": uses,
+        "weighs": weighs,
+        "concurrency": 200,
+    }
+
+
+def model(name, adapters, regions, class_):
+    """Return the row of a model's version v1."""
+    return {
+        "record": "model",
+        "name": name,
+        "version": "v1",
+        "adapters": adapters,
+        "regions": regions,
+        "class": class_,
+        "fencing": "yes",
+    }
+
+
+def service(name, methods, paths, regions, repeat):
+    """Return the row of a service."""
+    return {
+        "record": "service",
+        "name": name,
+        "methods": methods,
+        "paths": paths,
+        "regions": regions,
+        "repeat": repeat,
+    }
+
+
+INZIRA_REGIONS = "kigali huye musanze"
+INZIRA_USES = "drafting+* filing lookup"
+INZIRA = Deployment(
+    "inzira",
+    {"kigali": 3, "huye": 2, "musanze": 2},
+    1,
+    ",",
+    (
+        model("drafting", "custody maintenance", INZIRA_REGIONS, "interactive"),
+        service("filing", "POST", "/filings", INZIRA_REGIONS, "once"),
+        service("lookup", "GET", "/cases", INZIRA_REGIONS, "idempotent"),
+        caller("aid-kigali", "kigali", INZIRA_USES, "latency", "huye musanze"),
+        caller("aid-huye", "huye", INZIRA_USES, "latency", "kigali musanze"),
+        caller("aid-musanze", "musanze", INZIRA_USES, "latency", "kigali huye"),
+        caller("court-kigali", "kigali", INZIRA_USES, "latency"),
+    ),
+)
+
+NL_REGIONS = "nl-west nl-east nl-south"
+NL_USES = "summaries contact invoice status"
+REFERENTIEHUIS = Deployment(
+    "referentiehuis",
+    {"nl-west": 3, "nl-east": 3, "nl-south": 2},
+    2,
+    ";",
+    (
+        model("summaries", "", NL_REGIONS, "deferred"),
+        service("contact", "POST", "/contacts", NL_REGIONS, "once"),
+        service("invoice", "POST", "/invoices", NL_REGIONS, "deduplicated"),
+        service("status", "GET", "/cases", NL_REGIONS, "idempotent"),
+        caller("branch-west", "nl-west", NL_USES, "cost", "nl-east nl-south"),
+        caller("branch-east", "nl-east", NL_USES, "cost", "nl-west nl-south"),
+        caller("branch-south", "nl-south", NL_USES, "cost", "nl-west nl-east"),
+        caller("portal-east", "nl-east", "status", "latency"),
+    ),
+)
+
+
+def addresses(deployment):
+    """Return (region, VM name, IP number) for each VM."""
+    vms = []
+    for number, (region, count) in enumerate(deployment.vms.items(), start=1):
+        for index in range(1, count + 1):
+            ip = f"127.{deployment.network}.{number}.{index}"
+            vms.append((region, f"{region}-{index}", ip))
+    return vms
+
+
+def make_settings(deployment):
+    """Return the settings of each VM, by name."""
+    vms = addresses(deployment)
+    control = {name: f"{ip}:{PORTS['control']}" for _, name, ip in vms}
+    firsts = [f"{region}-1" for region in deployment.vms]
+    groups = {"plans": {name: control[name] for name in firsts}}
+    for region, count in deployment.vms.items():
+        names = [f"{region}-{index}" for index in range(1, count + 1)]
+        groups[f"actions/{region}"] = {name: control[name] for name in names}
+    return {
+        name: {
+            "name": name,
+            "region": region,
+            "failure_domain": f"{region}-a",
+            "listen": {role: f"{ip}:{port}" for role, port in PORTS.items()},
+            "data_folder": f"data/{name}",
+            "seeds": [control[first] for first in firsts],
+            "peer_key": PEER_KEY,
+            "operator_keys": {"planner": digest_key(OPERATOR_KEY)},
+            "groups": groups,
+        }
+        for region, name, ip in vms
+    }
+
+
+def sheet_rows(deployment):
+    """Return the rows of the sheet as dicts."""
+    rows = [{"record": "plan", "name": 2026120301}]
+    for region in deployment.vms:
+        rows.append(
+            {"record": "region", "name": region, "failure_domains": f"{region}-a"}
+        )
+    return [*rows, *deployment.rows]
+
+
+def write(deployment, folder):
+    """Write the files of one deployment."""
+    folder.mkdir(parents=True, exist_ok=True)
+    for name, settings in make_settings(deployment).items():
+        text = json.dumps(settings, indent=2) + "\n"
+        (folder / f"{name}.json").write_text(text)
+    with open(folder / "plan.csv", "w", newline="") as file:
+        writer = csv.DictWriter(
+            file, COLUMNS, delimiter=deployment.separator, lineterminator="\r\n"
+        )
+        writer.writeheader()
+        writer.writerows(sheet_rows(deployment))
+
+
+def main():
+    """Write both examples."""
+    examples = Path(__file__).parent.parent / "examples"
+    for deployment in (INZIRA, REFERENTIEHUIS):
+        write(deployment, examples / deployment.name)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for targets, for the demonstration, tests and benchmarks."""
--- /dev/null
+++ b/standins/kinds/__init__.py
@@ -0,0 +1,1 @@
+"""Kinds of stand-ins, one a module."""
--- /dev/null
+++ b/standins/kinds/engine.py
@@ -0,0 +1,190 @@
+"""Stand-in for a model engine: slots, prefix cache, priorities, resume, cancel, orders.
+
+Time goes by the clock: `--prefill-us` for each prompt word not in the cache, then
+`--token-ms` for each word of the answer. The answer's words depend on the prompt only,
+so a resumed or repeated stream can be compared.
+
+Faults besides those of all stand-ins: `cut_after` (words until the stream breaks off).
+"""
+
+import hashlib
+import heapq
+import itertools
+import json
+
+import eventlet
+import eventlet.event
+
+from pollenmount.api.web import Reply, json_reply
+from pollenmount.plugin import register
+from standins.base import FAMILY, Standin
+
+__all__ = ["Engine", "answer_words"]
+
+DEFAULT_WORDS = 16
+WORDS = ("the", "court", "may", "hear", "a", "claim", "when", "notice", "is", "given")
+FIRST_CLASS = "interactive"
+
+
+def answer_words(prompt, count):
+    """Return the words that every engine answers to this prompt."""
+    digest = hashlib.sha256(prompt.encode()).digest()
+    return [WORDS[digest[i % len(digest)] % len(WORDS)] for i in range(count)]
+
+
+class Slots:
+    """Slots given out by priority, then by order of arrival."""
+
+    def __init__(self, count):
+        self.free = count
+        self.queue = []
+        self.order = itertools.count()
+
+    def acquire(self, priority):
+        """Wait for a slot; a lower priority number goes first."""
+        if self.free:
+            self.free -= 1
+            return
+        turn = eventlet.event.Event()
+        heapq.heappush(self.queue, (priority, next(self.order), turn))
+        turn.wait()
+
+    def release(self):
+        """Hand the slot to the next in the queue."""
+        if self.queue:
+            heapq.heappop(self.queue)[2].send()
+        else:
+            self.free += 1
+
+
+class PrefixCache:
+    """Prompts seen lately, by digest of each prefix block, in limited memory."""
+
+    def __init__(self, blocks):
+        self.limit = blocks
+        self.blocks = {}
+
+    def lookup(self, words, block_words=16):
+        """Return how many leading words are cached, and cache the rest."""
+        cached = 0
+        hit = True
+        for end in range(block_words, len(words) + 1, block_words):
+            key = hash(tuple(words[:end]))
+            if hit and key in self.blocks:
+                cached = end
+            else:
+                hit = False
+            self.blocks.pop(key, None)
+            self.blocks[key] = True
+        while len(self.blocks) > self.limit:
+            del self.blocks[next(iter(self.blocks))]
+        return cached
+
+
+@register(FAMILY, "engine")
+class Engine(Standin):
+    """A model engine that counts what it computes."""
+
+    @classmethod
+    def parser(cls):
+        """Return the parser of the command-line flags."""
+        parser = super().parser()
+        parser.add_argument("--models", required=True, help="by commas")
+        parser.add_argument("--prefill-us", type=float, default=200)
+        parser.add_argument("--token-ms", type=float, default=5)
+        parser.add_argument("--cache-blocks", type=int, default=4096)
+        parser.add_argument("--fencing", action="store_true")
+        return parser
+
+    def __init__(self, args):
+        super().__init__(args)
+        self.slots = Slots(args.slots)
+        self.cache = PrefixCache(args.cache_blocks)
+        self.models = [parse_model(text) for text in args.models.split(",")]
+        self.prompt_words = 0
+        self.computed_words = 0
+        self.generated_words = 0
+        self.fence = 0
+
+    def offer(self):
+        """Return the models it has loaded."""
+        return {"kind": "engine", "models": self.models, "resume": True}
+
+    def counts(self):
+        """Return what the engine did, prompt words computed and generated included."""
+        return {
+            **super().counts(),
+            "prompt_words": self.prompt_words,
+            "computed_words": self.computed_words,
+            "generated_words": self.generated_words,
+            "models": self.models,
+        }
+
+    def run(self, request, body):
+        """Run a chat completion or an order."""
+        if request.path == "/v1/orders":
+            return self.order(json.loads(body))
+        document = json.loads(body)
+        prompt = " ".join(str(m.get("content", "")) for m in document["messages"])
+        words = answer_words(prompt, document.get("max_tokens", DEFAULT_WORDS))
+        words = words[int(request.header("Pollenmount-Resume-From", "0")) :]
+        priority = request.header("Pollenmount-Class") != FIRST_CLASS
+        headers = self.answer_id(request)
+        if not document.get("stream"):
+            text = " ".join(self.generate(prompt, words, priority))
+            message = {"role": "assistant", "content": text}
+            answer = {"id": headers[0][1], "choices": [{"message": message}]}
+            return json_reply(answer, 200, headers)
+        headers.append(("Content-Type", "text/event-stream"))
+        stream = self.stream(headers[0][1], self.generate(prompt, words, priority))
+        return Reply(200, tuple(headers), stream)
+
+    def generate(self, prompt, words, priority):
+        """Yield the answer's words at the engine's pace; closing it cancels."""
+        self.waiting += 1
+        self.slots.acquire(priority)
+        self.waiting -= 1
+        self.running += 1
+        try:
+            prompt_words = prompt.split()
+            missing = len(prompt_words) - self.cache.lookup(prompt_words)
+            self.prompt_words += len(prompt_words)
+            self.computed_words += missing
+            eventlet.sleep(missing * self.args.prefill_us / 1e6)
+            for word in words:
+                eventlet.sleep(self.args.token_ms / 1000)
+                self.generated_words += 1
+                yield word
+        finally:
+            self.running -= 1
+            self.slots.release()
+
+    def stream(self, answer_id, words):
+        """Yield the events of a streamed answer."""
+        cut_after = self.faults.get("cut_after", -1)
+        try:
+            for number, word in enumerate(words):
+                if number == cut_after:
+                    raise ConnectionError("cut by a fault switch")
+                choice = {"index": 0, "delta": {"content": f"{word} "}}
+                event = json.dumps({"id": answer_id, "choices": [choice]})
+                yield f"data: {event}\n\n".encode()
+            yield b"data: [DONE]\n\n"
+        finally:
+            words.close()
+
+    def order(self, document):
+        """Carry out a load order; refuse an old fencing number if told to check."""
+        fence = document["fence"]
+        if self.args.fencing and fence < self.fence:
+            return json_reply({"error": "old fencing number", "fence": self.fence}, 409)
+        self.fence = fence
+        self.models = [parse_model(text) for text in document["models"]]
+        return json_reply({"models": self.models})
+
+
+def parse_model(text):
+    """Return the offered model in `name@version[+adapter...]`."""
+    name, *adapters = text.split("+")
+    name, _, version = name.partition("@")
+    return {"name": name, "version": version, "adapters": adapters}
--- /dev/null
+++ b/tests/faults/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of failures, with real processes."""
--- /dev/null
+++ b/tests/test_demo.py
@@ -0,0 +1,19 @@
+"""The demonstration runs as README says."""
+
+import subprocess
+import sys
+
+from standins.cluster import ROOT
+
+
+def test_demo(network):
+    ended = subprocess.run(
+        [sys.executable, "-W", "ignore", "scripts/demo.py", f"--network={network}"],
+        cwd=ROOT,
+        env={"PYTHONPATH": "."},
+        capture_output=True,
+        text=True,
+        check=False,
+        timeout=120,
+    )
+    assert ended.returncode == 0, ended.stdout + ended.stderr
--- /dev/null
+++ b/tests/test_plan_machine.py
@@ -0,0 +1,30 @@
+"""Acceptance of plans: by number and digest, never back."""
+
+import pytest
+
+from pollenmount.plans.machine import AcceptPlan, PlanMachine
+
+OFFERS = [
+    ((5, "a"), "accepted", 5),
+    ((5, "a"), "repeated", 5),
+    ((5, "b"), "conflict", 5),
+    ((4, "a"), "stale", 5),
+    ((6, "c"), "accepted", 6),
+    ((5, "a"), "replaced", 6),
+    ((5, "b"), "conflict", 6),
+]
+
+
+def test_offers_in_order():
+    machine = PlanMachine()
+    for (number, digest), acceptance, newest in OFFERS:
+        answer = machine.apply(AcceptPlan(number, digest, b""))
+        assert (answer.acceptance, answer.number) == (acceptance, newest)
+
+
+@pytest.mark.parametrize("digest", ["a", "b"])
+def test_first_of_equal_numbers_wins(digest):
+    machine = PlanMachine()
+    machine.apply(AcceptPlan(1, digest, b""))
+    machine.apply(AcceptPlan(1, "other", b""))
+    assert machine.current.digest == digest
