--- a/pollenmount/actions/machine.py
+++ b/pollenmount/actions/machine.py
@@ -7,6 +7,8 @@
 from functools import singledispatchmethod
 from typing import NamedTuple
 
+import msgspec
+
 __all__ = [
     "ActionKey",
     "ActionMachine",
@@ -77,6 +79,9 @@
     answer: StoredAnswer | None = None
 
 
+Actions = tuple[tuple[ActionKey, Action], ...]
+
+
 class ActionMachine:
     """All actions of one region, by key."""
 
@@ -113,3 +118,11 @@
             action = action._replace(state=command.state, answer=command.answer)
             self.actions[command.key] = action
         return Reservation(action.state, action.answer)
+
+    def snapshot(self):
+        """Return the whole state as bytes."""
+        return msgspec.msgpack.encode(tuple(self.actions.items()))
+
+    def restore(self, data):
+        """Replace the state by that of a snapshot."""
+        self.actions = dict(msgspec.msgpack.decode(data, type=Actions))
--- a/pollenmount/plans/machine.py
+++ b/pollenmount/plans/machine.py
@@ -7,6 +7,8 @@
 from enum import StrEnum
 from typing import NamedTuple
 
+import msgspec
+
 __all__ = [
     "GROUP",
     "AcceptPlan",
@@ -53,6 +55,13 @@
     digest: str
 
 
+class PlanSnapshot(NamedTuple):
+    """The whole state of a `PlanMachine`."""
+
+    current: AcceptedPlan | None
+    history: dict[int, str]
+
+
 class PlanMachine:
     """The newest accepted plan and the digests of all before it, by number."""
 
@@ -82,3 +91,11 @@
             return Acceptance.CONFLICT
         same = command.number == newest
         return Acceptance.REPEATED if same else Acceptance.REPLACED
+
+    def snapshot(self):
+        """Return the whole state as bytes."""
+        return msgspec.msgpack.encode(PlanSnapshot(self.current, self.history))
+
+    def restore(self, data):
+        """Replace the state by that of a snapshot."""
+        self.current, self.history = msgspec.msgpack.decode(data, type=PlanSnapshot)
--- a/tests/test_plan_machine.py
+++ b/tests/test_plan_machine.py
@@ -28,3 +28,14 @@
     machine.apply(AcceptPlan(1, digest, b""))
     machine.apply(AcceptPlan(1, "other", b""))
     assert machine.current.digest == digest
+
+
+def test_snapshot_keeps_history():
+    machine = PlanMachine()
+    for number in (3, 7):
+        machine.apply(AcceptPlan(number, f"digest-{number}", b"sheet"))
+    restored = PlanMachine()
+    restored.restore(machine.snapshot())
+    assert restored.current == machine.current
+    answer = restored.apply(AcceptPlan(3, "digest-3", b""))
+    assert answer == ("replaced", 7, "digest-7")
