Give reservations a holder, a lease and an end

Cause: a reservation whose holder vanished stayed 'running' for ever; one whose reply was lost blocked its key; a frozen entry VM could send after others had settled; answers were kept for ever; 'deduplicated' was treated as 'once'.

Change: reservations carry attempt, holder and a hold. The lease is checked between connecting and writing, on the VM that writes; a VM that got the action forwarded confirms the attempt with the log first. A given-up attempt is released in the background and can't be granted late. An end that can't be recorded is retried in the background and the answer says so.

In routing, api and targets: Call gets 'guard', ForwardedCall 'attempt', Upstream.open 'guard', and peers confirm the attempt; a new refusal kind answer_gone (410).

Ruled out: wall-clock expiry (decisions use the monotonic clock, and those of two VMs can't be compared); freeing a key after somebody was told 'unknown' (a person may have acted on that).

--- a/pollenmount/actions/machine.py
+++ b/pollenmount/actions/machine.py
@@ -1,128 +1,269 @@
 """State machine of a region's log of actions: what ran, runs, or may have run.
 
-An action is a non-idempotent request, known by its caller and idempotency key.
+It reads no clock: log time moves by `Tick` commands only, each by at most
+`MAX_STEP_MS` while an action runs, so it never runs ahead of the holders' clocks.
 """
 
-from enum import StrEnum
+import itertools
 from functools import singledispatchmethod
 from typing import NamedTuple
 
 import msgspec
 
-__all__ = [
-    "ActionKey",
-    "ActionMachine",
-    "ActionState",
-    "Reservation",
-    "Reserve",
-    "Settle",
-    "StoredAnswer",
-]
+from pollenmount.actions.messages import (
+    Action,
+    ActionKey,
+    ActionState,
+    LogTime,
+    Renew,
+    Reservation,
+    Reserve,
+    Settle,
+    Tick,
+)
+
+__all__ = ["MAX_STEP_MS", "ActionMachine"]
+
+MAX_STEP_MS = 1000
+CANCELLED_MS = 600_000
+MAX_ACTIONS = 200_000
+MAX_CANCELLED = 100_000
+MAX_ANSWER_BYTES = 64 << 20
+
+RUNNING = ActionState.RUNNING
+DONE = ActionState.DONE
+RELEASED = ActionState.RELEASED
+UNKNOWN = ActionState.UNKNOWN
 
+Actions = tuple[tuple[ActionKey, Action], ...]
 
-class ActionState(StrEnum):
-    """Where an action stands."""
-
-    GRANTED = "granted"
-    RUNNING = "running"
-    DONE = "done"
-    RELEASED = "released"
-    UNKNOWN = "unknown"
-    CONFLICT = "conflict"
-
-
-class ActionKey(NamedTuple):
-    """Identity of an action: caller's name and the idempotency key."""
-
-    caller: str
-    key: str
-
-
-class StoredAnswer(NamedTuple):
-    """A whole answer, kept for repeats of the request."""
-
-    status: int
-    headers: tuple[tuple[str, str], ...]
-    body: bytes
-
-
-class Reserve(NamedTuple):
-    """Command: the right to run the action once, for one attempt."""
-
-    key: ActionKey
-    body_digest: str
-    attempt: str
-
-
-class Settle(NamedTuple):
-    """Command: how the attempt ended (`done`, `released` or `unknown`)."""
-
-    key: ActionKey
-    attempt: str
-    state: ActionState
-    answer: StoredAnswer | None = None
-
-
-class Reservation(NamedTuple):
-    """Reply to a command: the state of the action, with the answer when done."""
-
-    state: ActionState
-    answer: StoredAnswer | None = None
-
-
-class Action(NamedTuple):
-    """One action in the log."""
-
-    body_digest: str
-    attempt: str
-    state: ActionState
-    answer: StoredAnswer | None = None
 
+class ActionSnapshot(NamedTuple):
+    """The whole state of an `ActionMachine`."""
 
-Actions = tuple[tuple[ActionKey, Action], ...]
+    time: int
+    running: Actions
+    answered: Actions
+    closed: Actions
+    cancelled: dict[str, int]
 
 
 class ActionMachine:
-    """All actions of one region, by key."""
+    """All actions of one region, by key.
 
-    commands = (Reserve, Settle)
+    `running` holds reserved actions, `answered` those settled with an answer that is
+    kept, `closed` the other settled ones; the last two are ordered by log time.
+    `cancelled` holds attempts that were given up and may not be granted any more.
+    """
+
+    commands = (Reserve, Renew, Settle, Tick)
 
     def __init__(self):
-        self.actions = {}
+        self.time = 0
+        self.running = {}
+        self.answered = {}
+        self.closed = {}
+        self.cancelled = {}
+        self.answer_bytes = 0
+
+    def find(self, key):
+        """Return the action with this key, or None."""
+        for table in (self.running, self.answered, self.closed):
+            if key in table:
+                return table[key]
+        return None
 
     @singledispatchmethod
     def apply(self, command):
-        """Apply one committed command and return its `Reservation`."""
+        """Apply one committed command and return its reply."""
         raise TypeError(f"no action command: {type(command).__name__}")
 
     @apply.register
     def _(self, command: Reserve):
-        action = self.actions.get(command.key)
-        if action is None or action.state is ActionState.RELEASED:
-            self.actions[command.key] = Action(
-                command.body_digest, command.attempt, ActionState.RUNNING
-            )
-            return Reservation(ActionState.GRANTED)
+        if command.attempt in self.cancelled:
+            return Reservation(RELEASED)
+        action = self.find(command.key)
+        if action is None:
+            return self.grant_first(command)
         if action.body_digest != command.body_digest:
             return Reservation(ActionState.CONFLICT)
-        if action.state is ActionState.RUNNING and action.attempt == command.attempt:
+        if action.state is RUNNING and action.attempt == command.attempt:
             return Reservation(ActionState.GRANTED)
+        if action.state is UNKNOWN and action.attempt != command.attempt:
+            return self.answer_unknown(command, action)
         return Reservation(action.state, action.answer)
 
+    @apply.register
+    def _(self, command: Renew):
+        action = self.running.get(command.key)
+        if action is None or action.attempt != command.attempt:
+            action = self.find(command.key)
+            return Reservation(action.state if action else RELEASED)
+        end = max(action.since, self.hold_end(command.hold_ms))
+        self.running[command.key] = action._replace(since=end)
+        return Reservation(ActionState.GRANTED)
+
     @apply.register
     def _(self, command: Settle):
-        action = self.actions.get(command.key)
+        action = self.find(command.key)
         if action is None or action.attempt != command.attempt:
-            return Reservation(ActionState.UNKNOWN)
-        if action.state is ActionState.RUNNING:
-            action = action._replace(state=command.state, answer=command.answer)
-            self.actions[command.key] = action
+            return self.settle_other(command, action)
+        if command.state is RELEASED:
+            return self.release(command.key, action)
+        if action.state is RUNNING or (action.state, command.state) == (UNKNOWN, DONE):
+            self.settle(command.key, action, command.state, command.answer)
+            return Reservation(command.state)
         return Reservation(action.state, action.answer)
 
+    @apply.register
+    def _(self, command: Tick):
+        if command.seen != self.time:
+            return LogTime(self.time, False)
+        limit = MAX_STEP_MS if self.running else command.advance_ms
+        self.time += min(command.advance_ms, limit)
+        self.expire_holds()
+        self.drop_answers(command.answer_ms)
+        self.drop_keys(command.key_ms)
+        return LogTime(self.time, True)
+
+    def grant_first(self, command):
+        """Grant an action that isn't in the log."""
+        if len(self.running) + len(self.answered) + len(self.closed) >= MAX_ACTIONS:
+            return Reservation(ActionState.FULL)
+        return self.grant(command, maybe_ran=False)
+
+    def grant(self, command, maybe_ran):
+        """Put an action in the log as running."""
+        self.running[command.key] = Action(
+            command.body_digest,
+            command.attempt,
+            command.holder,
+            RUNNING,
+            self.hold_end(command.hold_ms),
+            command.repeatable,
+            maybe_ran,
+        )
+        return Reservation(ActionState.GRANTED)
+
+    def hold_end(self, hold_ms):
+        """Return the log time at which a hold that starts now is over.
+
+        One step is added, since log time may lag by as much.
+        """
+        return self.time + MAX_STEP_MS + hold_ms
+
+    def answer_unknown(self, command, action):
+        """Answer a `Reserve` of an action whose outcome is unknown."""
+        if action.repeatable and command.repeatable:
+            del self.closed[command.key]
+            return self.grant(command, maybe_ran=True)
+        self.closed[command.key] = action._replace(told=True)
+        return Reservation(UNKNOWN)
+
+    def settle_other(self, command, action):
+        """Take the end of an attempt that doesn't hold the action (any more)."""
+        if command.state is RELEASED:
+            self.cancel(command.attempt)
+            return Reservation(RELEASED)
+        if action is None:
+            return Reservation(UNKNOWN)
+        if command.state is DONE and action.repeatable and action.state is not DONE:
+            self.settle(command.key, action, DONE, command.answer)
+            return Reservation(DONE)
+        return Reservation(action.state, action.answer)
+
+    def release(self, key, action):
+        """Let the action be run again, unless that could contradict what was told."""
+        self.cancel(action.attempt)
+        if action.state is DONE:
+            return Reservation(DONE, action.answer)
+        if action.maybe_ran or action.told:
+            self.settle(key, action, UNKNOWN, None)
+            return Reservation(UNKNOWN)
+        self.remove(key)
+        return Reservation(RELEASED)
+
+    def settle(self, key, action, state, answer):
+        """Move an action to its settled state."""
+        self.remove(key)
+        table = self.closed if answer is None else self.answered
+        table[key] = action._replace(state=state, since=self.time, answer=answer)
+        if answer is not None:
+            self.answer_bytes += len(answer.body)
+            self.trim_answers()
+
+    def remove(self, key):
+        """Forget an action."""
+        for table in (self.running, self.answered, self.closed):
+            action = table.pop(key, None)
+            if action and action.answer:
+                self.answer_bytes -= len(action.answer.body)
+
+    def cancel(self, attempt):
+        """Never grant this attempt; its `Reserve` may still be under way."""
+        self.cancelled[attempt] = self.time
+        if len(self.cancelled) > MAX_CANCELLED:
+            del self.cancelled[next(iter(self.cancelled))]
+
+    def expire_holds(self):
+        """Settle actions whose holder has not been heard of: they may have run."""
+        ended = [key for key, a in self.running.items() if a.since <= self.time]
+        for key in ended:
+            self.settle(key, self.running[key], UNKNOWN, None)
+
+    def trim_answers(self):
+        """Drop the oldest answers while all of them are too large."""
+        while self.answer_bytes > MAX_ANSWER_BYTES:
+            self.drop_answer(next(iter(self.answered)))
+
+    def drop_answers(self, kept_ms):
+        """Drop the answers older than `kept_ms`; their keys stay known."""
+        old = [*older(self.answered, self.time - kept_ms)]
+        for key in old:
+            self.drop_answer(key)
+
+    def drop_answer(self, key):
+        """Keep an answered action without its answer."""
+        action = self.answered[key]
+        self.remove(key)
+        self.closed[key] = action._replace(answer=None)
+
+    def drop_keys(self, kept_ms):
+        """Forget actions settled `kept_ms` ago, and old cancelled attempts."""
+        old = [*older(self.closed, self.time - kept_ms)]
+        for key in old:
+            del self.closed[key]
+        self.drop_cancelled(self.time - CANCELLED_MS)
+
+    def drop_cancelled(self, limit):
+        """Forget attempts that were cancelled before `limit`."""
+        ordered = self.cancelled.items()
+        old = [*itertools.takewhile(lambda item: item[1] < limit, ordered)]
+        for attempt, _ in old:
+            del self.cancelled[attempt]
+
     def snapshot(self):
         """Return the whole state as bytes."""
-        return msgspec.msgpack.encode(tuple(self.actions.items()))
+        tables = (self.running, self.answered, self.closed)
+        listed = (tuple(table.items()) for table in tables)
+        state = ActionSnapshot(self.time, *listed, self.cancelled)
+        return msgspec.msgpack.encode(state)
 
     def restore(self, data):
         """Replace the state by that of a snapshot."""
-        self.actions = dict(msgspec.msgpack.decode(data, type=Actions))
+        state = msgspec.msgpack.decode(data, type=ActionSnapshot)
+        self.time = state.time
+        self.running = dict(state.running)
+        self.answered = dict(state.answered)
+        self.closed = dict(state.closed)
+        self.cancelled = state.cancelled
+        bodies = (action.answer.body for action in self.answered.values())
+        self.answer_bytes = sum(map(len, bodies))
+
+
+def older(table, limit):
+    """Yield the keys at the front of a table that were settled before `limit`."""
+    for key, action in table.items():
+        if action.since >= limit:
+            return
+        yield key
--- /dev/null
+++ b/pollenmount/actions/messages.py
@@ -0,0 +1,134 @@
+"""Commands and replies of a region's log of actions.
+
+An action is a non-idempotent request, known by its caller and idempotency key. All
+times are log times: milliseconds that `Tick` commands have added up.
+"""
+
+from enum import StrEnum
+from typing import NamedTuple
+
+__all__ = [
+    "Action",
+    "ActionKey",
+    "ActionState",
+    "Holder",
+    "LogTime",
+    "Renew",
+    "Reservation",
+    "Reserve",
+    "Settle",
+    "StoredAnswer",
+    "Tick",
+]
+
+
+class ActionState(StrEnum):
+    """Where an action stands, or why a command was not taken."""
+
+    GRANTED = "granted"
+    RUNNING = "running"
+    DONE = "done"
+    RELEASED = "released"
+    UNKNOWN = "unknown"
+    CONFLICT = "conflict"
+    FULL = "full"
+
+
+class ActionKey(NamedTuple):
+    """Identity of an action: caller's name and the idempotency key."""
+
+    caller: str
+    key: str
+
+
+class Holder(NamedTuple):
+    """The VM that runs an attempt, and the incarnation of its process."""
+
+    vm: str
+    incarnation: str
+
+
+class StoredAnswer(NamedTuple):
+    """A whole answer, kept for repeats of the request."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+class Reserve(NamedTuple):
+    """Command: the right to run the action once, for one attempt.
+
+    Nobody settles it for the holder before `hold_ms` have passed. `repeatable` says
+    that the service drops repeats of a key itself.
+    """
+
+    key: ActionKey
+    body_digest: str
+    attempt: str
+    holder: Holder
+    hold_ms: int
+    repeatable: bool = False
+
+
+class Renew(NamedTuple):
+    """Command: the attempt goes on for another `hold_ms`."""
+
+    key: ActionKey
+    attempt: str
+    hold_ms: int
+
+
+class Settle(NamedTuple):
+    """Command: how the attempt ended (`done`, `released` or `unknown`)."""
+
+    key: ActionKey
+    attempt: str
+    state: ActionState
+    answer: StoredAnswer | None = None
+
+
+class Tick(NamedTuple):
+    """Command: `advance_ms` have passed since log time `seen` was reached.
+
+    It is taken only while the log time still is `seen`. Answers are kept for
+    `answer_ms`, keys for `key_ms`.
+    """
+
+    seen: int
+    advance_ms: int
+    answer_ms: int
+    key_ms: int
+
+
+class Reservation(NamedTuple):
+    """Reply to a command on an action: its state, with the answer when it is kept."""
+
+    state: ActionState
+    answer: StoredAnswer | None = None
+
+
+class LogTime(NamedTuple):
+    """Reply to a `Tick`: the log time, and whether the command moved it."""
+
+    time: int
+    moved: bool
+
+
+class Action(NamedTuple):
+    """One action in the log.
+
+    `since` is when it was settled, or while it runs, when its hold ends. `maybe_ran`
+    says that an earlier attempt may have run; `told` that somebody was told that the
+    outcome is unknown.
+    """
+
+    body_digest: str
+    attempt: str
+    holder: Holder
+    state: ActionState
+    since: int
+    repeatable: bool
+    maybe_ran: bool = False
+    told: bool = False
+    answer: StoredAnswer | None = None
--- /dev/null
+++ b/pollenmount/actions/replay.py
@@ -0,0 +1,55 @@
+"""Answers a request whose action is in the log already."""
+
+from pollenmount.actions.messages import ActionState
+from pollenmount.errors import Refusal, RefusalKind
+from pollenmount.routing.request import Chunk, Head
+
+__all__ = ["replay"]
+
+RETRY_AFTER_MS = 1000
+FULL_RETRY_AFTER_MS = 60_000
+REPLAYED = ("Pollenmount-Replayed", "yes")
+
+REFUSALS = {
+    ActionState.CONFLICT: Refusal(
+        RefusalKind.KEY_CONFLICT,
+        "this idempotency key was used with another request; use a new key",
+    ),
+    ActionState.RUNNING: Refusal(
+        RefusalKind.IN_PROGRESS,
+        "this request is running; come back with the same key",
+        not_run=False,
+        retry_after_ms=RETRY_AFTER_MS,
+    ),
+    ActionState.DONE: Refusal(
+        RefusalKind.ANSWER_GONE,
+        "this request was run and answered; its answer is no longer kept and it is not "
+        "run again, ask the service for the outcome",
+        not_run=False,
+    ),
+    ActionState.UNKNOWN: Refusal(
+        RefusalKind.OUTCOME_UNKNOWN,
+        "the outcome of an earlier run with this key is unknown; it is not run "
+        "again, ask the service whether it took effect",
+        not_run=False,
+    ),
+    ActionState.RELEASED: Refusal(
+        RefusalKind.NO_QUORUM,
+        "it was given up before it was sent; send it again",
+        retry_after_ms=RETRY_AFTER_MS,
+    ),
+    ActionState.FULL: Refusal(
+        RefusalKind.OVERLOADED,
+        "the log of actions is full; come back later, or tell your operator",
+        retry_after_ms=FULL_RETRY_AFTER_MS,
+    ),
+}
+
+
+def replay(reservation):
+    """Return the answer's parts, or one `Refusal`, for a `Reservation`."""
+    stored = reservation.answer
+    if stored is None:
+        return (REFUSALS[reservation.state],)
+    head = Head(stored.status, (*stored.headers, REPLAYED), "", "")
+    return head, Chunk(stored.body)
--- a/pollenmount/actions/runner.py
+++ b/pollenmount/actions/runner.py
@@ -2,24 +2,36 @@
 
 import hashlib
 import uuid
+from typing import NamedTuple
 
 from result import Err
 
-from pollenmount.actions.machine import (
+from pollenmount import task
+from pollenmount.actions.lease import HOLD_MS, RENEW_MS, Lease
+from pollenmount.actions.messages import (
     ActionKey,
     ActionState,
+    Renew,
     Reservation,
     Reserve,
     Settle,
     StoredAnswer,
 )
+from pollenmount.actions.replay import replay
 from pollenmount.errors import Refusal, RefusalKind
-from pollenmount.routing.request import Chunk, Head
+from pollenmount.log import get_logger
+from pollenmount.plans.plan import DEDUPLICATED
+from pollenmount.routing.request import Chunk
 
 __all__ = ["ActionRunner", "group_name"]
 
-RETRY_AFTER_MS = 1000
-REPLAYED = ("Pollenmount-Replayed", "yes")
+RESERVE_TRIES = 2
+FIRST_BACKOFF_MS = 100
+MAX_BACKOFF_MS = 2000
+MAX_STORED_BYTES = 1 << 20
+UNRECORDED = ("Pollenmount-Recorded", "pending")
+
+logger = get_logger("actions")
 
 
 def group_name(region):
@@ -27,38 +39,169 @@
     return f"actions/{region}"
 
 
+class Attempt(NamedTuple):
+    """One attempt at an action, with the lease under which it may be sent."""
+
+    group: str
+    key: ActionKey
+    lease: Lease
+
+    def settle(self, state, answer=None):
+        """Return the command that records how this attempt ended."""
+        return Settle(self.key, self.lease.attempt, state, answer)
+
+
 class ActionRunner:
-    """Runs actions through the log of the caller's home region."""
+    """Runs actions through the log of the caller's home region.
+
+    `holder` names this VM; `settler` records ends that can't be recorded at once.
+    """
 
-    def __init__(self, groups):
+    def __init__(self, groups, clock, holder, settler):
         self.groups = groups
+        self.clock = clock
+        self.holder = holder
+        self.settler = settler
 
     def run(self, call, serve):
         """Yield the answer's parts or one `Refusal`.
 
-        `serve` yields the parts of a first run; it is called only with a reservation
-        in hand.
+        `serve` takes a call and yields the parts of its answer; it is called only with
+        a reservation in hand. The action runs in a task of its own, so that a caller
+        who hangs up doesn't end it.
         """
-        group = group_name(call.caller.home)
+        ended = task.Event()
+        task.spawn(self.execute, call, serve, ended)
+        yield from ended.wait()
+
+    def execute(self, call, serve, ended):
+        """Run the action and send the parts of its answer to `ended`."""
+        try:
+            ended.send(tuple(self.attempt(call, serve)))
+        except Exception as error:
+            ended.send(None, error)
+            raise
+
+    def attempt(self, call, serve):
+        """Return the parts of the answer to one request."""
+        started = self.clock.now()
+        lease = Lease(self.clock, uuid.uuid4().hex, started)
         key = ActionKey(call.caller.name, call.key)
-        attempt = uuid.uuid4().hex
-        command = Reserve(key, digest_call(call), attempt)
-        reserved = self.groups.propose(group, command, Reservation)
+        attempt = Attempt(group_name(call.caller.home), key, lease)
+        reserved = self.reserve(call, attempt)
         if isinstance(reserved, Err):
-            # Nothing was sent to a target, whatever became of the reservation.
-            yield reserved.err_value._replace(not_run=True)
-            return
+            return self.give_up(attempt, reserved.err_value)
         reservation = reserved.ok_value
         if reservation.state is not ActionState.GRANTED:
-            yield from replay(reservation)
-            return
-        parts = tuple(serve())
-        settlement = settle(key, attempt, parts)
-        recorded = self.groups.propose(group, settlement, Reservation)
-        if isinstance(recorded, Err) and settlement.state is ActionState.DONE:
-            yield unrecorded()
+            return replay(reservation)
+        return self.run_reserved(call, serve, attempt)
+
+    def reserve(self, call, attempt):
+        """Return Ok(Reservation) or Err(Refusal); a lost answer is asked for again."""
+        command = Reserve(
+            attempt.key,
+            digest_call(call),
+            attempt.lease.attempt,
+            self.holder,
+            HOLD_MS,
+            is_repeatable(call),
+        )
+        for _ in range(RESERVE_TRIES):
+            reserved = self.groups.propose(attempt.group, command, Reservation)
+            if not isinstance(reserved, Err) or reserved.err_value.not_run:
+                break
+            if not attempt.lease.holds():
+                break
+        return reserved
+
+    def give_up(self, attempt, refusal):
+        """Return the refusal for an attempt that got no answer from the log.
+
+        Nothing was sent to a target, and its reservation, if any, is released.
+        """
+        if not refusal.not_run:
+            self.settler.add(attempt.group, attempt.settle(ActionState.RELEASED))
+        return (refusal._replace(not_run=True),)
+
+    def run_reserved(self, call, serve, attempt):
+        """Send the action, record how that ended, and return the answer's parts."""
+        renewal = task.Task(lambda: self.renew(attempt), RENEW_MS)
+        try:
+            parts = self.ask(call._replace(guard=attempt.lease), serve)
+        except Exception:
+            self.settler.add(attempt.group, attempt.settle(ActionState.UNKNOWN))
+            raise
+        finally:
+            renewal.close()
+        return self.record(attempt, parts)
+
+    def renew(self, attempt):
+        """Renew the lease of an attempt that has been running for a while."""
+        started = self.clock.now()
+        if started < attempt.lease.started + RENEW_MS:
             return
-        yield from parts
+        command = Renew(attempt.key, attempt.lease.attempt, HOLD_MS)
+        reply = self.groups.propose(attempt.group, command, Reservation)
+        if is_granted(reply):
+            attempt.lease.renew(started)
+
+    def ask(self, call, serve):
+        """Return the parts of the answer as a tuple.
+
+        A service that drops repeats itself is asked until it answers.
+        """
+        parts = tuple(serve(call))
+        backoff = FIRST_BACKOFF_MS
+        maybe_ran = may_have_run(parts)
+        while self.may_ask_again(call, parts, maybe_ran, backoff):
+            task.sleep(backoff)
+            backoff = min(2 * backoff, MAX_BACKOFF_MS)
+            parts = tuple(serve(call))
+            maybe_ran = maybe_ran or may_have_run(parts)
+        return mark_unknown(parts) if maybe_ran else parts
+
+    def may_ask_again(self, call, parts, maybe_ran, backoff):
+        """Return whether to ask the service once more with the same key."""
+        if not maybe_ran or not is_repeatable(call):
+            return False
+        unanswered = isinstance(parts[0], Refusal)
+        return unanswered and self.clock.now() + backoff < call.deadline
+
+    def record(self, attempt, parts):
+        """Record how an attempt ended; return what its caller gets."""
+        settlement = to_settlement(attempt, parts)
+        recorded = self.groups.propose(attempt.group, settlement, Reservation)
+        if isinstance(recorded, Err):
+            self.settler.add(attempt.group, settlement)
+            return mark_unrecorded(parts)
+        state = recorded.ok_value.state
+        if state is ActionState.DONE and recorded.ok_value.answer:
+            return replay(recorded.ok_value)
+        if state is ActionState.UNKNOWN and settlement.state is ActionState.RELEASED:
+            return replay(recorded.ok_value)
+        return parts
+
+    def confirm(self, caller, key, attempt_id):
+        """Return a `Lease` on another VM's attempt, or None if it isn't granted.
+
+        An entry VM that runs a forwarded action asks the log itself, since how long the
+        request was under way can't be known.
+        """
+        lease = Lease(self.clock, attempt_id, self.clock.now())
+        command = Renew(ActionKey(caller.name, key), attempt_id, HOLD_MS)
+        group = group_name(caller.home)
+        reply = self.groups.propose(group, command, Reservation)
+        return lease if is_granted(reply) else None
+
+
+def is_granted(reply):
+    """Return whether the log granted what was proposed."""
+    return not isinstance(reply, Err) and reply.ok_value.state is ActionState.GRANTED
+
+
+def is_repeatable(call):
+    """Return whether the service itself drops repeats of an idempotency key."""
+    return call.route.service.repeat == DEDUPLICATED
 
 
 def digest_call(call):
@@ -67,40 +210,36 @@
     return hashlib.sha256(text + call.body).hexdigest()
 
 
-def settle(key, attempt, parts):
-    """Return the command that records how an attempt ended."""
+def may_have_run(parts):
+    """Return whether an attempt without an answer may have run."""
+    return isinstance(parts[0], Refusal) and not parts[0].not_run
+
+
+def mark_unknown(parts):
+    """Return the parts; a refusal no longer says 'not run' after an earlier attempt."""
+    if isinstance(parts[0], Refusal) and parts[0].not_run:
+        message = f"{parts[0].message} (an earlier attempt may have run)"
+        kind = RefusalKind.OUTCOME_UNKNOWN
+        return (parts[0]._replace(kind=kind, message=message, not_run=False),)
+    return parts
+
+
+def mark_unrecorded(parts):
+    """Return the parts; an answer says that repeats don't get it yet."""
     head = parts[0]
     if isinstance(head, Refusal):
-        state = ActionState.RELEASED if head.not_run else ActionState.UNKNOWN
-        return Settle(key, attempt, state)
-    body = b"".join(part.data for part in parts[1:])
-    answer = StoredAnswer(head.status, head.headers, body)
-    return Settle(key, attempt, ActionState.DONE, answer)
-
-
-def replay(reservation):
-    """Yield the answer to a request that was reserved before."""
-    if reservation.state is ActionState.DONE:
-        stored = reservation.answer
-        yield Head(stored.status, (*stored.headers, REPLAYED), "", "")
-        yield Chunk(stored.body)
-    elif reservation.state is ActionState.CONFLICT:
-        message = "this idempotency key was used with another request; use a new key"
-        yield Refusal(RefusalKind.KEY_CONFLICT, message)
-    elif reservation.state is ActionState.RUNNING:
-        message = "this request is running; come back with the same key"
-        yield Refusal(RefusalKind.IN_PROGRESS, message, False, RETRY_AFTER_MS)
-    else:
-        message = (
-            "the outcome of an earlier run with this key is unknown; it is not run "
-            "again, ask the service whether it took effect"
-        )
-        yield Refusal(RefusalKind.OUTCOME_UNKNOWN, message, not_run=False)
+        return parts
+    return (head._replace(headers=(*head.headers, UNRECORDED)), *parts[1:])
 
 
-def unrecorded():
-    """Return the refusal for an answer that couldn't be recorded."""
-    message = (
-        "it was run but its answer could not be recorded; come back with the same key"
-    )
-    return Refusal(RefusalKind.OUTCOME_UNKNOWN, message, False, RETRY_AFTER_MS)
+def to_settlement(attempt, parts):
+    """Return the command that records what an attempt brought."""
+    head = parts[0]
+    if isinstance(head, Refusal):
+        released = ActionState.RELEASED if head.not_run else ActionState.UNKNOWN
+        return attempt.settle(released)
+    body = b"".join(part.data for part in parts[1:] if isinstance(part, Chunk))
+    if len(body) > MAX_STORED_BYTES:
+        return attempt.settle(ActionState.DONE)
+    answer = StoredAnswer(head.status, head.headers, body)
+    return attempt.settle(ActionState.DONE, answer)
--- a/pollenmount/api/answer.py
+++ b/pollenmount/api/answer.py
@@ -49,7 +49,7 @@
         """Return the generator of the answer's parts."""
         if is_idempotent(call.route):
             return self.serve(call)
-        return self.kernel.get("actions").run(call, lambda: self.serve(call))
+        return self.kernel.get("actions").run(call, self.serve)
 
     def serve(self, call):
         """Return the parts of an answer from the best candidate."""
--- a/pollenmount/api/peers.py
+++ b/pollenmount/api/peers.py
@@ -13,7 +13,7 @@
     parse_model_name,
 )
 from pollenmount.routing import choose, forward, pipeline
-from pollenmount.routing.request import ModelRoute, ServiceRoute
+from pollenmount.routing.request import ModelRoute, ServiceRoute, is_idempotent
 from pollenmount.routing.rules import check_caller_region, check_rights
 
 __all__ = ["PeersApi"]
@@ -66,7 +66,15 @@
         refusal = refusal or check_rights(caller, route)
         if refusal:
             return refusal
-        return forward.to_call(forwarded, caller, route, body, kernel.clock.now())
+        guard = None
+        if not is_idempotent(route):
+            attempt = forwarded.attempt
+            guard = kernel.get("actions").confirm(caller, forwarded.key, attempt)
+            if guard is None:
+                message = "the action's lease can't be confirmed here; send it again"
+                return Refusal(RefusalKind.NO_QUORUM, message, True, 1000)
+        now = kernel.clock.now()
+        return forward.to_call(forwarded, caller, route, body, now, guard)
 
 
 def find_route(plan, forwarded):
--- a/pollenmount/errors.py
+++ b/pollenmount/errors.py
@@ -87,6 +87,7 @@
     DEADLINE = "deadline"
     TARGET_FAILED = "target_failed"
     OUTCOME_UNKNOWN = "outcome_unknown"
+    ANSWER_GONE = "answer_gone"
 
 
 HTTP_STATUS = {
@@ -108,6 +109,7 @@
     RefusalKind.DEADLINE: 504,
     RefusalKind.TARGET_FAILED: 502,
     RefusalKind.OUTCOME_UNKNOWN: 502,
+    RefusalKind.ANSWER_GONE: 410,
 }
 
 
--- a/pollenmount/parts/routing.py
+++ b/pollenmount/parts/routing.py
@@ -1,6 +1,5 @@
-"""Parts that carry requests: admission, upstream connections, attempts, actions."""
+"""Parts that carry requests: admission, upstream connections, attempts."""
 
-from pollenmount.actions.runner import ActionRunner
 from pollenmount.plugin import register
 from pollenmount.routing.admit import Admission
 from pollenmount.routing.attempt import Attempter
@@ -38,9 +37,3 @@
         kernel.get("targets"),
         kernel.get("members"),
     )
-
-
-@register("pollenmount.parts", "actions")
-def build_actions(kernel):
-    """Return what runs actions at most once."""
-    return ActionRunner(kernel.get("group_client"))
--- a/pollenmount/routing/attempt.py
+++ b/pollenmount/routing/attempt.py
@@ -84,6 +84,7 @@
             call.body,
             call.deadline - attempter.clock.now(),
             fresh,
+            call.guard,
         )
         parts = check_answer(response, attempt_id, attempter, call)
         head = Head(
@@ -131,6 +132,7 @@
             call.body,
             call.deadline - attempter.clock.now(),
             fresh,
+            call.guard,
         )
         forward.raise_refusal(response)
         yield forward.decode_head(response)
--- a/pollenmount/routing/forward.py
+++ b/pollenmount/routing/forward.py
@@ -37,7 +37,7 @@
 
     The receiver looks the caller up in its own plan. `offer` names the model with its
     version and adapter ('' for a service); `remaining_ms` is the time left, since
-    clocks of two VMs can't be compared.
+    clocks of two VMs can't be compared. `attempt` is the attempt at an action, or ''.
     """
 
     id: str
@@ -50,6 +50,7 @@
     remaining_ms: int
     key: str
     stream: bool
+    attempt: str = ""
 
 
 class ForwardRefusedError(UpstreamError):
@@ -73,6 +74,7 @@
         call.deadline - now,
         call.key,
         call.stream,
+        call.guard.attempt if call.guard else "",
     )
     encoded = msgspec.json.encode(forwarded).decode("latin-1")
     return {CALL_HEADER: encoded, KEY_HEADER: peer_key}
@@ -99,7 +101,7 @@
         return Refusal(RefusalKind.BAD_REQUEST, message)
 
 
-def to_call(forwarded, caller, route, body, now):
+def to_call(forwarded, caller, route, body, now, guard=None):
     """Return the `Call` that a forwarded one stands for on this node."""
     return Call(
         forwarded.id,
@@ -113,6 +115,7 @@
         now + forwarded.remaining_ms,
         forwarded.key,
         forwarded.stream,
+        guard,
     )
 
 
--- a/pollenmount/routing/request.py
+++ b/pollenmount/routing/request.py
@@ -1,7 +1,7 @@
 """A request on its way through the gateway, and the parts of its answer."""
 
 from functools import singledispatch
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from pollenmount.members.table import DomainSummary, Member
 from pollenmount.plans.plan import IDEMPOTENT, Caller, Model, Plan, Service
@@ -42,7 +42,8 @@
     """One accepted request.
 
     `deadline` is monotonic milliseconds of this node's clock; `key` is the idempotency
-    key; `headers` are those passed on; `path` includes the query.
+    key; `headers` are those passed on; `path` includes the query; `guard` is the lease
+    of an action's attempt.
     """
 
     id: str
@@ -56,6 +57,7 @@
     deadline: int
     key: str
     stream: bool
+    guard: Any = None
 
 
 class Head(NamedTuple):
--- a/pollenmount/targets/upstream.py
+++ b/pollenmount/targets/upstream.py
@@ -39,13 +39,17 @@
             num_pools=POOLS, maxsize=POOL_CONNECTIONS, block=False, retries=False
         )
 
-    def open(self, address, method, path, headers, body, timeout_ms, fresh=False):
+    def open(
+        self, address, method, path, headers, body, timeout_ms, fresh=False, guard=None
+    ):
         """Send a request and return the response, its body still unread.
 
         `fresh` uses a new connection, so that a failure to connect is the only
         ambiguity-free failure and a stale pooled connection can't cause another.
+        `guard` gives new connections that are written only under its lease.
         """
         pools = self.fresh_pools() if fresh else self.pools
+        pools = guard.pools() if guard else pools
         timeout = urllib3.Timeout(
             connect=CONNECT_TIMEOUT_S, read=max(timeout_ms, 1) / MS_PER_S
         )
--- a/tests/test_action_machine.py
+++ b/tests/test_action_machine.py
@@ -1,24 +1,143 @@
 """The log of actions: grants, answers, conflicts, and its snapshot."""
 
-from pollenmount.actions.machine import (
+import pytest
+
+from pollenmount.actions import machine as machine_module
+from pollenmount.actions.machine import MAX_STEP_MS, ActionMachine
+from pollenmount.actions.messages import (
     ActionKey,
-    ActionMachine,
     ActionState,
+    Holder,
+    Renew,
+    Reservation,
     Reserve,
     Settle,
     StoredAnswer,
+    Tick,
 )
 
 KEY = ActionKey("court", "f-1")
 ANSWER = StoredAnswer(201, (("Content-Type", "text/plain"),), b"receipt")
+HOLD_MS = 2000
+KEPT_MS = 60_000
+STEPS = HOLD_MS // MAX_STEP_MS + 1
+
+
+def reserve(attempt, key=KEY, digest="digest", repeatable=False):
+    return Reserve(key, digest, attempt, Holder("vm", "1"), HOLD_MS, repeatable)
+
 
+def tick(machine, steps=1):
+    for _ in range(steps):
+        machine.apply(Tick(machine.time, MAX_STEP_MS, KEPT_MS, 2 * KEPT_MS))
 
-def test_snapshot_keeps_answers_and_reservations():
-    machine = ActionMachine()
-    machine.apply(Reserve(KEY, "digest", "a"))
+
+@pytest.fixture
+def machine():
+    return ActionMachine()
+
+
+def test_snapshot_keeps_answers_and_reservations(machine):
+    machine.apply(reserve("a"))
     machine.apply(Settle(KEY, "a", ActionState.DONE, ANSWER))
-    machine.apply(Reserve(KEY._replace(key="f-2"), "digest", "b"))
+    machine.apply(reserve("b", KEY._replace(key="f-2")))
+    machine.apply(Settle(KEY, "c", ActionState.RELEASED))
     restored = ActionMachine()
     restored.restore(machine.snapshot())
-    assert restored.apply(Reserve(KEY, "digest", "c")) == (ActionState.DONE, ANSWER)
+    assert restored.apply(reserve("d")) == (ActionState.DONE, ANSWER)
     assert restored.snapshot() == machine.snapshot()
+    assert restored.answer_bytes == len(ANSWER.body)
+
+
+def test_vanished_holder_ends_as_unknown_and_a_late_answer_is_taken(machine):
+    machine.apply(reserve("a"))
+    tick(machine, STEPS - 1)
+    assert machine.apply(reserve("b")).state is ActionState.RUNNING
+    tick(machine)
+    assert machine.apply(reserve("b")).state is ActionState.UNKNOWN
+    assert machine.apply(Settle(KEY, "a", ActionState.DONE, ANSWER)).state == "done"
+    assert machine.apply(reserve("b")) == (ActionState.DONE, ANSWER)
+
+
+def test_renewed_hold_lasts(machine):
+    machine.apply(reserve("a"))
+    for _ in range(5):
+        tick(machine)
+        assert machine.apply(Renew(KEY, "a", HOLD_MS)).state == "granted"
+    assert machine.apply(Renew(KEY, "b", HOLD_MS)).state == "running"
+
+
+def test_long_tick_can_not_end_a_hold_at_once(machine):
+    tick(machine, 3)
+    machine.apply(reserve("a"))
+    machine.apply(Tick(machine.time, 3_600_000, KEPT_MS, KEPT_MS))
+    assert machine.apply(reserve("b")).state is ActionState.RUNNING
+
+
+def test_two_ticks_of_one_stretch_count_once(machine):
+    ticks = [Tick(0, 400, KEPT_MS, KEPT_MS)] * 2
+    assert [machine.apply(t) for t in ticks] == [(400, True), (400, False)]
+
+
+def test_release_after_somebody_was_told_unknown_frees_nothing(machine):
+    machine.apply(reserve("a"))
+    tick(machine, STEPS)
+    machine.apply(reserve("b"))
+    assert machine.apply(Settle(KEY, "a", ActionState.RELEASED)).state == "unknown"
+    assert machine.apply(reserve("c")).state is ActionState.UNKNOWN
+
+
+def test_release_after_the_hold_frees_the_key_when_nobody_was_told(machine):
+    machine.apply(reserve("a"))
+    tick(machine, STEPS)
+    assert machine.apply(Settle(KEY, "a", ActionState.RELEASED)).state == "released"
+    assert machine.apply(reserve("b", digest="other")).state is ActionState.GRANTED
+
+
+def test_reserve_that_arrives_after_its_release_is_not_granted(machine):
+    machine.apply(Settle(KEY, "a", ActionState.RELEASED))
+    assert machine.apply(reserve("a")).state is ActionState.RELEASED
+    assert machine.apply(reserve("b")).state is ActionState.GRANTED
+
+
+def test_repeatable_action_is_granted_again_but_never_released(machine):
+    machine.apply(reserve("a", repeatable=True))
+    machine.apply(Settle(KEY, "a", ActionState.UNKNOWN))
+    assert machine.apply(reserve("b", repeatable=False)).state == "unknown"
+    assert machine.apply(reserve("b", repeatable=True)).state == "granted"
+    assert machine.apply(Settle(KEY, "b", ActionState.RELEASED)).state == "unknown"
+    other = reserve("c", digest="other", repeatable=True)
+    assert machine.apply(other).state is ActionState.CONFLICT
+
+
+def test_late_answer_of_an_earlier_attempt_is_the_one_all_get(machine):
+    machine.apply(reserve("a", repeatable=True))
+    tick(machine, STEPS)
+    machine.apply(reserve("b", repeatable=True))
+    machine.apply(Settle(KEY, "a", ActionState.DONE, ANSWER))
+    second = ANSWER._replace(body=b"second")
+    reply = machine.apply(Settle(KEY, "b", ActionState.DONE, second))
+    assert reply == Reservation(ActionState.DONE, ANSWER)
+
+
+def test_old_answers_then_old_keys_are_dropped(machine):
+    machine.apply(reserve("a"))
+    machine.apply(Settle(KEY, "a", ActionState.DONE, ANSWER))
+    for _ in range(2):
+        machine.apply(Tick(machine.time, KEPT_MS, KEPT_MS, 2 * KEPT_MS))
+    assert machine.apply(reserve("b")) == Reservation(ActionState.DONE, None)
+    assert machine.answer_bytes == 0
+    for _ in range(2):
+        machine.apply(Tick(machine.time, KEPT_MS, KEPT_MS, 2 * KEPT_MS))
+    assert machine.find(KEY) is None
+
+
+def test_too_many_keys_and_too_large_answers(machine, monkeypatch):
+    monkeypatch.setattr(machine_module, "MAX_ACTIONS", 2)
+    monkeypatch.setattr(machine_module, "MAX_ANSWER_BYTES", len(ANSWER.body))
+    for name in ("a", "b"):
+        machine.apply(reserve(name, KEY._replace(key=name)))
+        machine.apply(Settle(KEY._replace(key=name), name, ActionState.DONE, ANSWER))
+    assert machine.apply(reserve("c")).state is ActionState.FULL
+    kept = [machine.apply(reserve("x", KEY._replace(key=n))).answer for n in "ab"]
+    assert kept == [None, ANSWER]
