Prove actions by fuzzing and by processes that freeze, break off and vanish

Fuzzing drives the real runner, lease, settler, tickers and machine over messages that a test answers, loses, delays or refuses, with crashes and forwarded attempts; an oracle counts runs by key and requests.

Not caught by fuzzing and so tested singly: no step in the hold, ticks from any time, lease counted from the reply, unconfirmed forward.

--- a/pollenmount/actions/runner.py
+++ b/pollenmount/actions/runner.py
@@ -57,6 +57,8 @@
     `holder` names this VM; `settler` records ends that can't be recorded at once.
     """
 
+    sleep = staticmethod(task.sleep)
+
     def __init__(self, groups, clock, holder, settler):
         self.groups = groups
         self.clock = clock
@@ -125,7 +127,7 @@
 
     def run_reserved(self, call, serve, attempt):
         """Send the action, record how that ended, and return the answer's parts."""
-        renewal = task.Task(lambda: self.renew(attempt), RENEW_MS)
+        renewal = self.keep_renewing(attempt)
         try:
             parts = self.ask(call._replace(guard=attempt.lease), serve)
         except Exception:
@@ -135,6 +137,10 @@
             renewal.close()
         return self.record(attempt, parts)
 
+    def keep_renewing(self, attempt):
+        """Return the task that renews the lease of a running attempt."""
+        return task.Task(lambda: self.renew(attempt), RENEW_MS)
+
     def renew(self, attempt):
         """Renew the lease of an attempt that has been running for a while."""
         started = self.clock.now()
@@ -154,7 +160,7 @@
         backoff = FIRST_BACKOFF_MS
         maybe_ran = may_have_run(parts)
         while self.may_ask_again(call, parts, maybe_ran, backoff):
-            task.sleep(backoff)
+            self.sleep(backoff)
             backoff = min(2 * backoff, MAX_BACKOFF_MS)
             parts = tuple(serve(call))
             maybe_ran = maybe_ran or may_have_run(parts)
--- /dev/null
+++ b/tests/stateful/__init__.py
@@ -0,0 +1,1 @@
+"""Stateful fuzzing against oracles."""
--- /dev/null
+++ b/tests/stateful/test_actions.py
@@ -0,0 +1,222 @@
+"""Actions under lost messages, frozen and crashed VMs: at most once, truthfully."""
+
+import os
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+)
+
+from pollenmount.actions.messages import ActionState
+from pollenmount.errors import Refusal
+from tests.stateful.action_world import World
+
+EXAMPLES = int(os.environ.get("POLLENMOUNT_FUZZ_EXAMPLES", "80"))
+STEPS = 60
+DRAIN_TURNS = 60
+FATES = ["run", "run", "run, cut", "run, cut", "not run"]
+pick = st.integers(0, 5)
+
+
+def if_any(queue):
+    """Return the condition that a queue of the world isn't empty."""
+    return precondition(lambda self: getattr(self.world, queue))
+
+
+class ActionsUnderFaults(RuleBasedStateMachine):
+    """Each rule is one event; `ended` and the service's counts are judged."""
+
+    repeat = "once"
+
+    def __init__(self):
+        super().__init__()
+        self.world = World(self.repeat)
+
+    def choose(self, queue, index):
+        return queue[index % len(queue)] if queue else None
+
+    @rule(
+        vm=st.integers(0, 2), key=st.sampled_from("aab"), body=st.sampled_from("xxxy")
+    )
+    def request(self, vm, key, body):
+        self.world.request(self.world.vms[vm], key, body.encode())
+
+    @if_any("proposals")
+    @rule(
+        index=pick,
+        fate=st.sampled_from(["answered"] * 5 + ["reply lost", "late", "refused"]),
+    )
+    def deliver(self, index, fate):
+        if waiting := self.choose(self.world.proposals, index):
+            self.world.deliver(waiting, fate)
+
+    @rule(count=st.integers(1, 8), fate=st.sampled_from(FATES))
+    def go_on(self, count, fate):
+        """Let what waits go on without message loss; the service meets its fate."""
+        world = self.world
+        for _ in range(count):
+            if world.proposals:
+                world.deliver(world.proposals[0], "answered")
+            elif world.sends:
+                self.send(0, None)
+            elif world.replies:
+                self.answer(0, fate)
+
+    @if_any("late")
+    @rule(index=pick)
+    def deliver_late(self, index):
+        if (command := self.choose(self.world.late, index)) is not None:
+            self.world.late.remove(command)
+            self.world.machine.apply(command)
+
+    @if_any("sends")
+    @rule(index=pick, hop=st.sampled_from([None, None, 0, 1, 2]))
+    def send(self, index, hop):
+        if waiting := self.choose(self.world.sends, index):
+            self.world.sends.remove(waiting)
+            waiting.event.send(None if hop is None else self.world.vms[hop])
+            self.world.turn()
+
+    @if_any("replies")
+    @rule(index=pick, fate=st.sampled_from(FATES))
+    def answer(self, index, fate):
+        if waiting := self.choose(self.world.replies, index):
+            self.world.replies.remove(waiting)
+            outcome = fate
+            if fate.startswith("run"):
+                receipt = self.world.run_service(waiting.what)
+                outcome = receipt if fate == "run" else "cut"
+            waiting.event.send(outcome)
+            self.world.turn()
+
+    @if_any("replies")
+    @rule(index=pick)
+    def run_and_lose_answer_later(self, index):
+        """Run it at the service; its answer stays under way."""
+        waiting = self.choose(self.world.replies, index)
+        if waiting and waiting.what.id not in self.world.ran_ids:
+            receipt = self.world.run_service(waiting.what)
+            self.world.replies.remove(waiting)
+            self.world.sleepers.append(waiting._replace(what=receipt))
+
+    @if_any("sleepers")
+    @rule(index=pick)
+    def wake(self, index):
+        if waiting := self.choose(self.world.sleepers, index):
+            self.world.sleepers.remove(waiting)
+            waiting.event.send(waiting.what)
+            self.world.turn()
+
+    @rule(vm=st.integers(0, 2), index=pick)
+    def renew(self, vm, index):
+        vm = self.world.vms[vm]
+        if attempt := self.choose(vm.renewable, index):
+            self.world.spawn(vm, vm.renew, attempt)
+
+    @rule(vm=st.integers(0, 2))
+    def settle_in_background(self, vm):
+        vm = self.world.vms[vm]
+        self.world.spawn(vm, vm.settler.step)
+
+    @rule(ms=st.sampled_from([100, 500, 1000, 2500, 6000]))
+    def advance(self, ms):
+        self.world.clock.advance(ms)
+
+    @rule(index=st.integers(0, 1), times=st.sampled_from([1, 3, 15]))
+    def tick(self, index, times):
+        """Let a voter move log time, again and again."""
+        for _ in range(times):
+            self.world.tickers[index].step()
+            self.world.clock.advance(500)
+
+    @rule(vm=st.integers(0, 9))
+    def crash(self, vm):
+        if vm < len(self.world.vms):
+            self.world.crash(vm)
+
+    @if_any("late")
+    @rule()
+    def restore_log(self):
+        self.world.machine.restore(self.world.machine.snapshot())
+
+    @invariant()
+    def runs_at_most_once(self):
+        assert all(count == 1 for count in self.world.runs.values())
+
+    @invariant()
+    def nothing_failed(self):
+        assert self.world.faults == []
+
+    @invariant()
+    def answers_are_true(self):
+        answers = {}
+        for call, parts in self.world.ended:
+            if isinstance(parts[0], Refusal):
+                assert not (parts[0].not_run and call.id in self.world.ran_ids)
+            else:
+                answers.setdefault(call.key, set()).add(parts[1].data)
+        for key, bodies in answers.items():
+            assert bodies == {self.world.receipts[key]}
+
+    def teardown(self):
+        """Heal all; every key must come to an end, and unsent ones must be free."""
+        world = self.world
+        for _ in range(DRAIN_TURNS):
+            while world.late:
+                world.machine.apply(world.late.pop())
+            while world.proposals:
+                world.deliver(world.proposals[0], "answered")
+            for waiting in [*world.sends, *world.sleepers]:
+                value = waiting.what if isinstance(waiting.what, bytes) else None
+                waiting.event.send(value)
+            world.sends.clear()
+            world.sleepers.clear()
+            for waiting in [*world.replies]:
+                world.replies.remove(waiting)
+                waiting.event.send(world.run_service(waiting.what))
+            for vm in world.vms:
+                world.spawn(vm, vm.settler.step)
+            world.tickers[0].step()
+            world.clock.advance(500)
+        self.runs_at_most_once()
+        self.nothing_failed()
+        self.answers_are_true()
+        for key in "ab":
+            self.check_end(key)
+
+    def check_end(self, key):
+        """Check that a key isn't blocked."""
+        state = self.world.state_of(key)
+        assert state is not ActionState.RUNNING
+        action = self.world.machine.find(("court", key))
+        told = bool(action and action.told)
+        answered = any(
+            call.key == key and not isinstance(parts[0], Refusal)
+            for call, parts in self.world.ended
+        )
+        if answered and not self.world.crashes:
+            assert state is ActionState.DONE
+        if not self.world.crashes and not told and key not in self.world.sent_keys:
+            assert state is ActionState.RELEASED
+
+
+class RepeatedActionsUnderFaults(ActionsUnderFaults):
+    """The same with a service that drops repeats of a key itself."""
+
+    repeat = "deduplicated"
+
+
+TestOnce = ActionsUnderFaults.TestCase
+TestDeduplicated = RepeatedActionsUnderFaults.TestCase
+for case in (TestOnce, TestDeduplicated):
+    case.settings = settings(
+        max_examples=EXAMPLES,
+        stateful_step_count=STEPS,
+        derandomize=True,
+        database=None,
+        deadline=None,
+    )
--- /dev/null
+++ b/tests/test_action_lease.py
@@ -0,0 +1,75 @@
+"""Leases of actions: nobody settles one that its holder still may use."""
+
+from types import SimpleNamespace
+
+import pytest
+from result import Ok
+
+from pollenmount.actions.lease import HOLD_MS, LEASE_MS, Lease
+from pollenmount.actions.machine import ActionMachine
+from pollenmount.actions.messages import ActionKey, ActionState, Holder, Reserve
+from pollenmount.actions.runner import ActionRunner, Attempt
+from pollenmount.actions.ticker import Ticker
+from pollenmount.clock import ManualClock
+
+KEY = ActionKey("court", "f-1")
+STEP_MS = 50
+
+
+class SlowGroups:
+    """A log that takes `delay_ms` to answer."""
+
+    def __init__(self, clock, delay_ms=0):
+        self.clock = clock
+        self.delay_ms = delay_ms
+        self.machine = ActionMachine()
+
+    def propose(self, group, command, answer_type):
+        answer = self.machine.apply(command)
+        self.clock.advance(self.delay_ms)
+        return Ok(answer)
+
+
+@pytest.mark.parametrize("idle_ms", [0, 400, 999, 5000, 29_999])
+@pytest.mark.parametrize("tickers", [1, 2, 3])
+def test_hold_outlasts_lease(idle_ms, tickers):
+    clock = ManualClock()
+    groups = SlowGroups(clock)
+    machine = groups.machine
+    voters = [Ticker(groups, "group", machine, clock) for _ in range(tickers)]
+    for voter in voters:
+        voter.step()
+    clock.advance(idle_ms)
+    lease = Lease(clock, "a", clock.now())
+    machine.apply(Reserve(KEY, "digest", "a", Holder("vm", "1"), HOLD_MS))
+    while machine.running:
+        assert clock.now() < lease.started + 4 * LEASE_MS
+        for voter in voters:
+            voter.step()
+        assert machine.running or not lease.holds()
+        clock.advance(STEP_MS)
+
+
+def test_lease_counts_from_before_the_proposal():
+    clock = ManualClock(1000)
+    groups = SlowGroups(clock)
+    runner = ActionRunner(groups, clock, Holder("vm", "1"), None)
+    groups.machine.apply(Reserve(KEY, "digest", "a", runner.holder, HOLD_MS))
+    attempt = Attempt("group", KEY, Lease(clock, "a", clock.now()))
+    clock.advance(3000)
+    groups.delay_ms = LEASE_MS
+    runner.renew(attempt)
+    assert attempt.lease.started == 4000
+    assert not attempt.lease.holds()
+
+
+def test_forwarded_attempt_is_confirmed_only_while_it_holds():
+    clock = ManualClock(1000)
+    groups = SlowGroups(clock)
+    runner = ActionRunner(groups, clock, Holder("vm", "1"), None)
+    caller = SimpleNamespace(name="court", home="kigali")
+    assert runner.confirm(caller, "f-1", "a") is None
+    groups.machine.apply(Reserve(KEY, "digest", "a", runner.holder, HOLD_MS))
+    assert runner.confirm(caller, "f-1", "a").holds()
+    assert runner.confirm(caller, "f-1", "b") is None
+    assert groups.machine.find(KEY).state is ActionState.RUNNING
