--- a/tests/stateful/test_actions.py
+++ b/tests/stateful/test_actions.py
@@ -212,11 +212,11 @@
 
 TestOnce = ActionsUnderFaults.TestCase
 TestDeduplicated = RepeatedActionsUnderFaults.TestCase
-for case in (TestOnce, TestDeduplicated):
-    case.settings = settings(
-        max_examples=EXAMPLES,
-        stateful_step_count=STEPS,
-        derandomize=True,
-        database=None,
-        deadline=None,
-    )
+FUZZING = settings(
+    max_examples=EXAMPLES,
+    stateful_step_count=STEPS,
+    derandomize=True,
+    database=None,
+    deadline=None,
+)
+TestOnce.settings = TestDeduplicated.settings = FUZZING
