--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -59,15 +59,18 @@
         self.stack.close()
 
     def start_node(self, settings):
-        """Start a node with this settings document (again, if it was stopped)."""
+        """Start a node with this settings document."""
         settings = dict(settings)
         if "data_folder" in settings:
             settings["data_folder"] = str(self.folder / settings["data_folder"])
         name = settings["name"]
         self.settings[name] = settings
-        path = self.folder / f"{name}.json"
-        path.write_text(json.dumps(settings))
-        self.start(name, "pollenmount", "node", f"--config={path}")
+        (self.folder / f"{name}.json").write_text(json.dumps(settings))
+        self.restart_node(name)
+
+    def restart_node(self, name):
+        """Start a stopped node again with the settings it had."""
+        self.start(name, "pollenmount", "node", f"--config={self.folder / name}.json")
 
     def start_standin(self, kind, name, listen, entries, *flags):
         """Start a stand-in that announces itself to the `entries` addresses."""
