--- a/tests/faults/chaos.py
+++ b/tests/faults/chaos.py
@@ -236,17 +236,19 @@
 
 def find_false(filings, runs):
     """Return the filings whose runs don't fit what their callers were told."""
-    false = []
-    for filing in filings:
-        count = runs[filing.key]
-        told = filing.outcomes
-        if count > 1:
-            false.append(f"{filing} ran {count} times")
-        if "answered" in told and count != 1:
-            false.append(f"{filing} was answered and ran {count} times")
-        if all(outcome.startswith("not_run") for outcome in told) and count:
-            false.append(f"{filing} was said not to run and ran")
-    return false
+    judged = [(filing, judge(filing.outcomes, runs[filing.key])) for filing in filings]
+    return [f"{filing}: {problem}" for filing, problem in judged if problem]
+
+
+def judge(outcomes, count):
+    """Return what is false about outcomes of a filing that ran `count` times."""
+    if count > 1:
+        return f"ran {count} times"
+    if "answered" in outcomes and not count:
+        return "was answered and never ran"
+    if all(outcome.startswith("not_run") for outcome in outcomes) and count:
+        return "was said not to run and ran"
+    return ""
 
 
 def disturb(deployment, source, seconds):
