Read requests strictly, bound their time and memory, cancel on hang-up

Cause: the WSGI server reads heads through an e-mail parser. It takes a bare CR as the end of a line, stops at a malformed line and hands the rest to the body, resolves nothing in paths, reads chunk sizes such as -3 or 0x3, and answers bad requests without a document. A body shorter than its Content-Length was run as if it were whole; a path such as /cases/../filings was taken for an idempotent lookup and reached the target as a filing; percent encodings were rewritten and repeated headers lost on the way to the target; a caller's hang-up was seen only when something was written; faults of handlers left no log line.

Ruled out: checks in the application alone, since the head is already split wrongly by then; leaving unread bodies to the server, which reads them without bound.

Change: a connection class of our own under the same server (head.py, body.py, connection.py, reply.py) with typed refusals for every malformed head and body, timeouts for head, body and reply, a budget for the bytes of bodies, a bounded lingering close, and a watcher that ends a request whose caller hangs up unless it is a recorded action. Chat documents with a key that stands twice, NaN or another encoding than UTF-8 are refused. Targets get path and headers as sent (targets/exact.py; a few lines in upstream.py and attempt.py). The peers' listener refuses new calls while stopping (peers.py). The engine stand-in cancels on hang-up and gives a waiting slot back. HEAD may be named in a sheet. A VM without a plan answers GET /v1/entries with those VMs of its own region that have one.

--- a/pollenmount/api/callers.py
+++ b/pollenmount/api/callers.py
@@ -1,14 +1,17 @@
 """Callers' interface: chat completions, models, entries, and calls to services."""
 
 import json
+import re
 import uuid
 
 from result import Err, Ok
 
-from pollenmount.api.answer import Answerer
+from pollenmount import task
+from pollenmount.api.answer import Answerer, Record
 from pollenmount.api.entries import list_entries
 from pollenmount.api.web import json_reply, refusal_reply
 from pollenmount.errors import Refusal, RefusalKind
+from pollenmount.log import get_logger
 from pollenmount.plans.plan import (
     CLASSES,
     INTERACTIVE,
@@ -29,13 +32,23 @@
 
 __all__ = ["CallersApi"]
 
+ENTRIES = "GET /v1/entries"
+MODELS = "GET /v1/models"
 CHAT_PATH = "/v1/chat/completions"
 OWN_PREFIX = "/v1/"
-DROPPED_HEADERS = HOP_HEADERS | {"authorization", "x-request-id", "idempotency-key"}
+DROPPED_HEADERS = HOP_HEADERS | {
+    *("authorization", "x-request-id", "idempotency-key", "expect"),
+}
 DEADLINE_MS = {INTERACTIVE: 30_000}
 DEFERRED_DEADLINE_MS = 600_000
 MAX_DEADLINE_MS = 3_600_000
+DEADLINE = re.compile("[0-9]{1,9}")
 MAX_KEY_CHARS = 200
+RETRY_AFTER_MS = 1000
+UNKNOWN_TENANT = "unknown"
+NO_CLASS = "none"
+
+logger = get_logger("callers")
 
 
 class CallersApi:
@@ -50,25 +63,34 @@
 
     def handle(self, request):
         """Answer one request of a caller."""
+        wanted = f"{request.method} {request.path}"
+        if wanted == ENTRIES and self.kernel.get("plans").plan is None:
+            return self.entries_without_plan()
         found = self.find_caller(request)
         if isinstance(found, Err):
-            return refusal_reply(found.err_value)
+            return self.refuse(found.err_value, UNKNOWN_TENANT)
         caller = found.ok_value
-        if request.method == "GET" and request.path == "/v1/entries":
+        if wanted == ENTRIES:
             return self.entries(caller)
         refusal = check_caller_region(caller, self.kernel.settings.region)
         if refusal:
-            return refusal_reply(refusal)
-        if request.method == "GET" and request.path == "/v1/models":
+            return self.refuse(refusal, caller.name)
+        if wanted == MODELS:
             return self.models(caller)
         return self.run(request, caller)
 
+    def refuse(self, refusal, tenant):
+        """Return the reply for a request that didn't become a call."""
+        labels = (tenant, NO_CLASS, str(refusal.kind))
+        self.kernel.get("metrics").outcomes.labels(*labels).inc()
+        logger.info("refused", extra={"caller": tenant, "outcome": str(refusal.kind)})
+        return refusal_reply(refusal)
+
     def find_caller(self, request):
         """Return Ok(caller) or Err(Refusal)."""
         plan = self.kernel.get("plans").plan
         if plan is None:
-            message = "no plan is in force here yet; come back or use another VM"
-            return Err(Refusal(RefusalKind.NO_PLAN, message, True, 1000))
+            return Err(no_plan())
         key = request.bearer()
         caller = get_caller_by_key(plan, key) if key else None
         if caller is None:
@@ -85,6 +107,23 @@
         )
         return json_reply(document)
 
+    def entries_without_plan(self):
+        """Return the entry VMs of this region that have a plan.
+
+        Without a plan no key can be checked, and it isn't known where a caller's data
+        may go; the caller chose this region itself.
+        """
+        settings = self.kernel.settings
+        document = list_entries(
+            self.kernel.get("members").live(),
+            settings.region,
+            settings.failure_domain,
+            (settings.region,),
+        )
+        if not document["entries"]:
+            return self.refuse(no_plan(), UNKNOWN_TENANT)
+        return json_reply(document)
+
     def models(self, caller):
         """Return the models that this caller may use."""
         names = []
@@ -99,11 +138,20 @@
         """Run a call of a model or a service and return its answer."""
         if self.kernel.refusing:
             message = "this VM is stopping; use another one of /v1/entries"
-            return refusal_reply(Refusal(RefusalKind.STOPPING, message, True, 1000))
+            refusal = Refusal(RefusalKind.STOPPING, message, True, RETRY_AFTER_MS)
+            return self.refuse(refusal, caller.name)
         made = self.make_call(request, caller)
         if isinstance(made, Err):
-            return refusal_reply(made.err_value)
-        return self.answerer.answer(made.ok_value)
+            return self.refuse(made.err_value, caller.name)
+        call = made.ok_value
+        if is_idempotent(call.route):
+            # A recorded action runs on, so that a repeat finds its answer.
+            request.cancel_on_hangup()
+        try:
+            return self.answerer.answer(call)
+        except task.Cancelled:
+            Record(self.kernel, call, None).end("caller_gone")
+            raise
 
     def make_call(self, request, caller):
         """Return Ok(Call) or Err(Refusal)."""
@@ -127,12 +175,12 @@
             return Err(Refusal(RefusalKind.BAD_REQUEST, message))
         default = DEADLINE_MS.get(class_, DEFERRED_DEADLINE_MS)
         wanted = request.header("Pollenmount-Deadline-Ms") or str(default)
-        if not wanted.isdecimal() or not 0 < int(wanted) <= MAX_DEADLINE_MS:
+        if not DEADLINE.fullmatch(wanted) or not 0 < int(wanted) <= MAX_DEADLINE_MS:
             message = f"set Pollenmount-Deadline-Ms from 1 to {MAX_DEADLINE_MS}"
             return Err(Refusal(RefusalKind.BAD_REQUEST, message))
         key = request.header("Idempotency-Key")
-        if len(key) > MAX_KEY_CHARS or not key.isprintable():
-            message = f"use an Idempotency-Key of at most {MAX_KEY_CHARS} characters"
+        if len(key) > MAX_KEY_CHARS or not key.isascii() or not key.isprintable():
+            message = f"use an Idempotency-Key of 1 to {MAX_KEY_CHARS} ASCII characters"
             return Err(Refusal(RefusalKind.BAD_REQUEST, message))
         if not key and not is_idempotent(route):
             key = uuid.uuid4().hex
@@ -143,7 +191,7 @@
                 route=route,
                 method=request.method,
                 path=request.target,
-                headers=clean_headers(request.headers(), DROPPED_HEADERS),
+                headers=passed_headers(request),
                 body=body,
                 class_=class_,
                 deadline=self.kernel.clock.now() + int(wanted),
@@ -168,16 +216,11 @@
 
     def route_chat(self, body):
         """Return Ok((ModelRoute, stream)) or Err(Refusal) for a chat completion."""
-        try:
-            document = json.loads(body)
-        except (ValueError, RecursionError):
-            document = None
-        if not isinstance(document, dict) or not isinstance(
-            document.get("messages"), list
-        ):
-            message = "send a JSON object with 'model' and 'messages'"
+        document = parse_chat(body)
+        if document is None:
+            message = "send a JSON object with 'model' and 'messages', each key once"
             return Err(Refusal(RefusalKind.BAD_REQUEST, message))
-        name = parse_model_name(str(document.get("model", "")))
+        name = parse_model_name(document["model"])
         model = get_model_by_name(self.kernel.get("plans").plan, name)
         if model is None:
             message = "unknown model; use one of GET /v1/models"
@@ -187,3 +230,49 @@
             message = "'stream' must be true or false"
             return Err(Refusal(RefusalKind.BAD_REQUEST, message))
         return Ok((ModelRoute(model, name.adapter), stream))
+
+
+def passed_headers(request):
+    """Return the headers that go to the target, in the order they were sent."""
+    named = request.header("Connection").lower().split(",")
+    dropped = DROPPED_HEADERS | {word.strip() for word in named}
+    return clean_headers(request.headers(), dropped)
+
+
+def parse_chat(body):
+    """Return the document of a chat completion, or None if it is none.
+
+    A key that stands twice is refused: an engine might read the other one.
+    """
+    try:
+        document = json.loads(
+            body.decode(), object_pairs_hook=once, parse_constant=no_constant
+        )
+    except (ValueError, RecursionError):
+        return None
+    sound = (
+        isinstance(document, dict)
+        and isinstance(document.get("model"), str)
+        and isinstance(document.get("messages"), list)
+        and all(isinstance(message, dict) for message in document["messages"])
+    )
+    return document if sound else None
+
+
+def once(pairs):
+    """Return the dict of the pairs, or raise `ValueError` if a key stands twice."""
+    document = dict(pairs)
+    if len(document) < len(pairs):
+        raise ValueError("a key stands twice")
+    return document
+
+
+def no_constant(text):
+    """Refuse `NaN` and `Infinity`, which aren't JSON."""
+    raise ValueError(f"{text} is not JSON")
+
+
+def no_plan():
+    """Return the refusal of a VM that has no plan yet."""
+    message = "no plan is in force here yet; come back or use another VM"
+    return Refusal(RefusalKind.NO_PLAN, message, True, RETRY_AFTER_MS)
--- /dev/null
+++ b/pollenmount/api/connection.py
@@ -0,0 +1,180 @@
+"""One connection of the WSGI server: strict heads and bodies, bounded in time.
+
+eventlet's own handler reads heads leniently and answers bad ones without a document.
+This one parses them with `head` and `body`, refuses with a typed document, and tells
+a caller who hangs up from one who waits.
+"""
+
+import contextlib
+import socket
+from urllib.parse import unquote
+
+import eventlet
+import eventlet.hubs
+import eventlet.wsgi
+from result import Err
+
+from pollenmount import task
+from pollenmount.api.body import Body
+from pollenmount.api.head import MAX_LINE_BYTES, parse_head, read_lines
+from pollenmount.api.reply import refusal_reply, status_line
+from pollenmount.errors import Refusal, RefusalKind
+
+__all__ = ["Connection"]
+
+IDLE_TIMEOUT_S = 75
+HEAD_TIMEOUT_S = 10
+SOCKET_TIMEOUT_S = 30
+RESPONSE_LIMIT_S = 3700
+LINGER_S = 2
+LINGER_BYTES = 16 << 20
+READ_BYTES = 65_536
+
+
+class Connection(eventlet.wsgi.HttpProtocol):
+    """A connection of `listener`, which counts connections and running requests."""
+
+    def __init__(self, listener, conn_state, server):
+        self.listener = listener
+        self.body = None
+        self.watcher = None
+        self.lingers = False
+        listener.connections += 1
+        try:
+            super().__init__(conn_state, server)
+        finally:
+            listener.connections -= 1
+
+    def handle_one_request(self):
+        """Read one request and answer it."""
+        self.close_connection = 1
+        received = self.receive()
+        if received is None:
+            return
+        self.conn_state[2] = eventlet.wsgi.STATE_REQUEST
+        self.listener.active += 1
+        try:
+            if isinstance(received, Err):
+                self.refuse(received.err_value)
+            else:
+                self.respond(received.ok_value)
+        finally:
+            self.listener.active -= 1
+
+    def receive(self):
+        """Return Ok(Head), Err(Refusal), or None when no request came."""
+        self.connection.settimeout(IDLE_TIMEOUT_S)
+        try:
+            if not self.rfile.peek(1):
+                return None
+            self.connection.settimeout(SOCKET_TIMEOUT_S)
+            with task.Timeout(HEAD_TIMEOUT_S):
+                first = self.rfile.readline(MAX_LINE_BYTES + 1)
+                return read_lines(first, self.rfile.readline).and_then(parse_head)
+        except OSError:
+            return None
+        except task.Timeout:
+            message = f"send the head within {HEAD_TIMEOUT_S} s"
+            return Err(Refusal(RefusalKind.BAD_REQUEST, message))
+
+    def refuse(self, refusal):
+        """Answer a head that can't be served; the connection ends with it."""
+        reply = refusal_reply(refusal, [("Connection", "close")])
+        lines = [f"HTTP/1.1 {status_line(reply.status)}"]
+        lines += [f"{name}: {value}" for name, value in reply.headers]
+        head = "\r\n".join([*lines, "", ""]).encode("latin-1")
+        with contextlib.suppress(OSError):
+            self.wfile.write(head + b"".join(reply.body))
+            self.wfile.flush()
+            self.lingers = True
+
+    def respond(self, head):
+        """Run the application on one request and send its answer."""
+        self.command = head.method
+        self.request_version = head.version
+        self.requestline = f"{head.method} {head.target} {head.version}"
+        self.headers = {"Connection": "close" if head.closes else ""}
+        self.close_connection = int(head.closes)
+        self.application = self.server.app
+        self.body = Body(head, self.rfile, self.wfile, self.listener.budget)
+        self.environ = self.make_environ(head)
+        try:
+            with task.Timeout(RESPONSE_LIMIT_S):
+                self.handle_one_response()
+            self.lingers = not self.body.whole
+        except OSError:
+            self.close_connection = 1
+        finally:
+            self.stop_watching()
+            self.body.close()
+
+    def make_environ(self, head):
+        """Return the WSGI environment of one request."""
+        path, _, query = head.target.partition("?")
+        environ = {
+            "REQUEST_METHOD": head.method,
+            "SCRIPT_NAME": "",
+            "PATH_INFO": unquote(path, encoding="latin-1"),
+            "RAW_TARGET": head.target,
+            "QUERY_STRING": query,
+            "SERVER_PROTOCOL": head.version,
+            "headers_raw": head.headers,
+            "wsgi.input": self.body,
+            "eventlet.input": self.body,
+            "eventlet.posthooks": [],
+            # Each chunk of a stream is sent when it arrives.
+            "eventlet.minimum_write_chunk_size": 1,
+            "pollenmount.connection": self,
+        }
+        for name, value in head.headers:
+            key = name.upper().replace("-", "_")
+            if key not in ("CONTENT_TYPE", "CONTENT_LENGTH"):
+                key = f"HTTP_{key}"
+            environ[key] = f"{environ[key]},{value}" if key in environ else value
+        return environ
+
+    def end_after_reply(self):
+        """Let the reply say that the connection ends with it."""
+        self.close_connection = 1
+
+    def cancel_on_hangup(self):
+        """End the running request when its caller closes the connection."""
+        runner = eventlet.getcurrent()
+        self.watcher = eventlet.spawn(self.watch, runner)
+
+    def watch(self, runner):
+        """Wait for the caller to hang up, then end the request."""
+        with contextlib.suppress(eventlet.hubs.IOClosed):
+            eventlet.hubs.trampoline(self.connection.fileno(), read=True)
+            if self.is_hung_up():
+                self.watcher = None
+                eventlet.kill(runner)
+
+    def is_hung_up(self):
+        """Return whether the caller has closed its side."""
+        try:
+            return not self.connection.fd.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
+    def stop_watching(self):
+        """Stop waiting for a hang-up."""
+        if self.watcher is not None:
+            self.watcher.kill()
+            self.watcher = None
+
+    def finish(self):
+        """Close the connection."""
+        if self.lingers:
+            self.linger()
+        super().finish()
+
+    def linger(self):
+        """Read on for a bounded while, so that closing doesn't reset the answer."""
+        left = LINGER_BYTES
+        with contextlib.suppress(OSError), task.Timeout(LINGER_S, False):
+            self.connection.shutdown(socket.SHUT_WR)
+            while left > 0 and (data := self.connection.recv(READ_BYTES)):
+                left -= len(data)
--- a/pollenmount/api/entries.py
+++ b/pollenmount/api/entries.py
@@ -11,13 +11,15 @@
 def list_entries(members, region, failure_domain, allowed=None):
     """Return the document of `GET /v1/entries`.
 
-    `members` are those in reach; those that stop are left out, as are those outside
-    the `allowed` regions (None: all).
+    `members` are those in reach; those that stop or have no plan are left out, as are
+    those outside the `allowed` regions (None: all).
     """
     usable = [
         member
         for member in members
-        if not member.stopping and (allowed is None or member.region in allowed)
+        if not member.stopping
+        and member.plan_number
+        and (allowed is None or member.region in allowed)
     ]
 
     def weight(member):
--- /dev/null
+++ b/pollenmount/api/head.py
@@ -0,0 +1,155 @@
+"""Strict parser of the head of an HTTP/1.1 request.
+
+Whatever two programs might read in two ways is refused: bare CR or LF, folded lines,
+repeated or malformed lengths, targets in absolute form, bad percent encodings.
+"""
+
+import re
+from typing import NamedTuple
+from urllib.parse import unquote
+
+from result import Err, Ok
+
+from pollenmount.errors import Refusal, RefusalKind
+
+__all__ = ["Head", "parse_head", "read_lines"]
+
+MAX_LINE_BYTES = 8192
+MAX_HEAD_BYTES = 65_536
+MAX_HEADERS = 100
+
+TOKEN = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+"
+REQUEST_LINE = re.compile(rb"(" + TOKEN + rb") ([\x21-\x7e]+) HTTP/1\.([01])\r\n")
+HEADER_LINE = re.compile(
+    rb"(" + TOKEN + rb"):[ \t]*([\t\x20-\x7e\x80-\xff]*?)[ \t]*\r\n"
+)
+TARGET = re.compile(r"/(?:[^%#?]|%[0-9A-Fa-f]{2})*(?:\?(?:[^%#]|%[0-9A-Fa-f]{2})*)?")
+LENGTH = re.compile(r"[0-9]{1,15}")
+CONTROL = re.compile(r"[\x00-\x1f\x7f]")
+# Two of these could be read in two ways.
+SINGLE_HEADERS = frozenset(
+    {
+        *("host", "content-length", "transfer-encoding", "content-type", "expect"),
+        *("authorization", "idempotency-key", "x-request-id", "pollenmount-class"),
+        *("pollenmount-deadline-ms", "pollenmount-call", "pollenmount-key"),
+    }
+)
+
+
+class Head(NamedTuple):
+    """The head of a request, checked. `version` is `HTTP/1.0` or `HTTP/1.1`."""
+
+    method: str
+    target: str
+    version: str
+    headers: tuple[tuple[str, str], ...]
+
+    def header(self, name):
+        """Return the first value of a header by its lower-case name, or None."""
+        values = (value for key, value in self.headers if key.lower() == name)
+        return next(values, None)
+
+    @property
+    def closes(self):
+        """Return whether the connection ends with this request."""
+        words = (self.header("connection") or "").lower().split(",")
+        options = {word.strip() for word in words}
+        return "close" in options or self.version == "HTTP/1.0"
+
+    @property
+    def chunked(self):
+        """Return whether the body comes in chunks."""
+        return self.header("transfer-encoding") is not None
+
+    @property
+    def length(self):
+        """Return the length of a body that doesn't come in chunks."""
+        return int(self.header("content-length") or 0)
+
+
+def read_lines(first, readline):
+    """Return Ok(lines of a head without the empty one) or Err(Refusal)."""
+    lines = [first]
+    size = len(first)
+    while True:
+        line = readline(MAX_LINE_BYTES + 1)
+        if line == b"\r\n":
+            return Ok(lines)
+        size += len(line)
+        if len(line) > MAX_LINE_BYTES or size > MAX_HEAD_BYTES:
+            message = f"send at most {MAX_HEAD_BYTES} bytes of headers"
+            return Err(Refusal(RefusalKind.HEADERS_TOO_LARGE, message))
+        if not line.endswith(b"\n"):
+            return bad("the head ended early; send it whole")
+        lines.append(line)
+        if len(lines) > MAX_HEADERS:
+            message = f"send at most {MAX_HEADERS} headers"
+            return Err(Refusal(RefusalKind.HEADERS_TOO_LARGE, message))
+
+
+def parse_head(lines):
+    """Return Ok(Head) or Err(Refusal) for the lines of a head."""
+    request = REQUEST_LINE.fullmatch(lines[0])
+    if not request:
+        return bad("malformed request line; send 'METHOD /path HTTP/1.1'")
+    matches = [HEADER_LINE.fullmatch(line) for line in lines[1:]]
+    if not all(matches):
+        return bad("malformed header; send 'Name: value' on one line ended by CRLF")
+    method, target, minor = (part.decode("ascii") for part in request.groups())
+    headers = tuple(
+        (match[1].decode("ascii"), match[2].decode("latin-1")) for match in matches
+    )
+    head = Head(method, target, f"HTTP/1.{minor}", headers)
+    problem = find_problem(head)
+    return bad(problem) if problem else Ok(head)
+
+
+def find_problem(head):
+    """Return what is wrong with a head and the remedy, or None."""
+    names = [name.lower() for name, _ in head.headers]
+    repeated = sorted({n for n in names if names.count(n) > 1} & SINGLE_HEADERS)
+    if repeated:
+        return f"{repeated[0]} is sent more than once; send it once"
+    if head.version == "HTTP/1.1" and "host" not in names:
+        return "Host is missing; send one"
+    return check_target(head.target) or check_framing(head)
+
+
+def check_target(target):
+    """Return what is wrong with the target of a request, or None."""
+    if not TARGET.fullmatch(target):
+        return "malformed target; send a path with sound percent encodings"
+    path = unquote(target.partition("?")[0], encoding="latin-1")
+    if CONTROL.search(path):
+        return "control characters in the path; remove them"
+    if {".", ".."} & set(path.replace("\\", "/").split("/")):
+        return "dot segments in the path; send it resolved"
+    return None
+
+
+def check_framing(head):
+    """Return what is wrong with how the body is framed, or None."""
+    length = head.header("content-length")
+    coding = head.header("transfer-encoding")
+    if length is not None and not LENGTH.fullmatch(length):
+        return "malformed Content-Length; send a whole number"
+    if coding is None:
+        return check_expect(head)
+    if coding.lower() != "chunked" or head.version != "HTTP/1.1":
+        return "unknown Transfer-Encoding; send 'chunked' or a Content-Length"
+    if length is not None:
+        return "Content-Length with Transfer-Encoding; send one of them"
+    return check_expect(head)
+
+
+def check_expect(head):
+    """Return what is wrong with the Expect header, or None."""
+    expected = head.header("expect")
+    if expected is not None and expected.lower() != "100-continue":
+        return "unknown Expect; leave it out"
+    return None
+
+
+def bad(problem):
+    """Return Err of the refusal of a malformed request."""
+    return Err(Refusal(RefusalKind.BAD_REQUEST, problem))
--- a/pollenmount/api/peers.py
+++ b/pollenmount/api/peers.py
@@ -13,7 +13,7 @@
     parse_model_name,
 )
 from pollenmount.routing import choose, forward, pipeline
-from pollenmount.routing.request import ModelRoute, ServiceRoute
+from pollenmount.routing.request import ModelRoute, ServiceRoute, is_idempotent
 from pollenmount.routing.rules import check_caller_region, check_rights
 
 __all__ = ["PeersApi"]
@@ -27,10 +27,15 @@
 
     def handle(self, request):
         """Answer one forwarded call."""
+        if self.kernel.refusing:
+            message = "this VM is stopping; another one of its failure domain serves"
+            return refuse(Refusal(RefusalKind.STOPPING, message, True, 1000))
         made = self.make_call(request)
         if isinstance(made, Refusal):
             return refuse(made)
         kernel = self.kernel
+        if is_idempotent(made.route):
+            request.cancel_on_hangup()
         candidates = choose.local_candidates(
             made, kernel.get("viewer").take(), kernel.get("attempter").in_flight
         )
--- a/pollenmount/api/web.py
+++ b/pollenmount/api/web.py
@@ -1,36 +1,46 @@
 """Small HTTP layer over WSGI: requests, replies and a server on a listener."""
 
-import http
-import json
+import functools
 import socket
-from typing import Any, NamedTuple
+import traceback
 from urllib.parse import parse_qs
 
 import eventlet
 import eventlet.wsgi
 
 from pollenmount import task
+from pollenmount.api.body import BodyError, BudgetError, ByteBudget
+from pollenmount.api.connection import SOCKET_TIMEOUT_S, Connection
+from pollenmount.api.reply import (
+    Reply,
+    json_reply,
+    refusal_document,
+    refusal_reply,
+    status_line,
+)
 from pollenmount.errors import Refusal, RefusalKind
 from pollenmount.log import get_logger
 
-__all__ = ["Reply", "Request", "WebServer", "json_reply", "make_app", "refusal_reply"]
+__all__ = [
+    "Reply",
+    "Request",
+    "WebServer",
+    "json_reply",
+    "make_app",
+    "refusal_document",
+    "refusal_reply",
+]
 
 MAX_CONNECTIONS = 10_000
-IDLE_TIMEOUT_S = 75
-JSON_TYPE = ("Content-Type", "application/json")
-MS_PER_S = 1000
+MAX_BODIES_BYTES = 128 << 20
+BACKLOG = 1024
+BODY_TIMEOUT_S = 60
+RETRY_AFTER_MS = 1000
+BODYLESS = (204, 304)
 
 logger = get_logger("web")
 
 
-class Reply(NamedTuple):
-    """An answer: status, headers, and a list or generator of bytes."""
-
-    status: int
-    headers: tuple[tuple[str, str], ...]
-    body: Any
-
-
 class Request:
     """One HTTP request; its body is read on demand.
 
@@ -47,8 +57,7 @@
     @property
     def target(self):
         """Return path and query as they were sent."""
-        raw = self.environ.get("RAW_PATH_INFO", self.path)
-        return f"{raw}?{self.query}" if self.query else raw
+        return self.environ["RAW_TARGET"]
 
     def query_value(self, name):
         """Return the first value of a query parameter, or ''."""
@@ -70,17 +79,25 @@
         scheme, _, key = self.header("Authorization").partition(" ")
         return key.strip() if scheme.lower() == "bearer" else ""
 
+    def cancel_on_hangup(self):
+        """Let the request end as soon as its caller closes the connection."""
+        self.environ["pollenmount.connection"].cancel_on_hangup()
+
     def read(self, limit):
-        """Return the body, or a `Refusal` if it is larger than `limit` bytes."""
-        length = self.header("Content-Length", "0") or "0"
-        if not length.isdigit():
-            return Refusal(RefusalKind.BAD_REQUEST, "send a sound Content-Length")
-        if int(length) > limit:
+        """Return the body, or a `Refusal` if it is not whole or over `limit` bytes."""
+        if int(self.header("Content-Length", "0")) > limit:
             return too_large(limit)
         try:
-            body = self.environ["wsgi.input"].read(limit + 1)
-        except (OSError, ValueError):
-            message = "the body ended early; send it whole"
+            with task.Timeout(BODY_TIMEOUT_S):
+                body = self.environ["wsgi.input"].read(limit)
+        except task.Timeout:
+            message = f"send the body within {BODY_TIMEOUT_S} s"
+            return Refusal(RefusalKind.BAD_REQUEST, message)
+        except BudgetError:
+            message = "too many bodies at a time; come back or use another VM"
+            return Refusal(RefusalKind.OVERLOADED, message, True, RETRY_AFTER_MS)
+        except (OSError, BodyError) as error:
+            message = f"the body can't be read ({type(error).__name__}); send it whole"
             return Refusal(RefusalKind.BAD_REQUEST, message)
         return too_large(limit) if len(body) > limit else body
 
@@ -91,69 +108,66 @@
     return Refusal(RefusalKind.TOO_LARGE, message)
 
 
-def json_reply(document, status=200, headers=()):
-    """Return a reply with a JSON document."""
-    data = json.dumps(document).encode()
-    length = ("Content-Length", str(len(data)))
-    return Reply(status, (JSON_TYPE, length, *headers), [data])
-
-
-def refusal_document(refusal):
-    """Return what a caller is told about a refusal."""
-    return {
-        "error": {
-            "code": str(refusal.kind),
-            "message": refusal.message,
-            "not_run": refusal.not_run,
-            "retry_after_ms": refusal.retry_after_ms,
-        }
-    }
-
-
-def refusal_reply(refusal, headers=()):
-    """Return the reply that tells a refusal."""
-    extra = list(headers)
-    if refusal.retry_after_ms:
-        seconds = -(-refusal.retry_after_ms // MS_PER_S)
-        extra.append(("Retry-After", str(seconds)))
-    return json_reply(refusal_document(refusal), refusal.status, extra)
+def make_app(handle, closing=lambda: False):
+    """Return a WSGI application around `handle(Request) -> Reply`.
 
-
-def make_app(handle):
-    """Return a WSGI application around `handle(Request) -> Reply`."""
+    While `closing()` is true each reply ends its connection.
+    """
 
     def app(environ, start_response):
-        # Each chunk of a stream is sent when it arrives.
-        environ["eventlet.minimum_write_chunk_size"] = 1
-        reply = handle(Request(environ))
+        reply = run_handler(handle, Request(environ))
+        if closing() or not environ["wsgi.input"].whole:
+            environ["pollenmount.connection"].end_after_reply()
         start_response(status_line(reply.status), list(reply.headers))
+        if environ["REQUEST_METHOD"] == "HEAD" or reply.status in BODYLESS:
+            return drain(reply.body)
         return reply.body
 
     return app
 
 
-def status_line(status):
-    """Return the WSGI status line."""
+def run_handler(handle, request):
+    """Return the reply of `handle`; a fault in it is logged without its message."""
     try:
-        return f"{status} {http.HTTPStatus(status).phrase}"
-    except ValueError:
-        return f"{status} Unknown"
+        return handle(request)
+    except Exception as error:
+        frames = traceback.format_tb(error.__traceback__)
+        detail = {"error": type(error).__name__, "frames": frames}
+        logger.error("request failed by a fault of this program", extra=detail)
+    message = "this VM failed on the request; report it, and ask whether it took effect"
+    return refusal_reply(Refusal(RefusalKind.INTERNAL, message, not_run=False))
+
+
+def drain(body):
+    """Run an answer to its end for a reply that has no body."""
+    for _ in body:
+        pass
+    return []
 
 
 class ServerLog:
-    """Passes the WSGI server's own lines to the log."""
+    """Drops the WSGI server's own lines, which may quote requests."""
 
-    def write(self, text):
-        """Log one line."""
-        logger.warning("server", extra={"detail": text.strip()})
+    def info(self, message, *args):
+        """Drop one line."""
+
+    error = debug = info
 
 
 class WebServer:
-    """Serves a WSGI application on `address` until it is closed."""
+    """Serves a WSGI application on `address` until it is closed.
+
+    `connections` are open, `active` requests are running.
+    """
 
     def __init__(self, address, app):
         host, _, port = address.rpartition(":")
-        self.socket = eventlet.listen((host.strip("[]"), int(port)), reuse_port=False)
+        self.connections = 0
+        self.active = 0
+        self.budget = ByteBudget(MAX_BODIES_BYTES)
+        self.socket = eventlet.listen(
+            (host.strip("[]"), int(port)), reuse_port=False, backlog=BACKLOG
+        )
         # Accepted sockets inherit it: small parts of an answer aren't held back.
         self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.thread = task.spawn(self.run, app)
@@ -163,11 +177,12 @@
         eventlet.wsgi.server(
             self.socket,
             app,
+            protocol=functools.partial(Connection, self),
             log=ServerLog(),
             log_output=False,
             debug=False,
             max_size=MAX_CONNECTIONS,
-            socket_timeout=IDLE_TIMEOUT_S,
+            socket_timeout=SOCKET_TIMEOUT_S,
             capitalize_response_headers=False,
         )
 
--- a/pollenmount/errors.py
+++ b/pollenmount/errors.py
@@ -76,6 +76,7 @@
     UNKNOWN_MODEL = "unknown_model"
     UNKNOWN_PATH = "unknown_path"
     TOO_LARGE = "too_large"
+    HEADERS_TOO_LARGE = "headers_too_large"
     KEY_CONFLICT = "key_conflict"
     IN_PROGRESS = "in_progress"
     RATE_LIMITED = "rate_limited"
@@ -87,6 +88,7 @@
     DEADLINE = "deadline"
     TARGET_FAILED = "target_failed"
     OUTCOME_UNKNOWN = "outcome_unknown"
+    INTERNAL = "internal"
 
 
 HTTP_STATUS = {
@@ -97,6 +99,7 @@
     RefusalKind.UNKNOWN_MODEL: 404,
     RefusalKind.UNKNOWN_PATH: 404,
     RefusalKind.TOO_LARGE: 413,
+    RefusalKind.HEADERS_TOO_LARGE: 431,
     RefusalKind.KEY_CONFLICT: 409,
     RefusalKind.IN_PROGRESS: 409,
     RefusalKind.RATE_LIMITED: 429,
@@ -108,6 +111,7 @@
     RefusalKind.DEADLINE: 504,
     RefusalKind.TARGET_FAILED: 502,
     RefusalKind.OUTCOME_UNKNOWN: 502,
+    RefusalKind.INTERNAL: 500,
 }
 
 
--- a/pollenmount/plans/records/service.py
+++ b/pollenmount/plans/records/service.py
@@ -5,7 +5,7 @@
 from pollenmount.plans.records.base import Record, check_known
 from pollenmount.plugin import register
 
-METHODS = ("GET", "POST", "PUT", "PATCH", "DELETE")
+METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE")
 PATH_PATTERN = r"/[A-Za-z0-9._~/-]*"
 
 
--- a/pollenmount/routing/attempt.py
+++ b/pollenmount/routing/attempt.py
@@ -3,6 +3,8 @@
 import contextlib
 from functools import singledispatch
 
+from urllib3 import HTTPHeaderDict
+
 from pollenmount.routing import forward
 from pollenmount.routing.request import Chunk, Head, LocalTarget, RemoteEntry
 from pollenmount.targets.upstream import UpstreamError, read_body
@@ -72,7 +74,8 @@
 def _(candidate: LocalTarget, attempter, call, number, fresh):
     said = candidate.target.said
     attempt_id = f"{call.id}-{number}"
-    headers = {**dict(call.headers), REQUEST_ID: attempt_id}
+    headers = HTTPHeaderDict(call.headers)
+    headers[REQUEST_ID] = attempt_id
     if call.key:
         headers["Idempotency-Key"] = call.key
     with attempter.counted(said.name):
--- a/pollenmount/targets/upstream.py
+++ b/pollenmount/targets/upstream.py
@@ -13,6 +13,8 @@
     NewConnectionError,
 )
 
+from pollenmount.targets.exact import ExactPool, with_target
+
 __all__ = ["Upstream", "UpstreamError"]
 
 CONNECT_TIMEOUT_S = 1.0
@@ -20,6 +22,7 @@
 POOL_CONNECTIONS = 256
 POOLS = 512
 READ_BYTES = 65_536
+POOL_CLASSES = {"http": ExactPool}
 NEVER_CONNECTED = (NewConnectionError, ConnectTimeoutError)
 
 
@@ -38,6 +41,7 @@
         self.pools = urllib3.PoolManager(
             num_pools=POOLS, maxsize=POOL_CONNECTIONS, block=False, retries=False
         )
+        self.pools.pool_classes_by_scheme = POOL_CLASSES
 
     def open(self, address, method, path, headers, body, timeout_ms, fresh=False):
         """Send a request and return the response, its body still unread.
@@ -52,8 +56,8 @@
         try:
             return pools.urlopen(
                 method,
-                f"http://{address}{path}",
-                headers=headers,
+                f"http://{address}/",
+                headers=with_target(headers, path),
                 body=body,
                 timeout=timeout,
                 preload_content=False,
@@ -68,7 +72,9 @@
 
     def fresh_pools(self):
         """Return a pool of connections that no request has used."""
-        return urllib3.PoolManager(num_pools=1, maxsize=1, retries=False)
+        pools = urllib3.PoolManager(num_pools=1, maxsize=1, retries=False)
+        pools.pool_classes_by_scheme = POOL_CLASSES
+        return pools
 
     def close(self):
         """Close all pooled connections."""
--- a/pollenmount/task.py
+++ b/pollenmount/task.py
@@ -7,16 +7,27 @@
 import eventlet
 import eventlet.event
 import eventlet.queue
+import greenlet
 
 from pollenmount.log import get_logger
 
-__all__ = ["Event", "Mailbox", "Task", "Timeout", "patch", "sleep", "spawn"]
+__all__ = [
+    "Cancelled",
+    "Event",
+    "Mailbox",
+    "Task",
+    "Timeout",
+    "patch",
+    "sleep",
+    "spawn",
+]
 
 MS_PER_S = 1000
 
 Event = eventlet.event.Event
 Mailbox = eventlet.queue.LightQueue
 Timeout = eventlet.Timeout
+Cancelled = greenlet.GreenletExit
 
 logger = get_logger("task")
 
--- a/standins/kinds/engine.py
+++ b/standins/kinds/engine.py
@@ -46,8 +46,21 @@
             self.free -= 1
             return
         turn = eventlet.event.Event()
-        heapq.heappush(self.queue, (priority, next(self.order), turn))
-        turn.wait()
+        place = (priority, next(self.order), turn)
+        heapq.heappush(self.queue, place)
+        try:
+            turn.wait()
+        except BaseException:
+            self.abandon(place)
+            raise
+
+    def abandon(self, place):
+        """Leave the queue, or hand on a slot that came too late."""
+        if place in self.queue:
+            self.queue.remove(place)
+            heapq.heapify(self.queue)
+        else:
+            self.release()
 
     def release(self):
         """Hand the slot to the next in the queue."""
@@ -124,6 +137,7 @@
         """Run a chat completion or an order."""
         if request.path == "/v1/orders":
             return self.order(json.loads(body))
+        request.cancel_on_hangup()
         document = json.loads(body)
         prompt = " ".join(str(m.get("content", "")) for m in document["messages"])
         words = answer_words(prompt, document.get("max_tokens", DEFAULT_WORDS))
@@ -142,8 +156,10 @@
     def generate(self, prompt, words, priority):
         """Yield the answer's words at the engine's pace; closing it cancels."""
         self.waiting += 1
-        self.slots.acquire(priority)
-        self.waiting -= 1
+        try:
+            self.slots.acquire(priority)
+        finally:
+            self.waiting -= 1
         self.running += 1
         try:
             prompt_words = prompt.split()
--- /dev/null
+++ b/tests/test_web.py
@@ -0,0 +1,270 @@
+"""The HTTP layer by itself: framing, limits of time and memory, hang-ups, targets."""
+
+import json
+import string
+
+import eventlet
+import pytest
+from eventlet import tpool
+from eventlet.green import socket
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from pollenmount.api import body as body_module
+from pollenmount.api import connection, web
+from pollenmount.api.head import parse_head
+from pollenmount.api.reply import Reply, json_reply
+from pollenmount.targets.upstream import Upstream, read_body
+
+PORT = 7100
+MAX_BODY_BYTES = 1000
+
+
+@pytest.fixture
+def serve(network):
+    """Return a function that serves a handler and returns (address, server)."""
+    servers = []
+
+    def start(handle, closing=lambda: False):
+        address = f"127.{network}.9.1:{PORT + len(servers)}"
+        servers.append(web.WebServer(address, web.make_app(handle, closing)))
+        return address, servers[-1]
+
+    yield start
+    for server in servers:
+        server.close()
+
+
+def exchange(address, data, half_close=False):
+    """Send bytes on a new connection and return all that comes back."""
+    host, _, port = address.rpartition(":")
+    with eventlet.Timeout(10), socket.create_connection((host, int(port))) as peer:
+        peer.sendall(data)
+        if half_close:
+            peer.shutdown(socket.SHUT_WR)
+        return b"".join(iter(lambda: peer.recv(65_536), b""))
+
+
+def echo(request):
+    read = request.read(MAX_BODY_BYTES)
+    if not isinstance(read, bytes):
+        return web.refusal_reply(read)
+    document = [request.method, request.target, request.headers(), read.decode()]
+    return json_reply(document)
+
+
+def request_bytes(method="POST", target="/a", headers=(), data=b""):
+    lines = [f"{method} {target} HTTP/1.1", "Host: h", *headers, "", ""]
+    return "\r\n".join(lines).encode() + data
+
+
+def code_of(answer):
+    head, _, document = answer.partition(b"\r\n\r\n")
+    return int(head.split()[1]), json.loads(document)["error"]["code"]
+
+
+def test_chunked_body_is_read_whole_and_the_connection_goes_on(serve):
+    address, _ = serve(echo)
+    data = b"3;a=b\r\nabc\r\n2\r\nde\r\n0\r\nTrailer: x\r\n\r\n"
+    first = request_bytes(headers=["Transfer-Encoding: chunked"], data=data)
+    last = request_bytes("GET", "/b", ["Connection: close"])
+    answer = exchange(address, first + last)
+    assert answer.count(b"HTTP/1.1 200") == 2
+    assert b'"abcde"]' in answer and b'"/b"' in answer
+
+
+@pytest.mark.parametrize(
+    "data",
+    [b"-3\r\nabc\r\n0\r\n\r\n", b"0x3\r\nabc\r\n0\r\n\r\n", b"3\r\nabcd\r\n0\r\n\r\n"]
+    + [b"3\nabc\r\n0\r\n\r\n", b"3\r\nab", b"f" * 400, b"0\r\n" + b"T: x\r\n" * 99],
+)
+def test_malformed_chunks_are_refused_and_end_the_connection(serve, data):
+    address, _ = serve(echo)
+    sent = request_bytes(headers=["Transfer-Encoding: chunked"], data=data)
+    answer = exchange(address, sent, half_close=True)
+    assert code_of(answer) == (400, "bad_request")
+    assert b"Connection: close" in answer
+
+
+def test_body_that_ends_early_is_refused(serve):
+    address, _ = serve(echo)
+    sent = request_bytes(headers=["Content-Length: 5"], data=b"abc")
+    assert code_of(exchange(address, sent, True)) == (400, "bad_request")
+
+
+@pytest.mark.parametrize("chunked", [True, False])
+def test_body_over_the_limit_is_refused_though_it_is_still_being_sent(serve, chunked):
+    address, _ = serve(echo)
+    size = 3 << 20
+    framing = "Transfer-Encoding: chunked" if chunked else f"Content-Length: {size}"
+    data = b"%x\r\n" % size + b"x" * size if chunked else b"x" * size
+    answer = exchange(address, request_bytes(headers=[framing], data=data))
+    assert code_of(answer) == (413, "too_large")
+
+
+def test_bodies_held_at_a_time_are_bounded(serve):
+    address, server = serve(echo)
+    server.budget.limit = 10
+    sent = request_bytes(headers=["Content-Length: 20"], data=b"x" * 20)
+    assert code_of(exchange(address, sent)) == (503, "overloaded")
+    assert server.budget.used == 0
+
+
+def test_huge_heads_are_refused(serve):
+    address, _ = serve(echo)
+    for headers in (["X: " + "x" * 9000], ["X: y"] * 200, ["X: " + "x" * 8000] * 9):
+        answer = exchange(address, request_bytes(headers=headers))
+        assert code_of(answer) == (431, "headers_too_large")
+
+
+@pytest.mark.parametrize(
+    ("name", "data", "whole"),
+    [
+        ("HEAD_TIMEOUT_S", b"GET / HTTP/1.1\r\nHost: h\r\n", connection),
+        ("BODY_TIMEOUT_S", request_bytes(headers=["Content-Length: 5"]), web),
+    ],
+)
+def test_slow_senders_are_refused_in_bounded_time(
+    serve, monkeypatch, name, data, whole
+):
+    monkeypatch.setattr(whole, name, 0.2)
+    address, server = serve(echo)
+    assert code_of(exchange(address, data)) == (400, "bad_request")
+    assert server.active == 0
+
+
+def test_slow_readers_hold_no_memory_and_end(serve, monkeypatch):
+    monkeypatch.setattr(connection, "RESPONSE_LIMIT_S", 0.5)
+    made = []
+
+    def endless():
+        while True:
+            made.append(1)
+            yield b"x" * 65_536
+
+    address, server = serve(lambda request: Reply(200, (), endless()))
+    host, _, port = address.rpartition(":")
+    with socket.create_connection((host, int(port))) as peer:
+        peer.sendall(request_bytes("GET"))
+        with eventlet.Timeout(10):
+            while not made or server.active:
+                eventlet.sleep(0.02)
+    # What was made fits into the sockets' buffers.
+    assert len(made) < 500
+
+
+def test_hung_up_caller_cancels_only_what_may_be_cancelled(serve):
+    ended = []
+
+    def handle(request):
+        if request.path == "/cancel":
+            request.cancel_on_hangup()
+        try:
+            eventlet.sleep(0.3)
+            ended.append(f"{request.path} ran to its end")
+        finally:
+            ended.append(request.path)
+        return json_reply({})
+
+    address, server = serve(handle)
+    host, _, port = address.rpartition(":")
+    for path in ("/cancel", "/keep"):
+        with socket.create_connection((host, int(port))) as peer:
+            peer.sendall(request_bytes("GET", path))
+            eventlet.sleep(0.05)
+    with eventlet.Timeout(10):
+        while server.active or len(ended) < 3:
+            eventlet.sleep(0.02)
+    assert ended == ["/cancel", "/keep ran to its end", "/keep"]
+
+
+def test_answers_to_head_have_no_body(serve):
+    address, _ = serve(lambda request: Reply(200, (), iter([b"body"])))
+    sent = request_bytes("HEAD") + request_bytes("GET", "/", ["Connection: close"])
+    answer = exchange(address, sent)
+    assert answer.count(b"HTTP/1.1 200") == 2
+    assert answer.count(b"body") == 1
+
+
+def test_connections_end_in_an_orderly_way_while_closing(serve):
+    address, server = serve(echo, closing=lambda: True)
+    answer = exchange(address, request_bytes("GET"))
+    assert b"\r\nConnection: close\r\n" in answer
+    with eventlet.Timeout(10):
+        while server.connections:
+            eventlet.sleep(0.01)
+    assert server.active == 0
+
+
+def test_fault_of_a_handler_is_answered_without_traceback(serve, caplog):
+    def handle(request):
+        raise KeyError("secret text")
+
+    address, _ = serve(handle)
+    answer = exchange(address, request_bytes("GET", headers=["Connection: close"]))
+    assert code_of(answer) == (500, "internal")
+    assert b"secret" not in answer and "secret" not in caplog.text
+
+
+@pytest.mark.parametrize(
+    "target", ["/a%2fb/%c3%a9?q=%2F&x=a+b", "//a//b", "/a;b=c,d?%7e~", "/a%252e"]
+)
+def test_target_and_repeated_headers_reach_the_target_as_sent(serve, target):
+    address, _ = serve(echo)
+    headers = (("X-Twice", "1"), ("x-twice", "2"), ("Odd", "\xe9"))
+    upstream = Upstream()
+
+    def call():
+        response = upstream.open(address, "PUT", target, headers, b"data", 5000)
+        return json.loads(b"".join(read_body(response)))
+
+    # The sockets of urllib3 aren't green in this process.
+    method, got, got_headers, data = tpool.execute(call)
+    assert (method, got, data) == ("PUT", target, "data")
+    pairs = [(name.lower(), value) for name, value in got_headers]
+    assert [v for n, v in pairs if n == "x-twice"] == ["1", "2"]
+    assert ("odd", "\xe9") in pairs
+    upstream.close()
+
+
+LINES = st.lists(
+    st.one_of(
+        st.binary(max_size=40).map(lambda data: data + b"\r\n"),
+        st.sampled_from(
+            [
+                b"Host: h\r\n",
+                b"Content-Length: 3\r\n",
+                b" folded\r\n",
+                b"A: b\rC: d\r\n",
+            ]
+        ),
+    ),
+    max_size=6,
+)
+
+
+@settings(derandomize=True, database=None, max_examples=400)
+@given(LINES)
+def test_parsed_heads_hold_nothing_that_another_parser_reads_otherwise(lines):
+    parsed = parse_head([b"GET /x HTTP/1.1\r\n", *lines])
+    if parsed.is_err():
+        return
+    head = parsed.ok_value
+    assert len(head.headers) == len(lines)
+    for name, value in head.headers:
+        assert set(name) <= set(
+            string.ascii_letters + string.digits + "!#$%&'*+-.^_`|~"
+        )
+        assert not set(value) & set("\r\n\0")
+    names = [name.lower() for name, _ in head.headers]
+    assert names.count("host") == 1
+    assert names.count("content-length") + names.count("transfer-encoding") <= 1
+
+
+def test_budget_is_given_back_by_each_body():
+    budget = body_module.ByteBudget(8)
+    budget.take(8)
+    with pytest.raises(body_module.BudgetError):
+        budget.take(1)
+    budget.give_back(8)
+    budget.take(8)
