--- a/pollenmount/parts/listeners.py
+++ b/pollenmount/parts/listeners.py
@@ -1,5 +1,7 @@
 """Listeners of a node, started when all other parts are there."""
 
+from typing import NamedTuple
+
 from pollenmount.api.callers import CallersApi
 from pollenmount.api.operators import OperatorsApi
 from pollenmount.api.peers import PeersApi
@@ -9,20 +11,36 @@
 from pollenmount.plugin import register
 
 
+class Listeners(NamedTuple):
+    """The servers of a node, by kind of peer."""
+
+    control: ControlServer
+    targets: WebServer
+    operators: WebServer
+    peers: WebServer
+    callers: WebServer
+
+    @property
+    def carrying_calls(self):
+        """Return the servers whose requests a planned stop waits for."""
+        return (self.peers, self.callers)
+
+
 @register("pollenmount.parts", "listeners")
 def build(kernel):
     """Return the servers, callers' last."""
     settings = kernel.settings
     listen = settings.listen
     hub = kernel.get("hub")
-    server = ControlServer(hub, listen.control, settings.peer_key, kernel.handlers)
-    servers = [kernel.own(server)]
     apis = {
-        listen.targets: TargetsApi(kernel.get("targets")),
-        listen.operators: OperatorsApi(kernel),
-        listen.peers: PeersApi(kernel),
-        listen.callers: CallersApi(kernel),
+        "targets": TargetsApi(kernel.get("targets")),
+        "operators": OperatorsApi(kernel),
+        "peers": PeersApi(kernel),
+        "callers": CallersApi(kernel),
     }
-    for address, api in apis.items():
-        servers.append(kernel.own(WebServer(address, make_app(api.handle))))
-    return servers
+    server = ControlServer(hub, listen.control, settings.peer_key, kernel.handlers)
+    servers = {"control": kernel.own(server)}
+    for role, api in apis.items():
+        app = make_app(api.handle, lambda: kernel.stopping)
+        servers[role] = kernel.own(WebServer(getattr(listen, role), app))
+    return Listeners(**servers)
--- a/pollenmount/settings.py
+++ b/pollenmount/settings.py
@@ -94,7 +94,7 @@
     log_level: str = "INFO"
     heartbeat_ms: int = 1000
     target_ttl_ms: int = 3000
-    stop_delay_ms: int = 2000
+    stop_delay_ms: int = 6000
     stop_limit_ms: int = 300_000
     max_body_bytes: int = 4 << 20
 
