Add golden files of a whole session of each example deployment

The demonstration shares its start. Deployments in scripts/examples.py name their engines, models and services; the lookup example takes HEAD.

--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -10,7 +10,6 @@
 from scripts.examples import INZIRA, OPERATOR_KEY, PORTS, addresses, make_settings
 from standins.cluster import ROOT, Cluster, chat_body, wait_until
 
-ENGINES_A_REGION = 3
 ROW = "{:9} {:22} {:>6} {:9} {:>8}  {}"
 
 
@@ -64,7 +63,7 @@
 
 
 def start(cluster, deployment):
-    """Start nodes and stand-ins of the deployment."""
+    """Start nodes and stand-ins of the deployment; return the settings by VM."""
     settings = make_settings(deployment)
     for document in settings.values():
         cluster.start_node(document)
@@ -74,27 +73,37 @@
             for document in settings.values()
             if document["region"] == region
         )
-        for index in range(1, ENGINES_A_REGION + 1):
-            cluster.start_standin(
-                "engine",
-                f"{region}-engine-{index}",
-                f"127.{deployment.network}.{number}.{100 + index}:9000",
-                entries,
-                "--models=drafting@v1+custody+maintenance",
-            )
+        start_targets(cluster, deployment, number, region, entries)
+    return settings
+
+
+def start_targets(cluster, deployment, number, region, entries):
+    """Start the stand-ins of one region, the `number`th."""
+    for index in range(1, deployment.engines + 1):
         cluster.start_standin(
-            "service",
-            f"{region}-service",
-            f"127.{deployment.network}.{number}.100:9000",
+            "engine",
+            f"{region}-engine-{index}",
+            target_address(deployment, number, index),
             entries,
-            "--services=filing,lookup",
+            f"--models={deployment.models}",
         )
-    return settings
+    cluster.start_standin(
+        "service",
+        f"{region}-service",
+        target_address(deployment, number),
+        entries,
+        f"--services={deployment.services}",
+    )
+
 
+def target_address(deployment, number, index=0):
+    """Return the address of a region's engine; index 0 is its service."""
+    return f"127.{deployment.network}.{number}.{100 + index}:9000"
 
-def apply_plan(cluster, operators):
+
+def apply_plan(cluster, operators, deployment=INZIRA):
     """Apply the example's sheet once its log has a leader; wait until it's in force."""
-    sheet = (ROOT / "examples" / INZIRA.name / "plan.csv").read_bytes()
+    sheet = (ROOT / "examples" / deployment.name / "plan.csv").read_bytes()
 
     def accepted():
         answer = cluster.call(operators, "PUT", "/v1/plan", OPERATOR_KEY, sheet)
@@ -103,12 +112,26 @@
     def in_force():
         status = cluster.call(operators, "GET", "/v1/plan/status", OPERATOR_KEY).json
         vms = [name for row in status["regions"] for name in row["in_force"]]
-        return len(vms) == sum(INZIRA.vms.values())
+        return len(vms) == sum(deployment.vms.values())
 
     wait_until(accepted)
     wait_until(in_force)
 
 
+def wait_targets(cluster, settings, deployment):
+    """Wait until every node knows all targets of its failure domain."""
+
+    def known():
+        counts = []
+        for document in settings.values():
+            address = document["listen"]["operators"]
+            status = cluster.call(address, "GET", "/v1/status", OPERATOR_KEY).json
+            counts.append(len(status["targets"]))
+        return min(counts) == deployment.engines + 1
+
+    wait_until(known)
+
+
 def run_step(cluster, region, address, step):
     """Run one step, print its row, return whether it went as expected."""
     key = f"key-aid-{region}"
@@ -133,7 +156,7 @@
     """Return how often each filing key ran, over all regions."""
     runs = []
     for number in range(1, len(deployment.vms) + 1):
-        address = f"127.{deployment.network}.{number}.100:9000"
+        address = target_address(deployment, number)
         counts = cluster.call(address, "GET", "/standin/counts").json
         runs.extend(counts["runs"].values())
     return runs
@@ -149,7 +172,7 @@
         operators = next(iter(settings.values()))["listen"]["operators"]
         cluster.wait_members(len(settings), OPERATOR_KEY)
         apply_plan(cluster, operators)
-        time.sleep(1.5)
+        wait_targets(cluster, settings, deployment)
         print(ROW.format("region", "request", "status", "ran in", "took", "answer"))
         good = []
         for region, name, ip in addresses(deployment):
--- a/scripts/examples.py
+++ b/scripts/examples.py
@@ -27,13 +27,20 @@
 
 
 class Deployment(NamedTuple):
-    """One example: VMs per region, host number of its first network, and its rows."""
+    """One example: VMs per region, second number of its addresses, rows, targets.
+
+    `engines` are for each region, with `models` loaded; each region has one service
+    process that offers `services`.
+    """
 
     name: str
     vms: dict[str, int]
     network: int
     separator: str
     rows: tuple
+    engines: int
+    models: str
+    services: str
 
 
 def caller(name, home, uses, weighs, regions=""):
@@ -85,12 +92,15 @@
     (
         model("drafting", "custody maintenance", INZIRA_REGIONS, "interactive"),
         service("filing", "POST", "/filings", INZIRA_REGIONS, "once"),
-        service("lookup", "GET", "/cases", INZIRA_REGIONS, "idempotent"),
+        service("lookup", "GET HEAD", "/cases", INZIRA_REGIONS, "idempotent"),
         caller("aid-kigali", "kigali", INZIRA_USES, "latency", "huye musanze"),
         caller("aid-huye", "huye", INZIRA_USES, "latency", "kigali musanze"),
         caller("aid-musanze", "musanze", INZIRA_USES, "latency", "kigali huye"),
         caller("court-kigali", "kigali", INZIRA_USES, "latency"),
     ),
+    3,
+    "drafting@v1+custody+maintenance",
+    "filing,lookup",
 )
 
 NL_REGIONS = "nl-west nl-east nl-south"
@@ -110,6 +120,9 @@
         caller("branch-south", "nl-south", NL_USES, "cost", "nl-west nl-east"),
         caller("portal-east", "nl-east", "status", "latency"),
     ),
+    2,
+    "summaries@v1",
+    "contact,invoice,status",
 )
 
 
--- a/standins/kinds/service.py
+++ b/standins/kinds/service.py
@@ -36,7 +36,7 @@
     def run(self, request, body):
         """Run one call."""
         headers = self.answer_id(request)
-        if request.method == "GET":
+        if request.method in ("GET", "HEAD"):
             document = {"status": "open", "path": request.path, "by": self.args.name}
             return json_reply(document, 200, headers)
         key = request.header("Idempotency-Key")
--- /dev/null
+++ b/tests/golden/__init__.py
@@ -0,0 +1,1 @@
+"""Golden files of whole sessions, with real processes."""
--- /dev/null
+++ b/tests/golden/session.py
@@ -0,0 +1,104 @@
+"""Writes down a session of calls, values that vary from run to run replaced."""
+
+import json
+import re
+from typing import NamedTuple
+
+from scripts.demo import apply_plan, start, wait_targets
+from scripts.examples import OPERATOR_KEY
+from standins.cluster import wait_until
+
+__all__ = ["Ask", "Session"]
+
+IDS = re.compile(r"[0-9a-f]{32}(-[0-9]+)?")
+DIGESTS = re.compile(r"[0-9a-f]{64}")
+ADDRESSES = re.compile(r"127\.[0-9]+\.")
+KEPT_HEADERS = (
+    *("Content-Type", "Retry-After", "Idempotency-Key", "Connection"),
+    *("Pollenmount-Replayed", "WWW-Authenticate"),
+)
+
+
+class Ask(NamedTuple):
+    """One call: what it shows, VM, caller, method, path, body, headers."""
+
+    title: str
+    vm: str
+    caller: str
+    method: str
+    path: str
+    body: bytes | None = None
+    headers: tuple[tuple[str, str], ...] = ()
+
+
+class Session:
+    """One whole deployment and the transcript of the calls made to it."""
+
+    def __init__(self, cluster, deployment):
+        self.cluster = cluster
+        self.deployment = deployment
+        self.settings = start(cluster, deployment)
+        self.lines = []
+        cluster.wait_members(len(self.settings), OPERATOR_KEY)
+        apply_plan(cluster, self.listen(self.first, "operators"), deployment)
+        wait_targets(cluster, self.settings, deployment)
+        for vm in self.settings:
+            wait_until(lambda vm=vm: len(self.entries(vm)) == len(self.settings))
+
+    @property
+    def first(self):
+        """Return the name of the first VM."""
+        return next(iter(self.settings))
+
+    def listen(self, vm, role="callers"):
+        """Return an address of a VM."""
+        return self.settings[vm]["listen"][role]
+
+    def entries(self, vm):
+        """Return the names of the entry VMs that a VM lists to operators."""
+        address = self.listen(vm, "operators")
+        answer = self.cluster.call(address, "GET", "/v1/entries", OPERATOR_KEY)
+        return [entry["name"] for entry in answer.json["entries"]]
+
+    def ask(self, ask):
+        """Make a call and write it down; return the answer."""
+        key = f"key-{ask.caller}"
+        address = self.listen(ask.vm)
+        answer = self.cluster.call(
+            address, ask.method, ask.path, key, ask.body, ask.headers
+        )
+        self.note(f"# {ask.title}")
+        self.note(f"> {ask.vm}: {ask.method} {ask.path} by {ask.caller}")
+        self.note_answer(answer, self.settings[ask.vm]["region"])
+        return answer
+
+    def operate(self, title, vm, method, path, body=None):
+        """Make a call of the operators' interface and write it down."""
+        address = self.listen(vm, "operators")
+        answer = self.cluster.call(address, method, path, OPERATOR_KEY, body)
+        self.note(f"# {title}")
+        self.note(f"> {vm}: {method} {path} by an operator")
+        self.note_answer(answer, "")
+
+    def note_answer(self, answer, region):
+        """Write down an answer."""
+        ran_in = answer.headers.get("Pollenmount-Region")
+        place = {None: "", "": "", region: ", ran at home"}.get(ran_in, ", ran away")
+        self.note(f"< {answer.status}{place}")
+        for name in KEPT_HEADERS:
+            if name in answer.headers:
+                self.note(f"< {name}: {answer.headers[name]}")
+        text = answer.body.decode()
+        if text and answer.headers.get("Content-Type") == "application/json":
+            text = json.dumps(json.loads(text), indent=1, sort_keys=True)
+        self.note(text.strip() + "\n")
+
+    def note(self, text):
+        """Add a text to the transcript."""
+        text = IDS.sub("ID", DIGESTS.sub("DIGEST", text))
+        self.lines.append(ADDRESSES.sub("127.N.", text))
+
+    @property
+    def transcript(self):
+        """Return all that was written down."""
+        return "\n".join(self.lines)
