--- /dev/null
+++ b/scripts/build_file.py
@@ -0,0 +1,77 @@
+"""Makes the one file of the program: a zip archive that Python runs.
+
+Copies the package and the installed distributions that it needs, and hands them to
+shiv. The file unpacks itself under SHIV_ROOT (default ~/.shiv) at its first start.
+"""
+
+import argparse
+import importlib.metadata
+import shutil
+import sys
+import tempfile
+import tomllib
+from pathlib import Path
+
+from packaging.requirements import Requirement
+from shiv import cli
+
+ROOT = Path(__file__).parent.parent
+PACKAGE = "pollenmount"
+ENTRY_POINT = "pollenmount.cmdline:main"
+INTERPRETER = "/usr/bin/env python3"
+
+
+def find_distributions(names):
+    """Return the installed distributions that `names` need, themselves included."""
+    found = {}
+    waiting = [*names]
+    while waiting:
+        name = waiting.pop()
+        if name in found:
+            continue
+        found[name] = importlib.metadata.distribution(name)
+        for text in found[name].requires or ():
+            requirement = Requirement(text)
+            marker = requirement.marker
+            if marker is None or marker.evaluate({"extra": ""}):
+                waiting.append(requirement.name)
+    return found.values()
+
+
+def copy_distribution(distribution, folder):
+    """Copy the files of one distribution, scripts and byte code left out."""
+    for file in distribution.files:
+        if ".." in file.parts or file.suffix == ".pyc":
+            continue
+        target = folder / file
+        target.parent.mkdir(parents=True, exist_ok=True)
+        shutil.copyfile(file.locate(), target)
+
+
+def stage(folder):
+    """Copy all that the file holds into `folder`."""
+    project = tomllib.loads((ROOT / "pyproject.toml").read_text())["project"]
+    names = [Requirement(text).name for text in project["dependencies"]]
+    for distribution in find_distributions(names):
+        copy_distribution(distribution, folder)
+    ignored = shutil.ignore_patterns("__pycache__")
+    shutil.copytree(ROOT / PACKAGE, folder / PACKAGE, ignore=ignored)
+
+
+def main():
+    """Make the file; return 0."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--output", default=str(ROOT / "dist" / PACKAGE))
+    output = Path(parser.parse_args().output)
+    output.parent.mkdir(parents=True, exist_ok=True)
+    with tempfile.TemporaryDirectory() as folder:
+        stage(Path(folder))
+        words = ["--site-packages", folder, "--entry-point", ENTRY_POINT]
+        words += ["--python", INTERPRETER, "--reproducible", "--output-file"]
+        cli.main([*words, str(output)], standalone_mode=False)
+    print(f"{output}: {output.stat().st_size} bytes")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
