Check settings beyond the schema, take the peer key from a file

Cause: ports above 65535, IP texts that are no numbers, two listeners on one address, a voter without a data folder and a group of an unknown name were accepted and failed at the start or later; a plain key put among operator_keys was printed by the fault; a key that stands twice was read as the last one.

Change: settings_rules.py, one function a rule, joined with the schema's faults; peer_key_file; no value of a secret is shown, whatever its type.

--- a/pollenmount/settings.py
+++ b/pollenmount/settings.py
@@ -1,6 +1,7 @@
-"""Settings of one node: a JSON file checked against a schema.
+"""Settings of one node: a JSON file checked against a schema and a set of rules.
 
 Every fault is reported at once, with key, value and remedy. Unknown keys are faults.
+Secrets are never shown.
 """
 
 import json
@@ -9,6 +10,7 @@
 from jsonschema import Draft202012Validator
 
 from pollenmount.errors import Fault, SettingsError
+from pollenmount.settings_rules import MIN_KEY_CHARS, find_faults, read_key
 
 __all__ = ["Listen", "Settings", "check_settings", "load_settings"]
 
@@ -20,7 +22,7 @@
 SCHEMA = {
     "type": "object",
     "additionalProperties": False,
-    "required": ["name", "region", "failure_domain", "listen", "peer_key", "groups"],
+    "required": ["name", "region", "failure_domain", "listen", "groups"],
     "properties": {
         "name": NAME,
         "region": NAME,
@@ -33,7 +35,8 @@
         },
         "data_folder": {"type": "string", "minLength": 1},
         "seeds": {"type": "array", "items": ADDRESS},
-        "peer_key": {"type": "string", "minLength": 16},
+        "peer_key": {"type": "string", "minLength": MIN_KEY_CHARS},
+        "peer_key_file": {"type": "string", "minLength": 1},
         "operator_keys": {"type": "object", "additionalProperties": DIGEST},
         "groups": {
             "type": "object",
@@ -55,7 +58,6 @@
 REMEDIES = {
     "required": "add the key",
     "additionalProperties": "remove the key, or correct its spelling",
-    "pattern": "use the form that docs/OPERATORS.md gives for this key",
     "type": "use a value of the type named",
     "enum": "use one of the values named",
     "minimum": "use a larger number",
@@ -63,7 +65,16 @@
     "minLength": "use a longer text",
     "minProperties": "name at least one VM",
 }
-SHOWN_VALUE_CHARS = 60
+PATTERN_REMEDIES = {
+    ADDRESS["pattern"]: "use IP:port, such as 10.0.0.1:8080",
+    NAME["pattern"]: "use lower-case letters, digits, dots and hyphens",
+}
+SECRETS = {
+    "peer_key": f"use {MIN_KEY_CHARS} or more characters",
+    "operator_keys": "name each operator with the SHA-256 of the key, in hexadecimal",
+}
+TOP_LEVEL = "(top level)"
+SHOWN_CHARS = 180
 
 
 class Listen(NamedTuple):
@@ -101,30 +112,62 @@
 
 def check_settings(document):
     """Return every fault of a parsed settings document, in the order of its keys."""
-    errors = Draft202012Validator(SCHEMA).iter_errors(document)
-    return [to_fault(error) for error in sorted(errors, key=lambda e: list(e.path))]
+    errors = sorted(
+        Draft202012Validator(SCHEMA).iter_errors(document),
+        key=lambda error: [str(part) for part in error.path],
+    )
+    faults = [to_fault(error) for error in errors]
+    if isinstance(document, dict):
+        reported = {fault.where for fault in faults}
+        faults += [f for f in find_faults(document) if f.where not in reported]
+    return faults
 
 
 def to_fault(error):
     """Return the fault for one schema error; secret values are not shown."""
-    key = ".".join(str(part) for part in error.path) or "(top level)"
-    if "peer_key" in key:
-        return Fault(key, "is not a usable secret", "use 16 or more characters")
-    problem = error.message[: SHOWN_VALUE_CHARS * 3]
-    return Fault(key, problem, REMEDIES.get(error.validator, "correct the value"))
-
+    key = ".".join(str(part) for part in error.path) or TOP_LEVEL
+    first = str(error.path[0]) if error.path else ""
+    if first in SECRETS:
+        return Fault(key, "is not usable", SECRETS[first])
+    if error.validator == "pattern":
+        shown = f"is {error.instance!r}"[:SHOWN_CHARS]
+        return Fault(key, shown, PATTERN_REMEDIES[error.validator_value])
+    if key == TOP_LEVEL and error.validator == "type":
+        return Fault(key, "is no JSON object", "write the settings as one object")
+    remedy = REMEDIES.get(error.validator, "correct the value")
+    return Fault(key, error.message[:SHOWN_CHARS], remedy)
+
+
+def read_document(path):
+    """Return the parsed document in the file at `path`, or raise `SettingsError`."""
+    repeated = []
+
+    def collect(pairs):
+        names = [name for name, _ in pairs]
+        repeated.extend(name for name in set(names) if names.count(name) > 1)
+        return dict(pairs)
 
-def load_settings(path):
-    """Return the settings in the file at `path`, or raise `SettingsError`."""
     try:
         with open(path, encoding="utf-8") as file:
-            document = json.load(file)
-    except (OSError, ValueError) as error:
+            document = json.load(file, object_pairs_hook=collect)
+    except (OSError, ValueError, RecursionError) as error:
         fault = Fault(str(path), str(error), "give the path of a readable JSON file")
         raise SettingsError([fault]) from error
+    if repeated:
+        faults = [Fault(n, "stands twice", "keep one") for n in sorted(repeated)]
+        raise SettingsError(faults)
+    return document
+
+
+def load_settings(path):
+    """Return the settings in the file at `path`, or raise `SettingsError`."""
+    document = read_document(path)
     faults = check_settings(document)
     if faults:
         raise SettingsError(faults)
+    key_file = document.pop("peer_key_file", None)
+    if key_file:
+        document["peer_key"] = read_key(key_file)
     document["listen"] = Listen(**document["listen"])
     document["seeds"] = tuple(document.get("seeds", ()))
     return Settings(**document)
--- /dev/null
+++ b/pollenmount/settings_rules.py
@@ -0,0 +1,155 @@
+"""Rules for settings that a schema can't say.
+
+Each rule is a function that takes the parsed document and yields its faults; it skips
+what isn't there or has the wrong type, which the schema reports.
+"""
+
+import ipaddress
+import os
+
+from pollenmount.errors import Fault
+
+__all__ = ["MIN_KEY_CHARS", "find_faults", "read_key"]
+
+MIN_KEY_CHARS = 16
+MAX_PORT = 65_535
+PLANS = "plans"
+ACTIONS_PREFIX = "actions/"
+
+
+def find_faults(document):
+    """Yield the faults that all rules find."""
+    for rule in RULES:
+        yield from rule(document)
+
+
+def get_table(document, key):
+    """Return the object under `key`, or an empty one."""
+    value = document.get(key)
+    return value if isinstance(value, dict) else {}
+
+
+def addresses_of(document):
+    """Yield (key, address) for each address in the document."""
+    for role, address in get_table(document, "listen").items():
+        yield f"listen.{role}", address
+    seeds = document.get("seeds")
+    for number, address in enumerate(seeds if isinstance(seeds, list) else ()):
+        yield f"seeds.{number}", address
+    for group, voters in get_table(document, "groups").items():
+        for vm, address in voters.items() if isinstance(voters, dict) else ():
+            yield f"groups.{group}.{vm}", address
+
+
+def check_addresses(document):
+    """Yield a fault for each address without a usable IP number and port."""
+    for key, address in addresses_of(document):
+        if isinstance(address, str) and (problem := find_problem(address)):
+            remedy = "use IP:port, such as 10.0.0.1:8080 or [fd00::1]:8080"
+            yield Fault(key, f"is {address!r}, {problem}", remedy)
+
+
+def find_problem(address):
+    """Return what is wrong with an address, or None."""
+    host, _, port = address.rpartition(":")
+    if not port.isdecimal() or not 1 <= int(port) <= MAX_PORT:
+        return f"whose port is not from 1 to {MAX_PORT}"
+    bracketed = host.startswith("[") and host.endswith("]")
+    try:
+        number = ipaddress.ip_address(host[1:-1] if bracketed else host)
+    except ValueError:
+        return "which has no IP number"
+    if bracketed != (number.version == 6):
+        return "which needs brackets around IPv6 only"
+    if number.is_unspecified or number.is_multicast:
+        return "which other VMs can't reach"
+    return None
+
+
+def check_listeners(document):
+    """Yield a fault for each address that two listeners share."""
+    first = {}
+    for role, address in get_table(document, "listen").items():
+        if not isinstance(address, str):
+            continue
+        if address in first:
+            problem = f"is {address!r}, as listen.{first[address]} is"
+            yield Fault(f"listen.{role}", problem, "give each its own port")
+        first.setdefault(address, role)
+
+
+def check_groups(document):
+    """Yield faults of the names and voters of groups."""
+    groups = get_table(document, "groups")
+    if "groups" in document and PLANS not in groups:
+        yield Fault("groups", f"has no {PLANS!r}", "name its first voters")
+    for group, voters in groups.items():
+        if group != PLANS and not group.startswith(ACTIONS_PREFIX):
+            remedy = f"use {PLANS!r} or '{ACTIONS_PREFIX}REGION'"
+            yield Fault(f"groups.{group}", "is no known log", remedy)
+        if isinstance(voters, dict):
+            yield from check_voters(document, group, voters)
+
+
+def check_voters(document, group, voters):
+    """Yield faults of the voters of one group."""
+    if len(set(map(str, voters.values()))) < len(voters):
+        remedy = "give each voter its own control address"
+        yield Fault(f"groups.{group}", "names an address twice", remedy)
+    name = document.get("name")
+    if not isinstance(name, str) or name not in voters:
+        return
+    own = get_table(document, "listen").get("control")
+    if own is not None and voters[name] != own:
+        problem = f"is {voters[name]!r}, but this VM's listen.control is {own!r}"
+        yield Fault(f"groups.{group}.{name}", problem, "make them equal")
+    if "data_folder" not in document:
+        problem = f"is missing, but {name!r} votes in {group!r}"
+        remedy = "name a folder on a disk, or another voter"
+        yield Fault("data_folder", problem, remedy)
+
+
+def check_data_folder(document):
+    """Yield a fault when the data folder can't be one."""
+    folder = document.get("data_folder")
+    if isinstance(folder, str) and folder and os.path.exists(folder):
+        if not os.path.isdir(folder):
+            yield Fault("data_folder", f"is {folder!r}, a file", "name a folder")
+        elif not os.access(folder, os.W_OK | os.X_OK):
+            remedy = "let the process write there"
+            yield Fault("data_folder", f"is {folder!r}, not writable", remedy)
+
+
+def check_peer_key(document):
+    """Yield faults of the key that VMs share; the key itself is never shown."""
+    given = [key for key in ("peer_key", "peer_key_file") if key in document]
+    if len(given) != 1:
+        problem = "is given twice" if given else "is missing"
+        yield Fault("peer_key", problem, "give one of peer_key and peer_key_file")
+    path = document.get("peer_key_file")
+    if not isinstance(path, str) or not path:
+        return
+    try:
+        key = read_key(path)
+    except (OSError, UnicodeDecodeError) as error:
+        problem = f"is {path!r}, not readable ({type(error).__name__})"
+        yield Fault("peer_key_file", problem, "name a text file with the key")
+        return
+    if len(key) < MIN_KEY_CHARS:
+        remedy = f"put {MIN_KEY_CHARS} or more characters on its first line"
+        yield Fault("peer_key_file", f"is {path!r}, without a usable key", remedy)
+
+
+def read_key(path):
+    """Return the key on the first line of a file."""
+    with open(path, encoding="ascii") as file:
+        return file.readline().strip()
+
+
+RULES = (
+    check_addresses,
+    check_listeners,
+    check_groups,
+    check_data_folder,
+    check_peer_key,
+)
