Bound every call between nodes in time and type its faults

Cause: a reply or message that can't be decoded raised into the caller or gave UNKNOWN; a server thread waited for its handler without limit, so 8 slow ones blocked the server and its end; a call whose callback gRPC never made would hang its task; the hub needed the standard library patched.

Change: the server's wait ends with the call's deadline, and its threads and concurrent calls are bounded (64, 256); the client has a limit of its own 500 ms after the deadline and cancels what it gives up; faults have codes; the hub's socket pair is green by itself.

--- a/pollenmount/bridge/control.py
+++ b/pollenmount/bridge/control.py
@@ -4,6 +4,7 @@
 request: `register_call` couples request and reply types under one name.
 """
 
+import contextlib
 import hmac
 from concurrent import futures
 from typing import Any, NamedTuple
@@ -20,12 +21,15 @@
 
 SERVICE = "pollenmount.Control"
 KEY_HEADER = "pollenmount-key"
-SERVER_THREADS = 8
+SERVER_THREADS = 64
+MAX_CONCURRENT_CALLS = 256
+GRACE_MS = 500
 STOP_GRACE_S = 0.5
 NEVER_SENT = (grpc.StatusCode.UNIMPLEMENTED, grpc.StatusCode.UNAUTHENTICATED)
+MAX_MESSAGE_BYTES = 64 << 20
 OPTIONS = (
-    ("grpc.max_receive_message_length", 64 << 20),
-    ("grpc.max_send_message_length", 64 << 20),
+    ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
+    ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
     ("grpc.initial_reconnect_backoff_ms", 100),
     ("grpc.max_reconnect_backoff_ms", 1000),
     ("grpc.min_reconnect_backoff_ms", 100),
@@ -67,7 +71,12 @@
         self.peer_key = peer_key
         self.handlers = {type_.__name__: handlers[type_] for type_ in handlers}
         pool = futures.ThreadPoolExecutor(SERVER_THREADS)
-        self.server = grpc.server(pool, handlers=(self,), options=OPTIONS)
+        self.server = grpc.server(
+            pool,
+            handlers=(self,),
+            options=OPTIONS,
+            maximum_concurrent_rpcs=MAX_CONCURRENT_CALLS,
+        )
         self.server.add_insecure_port(address)
         self.server.start()
 
@@ -80,16 +89,27 @@
         if not hmac.compare_digest(given.encode(), self.peer_key.encode()):
             return grpc.unary_unary_rpc_method_handler(refuse_peer)
         return grpc.unary_unary_rpc_method_handler(
-            lambda data, context: self.answer(name, data)
+            lambda data, context: self.answer(name, data, context)
         )
 
-    def answer(self, name, data):
+    def answer(self, name, data, context):
         """Decode, run the handler on the event loop and encode; on a gRPC thread."""
-        call = CALLS_BY_NAME[name]
-        request = msgspec.msgpack.decode(data, type=call.request)
+        try:
+            request = msgspec.msgpack.decode(data, type=CALLS_BY_NAME[name].request)
+        except (msgspec.DecodeError, UnicodeDecodeError):
+            message = "the message can't be read; run one version on all VMs"
+            context.abort(grpc.StatusCode.INVALID_ARGUMENT, message)
         done = futures.Future()
         self.hub.post(self.run_handler, name, request, done)
-        return msgspec.msgpack.encode(done.result())
+        try:
+            reply = done.result(context.time_remaining())
+        except futures.TimeoutError:
+            message = "the handler took too long; allow more time"
+            context.abort(grpc.StatusCode.DEADLINE_EXCEEDED, message)
+        except Exception:
+            message = "the handler failed; see the log of this VM"
+            context.abort(grpc.StatusCode.INTERNAL, message)
+        return msgspec.msgpack.encode(reply)
 
     def run_handler(self, name, request, done):
         """Run the handler; on the event loop."""
@@ -125,13 +145,30 @@
         future = invoke.future(
             data, timeout=timeout_ms / task.MS_PER_S, metadata=self.metadata
         )
-        done = task.Event()
-        future.add_done_callback(lambda _: self.hub.post(done.send, None))
-        done.wait()
+        if not self.wait(future, timeout_ms + GRACE_MS):
+            return Err(TransportError(address, "no reply in time", True))
         code = future.code()
-        if code is grpc.StatusCode.OK:
+        if code is not grpc.StatusCode.OK:
+            return Err(TransportError(address, code.name, code not in NEVER_SENT))
+        try:
             return Ok(msgspec.msgpack.decode(future.result(), type=call.reply))
-        return Err(TransportError(address, code.name, code not in NEVER_SENT))
+        except (msgspec.DecodeError, UnicodeDecodeError):
+            return Err(TransportError(address, "unreadable reply", True))
+
+    def wait(self, future, limit_ms):
+        """Wait for a call to end; return whether it did within `limit_ms`.
+
+        The limit is this side's own, so that it holds whatever gRPC does.
+        """
+        done = task.Event()
+        future.add_done_callback(lambda _: self.hub.post(done.send, None))
+        with contextlib.ExitStack() as stack:
+            stack.callback(future.cancel)
+            with task.Timeout(limit_ms / task.MS_PER_S, False):
+                done.wait()
+                stack.pop_all()
+                return True
+        return False
 
     def channel(self, address):
         """Return the channel to `address`, made on first use."""
--- a/pollenmount/bridge/hub.py
+++ b/pollenmount/bridge/hub.py
@@ -6,7 +6,6 @@
 
 import collections
 import contextlib
-import socket
 
 from pollenmount import task
 
@@ -20,7 +19,7 @@
 
     def __init__(self):
         self.waiting = collections.deque()
-        self.reader, self.writer = socket.socketpair()
+        self.reader, self.writer = task.socketpair()
         self.writer.setblocking(False)
         self.loop = task.spawn(self.run)
 
--- a/pollenmount/task.py
+++ b/pollenmount/task.py
@@ -8,6 +8,7 @@
 import eventlet.event
 import eventlet.queue
 import greenlet
+from eventlet.green import socket
 
 from pollenmount.log import get_logger
 
@@ -19,6 +20,7 @@
     "Timeout",
     "patch",
     "sleep",
+    "socketpair",
     "spawn",
 ]
 
@@ -27,6 +29,7 @@
 Event = eventlet.event.Event
 Mailbox = eventlet.queue.LightQueue
 Timeout = eventlet.Timeout
+socketpair = socket.socketpair
 Cancelled = greenlet.GreenletExit
 
 logger = get_logger("task")
--- /dev/null
+++ b/tests/test_bridge.py
@@ -0,0 +1,181 @@
+"""gRPC between nodes: faults end in typed errors, in time, and nothing hangs."""
+
+import threading
+from typing import NamedTuple
+
+import grpc
+import pytest
+from result import Err, Ok
+
+from pollenmount import task
+from pollenmount.bridge import control
+from pollenmount.bridge.control import ControlClient, ControlServer, register_call
+from pollenmount.bridge.hub import Hub
+
+KEY = "a key of sixteen characters"
+TIMEOUT_MS = 5000
+
+
+class Say(NamedTuple):
+    """Call: what to do."""
+
+    text: str
+
+
+class Said(NamedTuple):
+    """Reply: what was done."""
+
+    text: str
+
+
+class NotSaid(NamedTuple):
+    """Call that no server handles."""
+
+    text: str
+
+
+register_call(Say, Said)
+register_call(NotSaid, Said)
+
+
+def handle(request):
+    if request.text == "fail":
+        raise KeyError("a fault of the handler")
+    if request.text == "sleep":
+        task.sleep(60_000)
+    if request.text == "other":
+        return 5
+    return Said(request.text)
+
+
+@pytest.fixture
+def hub():
+    made = Hub()
+    yield made
+    made.close()
+
+
+@pytest.fixture
+def address(hub, network):
+    address = f"127.{network}.9.2:7200"
+    server = ControlServer(hub, address, KEY, {Say: handle})
+    yield address
+    server.close()
+
+
+@pytest.fixture
+def client(hub):
+    made = ControlClient(hub, KEY)
+    yield made
+    made.close()
+
+
+def test_calls_at_a_time_get_their_own_replies(address, client):
+    replies = {}
+
+    def call(number):
+        replies[number] = client.call(address, Say(str(number)), TIMEOUT_MS)
+
+    threads = [task.spawn(call, number) for number in range(300)]
+    for thread in threads:
+        thread.wait()
+    assert replies == {number: Ok(Said(str(number))) for number in range(300)}
+
+
+@pytest.mark.parametrize(
+    ("request_", "problem", "sent"),
+    [
+        (Say("fail"), "INTERNAL", True),
+        (Say("other"), "unreadable reply", True),
+        (NotSaid("x"), "UNIMPLEMENTED", False),
+    ],
+)
+def test_faults_are_typed_and_the_next_call_is_served(
+    address, client, request_, problem, sent
+):
+    error = client.call(address, request_, TIMEOUT_MS).err_value
+    assert (error.problem, error.sent) == (problem, sent)
+    assert client.call(address, Say("x"), TIMEOUT_MS) == Ok(Said("x"))
+
+
+def test_wrong_key_is_refused_unsent(address, hub):
+    stranger = ControlClient(hub, "another key of sixteen")
+    error = stranger.call(address, Say("x"), TIMEOUT_MS).err_value
+    assert (error.problem, error.sent) == ("UNAUTHENTICATED", False)
+    stranger.close()
+
+
+def test_message_over_the_limit_is_an_error(address, client):
+    data = "x" * (control.MAX_MESSAGE_BYTES + 1)
+    error = client.call(address, Say(data), TIMEOUT_MS).err_value
+    assert error.problem == "RESOURCE_EXHAUSTED"
+
+
+def test_unreadable_message_is_refused(address):
+    with grpc.insecure_channel(address) as channel:
+        invoke = channel.unary_unary(f"/{control.SERVICE}/Say")
+        future = invoke.future(b"\xc1", metadata=((control.KEY_HEADER, KEY),))
+        while not future.done():
+            task.sleep(5)
+        assert future.code() is grpc.StatusCode.INVALID_ARGUMENT
+
+
+def test_slow_handlers_and_dead_peers_end_by_the_deadline(address, client, network):
+    error = client.call(address, Say("sleep"), 200).err_value
+    assert (error.problem, error.sent) == ("DEADLINE_EXCEEDED", True)
+    error = client.call(f"127.{network}.9.3:7200", Say("x"), 200).err_value
+    assert error.problem in ("DEADLINE_EXCEEDED", "UNAVAILABLE")
+    assert client.call(address, Say("x"), TIMEOUT_MS) == Ok(Said("x"))
+
+
+class StuckChannel:
+    """A channel whose calls never end."""
+
+    def unary_unary(self, name):
+        return self
+
+    def future(self, data, timeout, metadata):
+        return self
+
+    def add_done_callback(self, callback):
+        """Never call it."""
+
+    def cancel(self):
+        self.cancelled = True
+
+    def close(self):
+        """Do nothing."""
+
+
+def test_deadline_holds_even_if_grpc_does_not_end_a_call(client):
+    client.channels["x"] = stuck = StuckChannel()
+    assert isinstance(client.call("x", Say("x"), 1), Err)
+    assert stuck.cancelled
+
+
+def test_hub_runs_all_that_many_threads_post(hub):
+    ran = []
+
+    def post(thread):
+        for number in range(2000):
+            hub.post(ran.append, (thread, number))
+
+    threads = [threading.Thread(target=post, args=(n,)) for n in range(8)]
+    for thread in threads:
+        thread.start()
+    while len(ran) < 16_000:
+        task.sleep(5)
+    for number in range(8):
+        assert [n for thread, n in ran if thread == number] == [*range(2000)]
+
+
+def test_closing_does_not_wait_for_a_handler(hub, network):
+    address = f"127.{network}.9.2:7201"
+    server = ControlServer(hub, address, KEY, {Say: handle})
+    client = ControlClient(hub, KEY)
+    task.spawn(client.call, address, Say("sleep"), 2000)
+    task.sleep(200)
+    with task.Timeout(20):
+        server.close()
+        client.close()
+    hub.post(print)
