--- a/pollenmount/api/callers.py
+++ b/pollenmount/api/callers.py
@@ -81,10 +81,11 @@
 
     def refuse(self, refusal, tenant):
         """Return the reply for a request that didn't become a call."""
-        labels = (tenant, NO_CLASS, str(refusal.kind))
-        self.kernel.get("metrics").outcomes.labels(*labels).inc()
-        logger.info("refused", extra={"caller": tenant, "outcome": str(refusal.kind)})
-        return refusal_reply(refusal)
+        outcome = str(refusal.kind)
+        self.kernel.get("metrics").outcomes.labels(tenant, NO_CLASS, outcome).inc()
+        said = {"request": uuid.uuid4().hex, "caller": tenant, "outcome": outcome}
+        logger.info("refused", extra={**said, "class": NO_CLASS, "target": ""})
+        return refusal_reply(refusal, [("Pollenmount-Request-Id", said["request"])])
 
     def find_caller(self, request):
         """Return Ok(caller) or Err(Refusal)."""
