--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; no test depends on a time measured here."""
--- /dev/null
+++ b/bench/fakes.py
@@ -0,0 +1,234 @@
+"""Fake engines and connections in virtual time, at the interface of `Upstream`."""
+
+import collections
+import heapq
+import itertools
+
+from bench.virtual_time import Signal
+from pollenmount.routing.prefix import BLOCK_WORDS, get_digests
+from pollenmount.targets.cache import CacheEvents
+from pollenmount.targets.table import Announcement
+from pollenmount.targets.upstream import ConnectError, LateError, UpstreamError
+
+__all__ = ["FakeEngine", "FakeUpstream"]
+
+NEAR_MS = 1
+CONNECT_TIMEOUT_MS = 1000
+CACHE_BLOCKS = 3000
+PREFILL_MS = 0.2
+TOKEN_MS = 20
+END = b"data: [DONE]\n\n"
+
+
+class Job:
+    """One request at a fake engine."""
+
+    def __init__(self, engine, body, words, priority):
+        self.engine = engine
+        self.body = body
+        self.words = words
+        self.priority = priority
+        self.first = Signal(engine.time)
+        self.last = Signal(engine.time)
+        self.state = "waiting"
+        self.began = 0
+
+
+class FakeEngine:
+    """An engine with slots, priorities and a prefix cache, that counts its work.
+
+    `slow` multiplies its times; `lies` makes it report no load; `alive` is false while
+    it is down.
+    """
+
+    def __init__(self, time, name, slots, model, words):
+        self.time = time
+        self.name = name
+        self.slots = slots
+        self.model = model
+        self.words = words
+        self.slow = 1
+        self.lies = False
+        self.alive = True
+        self.incarnation = 0
+        self.sequence = itertools.count(1)
+        self.running = set()
+        self.queue = []
+        self.order = itertools.count()
+        self.blocks = collections.OrderedDict()
+        self.events = []
+        self.event_number = 0
+        self.busy_ms = 0
+        self.computed_words = 0
+
+    def start(self, body, class_):
+        """Take a request; return its `Job`."""
+        job = Job(self, body, self.words(body), class_ != "interactive")
+        if len(self.running) < self.slots:
+            self.begin(job)
+        else:
+            heapq.heappush(self.queue, (job.priority, next(self.order), job))
+        return job
+
+    def begin(self, job):
+        """Give a job a slot."""
+        job.state = "running"
+        job.began = self.time.value
+        self.running.add(job)
+        missing = self.compute(job.body)
+        first_ms = missing * PREFILL_MS * self.slow + TOKEN_MS * self.slow
+        whole_ms = first_ms + job.words * TOKEN_MS * self.slow
+        self.time.after(first_ms, self.first, job)
+        self.time.after(whole_ms, self.end, job)
+
+    def compute(self, body):
+        """Return how many words of the prompt are not cached, and cache them."""
+        digests = get_digests(body)
+        cached = 0
+        for digest in digests:
+            if digest not in self.blocks:
+                break
+            cached += 1
+        for digest in digests:
+            if digest not in self.blocks:
+                self.events.append(digest)
+            self.blocks[digest] = None
+            self.blocks.move_to_end(digest)
+        while len(self.blocks) > CACHE_BLOCKS:
+            self.blocks.popitem(last=False)
+        missing = (len(digests) - cached) * BLOCK_WORDS
+        self.computed_words += missing
+        return missing
+
+    def first(self, job):
+        """Send the first token."""
+        if job.state == "running":
+            job.first.send()
+
+    def end(self, job):
+        """End a job."""
+        if job.state == "running":
+            job.state = "done"
+            job.last.send()
+            self.release(job)
+
+    def cancel(self, job):
+        """Give a job up."""
+        if job.state == "running":
+            self.release(job)
+        if job.state != "done":
+            job.state = "cancelled"
+
+    def release(self, job):
+        """Take a job's slot back and give it to the next one."""
+        self.running.discard(job)
+        self.busy_ms += self.time.value - job.began
+        while self.queue and len(self.running) < self.slots:
+            _, _, waiting = heapq.heappop(self.queue)
+            if waiting.state == "waiting":
+                self.begin(waiting)
+
+    def kill(self):
+        """Lose every request, and the cache."""
+        self.alive = False
+        lost = [*self.running, *(job for _, _, job in self.queue)]
+        self.queue = []
+        for job in lost:
+            self.cancel(job)
+            job.first.send()
+            job.last.send()
+        self.blocks.clear()
+        self.events.clear()
+
+    def revive(self):
+        """Come back as a new incarnation."""
+        self.alive = True
+        self.incarnation += 1
+        self.event_number = 0
+
+    def announcement(self):
+        """Return the next announcement."""
+        stored, self.events = tuple(self.events), []
+        first = self.event_number
+        self.event_number += len(stored)
+        waiting = sum(job.state == "waiting" for _, _, job in self.queue)
+        return Announcement(
+            name=self.name,
+            incarnation=str(self.incarnation),
+            sequence=next(self.sequence),
+            address=self.name,
+            kind="engine",
+            slots=self.slots,
+            models=({"name": self.model.name, "version": self.model.version},),
+            running=0 if self.lies else len(self.running),
+            waiting=0 if self.lies else waiting,
+            resume=True,
+            cache=CacheEvents(first, stored),
+        )
+
+
+class FakeUpstream:
+    """Connections of one node to fake engines and to other nodes.
+
+    `engines` by address; `forward(address, headers, body, deadline)` returns the
+    response of another node.
+    """
+
+    def __init__(self, time, engines, forward):
+        self.time = time
+        self.engines = engines
+        self.forward = forward
+
+    def open(self, address, method, path, headers, body, timeout_ms, fresh=False):
+        """Send a request; return the response once its first byte is there."""
+        limit = self.time.value + timeout_ms
+        engine = self.engines.get(address)
+        if engine is None:
+            return self.forward(address, headers, body, limit)
+        self.time.sleep(NEAR_MS)
+        if not engine.alive:
+            raise ConnectError("can't connect")
+        job = engine.start(body, headers["Pollenmount-Class"])
+        response = FakeResponse(job, headers, limit)
+        wait_for(job, job.first, limit)
+        self.time.sleep(NEAR_MS)
+        return response
+
+
+def wait_for(job, signal, limit):
+    """Wait for a signal of a job; raise if it is late or the engine was lost."""
+    time = job.engine.time
+    time.at(limit, signal.send)
+    signal.wait()
+    if job.state == "cancelled":
+        raise UpstreamError("the engine was lost")
+    if time.value >= limit:
+        job.engine.cancel(job)
+        raise LateError("no answer in time")
+
+
+class FakeResponse:
+    """Answer of a fake engine."""
+
+    status = 200
+
+    def __init__(self, job, headers, limit):
+        self.job = job
+        self.limit = limit
+        self.headers = {"X-Request-Id": headers["X-Request-Id"]}
+        resumed = headers.get("Pollenmount-Resume-From")
+        if resumed:
+            self.headers["Pollenmount-Resume-From"] = resumed
+
+    def stream(self, amount, decode_content=False):
+        """Yield the first event, then the end."""
+        yield b"data: {}\n\n"
+        wait_for(self.job, self.job.last, self.limit)
+        yield END
+
+    def release_conn(self):
+        """Do nothing: there is no connection."""
+
+    def close(self):
+        """Cancel what still runs."""
+        self.job.engine.cancel(self.job)
--- /dev/null
+++ b/bench/policy.py
@@ -0,0 +1,214 @@
+"""Compares policies under load and faults, in virtual time.
+
+The product's own choice, limits, retries and attempts run over fake engines. All
+variants meet the same requests, from the same seeds. Prints one table a scenario with
+medians over the seeds and their spread.
+"""
+
+import argparse
+import json
+import multiprocessing
+import random
+import statistics
+import time
+from pathlib import Path
+
+from bench.workload import DEPLOYMENTS, Load, answer_words, make_call
+from bench.world import World
+from pollenmount.plans.plan import DEFERRED, INTERACTIVE
+from pollenmount.plans.sheet import parse_sheet
+from pollenmount.plugin import get_plugin_by_name
+from pollenmount.routing.policies.base import FAMILY
+
+EXAMPLES = Path(__file__).parent.parent / "examples"
+PROCESSES = 4
+SEEDS = (1, 2, 3)
+FAULT_MS = 15_000
+HEAL_MS = 40_000
+DRAIN_MS = 60_000
+S = 1000
+ALL_PARTS = ("affinity", "hysteresis", "ramp", "lateness", "correction")
+BASELINES = ("round_robin", "random", "least_in_flight", "two_choices", "home_only")
+SHOWN = (
+    *("engine_s", "computed", "region_kb", "away", "refused", "broken", "goodput"),
+    *("i_first50", "i_first95", "i_first99", "i_whole95", "i_whole99"),
+    *("d_whole50", "d_whole95", "d_whole99"),
+)
+
+
+def peak(world, regions):
+    """Have no fault."""
+
+
+def slow(world, regions):
+    """Make one target of the region at its peak five times slower."""
+    world.time.at(FAULT_MS, setattr, world.engines_of(regions[0])[0], "slow", 5)
+
+
+def killed(world, regions):
+    """Kill half of a region's targets; they come back with cold caches."""
+    engines = world.engines_of(regions[0])
+    for engine in engines[: (len(engines) + 1) // 2]:
+        world.time.at(FAULT_MS, engine.kill)
+        world.time.at(HEAL_MS, engine.revive)
+
+
+def cold(world, regions):
+    """Lose all targets of a region; they come back with cold caches."""
+    for engine in world.engines_of(regions[0]):
+        world.time.at(FAULT_MS, engine.kill)
+        world.time.at(FAULT_MS + 10_000, engine.revive)
+
+
+def lying(world, regions):
+    """Let one target report that it has no load."""
+    world.time.at(FAULT_MS, setattr, world.engines_of(regions[0])[0], "lies", True)
+
+
+SCENARIOS = {f.__name__: f for f in (peak, slow, killed, cold, lying)}
+
+
+def make_policy(variant):
+    """Return the maker of a variant's policy: a name, or ours without a part."""
+    name, _, off = variant.partition("-")
+    policy = get_plugin_by_name(FAMILY, name)
+
+    def make(tracker, cache, seed):
+        made = policy(tracker, cache, seed)
+        if off:
+            setattr(made, off, False)
+        return made
+
+    return make
+
+
+def run(deployment_name, scenario, variant, seed, load=None):
+    """Return the measures of one run."""
+    deployment = DEPLOYMENTS[deployment_name]
+    load = load or Load()
+    plan = parse_sheet((EXAMPLES / deployment_name / "plan.csv").read_bytes())
+    world = World(
+        plan,
+        deployment.vms,
+        deployment.targets,
+        deployment.slots,
+        answer_words,
+        make_policy(variant),
+        seed,
+    )
+    results = []
+    offer(world, deployment, load, seed, results)
+    SCENARIOS[scenario](world, tuple(deployment.vms))
+    world.time.run(load.duration_ms + DRAIN_MS)
+    return measure(world, results, load)
+
+
+def offer(world, deployment, load, seed, results):
+    """Schedule the requests: each region has its peak in a third of the time."""
+    draw = random.Random(f"{deployment.name} {seed}")
+    regions = tuple(deployment.vms)
+    number = 0
+    for index, region in enumerate(regions):
+        at = 0.0
+        while True:
+            at_peak = int(at * len(regions) / load.duration_ms) == index
+            share = load.peak if at_peak else load.rest
+            at += draw.expovariate(deployment.requests_s * share / S)
+            if at >= load.duration_ms:
+                break
+            number += 1
+            arrival = random.Random(f"{seed} {region} {number}")
+            world.time.at(
+                at, world.time.spawn, enter, world, deployment, region, arrival, results
+            )
+
+
+def enter(world, deployment, region, arrival, results):
+    """Let one request enter at a node of its region."""
+    node = arrival.choice(world.nodes_of(region))
+    call = make_call(arrival, deployment, world, region, arrival.random())
+    results.append([call, region, None])
+    entry = results[-1]
+    entry[2] = world.enter(node, call)
+
+
+def measure(world, results, load):
+    """Return the measures of a run as a flat dict."""
+    done = [(call, home, *result) for call, home, result in results if result]
+    answered = [row for row in done if row[2] == "answered"]
+    measures = {
+        "requests": len(results),
+        "engine_s": sum(e.busy_ms for e in world.engines.values()) / S,
+        "computed": sum(e.computed_words for e in world.engines.values()),
+        "region_kb": world.region_bytes / 1024,
+        "away": 100 * share(row[5] != row[1] for row in answered),
+        "refused": sum(row[2] not in ("answered", "broken") for row in done),
+        "broken": sum(row[2] == "broken" for row in done) + len(results) - len(done),
+        "goodput": len(answered) / (load.duration_ms / S),
+    }
+    for prefix, class_ in (("i", INTERACTIVE), ("d", DEFERRED)):
+        rows = [row for row in answered if row[0].class_ == class_]
+        for name, column in (("first", 3), ("whole", 4)):
+            values = sorted(row[column] for row in rows)
+            for percent in (50, 95, 99):
+                measures[f"{prefix}_{name}{percent}"] = rank(values, percent)
+    return measures
+
+
+def share(flags):
+    """Return the share of true ones."""
+    flags = list(flags)
+    return sum(flags) / len(flags) if flags else 0.0
+
+
+def rank(values, percent):
+    """Return the value at `percent` in 100 of sorted values."""
+    return values[min(len(values) * percent // 100, len(values) - 1)] if values else 0
+
+
+def run_job(job):
+    """Run one job of the pool."""
+    return job, run(*job)
+
+
+def show(results, scenario, variants, seeds):
+    """Print medians, and the spread (largest minus smallest) in percent."""
+    print(f"\n{scenario[0]} / {scenario[1]} (median, spread in % of it)")
+    print(f"{'variant':22}" + "".join(f"{name:>14}" for name in SHOWN))
+    for variant in variants:
+        cells = []
+        for name in SHOWN:
+            values = [results[(*scenario, variant, seed)][name] for seed in seeds]
+            middle = statistics.median(values)
+            spread = 100 * (max(values) - min(values)) / middle if middle else 0
+            cells.append(f"{middle:>9.0f} {spread:>3.0f}%" if middle else f"{0:>14}")
+        print(f"{variant:22}" + "".join(cells))
+
+
+def main():
+    """Run all variants and print the tables."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--deployments", nargs="*", default=list(DEPLOYMENTS))
+    parser.add_argument("--scenarios", nargs="*", default=list(SCENARIOS))
+    parser.add_argument("--variants", nargs="*")
+    parser.add_argument("--seeds", nargs="*", type=int, default=SEEDS)
+    parser.add_argument("--processes", type=int, default=PROCESSES)
+    parser.add_argument("--json", help="file for all results")
+    args = parser.parse_args()
+    parts = [f"adaptive-{part}" for part in ALL_PARTS]
+    variants = args.variants or ["adaptive", *BASELINES, *parts]
+    scenarios = [(d, s) for d in args.deployments for s in args.scenarios]
+    jobs = [(*s, v, seed) for s in scenarios for v in variants for seed in args.seeds]
+    started = time.monotonic()
+    with multiprocessing.Pool(args.processes) as pool:
+        results = dict(pool.imap_unordered(run_job, jobs))
+    for scenario in scenarios:
+        show(results, scenario, variants, args.seeds)
+    print(f"\n{len(jobs)} runs in {time.monotonic() - started:.0f} s")
+    if args.json:
+        rows = [{"run": job, **result} for job, result in results.items()]
+        Path(args.json).write_text(json.dumps(rows))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/workload.py
@@ -0,0 +1,145 @@
+"""Requests of the two deployments, drawn from a seed."""
+
+import json
+import math
+from functools import lru_cache
+from typing import NamedTuple
+
+from pollenmount.plans.plan import DEFERRED, INTERACTIVE, Caller, digest_key
+from pollenmount.routing.request import Call, ModelRoute
+
+__all__ = ["DEPLOYMENTS", "Deployment", "Load", "answer_words", "make_call"]
+
+TEMPLATE_WORDS = 160
+CASE_WORDS = 320
+QUESTION_WORDS = 24
+TEMPLATES = 4
+CASES = 60
+BOUND_SHARE = 0.24
+DEADLINE_MS = {INTERACTIVE: 30_000, DEFERRED: 600_000}
+
+
+class Deployment(NamedTuple):
+    """Sizes and mix of one deployment.
+
+    `mix` is the share of interactive requests; `words` the median length of an answer
+    by class; `requests_s` what one region's targets can serve.
+    """
+
+    name: str
+    model: str
+    vms: dict
+    targets: dict
+    slots: int
+    mix: float
+    words: dict
+    streamed: float
+    requests_s: float
+    weighs: str
+
+
+DEPLOYMENTS = {
+    "inzira": Deployment(
+        "inzira",
+        "drafting",
+        {"kigali": 3, "huye": 2, "musanze": 2},
+        {"kigali": 3, "huye": 3, "musanze": 3},
+        8,
+        0.7,
+        {INTERACTIVE: 30, DEFERRED: 150},
+        0.9,
+        16.0,
+        "latency",
+    ),
+    "referentiehuis": Deployment(
+        "referentiehuis",
+        "summaries",
+        {"nl-west": 3, "nl-east": 3, "nl-south": 2},
+        {"nl-west": 2, "nl-east": 2, "nl-south": 2},
+        8,
+        0.25,
+        {INTERACTIVE: 30, DEFERRED: 120},
+        0.3,
+        7.0,
+        "cost",
+    ),
+}
+
+
+class Load(NamedTuple):
+    """Offered load of the region at its peak and of the others, as shares."""
+
+    peak: float = 1.15
+    rest: float = 0.45
+    duration_ms: int = 60_000
+
+
+def answer_words(body):
+    """Return how many words the engines answer to this body."""
+    return json.loads(body)["max_tokens"]
+
+
+@lru_cache(4096)
+def words_of(name, count):
+    """Return a text that depends on its name only."""
+    return " ".join(f"{name}.{i}" for i in range(count))
+
+
+def draw_class(random, deployment):
+    """Return the class of a request."""
+    return INTERACTIVE if random.random() < deployment.mix else DEFERRED
+
+
+def make_body(random, deployment, region, class_):
+    """Return a chat completion about one of the region's cases."""
+    case = min(int(random.expovariate(1 / (CASES / 4))), CASES - 1)
+    words = deployment.words[class_] * math.exp(random.gauss(0, 0.5))
+    text = " ".join(
+        (
+            words_of(f"form{case % TEMPLATES}", TEMPLATE_WORDS),
+            words_of(f"{region}-case{case}", CASE_WORDS),
+            words_of(f"question{random.random()}", QUESTION_WORDS),
+        )
+    )
+    document = {
+        "messages": [{"role": "user", "content": text}],
+        "max_tokens": max(1, int(words)),
+    }
+    return json.dumps(document).encode()
+
+
+def make_caller(deployment, region, bound):
+    """Return the caller of a region; a bound one stays at home."""
+    regions = (region, *(r for r in deployment.vms if r != region))
+    name = f"{'bound' if bound else 'free'}-{region}"
+    return Caller(
+        name,
+        digest_key(name),
+        region,
+        regions[:1] if bound else regions,
+        (deployment.model,),
+        deployment.weighs,
+        0,
+        0,
+        0,
+    )
+
+
+def make_call(random, deployment, world, region, number):
+    """Return a call that enters now."""
+    class_ = draw_class(random, deployment)
+    caller = make_caller(deployment, region, random.random() < BOUND_SHARE)
+    model = next(iter(world.plan.models.values()))[0]
+    return Call(
+        f"c{number}",
+        world.register(caller),
+        ModelRoute(model, ""),
+        "POST",
+        "/v1/chat/completions",
+        (),
+        make_body(random, deployment, region, class_),
+        class_,
+        world.time.now() + DEADLINE_MS[class_],
+        "",
+        class_ == INTERACTIVE or random.random() < deployment.streamed,
+    )
--- a/pollenmount/api/answer.py
+++ b/pollenmount/api/answer.py
@@ -6,7 +6,7 @@
 from pollenmount.api.web import Reply, refusal_document, refusal_reply
 from pollenmount.errors import Refusal
 from pollenmount.log import get_logger
-from pollenmount.routing import choose, pipeline
+from pollenmount.routing import pipeline
 from pollenmount.routing.request import is_idempotent
 
 __all__ = ["Answerer"]
@@ -39,6 +39,7 @@
         record = Record(self.kernel, call, first)
         headers = (
             *first.headers,
+            ("X-Request-Id", call.id),
             ("Pollenmount-Request-Id", call.id),
             ("Pollenmount-Region", first.region),
             *([("Idempotency-Key", call.key)] if call.key else ()),
@@ -54,11 +55,8 @@
     def serve(self, call):
         """Return the parts of an answer from the best candidate."""
         kernel = self.kernel
-        candidates = choose.candidates(
-            call, kernel.get("viewer").take(), kernel.get("attempter").in_flight
-        )
         retries = kernel.get("metrics").retries.labels(call.caller.name, call.class_)
-        return pipeline.serve(call, candidates, kernel.get("attempter"), retries.inc)
+        return kernel.get("router").serve(call, on_retry=retries.inc)
 
     def body(self, stack, parts, record):
         """Yield the bytes of an answer; an answer that breaks ends in an error."""
--- a/pollenmount/api/operations/status.py
+++ b/pollenmount/api/operations/status.py
@@ -9,14 +9,14 @@
 @register("pollenmount.api.operations", "GET /v1/status")
 def status(kernel, request):
     """Return members and targets as this node sees them."""
-    in_flight = kernel.get("attempter").in_flight
+    in_flight = kernel.get("tracker").in_flight
     members = [member._asdict() for member in sorted(kernel.get("members").live())]
     targets = [
         {
             "name": target.said.name,
             "kind": target.said.kind,
             "running": target.said.running,
-            "in_flight": in_flight.get(target.said.name, 0),
+            "in_flight": in_flight(target.said.name),
         }
         for target in sorted(kernel.get("targets").live(), key=lambda t: t.said.name)
     ]
--- a/pollenmount/api/peers.py
+++ b/pollenmount/api/peers.py
@@ -12,7 +12,7 @@
     get_service_by_path,
     parse_model_name,
 )
-from pollenmount.routing import choose, forward, pipeline
+from pollenmount.routing import forward, pipeline
 from pollenmount.routing.request import ModelRoute, ServiceRoute
 from pollenmount.routing.rules import check_caller_region, check_rights
 
@@ -30,12 +30,8 @@
         made = self.make_call(request)
         if isinstance(made, Refusal):
             return refuse(made)
-        kernel = self.kernel
-        candidates = choose.local_candidates(
-            made, kernel.get("viewer").take(), kernel.get("attempter").in_flight
-        )
         with contextlib.ExitStack() as stack:
-            serving = pipeline.serve(made, candidates, kernel.get("attempter"))
+            serving = self.kernel.get("router").serve(made, remote=False)
             parts = stack.enter_context(contextlib.closing(serving))
             first, rest = pipeline.attempts(parts)
             if isinstance(first, Refusal):
--- a/pollenmount/parts/routing.py
+++ b/pollenmount/parts/routing.py
@@ -1,9 +1,15 @@
 """Parts that carry requests: admission, upstream connections, attempts, actions."""
 
+from pollenmount import task
 from pollenmount.actions.runner import ActionRunner
-from pollenmount.plugin import register
+from pollenmount.plugin import get_plugin_by_name, register
 from pollenmount.routing.admit import Admission
 from pollenmount.routing.attempt import Attempter
+from pollenmount.routing.budget import RetryBudget
+from pollenmount.routing.health import Health
+from pollenmount.routing.policies.base import FAMILY
+from pollenmount.routing.router import Router
+from pollenmount.routing.tracker import Tracker
 from pollenmount.routing.view import Viewer
 from pollenmount.targets.upstream import Upstream
 
@@ -20,12 +26,50 @@
     return kernel.own(Upstream())
 
 
+@register("pollenmount.parts", "tracker")
+def build_tracker(kernel):
+    """Return this node's own measurements."""
+    return Tracker(kernel.clock)
+
+
+@register("pollenmount.parts", "health")
+def build_health(kernel):
+    """Return the circuit breakers."""
+    return Health(kernel.clock)
+
+
+@register("pollenmount.parts", "policy")
+def build_policy(kernel):
+    """Return the policy that the settings name."""
+    policy = get_plugin_by_name(FAMILY, kernel.settings.policy)
+    return policy(kernel.get("tracker"), kernel.get("targets").cache)
+
+
 @register("pollenmount.parts", "attempter")
 def build_attempter(kernel):
     """Return what runs attempts."""
     settings = kernel.settings
-    upstream = kernel.get("upstream")
-    return Attempter(upstream, kernel.clock, settings.region, settings.peer_key)
+    return Attempter(
+        kernel.get("upstream"),
+        kernel.clock,
+        settings.region,
+        settings.peer_key,
+        kernel.get("tracker"),
+        kernel.get("health"),
+    )
+
+
+@register("pollenmount.parts", "router")
+def build_router(kernel):
+    """Return what takes calls to their answers."""
+    return Router(
+        kernel.get("viewer"),
+        kernel.get("policy"),
+        kernel.get("attempter"),
+        kernel.get("health"),
+        RetryBudget(),
+        task.sleep,
+    )
 
 
 @register("pollenmount.parts", "viewer")
--- a/pollenmount/parts/targets.py
+++ b/pollenmount/parts/targets.py
@@ -10,6 +10,10 @@
 @register("pollenmount.parts", "targets")
 def build(kernel):
     """Return the table of targets, swept regularly."""
-    table = TargetTable(kernel.clock, kernel.settings.target_ttl_ms)
+    table = TargetTable(
+        kernel.clock,
+        kernel.settings.target_ttl_ms,
+        kernel.get("tracker").in_flight,
+    )
     kernel.own(task.Task(table.sweep, SWEEP_MS))
     return table
--- a/pollenmount/routing/attempt.py
+++ b/pollenmount/routing/attempt.py
@@ -3,63 +3,133 @@
 import contextlib
 from functools import singledispatch
 
+from pollenmount.plans.plan import INTERACTIVE
 from pollenmount.routing import forward
-from pollenmount.routing.request import Chunk, Head, LocalTarget, RemoteEntry
-from pollenmount.targets.upstream import UpstreamError, read_body
+from pollenmount.routing.headers import (
+    HOP_HEADERS,
+    answer_headers,
+    clean_headers,
+    request_headers,
+)
+from pollenmount.routing.request import (
+    Chunk,
+    Head,
+    LocalTarget,
+    RemoteEntry,
+    is_idempotent,
+)
+from pollenmount.targets.upstream import (
+    ConnectError,
+    LateError,
+    UpstreamError,
+    read_body,
+)
 
 __all__ = ["HOP_HEADERS", "Attempter", "clean_headers"]
 
 REQUEST_ID = "X-Request-Id"
 NOT_RUN = "Pollenmount-Not-Run"
+RESUMED_FROM = "Pollenmount-Resume-From"
 STREAM_END = b"data: [DONE]"
 TAIL_BYTES = 64
-UNAVAILABLE = 503
-
-HOP_HEADERS = frozenset(
-    {
-        *("connection", "keep-alive", "proxy-authenticate", "proxy-authorization"),
-        *("te", "trailer", "transfer-encoding", "upgrade", "content-length", "host"),
-    }
-)
-
-
-def clean_headers(headers, dropped=HOP_HEADERS):
-    """Return the headers without those that concern one connection only."""
-    return tuple((k, v) for k, v in headers if k.lower() not in dropped)
+BUSY = (429, 503)
+FAILED = (500, 502, 504)
+ERROR = 400
+OK = 200
+MS_PER_S = 1000
+BUSY_MS = 500
+SILENT_MS = 1000
+FIRST_BYTE_MS = {INTERACTIVE: 10_000}
 
 
 class Attempter:
-    """Runs attempts and counts those in flight at each target.
+    """Runs attempts; measures them and notes how healthy each name is.
 
-    `place` is the name of this node's region.
+    `region` is the name of this node's region.
     """
 
-    def __init__(self, upstream, clock, region, peer_key):
+    def __init__(self, upstream, clock, region, peer_key, tracker, health):
         self.upstream = upstream
         self.clock = clock
         self.region = region
         self.peer_key = peer_key
-        self.in_flight = {}
+        self.tracker = tracker
+        self.health = health
 
     def run(self, candidate, call, number, fresh):
         """Yield `Head` and `Chunk`s of a whole answer, or raise `UpstreamError`."""
-        return run_attempt(candidate, self, call, number, fresh)
-
-    @contextlib.contextmanager
-    def counted(self, name):
-        """Count one request in flight at a target while the context lasts."""
-        self.in_flight[name] = self.in_flight.get(name, 0) + 1
+        started = self.clock.now()
+        self.health.begin(candidate.name)
         try:
-            yield
-        finally:
-            self.in_flight[name] -= 1
-            if not self.in_flight[name]:
-                del self.in_flight[name]
+            with self.tracker.counted(*counted_names(candidate)):
+                parts = run_attempt(candidate, self, call, number, fresh)
+                with contextlib.closing(parts):
+                    head = next(parts)
+                    first = self.clock.now()
+                    yield head
+                    yield from parts
+        except UpstreamError as error:
+            self.failed(candidate, error, started)
+            raise
+        except BaseException:
+            self.health.abandoned(candidate.name)
+            raise
+        self.health.succeeded(candidate.name)
+        self.measure(candidate, call, started, first)
+
+    def measure(self, candidate, call, started, first):
+        """Measure a whole answer; one that isn't streamed has its first byte late."""
+        name = measured_name(candidate)
+        ended = self.clock.now()
+        if call.stream:
+            self.tracker.late(name, first - started - candidate.expected_ms)
+            self.tracker.held(name, ended - first)
+        else:
+            self.tracker.held(name, max(ended - started - candidate.expected_ms, 1))
+
+    def failed(self, candidate, error, started):
+        """Note a failure, if it tells something about the candidate."""
+        name = candidate.name
+        waited = self.clock.now() - started
+        if isinstance(error, forward.ForwardRefusedError) or error.retry_after_ms:
+            self.health.busy(name, error.retry_after_ms or BUSY_MS)
+        elif isinstance(error, LateError) and waited < SILENT_MS:
+            # The call had little time left, which says nothing about the candidate.
+            self.health.abandoned(name)
+        else:
+            self.health.failed(name, at_once=isinstance(error, ConnectError))
+        if isinstance(error, LateError):
+            self.tracker.late(measured_name(candidate), waited)
 
     def check_deadline(self, call):
         """Raise `UpstreamError` when the call's time is up."""
         if self.clock.now() >= call.deadline:
-            raise UpstreamError("the deadline has passed")
+            raise LateError("the deadline has passed")
+
+    def open(self, address, method, path, headers, call, fresh):
+        """Send a request; return the response, or raise if it is late."""
+        left = call.deadline - self.clock.now()
+        if is_idempotent(call.route):
+            left = min(left, FIRST_BYTE_MS.get(call.class_, left))
+        return self.upstream.open(
+            address, method, path, headers, call.body, left, fresh
+        )
+
+
+@singledispatch
+def counted_names(candidate):
+    """Return the names under which a request at the candidate is counted."""
+    return (candidate.name,)
+
+
+@counted_names.register
+def _(candidate: RemoteEntry):
+    return candidate.member.name, candidate.member.failure_domain
+
+
+def measured_name(candidate):
+    """Return the name under which the candidate's times are measured."""
+    return counted_names(candidate)[-1]
 
 
 @singledispatch
@@ -72,66 +142,70 @@
 def _(candidate: LocalTarget, attempter, call, number, fresh):
     said = candidate.target.said
     attempt_id = f"{call.id}-{number}"
-    headers = {**dict(call.headers), REQUEST_ID: attempt_id}
-    if call.key:
-        headers["Idempotency-Key"] = call.key
-    with attempter.counted(said.name):
-        response = attempter.upstream.open(
-            said.address,
-            call.method,
-            call.path,
-            headers,
-            call.body,
-            call.deadline - attempter.clock.now(),
-            fresh,
-        )
-        parts = check_answer(response, attempt_id, attempter, call)
-        head = Head(
+    headers = request_headers(call, attempt_id)
+    response = attempter.open(
+        said.address, call.method, call.path, headers, call, fresh
+    )
+    with contextlib.closing(response):
+        check_answer(response, attempt_id, call)
+        yield Head(
             response.status,
-            clean_headers(response.headers.items()),
+            answer_headers(response.headers.items()),
             attempter.region,
             said.name,
+            said.resume and call.stream,
         )
-        yield head
-        yield from parts
+        yield from checked_parts(response, attempter, call)
 
 
-def check_answer(response, attempt_id, attempter, call):
-    """Check an answer's head; return the generator of its checked parts."""
+def check_answer(response, attempt_id, call):
+    """Raise `UpstreamError` unless this is the call's own answer."""
     if response.headers.get(NOT_RUN):
-        response.close()
-        raise UpstreamError("the target refused to run it", not_run=True)
+        pause = retry_after_ms(response)
+        raise UpstreamError("the target refused to run it", True, pause)
     if response.headers.get(REQUEST_ID) != attempt_id:
-        response.close()
         raise UpstreamError("the target answered another request")
-    return checked_parts(response, attempter, call)
+    if is_idempotent(call.route):
+        check_status(response)
+    resumed = response.headers.get(RESUMED_FROM, "0")
+    if call.resume_from and (response.status, resumed) != (OK, str(call.resume_from)):
+        raise UpstreamError("the target did not resume the stream")
+
+
+def check_status(response):
+    """Raise `UpstreamError` if an idempotent call had better run elsewhere."""
+    if response.status in BUSY:
+        problem = f"the target is busy ({response.status})"
+        raise UpstreamError(problem, retry_after_ms=retry_after_ms(response))
+    if response.status in FAILED:
+        raise UpstreamError(f"the target failed ({response.status})")
+
+
+def retry_after_ms(response):
+    """Return how long a target that refused asks to be left alone."""
+    seconds = response.headers.get("Retry-After", "")
+    return int(seconds) * MS_PER_S if seconds.isdecimal() else BUSY_MS
 
 
 def checked_parts(response, attempter, call):
     """Yield the parts of an answer; raise if it isn't whole or in time."""
-    tail = b""
+    tail = b"\n"
     with contextlib.closing(read_body(response)) as parts:
         for data in parts:
             attempter.check_deadline(call)
             tail = (tail + data)[-TAIL_BYTES:]
             yield Chunk(data)
-    if call.stream and response.status < 400 and STREAM_END not in tail:
+    if call.stream and response.status < ERROR and STREAM_END not in tail:
         raise UpstreamError("the stream has no end mark")
 
 
 @run_attempt.register
 def _(candidate: RemoteEntry, attempter, call, number, fresh):
-    member = candidate.member
-    with attempter.counted(member.name):
-        response = attempter.upstream.open(
-            member.peers,
-            "POST",
-            forward.PATH,
-            forward.encode_headers(call, attempter.clock.now(), attempter.peer_key),
-            call.body,
-            call.deadline - attempter.clock.now(),
-            fresh,
-        )
+    headers = forward.encode_headers(call, attempter.clock.now(), attempter.peer_key)
+    response = attempter.open(
+        candidate.member.peers, "POST", forward.PATH, headers, call, fresh
+    )
+    with contextlib.closing(response):
         forward.raise_refusal(response)
         yield forward.decode_head(response)
         yield from checked_parts(response, attempter, call)
--- a/pollenmount/routing/choose.py
+++ b/pollenmount/routing/choose.py
@@ -1,56 +1,84 @@
-"""Choice of candidates for a call, best first."""
+"""Candidates for a call, best first.
+
+What may run the call is worked out here, by the rules; a policy only picks among it.
+"""
 
 from pollenmount.routing.request import (
-    LocalTarget,
-    RemoteEntry,
+    Options,
+    RemoteDomain,
     offer_name,
+    offered_adapters,
     offers,
 )
 from pollenmount.routing.rules import allowed_regions
 
-__all__ = ["candidates", "local_candidates"]
+__all__ = ["Candidates", "find_options"]
 
 
-def candidates(call, view, in_flight):
-    """Yield candidates: targets of this failure domain, then other failure domains.
+class Candidates:
+    """The candidates for the attempts at one call.
 
-    `in_flight` maps target names to this node's own requests at them.
+    `take_view` returns the view of the moment, `usable` whether a name may get work
+    now. A forwarded call gets `remote` false: it has no candidates but this failure
+    domain's targets.
     """
-    yield from local_candidates(call, view, in_flight)
-    yield from remote_candidates(call, view)
-
 
-def local_candidates(call, view, in_flight):
-    """Yield this failure domain's targets that can run the call, least loaded first."""
-    if view.region not in allowed_regions(call):
-        return
-    able = [target for target in view.targets if offers(call.route, target.said)]
+    def __init__(self, take_view, policy, usable=lambda name: True, remote=True):
+        self.take_view = take_view
+        self.policy = policy
+        self.usable = usable
+        self.remote = remote
+        self.tried = set()
 
-    def load(target):
-        own = in_flight.get(target.said.name, 0)
-        return (max(own, target.said.running) + target.said.waiting) / target.said.slots
+    def next(self, call):
+        """Return a candidate that was not tried, or None."""
+        view = self.take_view()
+        options = find_options(call, view, self.may_try, self.remote)
+        candidate = self.policy.choose(call, options, view.now)
+        if candidate is not None:
+            self.tried.add(candidate.name)
+        return candidate
 
-    for target in sorted(able, key=load):
-        yield LocalTarget(target)
+    def may_try(self, name):
+        """Return whether a target or entry VM may get this call."""
+        return name not in self.tried and self.usable(name)
 
 
-def remote_candidates(call, view):
-    """Yield an entry VM of each other failure domain that can run the call."""
+def find_options(call, view, may_try, remote):
+    """Return the `Options` of a call."""
     regions = allowed_regions(call)
+    local = ()
+    if view.region in regions:
+        local = tuple(
+            target
+            for target in view.targets
+            if offers(call.route, target.said)
+            and (target.said.resume or not call.resume_from)
+            and may_try(target.said.name)
+        )
+    return Options(local, find_domains(call, view, regions, may_try) if remote else ())
+
+
+def find_domains(call, view, regions, may_try):
+    """Return a `RemoteDomain` for each other failure domain that can run the call."""
     wanted = offer_name(call.route)
-    reachable = {}
+    adapters = set(offered_adapters(call.route))
+    found = {}
     for summary in view.summaries:
-        if summary.offer == wanted and summary.region in regions:
-            reachable[summary.failure_domain] = summary
-    reachable.pop(view.failure_domain, None)
-
-    def preference(summary):
-        load = (summary.running + summary.waiting) / max(summary.slots, 1)
-        return regions.index(summary.region), load
-
-    for summary in sorted(reachable.values(), key=preference):
-        entries = [
-            m for m in view.members if m.failure_domain == summary.failure_domain
-        ]
-        for member in entries[:1]:
-            yield RemoteEntry(member)
+        if (
+            summary.offer != wanted
+            or summary.region not in regions
+            or summary.failure_domain == view.failure_domain
+            or not adapters.issubset(summary.adapters)
+        ):
+            continue
+        members = tuple(
+            member
+            for member in view.members
+            if member.failure_domain == summary.failure_domain
+            and not member.stopping
+            and may_try(member.name)
+        )
+        if members:
+            found[summary.failure_domain] = RemoteDomain(summary, members)
+    return tuple(found.values())
--- /dev/null
+++ b/pollenmount/routing/delivery.py
@@ -0,0 +1,65 @@
+"""What of a streamed answer was delivered, counted in whole events.
+
+From a target that can resume, only whole events are passed on, so that another one can
+go on after the last.
+"""
+
+from pollenmount.routing.request import Chunk
+
+__all__ = ["END_EVENT", "Delivery"]
+
+EVENT_END = b"\n\n"
+END_EVENT = b"data: [DONE]\n\n"
+MAX_HELD_BYTES = 1 << 20
+OK = 200
+
+
+class Delivery:
+    """Passes on the parts of one answer, whichever targets they come from.
+
+    `head` is None before anything was delivered; `events` counts whole ones; `ended`
+    is true once the end event was delivered.
+    """
+
+    def __init__(self):
+        self.head = None
+        self.events = 0
+        self.ended = False
+        self.resumable = False
+
+    def pass_on(self, parts):
+        """Yield the head, unless one was delivered, and the chunks."""
+        head = next(parts)
+        if self.head is None:
+            self.head = head
+            self.resumable = head.resume and head.status == OK
+            yield head
+        if self.resumable:
+            yield from self.whole_events(parts)
+        else:
+            yield from parts
+
+    def whole_events(self, parts):
+        """Yield chunks that end with an event; count the events."""
+        held = b""
+        for part in parts:
+            data = held + part.data if held else part.data
+            if data.endswith(EVENT_END):
+                held = b""
+            else:
+                data, held = split(data)
+                if not data:
+                    continue
+            self.events += data.count(EVENT_END)
+            self.ended = data.endswith(END_EVENT)
+            yield Chunk(data)
+        if held:
+            yield Chunk(held)
+
+
+def split(data):
+    """Return the whole events in `data` and the rest."""
+    end = data.rfind(EVENT_END) + len(EVENT_END)
+    if end < len(EVENT_END):
+        end = len(data) if len(data) > MAX_HELD_BYTES else 0
+    return data[:end], data[end:]
--- a/pollenmount/routing/forward.py
+++ b/pollenmount/routing/forward.py
@@ -50,13 +50,14 @@
     remaining_ms: int
     key: str
     stream: bool
+    resume_from: int = 0
 
 
 class ForwardRefusedError(UpstreamError):
     """The other failure domain gave a typed refusal."""
 
     def __init__(self, refusal):
-        super().__init__(refusal.message, refusal.not_run)
+        super().__init__(refusal.message, refusal.not_run, refusal.retry_after_ms)
         self.refusal = refusal
 
 
@@ -73,6 +74,7 @@
         call.deadline - now,
         call.key,
         call.stream,
+        call.resume_from,
     )
     encoded = msgspec.json.encode(forwarded).decode("latin-1")
     return {CALL_HEADER: encoded, KEY_HEADER: peer_key}
@@ -113,6 +115,7 @@
         now + forwarded.remaining_ms,
         forwarded.key,
         forwarded.stream,
+        forwarded.resume_from,
     )
 
 
--- /dev/null
+++ b/pollenmount/routing/headers.py
@@ -0,0 +1,55 @@
+"""Headers that are passed on between callers and targets."""
+
+from urllib3 import HTTPHeaderDict
+
+__all__ = ["HOP_HEADERS", "answer_headers", "clean_headers", "request_headers"]
+
+HOP_HEADERS = frozenset(
+    {
+        *("connection", "keep-alive", "proxy-authenticate", "proxy-authorization"),
+        *("te", "trailer", "transfer-encoding", "upgrade", "content-length", "host"),
+    }
+)
+OWN_HEADERS = HOP_HEADERS | {"x-request-id", "date", "server", "idempotency-key"}
+OWN_PREFIX = "pollenmount-"
+IDENTITY = "identity"
+
+
+def clean_headers(headers, dropped=HOP_HEADERS):
+    """Return the headers without those that concern one connection only."""
+    headers = tuple(headers)
+    named = {
+        name.strip().lower()
+        for key, value in headers
+        if key.lower() == "connection"
+        for name in value.split(",")
+    }
+    gone = dropped | named
+    return tuple((key, value) for key, value in headers if key.lower() not in gone)
+
+
+def answer_headers(headers):
+    """Return the headers of a target's answer that its caller gets."""
+    return tuple(
+        (key, value)
+        for key, value in clean_headers(headers, OWN_HEADERS)
+        if not key.lower().startswith(OWN_PREFIX)
+    )
+
+
+def request_headers(call, attempt_id):
+    """Return the headers of one attempt at a target."""
+    headers = HTTPHeaderDict()
+    for key, value in call.headers:
+        headers.add(key, value)
+    headers["X-Request-Id"] = attempt_id
+    headers["Pollenmount-Class"] = call.class_
+    headers.discard("Pollenmount-Resume-From")
+    if call.key:
+        headers["Idempotency-Key"] = call.key
+    if call.stream:
+        # The end of a compressed stream couldn't be recognized.
+        headers["Accept-Encoding"] = IDENTITY
+    if call.resume_from:
+        headers["Pollenmount-Resume-From"] = str(call.resume_from)
+    return headers
--- a/pollenmount/routing/pipeline.py
+++ b/pollenmount/routing/pipeline.py
@@ -1,16 +1,22 @@
-"""The way of a call to its answer, as generators over an immutable view."""
+"""The way of a call to its answer, through as many attempts as are safe."""
 
 import contextlib
+import itertools
+import random
 
 from pollenmount.errors import Refusal, RefusalKind
+from pollenmount.routing.delivery import Delivery
 from pollenmount.routing.forward import ForwardRefusedError
 from pollenmount.routing.request import Chunk, Head, is_idempotent
 from pollenmount.targets.upstream import UpstreamError
 
-__all__ = ["BrokenAnswerError", "attempts", "serve"]
+__all__ = ["BrokenAnswerError", "Retries", "attempts", "serve"]
 
 MAX_ATTEMPTS = 3
 RETRY_AFTER_MS = 1000
+RETRY_AFTER_SPREAD_MS = 1000
+PAUSE_MS = 50
+MAX_COLLECTED_BYTES = 8 << 20
 
 
 class BrokenAnswerError(Exception):
@@ -21,66 +27,102 @@
         self.refusal = refusal
 
 
-def serve(call, candidates, attempter, on_retry=lambda: None):
+class Retries:
+    """Decides whether a call gets another attempt.
+
+    `budget` is the node's; `pause` lets milliseconds pass; `on_retry` is called with
+    each further attempt.
+    """
+
+    def __init__(self, budget, pause, on_retry=lambda: None):
+        self.budget = budget
+        self.pause = pause
+        self.on_retry = on_retry
+
+    def allow(self, call, failure, number, clock):
+        """Return whether attempt `number + 1` is safe, in time and in the budget."""
+        safe = failure.not_run or is_idempotent(call.route)
+        if not safe or number >= MAX_ATTEMPTS or clock.now() >= call.deadline:
+            return False
+        if not self.budget.withdraw():
+            return False
+        if number > 1:
+            self.pause(random.randint(0, PAUSE_MS * number))
+        self.on_retry()
+        return clock.now() < call.deadline
+
+
+def serve(call, candidates, attempter, retries):
     """Yield the parts of an answer, or one `Refusal`.
 
-    A streamed answer is passed on as it arrives; another is collected first, so that
-    a target lost in mid-answer costs a retry. Raises `BrokenAnswerError` when parts of
-    a stream were delivered already.
+    A streamed answer is passed on as it arrives, and resumed after the events that
+    were delivered where the targets can. Another is collected first, so that a target
+    lost in mid-answer costs a retry. Raises `BrokenAnswerError` when parts of a stream
+    were delivered and no target can go on.
     """
-    failure = None
-    for number, candidate in enumerate(candidates, start=1):
-        if number > MAX_ATTEMPTS:
+    delivery = Delivery()
+    failures = []
+    for number in itertools.count(1):
+        candidate = candidates.next(call)
+        if candidate is None:
             break
-        if number > 1:
-            on_retry()
-        delivered = False
         try:
             run = attempter.run(candidate, call, number, not is_idempotent(call.route))
             with contextlib.closing(run) as parts:
-                for part in parts if call.stream else collect(parts):
-                    delivered = True
-                    yield part
+                yield from delivery.pass_on(parts) if call.stream else collect(parts)
             return
         except UpstreamError as error:
-            failure = error
-            refusal = to_refusal(call, error, attempter.clock.now())
-        if delivered:
-            raise BrokenAnswerError(refusal)
-        if not may_retry(call, failure, attempter.clock.now()):
-            yield refusal
+            failures.append(error)
+        if delivery.ended:
             return
-    yield to_refusal(call, failure, attempter.clock.now())
+        if delivery.head and not delivery.resumable:
+            break
+        if not retries.allow(call, failures[-1], number, attempter.clock):
+            break
+        call = call._replace(resume_from=delivery.events)
+    refusal = to_refusal(call, failures, attempter.clock.now())
+    if delivery.head:
+        raise BrokenAnswerError(refusal)
+    yield refusal
 
 
 def collect(parts):
-    """Yield the head and the whole body of an answer, once it is complete."""
+    """Yield the head and the whole body of an answer, once it is complete.
+
+    A very long body is passed on from where it outgrows the buffer.
+    """
     head = next(parts)
-    body = b"".join(part.data for part in parts)
+    collected = []
+    size = 0
+    for part in parts:
+        collected.append(part.data)
+        size += len(part.data)
+        if size > MAX_COLLECTED_BYTES:
+            break
     yield head
-    yield Chunk(body)
+    yield Chunk(b"".join(collected))
+    yield from parts
 
 
-def may_retry(call, failure, now):
-    """Return whether another attempt is safe and in time."""
-    return now < call.deadline and (failure.not_run or is_idempotent(call.route))
+def to_refusal(call, failures, now):
+    """Return the refusal for a call whose attempts ended in `failures`.
 
-
-def to_refusal(call, failure, now):
-    """Return the refusal for a call whose last attempt ended in `failure`."""
-    if failure is None:
+    It says 'not run' only if that is proved of every attempt.
+    """
+    if not failures:
         message = "no target that may serve this is in reach; come back later"
-        return Refusal(RefusalKind.NO_TARGET, message, retry_after_ms=RETRY_AFTER_MS)
+        return Refusal(RefusalKind.NO_TARGET, message, True, retry_after())
+    failure = failures[-1]
+    not_run = all(failure.not_run for failure in failures)
     if isinstance(failure, ForwardRefusedError):
-        return failure.refusal
+        return failure.refusal._replace(not_run=not_run)
     if now >= call.deadline and is_idempotent(call.route):
         message = "not answered before its deadline; allow more time"
-        return Refusal(RefusalKind.DEADLINE, message, not_run=failure.not_run)
-    if is_idempotent(call.route) or failure.not_run:
+        return Refusal(RefusalKind.DEADLINE, message, not_run=not_run)
+    if is_idempotent(call.route) or not_run:
         message = f"the target failed ({failure}); send the request again"
-        return Refusal(
-            RefusalKind.TARGET_FAILED, message, failure.not_run, RETRY_AFTER_MS
-        )
+        wait_ms = max(failure.retry_after_ms, retry_after())
+        return Refusal(RefusalKind.TARGET_FAILED, message, not_run, wait_ms)
     message = (
         f"the outcome is unknown ({failure}); it is not run again, "
         "ask the service whether it took effect"
@@ -88,6 +130,11 @@
     return Refusal(RefusalKind.OUTCOME_UNKNOWN, message, not_run=False)
 
 
+def retry_after():
+    """Return a time to come back; callers refused together come back apart."""
+    return RETRY_AFTER_MS + random.randint(0, RETRY_AFTER_SPREAD_MS)
+
+
 def attempts(parts):
     """Split the parts of an answer into (head or refusal, rest)."""
     first = next(parts)
--- /dev/null
+++ b/pollenmount/routing/policies/__init__.py
@@ -0,0 +1,1 @@
+"""Policies that pick a candidate for a call, one a module."""
--- /dev/null
+++ b/pollenmount/routing/policies/base.py
@@ -0,0 +1,64 @@
+"""Base class of the policies, and what several of them need."""
+
+import random
+from typing import Any, NamedTuple
+
+from pollenmount.routing.request import LocalTarget, RemoteEntry
+
+__all__ = ["FAMILY", "Place", "Policy", "places"]
+
+FAMILY = "pollenmount.routing.policies"
+
+
+class Place(NamedTuple):
+    """A target or another failure domain, without regard to where it is.
+
+    `load` is requests running and waiting by the last report, and slots.
+    """
+
+    candidate: Any
+    load: int
+    slots: int
+
+
+class Policy:
+    """Picks one of the options of a call.
+
+    `tracker`
+        This node's own measurements.
+    `cache`
+        What targets hold in their prefix caches.
+    `seed`
+        Seed of the random choices (default none).
+    """
+
+    def __init__(self, tracker, cache, seed=None):
+        self.tracker = tracker
+        self.cache = cache
+        self.random = random.Random(seed)
+
+    def choose(self, call, options, now):
+        """Return a candidate, or None if there is none."""
+        raise NotImplementedError
+
+    def in_flight(self, place):
+        """Return this node's share of requests in flight at a place, by slot."""
+        return self.tracker.in_flight(place.candidate.name) / max(place.slots, 1)
+
+
+def places(options, pick):
+    """Return a `Place` for each option; `pick` chooses among a domain's entry VMs."""
+    found = [
+        Place(
+            LocalTarget(target),
+            target.said.running + target.said.waiting,
+            target.said.slots,
+        )
+        for target in options.local
+    ]
+    for domain in options.remote:
+        summary = domain.summary
+        entry = RemoteEntry(pick(domain.members))
+        load = summary.running + summary.waiting
+        found.append(Place(entry, load, summary.slots))
+    return found
--- /dev/null
+++ b/pollenmount/routing/policies/round_robin.py
@@ -0,0 +1,19 @@
+"""Policy `round_robin`: each place in turn, wherever it is."""
+
+from pollenmount.plugin import register
+from pollenmount.routing.policies.base import FAMILY, Policy, places
+
+
+@register(FAMILY, "round_robin")
+class RoundRobin(Policy):
+    """Goes round the targets and the other failure domains."""
+
+    def __init__(self, tracker, cache, seed=None):
+        super().__init__(tracker, cache, seed)
+        self.turn = 0
+
+    def choose(self, call, options, now):
+        """Return the next place."""
+        found = places(options, self.random.choice)
+        self.turn += 1
+        return found[self.turn % len(found)].candidate if found else None
--- /dev/null
+++ b/pollenmount/routing/prefix.py
@@ -0,0 +1,62 @@
+"""Digests of the leading blocks of a prompt, as engines report them in cache events.
+
+A prompt is the texts of its messages joined by a blank; a block is `BLOCK_WORDS` words.
+The digest of a block covers all words before it too.
+"""
+
+import functools
+import hashlib
+from typing import Any
+
+import msgspec
+
+__all__ = ["BLOCK_WORDS", "block_digests", "get_digests", "rendezvous"]
+
+BLOCK_WORDS = 16
+MAX_BLOCKS = 64
+DIGEST_BYTES = 8
+REMEMBERED_PROMPTS = 256
+
+
+class Message(msgspec.Struct):
+    """One message of a chat; only text counts."""
+
+    content: Any = ""
+
+
+class Prompt(msgspec.Struct):
+    """The part of a chat completion that an engine's cache depends on."""
+
+    messages: list[Message]
+
+
+@functools.lru_cache(REMEMBERED_PROMPTS)
+def get_digests(body):
+    """Return the block digests of a chat completion's body, () for other bodies."""
+    try:
+        prompt = msgspec.json.decode(body, type=Prompt)
+    except msgspec.DecodeError:
+        return ()
+    return block_digests(" ".join(str(m.content) for m in prompt.messages).split())
+
+
+def block_digests(words):
+    """Return the digest of each leading block of `words`, at most `MAX_BLOCKS`."""
+    state = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    digests = []
+    for start in range(0, len(words) - BLOCK_WORDS + 1, BLOCK_WORDS):
+        if len(digests) == MAX_BLOCKS:
+            break
+        state.update(" ".join(words[start : start + BLOCK_WORDS]).encode())
+        digests.append(state.hexdigest())
+    return tuple(digests)
+
+
+def rendezvous(digest, names):
+    """Return the names ordered by their rank for this digest."""
+
+    def rank(name):
+        text = f"{digest} {name}".encode()
+        return hashlib.blake2b(text, digest_size=DIGEST_BYTES).digest()
+
+    return sorted(names, key=rank)
--- a/pollenmount/routing/request.py
+++ b/pollenmount/routing/request.py
@@ -13,6 +13,8 @@
     "Head",
     "LocalTarget",
     "ModelRoute",
+    "Options",
+    "RemoteDomain",
     "RemoteEntry",
     "ServiceRoute",
     "View",
@@ -42,7 +44,8 @@
     """One accepted request.
 
     `deadline` is monotonic milliseconds of this node's clock; `key` is the idempotency
-    key; `headers` are those passed on; `path` includes the query.
+    key; `headers` are those passed on; `path` includes the query. `resume_from` counts
+    the events of the answer that were delivered before this attempt.
     """
 
     id: str
@@ -56,15 +59,20 @@
     deadline: int
     key: str
     stream: bool
+    resume_from: int = 0
 
 
 class Head(NamedTuple):
-    """Start of an answer, and where it runs."""
+    """Start of an answer, and where it runs.
+
+    `resume` tells whether another target can go on after any event.
+    """
 
     status: int
     headers: tuple[tuple[str, str], ...]
     region: str
     target: str
+    resume: bool = False
 
 
 class Chunk(NamedTuple):
@@ -74,15 +82,49 @@
 
 
 class LocalTarget(NamedTuple):
-    """Candidate: a target of this failure domain."""
+    """Candidate: a target of this failure domain.
+
+    `expected_ms` is how long the first byte is expected to take.
+    """
 
     target: Target
+    expected_ms: float = 0.0
+
+    @property
+    def name(self):
+        """Return the name under which requests at it are counted."""
+        return self.target.said.name
 
 
 class RemoteEntry(NamedTuple):
     """Candidate: an entry VM of another failure domain."""
 
     member: Member
+    expected_ms: float = 0.0
+
+    @property
+    def name(self):
+        """Return the name under which requests at it are counted."""
+        return self.member.name
+
+
+class RemoteDomain(NamedTuple):
+    """Another failure domain that can run a call, and its entry VMs in reach."""
+
+    summary: DomainSummary
+    members: tuple[Member, ...]
+
+    @property
+    def name(self):
+        """Return the name under which requests at it are counted."""
+        return self.summary.failure_domain
+
+
+class Options(NamedTuple):
+    """Where a call may run: targets of this failure domain, other failure domains."""
+
+    local: tuple[Target, ...]
+    remote: tuple[RemoteDomain, ...]
 
 
 class View(NamedTuple):
--- a/pollenmount/settings.py
+++ b/pollenmount/settings.py
@@ -14,6 +14,7 @@
 
 ADDRESS = {"type": "string", "pattern": r"^[0-9a-fA-F.:\[\]]+:[0-9]{1,5}$"}
 NAME = {"type": "string", "pattern": r"^[a-z0-9][a-z0-9.-]{0,62}$"}
+NAME_OF_PLUGIN = {"type": "string", "pattern": "^[a-z][a-z_]{0,62}$"}
 DIGEST = {"type": "string", "pattern": "^[0-9a-f]{64}$"}
 LISTENERS = ("callers", "targets", "operators", "peers", "control")
 
@@ -48,6 +49,7 @@
         "target_ttl_ms": {"type": "integer", "minimum": 200, "maximum": 10_000},
         "stop_delay_ms": {"type": "integer", "minimum": 0, "maximum": 60_000},
         "stop_limit_ms": {"type": "integer", "minimum": 0, "maximum": 3_600_000},
+        "policy": NAME_OF_PLUGIN,
         "max_body_bytes": {"type": "integer", "minimum": 1, "maximum": 1 << 30},
     },
 }
@@ -97,6 +99,7 @@
     stop_delay_ms: int = 2000
     stop_limit_ms: int = 300_000
     max_body_bytes: int = 4 << 20
+    policy: str = "adaptive"
 
 
 def check_settings(document):
--- /dev/null
+++ b/pollenmount/targets/cache.py
@@ -0,0 +1,79 @@
+"""Index of what targets hold in their prefix caches, fed by their cache events.
+
+Events arrive late and with gaps. After a gap nothing is known of the target but what
+later events say, until it sends a whole list.
+"""
+
+import msgspec
+
+__all__ = ["CacheEvents", "CacheIndex"]
+
+MAX_BLOCKS = 65_536
+
+
+class CacheEvents(msgspec.Struct, frozen=True):
+    """Changes of a target's prefix cache since its last announcement.
+
+    `first` is the number of the first change; `stored` and `evicted` are block
+    digests, evictions after the stores; `whole` says that `stored` is all it holds.
+    """
+
+    first: int
+    stored: tuple[str, ...] = ()
+    evicted: tuple[str, ...] = ()
+    whole: bool = False
+
+
+class Holding:
+    """Blocks that one incarnation of a target holds."""
+
+    __slots__ = ("blocks", "incarnation", "next")
+
+    def __init__(self, incarnation, first):
+        self.incarnation = incarnation
+        self.next = first
+        self.blocks = {}
+
+
+class CacheIndex:
+    """Block digests by target, each target's oldest forgotten first.
+
+    `max_blocks`
+        Blocks remembered of one target (default 65,536).
+    """
+
+    def __init__(self, max_blocks=MAX_BLOCKS):
+        self.max_blocks = max_blocks
+        self.by_target = {}
+
+    def take_in(self, name, incarnation, events):
+        """Take in the events of an announcement."""
+        known = self.by_target.get(name)
+        gap = known is None or known.incarnation != incarnation
+        gap = gap or events.first > known.next or events.whole
+        if gap:
+            known = self.by_target[name] = Holding(incarnation, events.first)
+        elif events.first < known.next:
+            return
+        known.next = events.first + len(events.stored) + len(events.evicted)
+        for digest in events.stored:
+            known.blocks.pop(digest, None)
+            known.blocks[digest] = None
+        for digest in events.evicted:
+            known.blocks.pop(digest, None)
+        while len(known.blocks) > self.max_blocks:
+            del known.blocks[next(iter(known.blocks))]
+
+    def forget(self, name):
+        """Forget a target that has gone."""
+        self.by_target.pop(name, None)
+
+    def cached_blocks(self, name, digests):
+        """Return how many leading blocks the target is known to hold."""
+        known = self.by_target.get(name)
+        if known is None:
+            return 0
+        for count, digest in enumerate(digests):
+            if digest not in known.blocks:
+                return count
+        return len(digests)
--- a/pollenmount/targets/table.py
+++ b/pollenmount/targets/table.py
@@ -9,10 +9,12 @@
 import msgspec
 
 from pollenmount.errors import Refusal, RefusalKind
+from pollenmount.targets.cache import CacheEvents, CacheIndex
 
 __all__ = ["Announcement", "Leave", "OfferedModel", "Target", "TargetTable"]
 
 TOMBSTONE_MS = 600_000
+MAX_TOMBSTONES = 16_384
 MAX_TARGETS = 4096
 
 
@@ -29,7 +31,7 @@
 
     `address` is `IP:port`; `sequence` grows with each announcement of an incarnation;
     `running` and `waiting` count requests; `resume` tells whether it can resume a
-    stream from an offset.
+    stream after a number of events; `cache` are changes of its prefix cache.
     """
 
     name: str
@@ -44,6 +46,7 @@
     waiting: int = 0
     draining: bool = False
     resume: bool = False
+    cache: CacheEvents | None = None
 
 
 class Leave(msgspec.Struct, frozen=True):
@@ -54,10 +57,16 @@
 
 
 class Target(NamedTuple):
-    """A target and when it was last heard of (monotonic ms)."""
+    """A target as this node knows it; times are monotonic ms.
+
+    `seen` is when it was last heard of, `since` when its incarnation first was; `own`
+    is how many requests of this node were in flight there at `seen`.
+    """
 
     said: Announcement
     seen: int
+    since: int = 0
+    own: int = 0
 
 
 class TargetTable:
@@ -65,13 +74,17 @@
 
     `ttl_ms`
         How long an announcement holds.
+    `in_flight`
+        Returns how many requests of this node are in flight at a target's name.
     """
 
-    def __init__(self, clock, ttl_ms):
+    def __init__(self, clock, ttl_ms, in_flight=lambda name: 0):
         self.clock = clock
         self.ttl_ms = ttl_ms
+        self.in_flight = in_flight
         self.by_name = {}
         self.tombstones = {}
+        self.cache = CacheIndex()
 
     def announce(self, said):
         """Take in an announcement; return a `Refusal` if it is full, else None."""
@@ -79,28 +92,40 @@
         if (said.name, said.incarnation) in self.tombstones:
             return None
         known = self.by_name.get(said.name)
+        since = now
         if known and known.said.incarnation == said.incarnation:
             if known.said.sequence >= said.sequence:
                 return None
+            since = known.since
         elif known is None and len(self.by_name) >= MAX_TARGETS:
             message = "too many targets in this failure domain; remove some"
             return Refusal(RefusalKind.OVERLOADED, message)
-        self.by_name[said.name] = Target(said, now)
+        own = self.in_flight(said.name)
+        self.by_name[said.name] = Target(said, now, since, own)
+        if said.cache:
+            self.cache.take_in(said.name, said.incarnation, said.cache)
         return None
 
     def leave(self, said):
         """Leave the target out for good, in this incarnation."""
+        while len(self.tombstones) >= MAX_TOMBSTONES:
+            del self.tombstones[next(iter(self.tombstones))]
         self.tombstones[said.name, said.incarnation] = self.clock.now()
         known = self.by_name.get(said.name)
         if known and known.said.incarnation == said.incarnation:
-            del self.by_name[said.name]
+            self.remove(said.name)
+
+    def remove(self, name):
+        """Forget a target and what its cache held."""
+        del self.by_name[name]
+        self.cache.forget(name)
 
     def sweep(self):
         """Forget silent targets and old tombstones."""
         now = self.clock.now()
         for name, target in [*self.by_name.items()]:
             if now - target.seen >= self.ttl_ms:
-                del self.by_name[name]
+                self.remove(name)
         for key, left in [*self.tombstones.items()]:
             if now - left >= TOMBSTONE_MS:
                 del self.tombstones[key]
--- a/pollenmount/targets/upstream.py
+++ b/pollenmount/targets/upstream.py
@@ -11,9 +11,10 @@
     ConnectTimeoutError,
     HTTPError,
     NewConnectionError,
+    ReadTimeoutError,
 )
 
-__all__ = ["Upstream", "UpstreamError"]
+__all__ = ["ConnectError", "LateError", "Upstream", "UpstreamError", "read_body"]
 
 CONNECT_TIMEOUT_S = 1.0
 MS_PER_S = 1000
@@ -24,11 +25,26 @@
 
 
 class UpstreamError(Exception):
-    """A call that brought no whole answer; `not_run` only when that is proved."""
+    """A call that brought no whole answer; `not_run` only when that is proved.
 
-    def __init__(self, problem, not_run=False):
+    `retry_after_ms` is the pause that the other end asked for, 0 if none.
+    """
+
+    def __init__(self, problem, not_run=False, retry_after_ms=0):
         super().__init__(problem)
         self.not_run = not_run
+        self.retry_after_ms = retry_after_ms
+
+
+class ConnectError(UpstreamError):
+    """No connection came about, so nothing ran."""
+
+    def __init__(self, problem):
+        super().__init__(problem, not_run=True)
+
+
+class LateError(UpstreamError):
+    """The answer, or its next part, didn't come in time."""
 
 
 class Upstream:
@@ -62,7 +78,9 @@
                 assert_same_host=False,
             )
         except NEVER_CONNECTED as error:
-            raise UpstreamError("can't connect", not_run=True) from error
+            raise ConnectError("can't connect") from error
+        except ReadTimeoutError as error:
+            raise LateError("no answer in time") from error
         except (HTTPError, OSError) as error:
             raise UpstreamError(f"no answer ({type(error).__name__})") from error
 
@@ -81,6 +99,8 @@
         stack.callback(response.close)
         try:
             yield from response.stream(READ_BYTES, decode_content=False)
+        except ReadTimeoutError as error:
+            raise LateError("the answer stopped coming") from error
         except (HTTPError, OSError) as error:
             problem = f"answer was cut off ({type(error).__name__})"
             raise UpstreamError(problem) from error
--- a/standins/kinds/engine.py
+++ b/standins/kinds/engine.py
@@ -127,9 +127,12 @@
         document = json.loads(body)
         prompt = " ".join(str(m.get("content", "")) for m in document["messages"])
         words = answer_words(prompt, document.get("max_tokens", DEFAULT_WORDS))
-        words = words[int(request.header("Pollenmount-Resume-From", "0")) :]
+        resumed = request.header("Pollenmount-Resume-From")
+        words = words[int(resumed or 0) :]
         priority = request.header("Pollenmount-Class") != FIRST_CLASS
         headers = self.answer_id(request)
+        if resumed:
+            headers.append(("Pollenmount-Resume-From", resumed))
         if not document.get("stream"):
             text = " ".join(self.generate(prompt, words, priority))
             message = {"role": "assistant", "content": text}
