Queue calls by class and deadline; time out, cancel and end answers properly

Cause: deferred work held every slot at home, so an interactive call waited for one; an answer had one timeout for everything; a caller's hang-up was noticed at the next write only, so an engine worked on for nobody; each non-idempotent call left a connection pool behind; the time to the first token was measured from the first token; a planned stop did not wait for forwarded calls; a refused chat (4xx) that was to be streamed by another failure domain was taken for a broken stream.

Change: calls wait in bounded queues, interactive first, then by deadline; deferred calls leave slots free and go without waiting once their deadline is near. Timeouts for first byte, between chunks and the whole deadline. A watch on the caller's connection cancels what isn't a recorded action.

--- a/bench/fakes.py
+++ b/bench/fakes.py
@@ -1,6 +1,7 @@
 """Fake engines and connections in virtual time, at the interface of `Upstream`."""
 
 import collections
+import contextlib
 import heapq
 import itertools
 
@@ -10,7 +11,7 @@
 from pollenmount.targets.table import Announcement
 from pollenmount.targets.upstream import ConnectError, LateError, UpstreamError
 
-__all__ = ["FakeEngine", "FakeUpstream"]
+__all__ = ["FakeEngine", "FakeResponse", "FakeSocket", "FakeUpstream"]
 
 NEAR_MS = 1
 CONNECT_TIMEOUT_MS = 1000
@@ -207,10 +208,19 @@
         raise LateError("no answer in time")
 
 
+class FakeSocket:
+    """Stands for a connection; fake answers have one limit of their own."""
+
+    def settimeout(self, seconds):
+        """Do nothing."""
+
+
 class FakeResponse:
     """Answer of a fake engine."""
 
     status = 200
+    owned = contextlib.nullcontext()
+    connected = FakeSocket()
 
     def __init__(self, job, headers, limit):
         self.job = job
--- a/bench/policy.py
+++ b/bench/policy.py
@@ -22,18 +22,24 @@
 
 EXAMPLES = Path(__file__).parent.parent / "examples"
 PROCESSES = 4
-SEEDS = (1, 2, 3)
+SEEDS = (1, 2, 3, 4, 5)
+WARM_UP_MS = 2000
 FAULT_MS = 15_000
 HEAL_MS = 40_000
 DRAIN_MS = 60_000
 S = 1000
-ALL_PARTS = ("affinity", "hysteresis", "ramp", "lateness", "correction")
+ALL_PARTS = ("affinity", "gate", "lateness", "correction")
 BASELINES = ("round_robin", "random", "least_in_flight", "two_choices", "home_only")
 SHOWN = (
     *("engine_s", "computed", "region_kb", "away", "refused", "broken", "goodput"),
     *("i_first50", "i_first95", "i_first99", "i_whole95", "i_whole99"),
     *("d_whole50", "d_whole95", "d_whole99"),
 )
+COMPARED = (
+    *("engine_s", "computed", "region_kb", "away", "refused"),
+    *("i_first50", "i_first95", "i_first99", "i_whole95", "i_whole99"),
+    *("d_whole50", "d_whole95", "d_whole99"),
+)
 
 
 def peak(world, regions):
@@ -109,7 +115,7 @@
     regions = tuple(deployment.vms)
     number = 0
     for index, region in enumerate(regions):
-        at = 0.0
+        at = float(WARM_UP_MS)
         while True:
             at_peak = int(at * len(regions) / load.duration_ms) == index
             share = load.peak if at_peak else load.rest
@@ -185,6 +191,28 @@
         print(f"{variant:22}" + "".join(cells))
 
 
+def compare(results, scenario, variants, seeds):
+    """Print each variant's medians against the best baseline, in percent more."""
+    best = {}
+    for name in COMPARED:
+        medians = {v: median(results, scenario, v, seeds, name) for v in variants}
+        known = [medians[v] for v in BASELINES if v in medians]
+        best[name] = (min(known) if known else 0, medians)
+    print(f"\n{' / '.join(scenario)}: percent above the best baseline")
+    print(f"{'variant':22}" + "".join(f"{name:>11}" for name in COMPARED))
+    for variant in variants:
+        row = [(low, medians[variant]) for low, medians in best.values()]
+        cells = [
+            f"{100 * (v / low - 1):>+11.1f}" if low else f"{v:>11.0f}" for low, v in row
+        ]
+        print(f"{variant:22}" + "".join(cells))
+
+
+def median(results, scenario, variant, seeds, name):
+    """Return the median of one measure over the seeds."""
+    return statistics.median(results[(*scenario, variant, s)][name] for s in seeds)
+
+
 def main():
     """Run all variants and print the tables."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -204,6 +232,8 @@
         results = dict(pool.imap_unordered(run_job, jobs))
     for scenario in scenarios:
         show(results, scenario, variants, args.seeds)
+    for scenario in scenarios:
+        compare(results, scenario, variants, args.seeds)
     print(f"\n{len(jobs)} runs in {time.monotonic() - started:.0f} s")
     if args.json:
         rows = [{"run": job, **result} for job, result in results.items()]
--- a/bench/world.py
+++ b/bench/world.py
@@ -1,9 +1,10 @@
 """Nodes of one deployment before fake engines: the product's own decision code."""
 
+import contextlib
 import random
 
-from bench.fakes import FakeEngine, FakeUpstream
-from bench.virtual_time import VirtualTime
+from bench.fakes import FakeEngine, FakeSocket, FakeUpstream
+from bench.virtual_time import Signal, VirtualTime
 from pollenmount.errors import Refusal
 from pollenmount.members.summary import summarize
 from pollenmount.members.table import Member
@@ -13,6 +14,7 @@
 from pollenmount.routing.budget import RetryBudget
 from pollenmount.routing.health import Health
 from pollenmount.routing.pipeline import BrokenAnswerError
+from pollenmount.routing.queue import CallQueue
 from pollenmount.routing.request import Chunk, ModelRoute, View
 from pollenmount.routing.router import Router
 from pollenmount.routing.tracker import Tracker
@@ -23,6 +25,7 @@
 
 FAR_MS = 30
 REPORT_MS = 1000
+WAKE_MS = 50
 TTL_MS = 3000
 PEER_KEY = "bench"
 
@@ -45,9 +48,22 @@
         self.attempter = Attempter(
             upstream, time, region, PEER_KEY, self.tracker, self.health
         )
+        self.queue = CallQueue(time, lambda: Signal(time))
         self.router = Router(
-            self, self.policy, self.attempter, self.health, RetryBudget(), time.sleep
+            self,
+            self.policy,
+            self.attempter,
+            self.health,
+            RetryBudget(),
+            self.queue,
+            time.sleep,
         )
+        self.wake()
+
+    def wake(self):
+        """Wake waiting calls regularly, for ever."""
+        self.queue.wake()
+        self.world.time.after(WAKE_MS, self.wake)
 
     def take(self):
         """Return the view of the moment."""
@@ -84,6 +100,8 @@
     """Answer that comes from another node."""
 
     status = 200
+    owned = contextlib.nullcontext()
+    connected = FakeSocket()
 
     def __init__(self, world, head, parts):
         self.world = world
--- a/pollenmount/api/answer.py
+++ b/pollenmount/api/answer.py
@@ -3,6 +3,12 @@
 import contextlib
 import json
 
+from pollenmount.api.hangup import (
+    GONE,
+    CallerGoneError,
+    make_watch,
+    watched_parts,
+)
 from pollenmount.api.web import Reply, refusal_document, refusal_reply
 from pollenmount.errors import Refusal
 from pollenmount.log import get_logger
@@ -22,21 +28,28 @@
     def __init__(self, kernel):
         self.kernel = kernel
 
-    def answer(self, call):
-        """Return the reply to one call."""
+    def answer(self, call, connection=None):
+        """Return the reply to one call; give it up when `connection` is closed."""
+        record = Record(self.kernel, call)
         refusal = self.kernel.get("admission").check(call.caller)
         if refusal:
-            return self.refuse(call, refusal)
+            return self.refuse(record, refusal)
         stack = contextlib.ExitStack()
         with contextlib.ExitStack() as guard:
             guard.push(stack)
             stack.enter_context(self.kernel.get("admission").slot(call.caller))
-            parts = stack.enter_context(contextlib.closing(self.parts(call)))
-            first, rest = pipeline.attempts(parts)
+            watch = make_watch(stack, call, connection)
+            parts = stack.enter_context(contextlib.closing(self.parts(call, record)))
+            try:
+                with watch:
+                    first, rest = pipeline.attempts(parts)
+            except CallerGoneError:
+                record.end("caller_gone")
+                return GONE
             if isinstance(first, Refusal):
-                return self.refuse(call, first)
+                return self.refuse(record, first)
             guard.pop_all()
-        record = Record(self.kernel, call, first)
+        record.head = first
         headers = (
             *first.headers,
             ("X-Request-Id", call.id),
@@ -44,28 +57,30 @@
             ("Pollenmount-Region", first.region),
             *([("Idempotency-Key", call.key)] if call.key else ()),
         )
-        return Reply(first.status, headers, self.body(stack, rest, record))
+        return Reply(first.status, headers, self.body(stack, rest, record, watch))
 
-    def parts(self, call):
+    def parts(self, call, record):
         """Return the generator of the answer's parts."""
         if is_idempotent(call.route):
-            return self.serve(call)
-        return self.kernel.get("actions").run(call, lambda: self.serve(call))
+            return self.serve(call, record)
+        return self.kernel.get("actions").run(call, lambda: self.serve(call, record))
 
-    def serve(self, call):
+    def serve(self, call, record):
         """Return the parts of an answer from the best candidate."""
         kernel = self.kernel
         retries = kernel.get("metrics").retries.labels(call.caller.name, call.class_)
-        return kernel.get("router").serve(call, on_retry=retries.inc)
+        return kernel.get("router").serve(
+            call, on_retry=retries.inc, on_start=record.start
+        )
 
-    def body(self, stack, parts, record):
+    def body(self, stack, parts, record, watch):
         """Yield the bytes of an answer; an answer that breaks ends in an error."""
         with stack:
             outcome = "caller_gone"
             try:
-                for part in parts:
+                for data in watched_parts(parts, watch):
                     record.chunk()
-                    yield part.data
+                    yield data
                 outcome = "answered"
             except pipeline.BrokenAnswerError as error:
                 outcome = str(error.refusal.kind)
@@ -75,10 +90,11 @@
             finally:
                 record.end(outcome)
 
-    def refuse(self, call, refusal):
+    def refuse(self, record, refusal):
         """Return the reply for a call that got no answer."""
-        Record(self.kernel, call, None).end(str(refusal.kind))
-        extra = [("Pollenmount-Request-Id", call.id)]
+        call = record.call
+        record.end(str(refusal.kind))
+        extra = [("X-Request-Id", call.id), ("Pollenmount-Request-Id", call.id)]
         if call.key:
             extra.append(("Idempotency-Key", call.key))
         return refusal_reply(refusal, extra)
@@ -93,16 +109,22 @@
 class Record:
     """Measures one call and logs its end."""
 
-    def __init__(self, kernel, call, head):
+    def __init__(self, kernel, call):
         self.kernel = kernel
         self.call = call
-        self.head = head
+        self.head = None
         self.started = kernel.clock.now()
         self.last = None
         labels = (call.caller.name, call.class_)
         self.first_token = kernel.get("metrics").first_token.labels(*labels)
         self.token_gap = kernel.get("metrics").token_gap.labels(*labels)
 
+    def start(self):
+        """Measure how long the call waited for its first attempt."""
+        waited = self.kernel.clock.now() - self.started
+        labels = (self.call.caller.name, self.call.class_)
+        self.kernel.get("metrics").queue_wait.labels(*labels).observe(waited / MS_PER_S)
+
     def chunk(self):
         """Measure one chunk."""
         now = self.kernel.clock.now()
--- a/pollenmount/api/callers.py
+++ b/pollenmount/api/callers.py
@@ -103,7 +103,7 @@
         made = self.make_call(request, caller)
         if isinstance(made, Err):
             return refusal_reply(made.err_value)
-        return self.answerer.answer(made.ok_value)
+        return self.answerer.answer(made.ok_value, request.connection)
 
     def make_call(self, request, caller):
         """Return Ok(Call) or Err(Refusal)."""
--- a/pollenmount/api/peers.py
+++ b/pollenmount/api/peers.py
@@ -5,6 +5,12 @@
 
 import contextlib
 
+from pollenmount.api.hangup import (
+    GONE,
+    CallerGoneError,
+    make_watch,
+    watched_parts,
+)
 from pollenmount.api.web import Reply, refusal_reply
 from pollenmount.errors import Refusal, RefusalKind
 from pollenmount.plans.plan import (
@@ -27,16 +33,30 @@
 
     def handle(self, request):
         """Answer one forwarded call."""
+        if self.kernel.refusing:
+            message = "this VM is stopping; use another one"
+            return refuse(Refusal(RefusalKind.STOPPING, message, True, 1000))
         made = self.make_call(request)
         if isinstance(made, Refusal):
             return refuse(made)
+        return self.answer(made, request.connection)
+
+    def answer(self, call, connection):
+        """Return the reply to a call that may run here."""
         with contextlib.ExitStack() as stack:
-            serving = self.kernel.get("router").serve(made, remote=False)
+            # Counted, so that a planned stop waits for it.
+            stack.enter_context(self.kernel.get("admission").slot(call.caller))
+            watch = make_watch(stack, call, connection)
+            serving = self.kernel.get("router").serve(call, remote=False)
             parts = stack.enter_context(contextlib.closing(serving))
-            first, rest = pipeline.attempts(parts)
+            try:
+                with watch:
+                    first, rest = pipeline.attempts(parts)
+            except CallerGoneError:
+                return GONE
             if isinstance(first, Refusal):
                 return refuse(first)
-            body = send(stack.pop_all(), rest)
+            body = send(stack.pop_all(), rest, watch)
         return Reply(200, (forward.encode_head(first),), body)
 
     def make_call(self, request):
@@ -81,8 +101,7 @@
     return refusal_reply(refusal, [forward.encode_refusal(refusal)])
 
 
-def send(stack, parts):
+def send(stack, parts, watch):
     """Yield the bytes of an answer; a broken one gets no regular end."""
     with stack:
-        for part in parts:
-            yield part.data
+        yield from watched_parts(parts, watch)
--- a/pollenmount/api/web.py
+++ b/pollenmount/api/web.py
@@ -50,6 +50,11 @@
         raw = self.environ.get("RAW_PATH_INFO", self.path)
         return f"{raw}?{self.query}" if self.query else raw
 
+    @property
+    def connection(self):
+        """Return the socket that the request came on."""
+        return self.environ["eventlet.input"].get_socket()
+
     def query_value(self, name):
         """Return the first value of a query parameter, or ''."""
         return parse_qs(self.query).get(name, [""])[0]
--- a/pollenmount/parts/routing.py
+++ b/pollenmount/parts/routing.py
@@ -8,11 +8,30 @@
 from pollenmount.routing.budget import RetryBudget
 from pollenmount.routing.health import Health
 from pollenmount.routing.policies.base import FAMILY
+from pollenmount.routing.queue import CallQueue
 from pollenmount.routing.router import Router
 from pollenmount.routing.tracker import Tracker
 from pollenmount.routing.view import Viewer
 from pollenmount.targets.upstream import Upstream
 
+WAKE_MS = 50
+
+
+class Signal:
+    """Something that one task waits for; sending it twice is the same as once."""
+
+    def __init__(self):
+        self.event = task.Event()
+
+    def send(self):
+        """Wake the task that waits."""
+        if not self.event.ready():
+            self.event.send()
+
+    def wait(self):
+        """Wait until it is sent."""
+        self.event.wait()
+
 
 @register("pollenmount.parts", "admission")
 def build_admission(kernel):
@@ -59,6 +78,14 @@
     )
 
 
+@register("pollenmount.parts", "call_queue")
+def build_queue(kernel):
+    """Return the calls that wait, woken regularly."""
+    queue = CallQueue(kernel.clock, Signal)
+    kernel.own(task.Task(queue.wake, WAKE_MS))
+    return queue
+
+
 @register("pollenmount.parts", "router")
 def build_router(kernel):
     """Return what takes calls to their answers."""
@@ -68,6 +95,7 @@
         kernel.get("attempter"),
         kernel.get("health"),
         RetryBudget(),
+        kernel.get("call_queue"),
         task.sleep,
     )
 
--- a/pollenmount/routing/attempt.py
+++ b/pollenmount/routing/attempt.py
@@ -22,6 +22,7 @@
     ConnectError,
     LateError,
     UpstreamError,
+    limit_wait,
     read_body,
 )
 
@@ -30,7 +31,7 @@
 REQUEST_ID = "X-Request-Id"
 NOT_RUN = "Pollenmount-Not-Run"
 RESUMED_FROM = "Pollenmount-Resume-From"
-STREAM_END = b"data: [DONE]"
+STREAM_END = b"\ndata: [DONE]"
 TAIL_BYTES = 64
 BUSY = (429, 503)
 FAILED = (500, 502, 504)
@@ -40,6 +41,7 @@
 BUSY_MS = 500
 SILENT_MS = 1000
 FIRST_BYTE_MS = {INTERACTIVE: 10_000}
+CHUNK_GAP_MS = 10_000
 
 
 class Attempter:
@@ -101,11 +103,6 @@
         if isinstance(error, LateError):
             self.tracker.late(measured_name(candidate), waited)
 
-    def check_deadline(self, call):
-        """Raise `UpstreamError` when the call's time is up."""
-        if self.clock.now() >= call.deadline:
-            raise LateError("the deadline has passed")
-
     def open(self, address, method, path, headers, call, fresh):
         """Send a request; return the response, or raise if it is late."""
         left = call.deadline - self.clock.now()
@@ -155,7 +152,7 @@
             said.name,
             said.resume and call.stream,
         )
-        yield from checked_parts(response, attempter, call)
+        yield from checked_parts(response, attempter, call, response.status)
 
 
 def check_answer(response, attempt_id, call):
@@ -187,15 +184,27 @@
     return int(seconds) * MS_PER_S if seconds.isdecimal() else BUSY_MS
 
 
-def checked_parts(response, attempter, call):
-    """Yield the parts of an answer; raise if it isn't whole or in time."""
+def checked_parts(response, attempter, call, status):
+    """Yield the parts of an answer; raise if it isn't whole or in time.
+
+    `status` is the target's.
+    """
+    ends = call.stream and status < ERROR
+    gap_ms = CHUNK_GAP_MS if ends else call.deadline
     tail = b"\n"
+    now = attempter.clock.now
+    limit_wait(response, min(gap_ms, call.deadline - now()))
     with contextlib.closing(read_body(response)) as parts:
         for data in parts:
-            attempter.check_deadline(call)
-            tail = (tail + data)[-TAIL_BYTES:]
+            left = call.deadline - now()
+            if left <= 0:
+                raise LateError("the deadline has passed")
+            if left < gap_ms:
+                limit_wait(response, left)
+            if ends:
+                tail = (tail + data)[-TAIL_BYTES:]
             yield Chunk(data)
-    if call.stream and response.status < ERROR and STREAM_END not in tail:
+    if ends and not tail.rstrip().endswith(STREAM_END):
         raise UpstreamError("the stream has no end mark")
 
 
@@ -207,5 +216,6 @@
     )
     with contextlib.closing(response):
         forward.raise_refusal(response)
-        yield forward.decode_head(response)
-        yield from checked_parts(response, attempter, call)
+        head = forward.decode_head(response)
+        yield head
+        yield from checked_parts(response, attempter, call, head.status)
--- a/pollenmount/routing/choose.py
+++ b/pollenmount/routing/choose.py
@@ -32,13 +32,23 @@
 
     def next(self, call):
         """Return a candidate that was not tried, or None."""
-        view = self.take_view()
-        options = find_options(call, view, self.may_try, self.remote)
-        candidate = self.policy.choose(call, options, view.now)
+        candidate = self.policy.choose(call, self.options(call))
         if candidate is not None:
             self.tried.add(candidate.name)
         return candidate
 
+    def have_room(self, call):
+        """Return whether the call need not wait before its first attempt."""
+        return self.policy.has_room(call, self.options(call))
+
+    def wait_ms(self, call, ahead):
+        """Return how long the call waits here with `ahead` others before it."""
+        return self.policy.wait_behind(self.options(call), ahead)
+
+    def options(self, call):
+        """Return the `Options` of the moment."""
+        return find_options(call, self.take_view(), self.may_try, self.remote)
+
     def may_try(self, name):
         """Return whether a target or entry VM may get this call."""
         return name not in self.tried and self.usable(name)
@@ -56,7 +66,8 @@
             and (target.said.resume or not call.resume_from)
             and may_try(target.said.name)
         )
-    return Options(local, find_domains(call, view, regions, may_try) if remote else ())
+    away = find_domains(call, view, regions, may_try) if remote else ()
+    return Options(local, away, view.region)
 
 
 def find_domains(call, view, regions, may_try):
--- a/pollenmount/routing/policies/base.py
+++ b/pollenmount/routing/policies/base.py
@@ -37,10 +37,19 @@
         self.cache = cache
         self.random = random.Random(seed)
 
-    def choose(self, call, options, now):
+    def choose(self, call, options):
         """Return a candidate, or None if there is none."""
         raise NotImplementedError
 
+    def has_room(self, call, options):
+        """Return whether a call need not wait; always, unless a policy says else."""
+        return True
+
+    def wait_behind(self, options, ahead):
+        """Return how many milliseconds a call waits behind `ahead` others."""
+        slots = sum(target.said.slots for target in options.local)
+        return ahead / max(slots, 1) * self.tracker.hold_ms()
+
     def in_flight(self, place):
         """Return this node's share of requests in flight at a place, by slot."""
         return self.tracker.in_flight(place.candidate.name) / max(place.slots, 1)
--- a/pollenmount/routing/policies/home_only.py
+++ b/pollenmount/routing/policies/home_only.py
@@ -9,8 +9,8 @@
 class HomeOnly(TwoChoices):
     """Never spills for load."""
 
-    def choose(self, call, options, now):
+    def choose(self, call, options):
         """Return a target of this failure domain if there is one."""
         if options.local:
             options = options._replace(remote=())
-        return super().choose(call, options, now)
+        return super().choose(call, options)
--- a/pollenmount/routing/policies/least_in_flight.py
+++ b/pollenmount/routing/policies/least_in_flight.py
@@ -8,7 +8,7 @@
 class LeastInFlight(Policy):
     """Looks at this node's own requests only."""
 
-    def choose(self, call, options, now):
+    def choose(self, call, options):
         """Return the place with the fewest requests a slot."""
         found = places(options, self.random.choice)
         self.random.shuffle(found)
--- a/pollenmount/routing/policies/random.py
+++ b/pollenmount/routing/policies/random.py
@@ -8,7 +8,7 @@
 class Random(Policy):
     """Picks at random among the targets and the other failure domains."""
 
-    def choose(self, call, options, now):
+    def choose(self, call, options):
         """Return a random place."""
         found = places(options, self.random.choice)
         if not found:
--- a/pollenmount/routing/policies/round_robin.py
+++ b/pollenmount/routing/policies/round_robin.py
@@ -12,7 +12,7 @@
         super().__init__(tracker, cache, seed)
         self.turn = 0
 
-    def choose(self, call, options, now):
+    def choose(self, call, options):
         """Return the next place."""
         found = places(options, self.random.choice)
         self.turn += 1
--- a/pollenmount/routing/policies/two_choices.py
+++ b/pollenmount/routing/policies/two_choices.py
@@ -10,7 +10,7 @@
 class TwoChoices(Policy):
     """Looks at load reports and at this node's own requests."""
 
-    def choose(self, call, options, now):
+    def choose(self, call, options):
         """Return the less loaded of two random places."""
         found = places(options, self.random.choice)
         drawn = self.random.sample(found, min(CHOICES, len(found)))
--- /dev/null
+++ b/pollenmount/routing/queue.py
@@ -0,0 +1,118 @@
+"""Calls that wait for room at the targets: interactive first, then by deadline.
+
+Deferred calls leave some slots free for interactive ones, and go without waiting for
+room once their deadline comes near. A call that would wait too long is refused at once.
+"""
+
+import bisect
+
+from pollenmount.errors import Refusal, RefusalKind
+from pollenmount.plans.plan import CLASSES, INTERACTIVE
+from pollenmount.routing.request import offer_name
+
+__all__ = ["CallQueue"]
+
+MAX_WAITING = 512
+MAX_WAITING_BYTES = 64 << 20
+URGENT_MS = 15_000
+MIN_RETRY_AFTER_MS = 1000
+
+
+class Waiting:
+    """One call that waits. `signal` wakes it to look for room."""
+
+    def __init__(self, call, signal):
+        self.call = call
+        self.signal = signal
+
+
+class CallQueue:
+    """Waiting calls of each model or service, by class.
+
+    `make_signal`
+        Returns something with `send` and `wait`.
+    `max_waiting`
+        Calls of one class that wait for one model or service (default 512).
+    `max_bytes`
+        Bytes of all waiting bodies (default 64 MiB).
+    """
+
+    def __init__(
+        self,
+        clock,
+        make_signal,
+        max_waiting=MAX_WAITING,
+        max_bytes=MAX_WAITING_BYTES,
+    ):
+        self.clock = clock
+        self.make_signal = make_signal
+        self.max_waiting = max_waiting
+        self.max_bytes = max_bytes
+        self.by_offer = {}
+        self.bytes = 0
+
+    def wait(self, call, has_room, wait_ms):
+        """Wait until `has_room()`; return a `Refusal` if that is in vain.
+
+        `wait_ms(ahead)` estimates how long a call with `ahead` others before it waits.
+        """
+        offer = offer_name(call.route)
+        if offer not in self.by_offer and has_room():
+            return None
+        refusal = self.check(call, self.by_offer.get(offer), wait_ms)
+        if refusal:
+            return refusal
+        classes = self.by_offer.setdefault(offer, {name: [] for name in CLASSES})
+        waiting = Waiting(call, self.make_signal())
+        bisect.insort(classes[call.class_], waiting, key=lambda w: w.call.deadline)
+        self.bytes += len(call.body)
+        try:
+            while not self.may_go(waiting, classes, has_room):
+                waiting.signal.wait()
+                waiting.signal = self.make_signal()
+        finally:
+            self.remove(waiting, offer, classes)
+        return None
+
+    def check(self, call, classes, wait_ms):
+        """Return a `Refusal` if there is no use in waiting."""
+        own = len(classes[call.class_]) if classes else 0
+        first = len(classes[INTERACTIVE]) if classes else 0
+        ahead = own if call.class_ == INTERACTIVE else own + first
+        expected = int(wait_ms(ahead))
+        full = own >= self.max_waiting or self.bytes + len(call.body) > self.max_bytes
+        if not full and self.clock.now() + expected < call.deadline:
+            return None
+        message = "too many requests wait already; come back later"
+        pause = max(expected, MIN_RETRY_AFTER_MS)
+        return Refusal(RefusalKind.OVERLOADED, message, retry_after_ms=pause)
+
+    def may_go(self, waiting, classes, has_room):
+        """Return whether a call's turn has come."""
+        call = waiting.call
+        if self.is_urgent(call):
+            return True
+        if classes[call.class_][0] is not waiting:
+            return False
+        if call.class_ != INTERACTIVE and classes[INTERACTIVE]:
+            return False
+        return has_room()
+
+    def is_urgent(self, call):
+        """Return whether a call has no more time to wait for room."""
+        return self.clock.now() >= call.deadline - URGENT_MS
+
+    def remove(self, waiting, offer, classes):
+        """Take a call out and wake the next ones."""
+        classes[waiting.call.class_].remove(waiting)
+        self.bytes -= len(waiting.call.body)
+        if not any(classes.values()):
+            del self.by_offer[offer]
+        self.wake()
+
+    def wake(self):
+        """Let the first call of each class look for room."""
+        for classes in self.by_offer.values():
+            for waiting in classes.values():
+                if waiting:
+                    waiting[0].signal.send()
--- a/pollenmount/routing/request.py
+++ b/pollenmount/routing/request.py
@@ -121,10 +121,14 @@
 
 
 class Options(NamedTuple):
-    """Where a call may run: targets of this failure domain, other failure domains."""
+    """Where a call may run: targets of this failure domain, other failure domains.
+
+    `region` is that of this node.
+    """
 
     local: tuple[Target, ...]
     remote: tuple[RemoteDomain, ...]
+    region: str
 
 
 class View(NamedTuple):
--- a/pollenmount/routing/router.py
+++ b/pollenmount/routing/router.py
@@ -1,5 +1,6 @@
 """Takes one call from its limits to its answer."""
 
+from pollenmount.plans.plan import INTERACTIVE
 from pollenmount.routing import pipeline
 from pollenmount.routing.choose import Candidates
 
@@ -9,26 +10,42 @@
 class Router:
     """The decisions of one node, over a new view for each attempt.
 
-    `viewer`, `policy`, `attempter`, `health` and `budget` are those of the node;
-    `pause` lets a number of milliseconds pass.
+    `viewer`, `policy`, `attempter`, `health`, `budget` and `queue` are those of the
+    node; `pause` lets a number of milliseconds pass.
     """
 
-    def __init__(self, viewer, policy, attempter, health, budget, pause):
+    def __init__(self, viewer, policy, attempter, health, budget, queue, pause):
         self.viewer = viewer
         self.policy = policy
         self.attempter = attempter
         self.health = health
         self.budget = budget
+        self.queue = queue
         self.pause = pause
 
-    def serve(self, call, remote=True, on_retry=lambda: None):
+    def serve(self, call, remote=True, on_retry=lambda: None, on_start=lambda: None):
         """Yield the parts of an answer, or one `Refusal`.
 
-        A call that was forwarded here gets `remote` false.
+        A call that was forwarded here gets `remote` false. `on_start` is called once
+        the call needn't wait any longer, `on_retry` with each further attempt.
         """
         self.budget.deposit()
         candidates = Candidates(
             self.viewer.take, self.policy, self.health.usable, remote
         )
+        refusal = self.queue.wait(
+            call,
+            lambda: candidates.have_room(call),
+            lambda ahead: candidates.wait_ms(call, ahead),
+        )
+        if refusal:
+            yield refusal
+            return
+        on_start()
+        if self.queue.is_urgent(call):
+            call = call._replace(class_=INTERACTIVE)
         retries = pipeline.Retries(self.budget, self.pause, on_retry)
-        return pipeline.serve(call, candidates, self.attempter, retries)
+        try:
+            yield from pipeline.serve(call, candidates, self.attempter, retries)
+        finally:
+            self.queue.wake()
--- a/pollenmount/targets/upstream.py
+++ b/pollenmount/targets/upstream.py
@@ -14,7 +14,14 @@
     ReadTimeoutError,
 )
 
-__all__ = ["ConnectError", "LateError", "Upstream", "UpstreamError", "read_body"]
+__all__ = [
+    "ConnectError",
+    "LateError",
+    "Upstream",
+    "UpstreamError",
+    "limit_wait",
+    "read_body",
+]
 
 CONNECT_TIMEOUT_S = 1.0
 MS_PER_S = 1000
@@ -47,6 +54,23 @@
     """The answer, or its next part, didn't come in time."""
 
 
+class Connection(urllib3.connection.HTTPConnection):
+    """A connection whose responses keep its socket, to set timeouts on it."""
+
+    def getresponse(self):
+        """Return the response once its head is there."""
+        connected = self.sock
+        response = super().getresponse()
+        response.connected = connected
+        return response
+
+
+class Pool(urllib3.HTTPConnectionPool):
+    """Connections to one address."""
+
+    ConnectionCls = Connection
+
+
 class Upstream:
     """Connections to targets and peers, pooled by address."""
 
@@ -54,6 +78,7 @@
         self.pools = urllib3.PoolManager(
             num_pools=POOLS, maxsize=POOL_CONNECTIONS, block=False, retries=False
         )
+        self.pools.pool_classes_by_scheme = {"http": Pool}
 
     def open(self, address, method, path, headers, body, timeout_ms, fresh=False):
         """Send a request and return the response, its body still unread.
@@ -61,41 +86,62 @@
         `fresh` uses a new connection, so that a failure to connect is the only
         ambiguity-free failure and a stale pooled connection can't cause another.
         """
-        pools = self.fresh_pools() if fresh else self.pools
         timeout = urllib3.Timeout(
             connect=CONNECT_TIMEOUT_S, read=max(timeout_ms, 1) / MS_PER_S
         )
-        try:
-            return pools.urlopen(
-                method,
-                f"http://{address}{path}",
-                headers=headers,
-                body=body,
-                timeout=timeout,
-                preload_content=False,
-                decode_content=False,
-                redirect=False,
-                assert_same_host=False,
-            )
-        except NEVER_CONNECTED as error:
-            raise ConnectError("can't connect") from error
-        except ReadTimeoutError as error:
-            raise LateError("no answer in time") from error
-        except (HTTPError, OSError) as error:
-            raise UpstreamError(f"no answer ({type(error).__name__})") from error
-
-    def fresh_pools(self):
-        """Return a pool of connections that no request has used."""
-        return urllib3.PoolManager(num_pools=1, maxsize=1, retries=False)
+        with contextlib.ExitStack() as stack:
+            pool = self.pool(address, fresh, stack)
+            response = send(pool, method, path, headers, body, timeout)
+            # A fresh connection is closed with its pool, when the answer is read.
+            response.owned = stack.pop_all()
+        return response
+
+    def pool(self, address, fresh, stack):
+        """Return the pool to use; `stack` owns one that no other request uses."""
+        if not fresh:
+            return self.pools.connection_from_url(f"http://{address}")
+        host, _, port = address.rpartition(":")
+        pool = Pool(host.strip("[]"), int(port), maxsize=1, retries=False)
+        stack.callback(pool.close)
+        return pool
 
     def close(self):
         """Close all pooled connections."""
         self.pools.clear()
 
 
+def send(pool, method, path, headers, body, timeout):
+    """Send a request; return its response, the body unread."""
+    try:
+        return pool.urlopen(
+            method,
+            path,
+            headers=headers,
+            body=body,
+            timeout=timeout,
+            retries=False,
+            preload_content=False,
+            decode_content=False,
+            redirect=False,
+            assert_same_host=False,
+        )
+    except NEVER_CONNECTED as error:
+        raise ConnectError("can't connect") from error
+    except ReadTimeoutError as error:
+        raise LateError("no answer in time") from error
+    except (HTTPError, OSError) as error:
+        raise UpstreamError(f"no answer ({type(error).__name__})") from error
+
+
+def limit_wait(response, ms):
+    """Let the wait for each further part of an answer last at most `ms`."""
+    response.connected.settimeout(max(ms, 1) / MS_PER_S)
+
+
 def read_body(response):
     """Yield the body's parts as they arrive; close the connection unless it ended."""
     with contextlib.ExitStack() as stack:
+        stack.enter_context(response.owned)
         stack.callback(response.close)
         try:
             yield from response.stream(READ_BYTES, decode_content=False)
@@ -104,5 +150,4 @@
         except (HTTPError, OSError) as error:
             problem = f"answer was cut off ({type(error).__name__})"
             raise UpstreamError(problem) from error
-        stack.pop_all()
         response.release_conn()
--- a/pollenmount/task.py
+++ b/pollenmount/task.py
@@ -10,7 +10,17 @@
 
 from pollenmount.log import get_logger
 
-__all__ = ["Event", "Mailbox", "Task", "Timeout", "patch", "sleep", "spawn"]
+__all__ = [
+    "Event",
+    "Mailbox",
+    "Task",
+    "Timeout",
+    "current",
+    "interrupt",
+    "patch",
+    "sleep",
+    "spawn",
+]
 
 MS_PER_S = 1000
 
@@ -36,6 +46,16 @@
     return eventlet.spawn(run_logged, function, *args)
 
 
+def current():
+    """Return the task that runs."""
+    return eventlet.getcurrent()
+
+
+def interrupt(thread, error):
+    """Raise `error` in another task, at the point where it waits."""
+    eventlet.kill(thread, error)
+
+
 def run_logged(function, *args):
     """Call `function` and log the exception that ends it, if any."""
     try:
