--- a/pollenmount/api/callers.py
+++ b/pollenmount/api/callers.py
@@ -6,8 +6,7 @@
 
 from result import Err, Ok
 
-from pollenmount import task
-from pollenmount.api.answer import Answerer, Record
+from pollenmount.api.answer import Answerer
 from pollenmount.api.entries import list_entries
 from pollenmount.api.web import json_reply, refusal_reply
 from pollenmount.errors import Refusal, RefusalKind
@@ -148,11 +147,7 @@
         if is_idempotent(call.route):
             # A recorded action runs on, so that a repeat finds its answer.
             request.cancel_on_hangup()
-        try:
-            return self.answerer.answer(call)
-        except task.Cancelled:
-            Record(self.kernel, call, None).end("caller_gone")
-            raise
+        return self.answerer.answer(call)
 
     def make_call(self, request, caller):
         """Return Ok(Call) or Err(Refusal)."""
--- a/pollenmount/parts/members.py
+++ b/pollenmount/parts/members.py
@@ -46,5 +46,5 @@
         settings.listen.peers,
         settings.listen.control,
         kernel.get("plans").number,
-        kernel.stopping,
+        not kernel.is_ready(),
     )
--- a/tests/faults/test_product_stop.py
+++ b/tests/faults/test_product_stop.py
@@ -149,6 +149,8 @@
         stop_delay_ms=500,
         heartbeat_ms=200,
     )
+    for name in small.settings:
+        wait_until(lambda vm=name: set(names(small, vm)) == set(small.settings))
     callers = [Caller(small, number) for number in range(6)]
     for caller in callers:
         caller.start()
