--- /dev/null
+++ b/pollenmount/consensus/record.py
@@ -0,0 +1,76 @@
+"""Records of the files of a replica: a salt, a length, a checksum, and the content.
+
+Each file draws a salt, which starts each of its records and goes into the checksum, so
+that no content can look like a record.
+"""
+
+import os
+import struct
+import zlib
+from typing import NamedTuple
+
+__all__ = ["SALT_BYTES", "Scan", "draw_salt", "pack", "scan"]
+
+SALT_BYTES = 8
+HEADER = struct.Struct(f">{SALT_BYTES}sII")
+
+
+class Scan(NamedTuple):
+    """The contents of the sound records, and what follows them.
+
+    `damaged` tells that a sound record comes after one that isn't.
+    """
+
+    contents: tuple[bytes, ...]
+    salt: bytes
+    end: int
+    damaged: bool
+
+
+def draw_salt():
+    """Return a new salt."""
+    return os.urandom(SALT_BYTES)
+
+
+def pack(salt, content):
+    """Return the record of `content`."""
+    return HEADER.pack(salt, len(content), checksum(salt, content)) + content
+
+
+def checksum(salt, content):
+    """Return the checksum over salt, length and content."""
+    seed = zlib.crc32(salt + len(content).to_bytes(8, "big"))
+    return zlib.crc32(content, seed)
+
+
+def unpack(data, offset, salt):
+    """Return the content of the record at `offset`, or None if it isn't sound."""
+    start = offset + HEADER.size
+    if start > len(data):
+        return None
+    found, length, expected = HEADER.unpack_from(data, offset)
+    content = data[start : start + length]
+    if found != salt or len(content) != length:
+        return None
+    return content if checksum(salt, content) == expected else None
+
+
+def scan(data):
+    """Return the `Scan` of a file; its first record tells the salt."""
+    salt = data[:SALT_BYTES]
+    contents = []
+    end = 0
+    while (content := unpack(data, end, salt)) is not None:
+        contents.append(content)
+        end += HEADER.size + len(content)
+    return Scan(tuple(contents), salt, end, has_record_after(data, end, salt))
+
+
+def has_record_after(data, offset, salt):
+    """Return whether a sound record starts anywhere after `offset`."""
+    position = data.find(salt, offset + 1)
+    while position >= 0:
+        if unpack(data, position, salt) is not None:
+            return True
+        position = data.find(salt, position + 1)
+    return False
--- a/scripts/mutations.py
+++ b/scripts/mutations.py
@@ -24,6 +24,9 @@
 MEMBERSHIP = "pollenmount/consensus/membership.py"
 MESSAGES = "pollenmount/consensus/messages.py"
 STATE = "pollenmount/consensus/state.py"
+JOURNAL = "pollenmount/consensus/journal.py"
+RECORD = "pollenmount/consensus/record.py"
+FILES = "tests/stateful/test_journal.py"
 STEP = "pollenmount/consensus/raft.py"
 
 
@@ -178,6 +181,76 @@
         "if False:",
         RAFT,
     ),
+    Mutation(
+        "sync of a save left out",
+        JOURNAL,
+        "            self.disk.sync(JOURNAL)\n        self.size",
+        "            pass\n        self.size",
+        FILES,
+    ),
+    Mutation(
+        "sync before renaming left out",
+        JOURNAL,
+        "self.disk.sync(name + NEW)",
+        "pass",
+        FILES,
+    ),
+    Mutation(
+        "sync of the folder left out",
+        JOURNAL,
+        "self.disk.sync_folder()",
+        "pass",
+        FILES,
+    ),
+    Mutation(
+        "torn tail not cut",
+        JOURNAL,
+        "self.disk.truncate(JOURNAL, found.end)",
+        "pass",
+        FILES,
+    ),
+    Mutation(
+        "partial write not undone",
+        JOURNAL,
+        "self.disk.truncate(JOURNAL, self.size)",
+        "pass",
+        FILES,
+    ),
+    Mutation(
+        "journal not replaced after a snapshot",
+        JOURNAL,
+        "        self.rewrite(snapshot, term, voted_for, log)\n\n    def rewrite",
+        "\n    def rewrite",
+        FILES,
+    ),
+    Mutation(
+        "entries kept that the snapshot contradicts",
+        JOURNAL,
+        "if log != saved.log:",
+        "if False:",
+        FILES,
+    ),
+    Mutation(
+        "checksum not looked at",
+        RECORD,
+        "return content if checksum(salt, content) == expected else None",
+        "return content",
+        FILES,
+    ),
+    Mutation(
+        "damage taken for a torn tail",
+        RECORD,
+        "has_record_after(data, end, salt))",
+        "False)",
+        FILES,
+    ),
+    Mutation(
+        "failed sync forgotten",
+        JOURNAL,
+        "self.failed = True",
+        "pass",
+        FILES,
+    ),
 )
 
 
--- /dev/null
+++ b/tests/stateful/test_journal.py
@@ -0,0 +1,266 @@
+"""The journal on a disk that loses what isn't synced, tears tails and runs full.
+
+POLLENMOUNT_FUZZ names more examples than in CI, 30 saves each.
+"""
+
+import contextlib
+import errno
+import os
+import random
+
+import msgspec
+import pytest
+from hypothesis import HealthCheck, Phase, given, settings
+from hypothesis import strategies as st
+
+from pollenmount.consensus import journal as j
+from pollenmount.consensus.disk import Disk
+from pollenmount.consensus.messages import Configuration, Entry, Replica, Snapshot
+from pollenmount.consensus.state import Log, SaveEntries
+
+VOTER = Replica("a", "1", "x", "127.0.0.1:1")
+EXAMPLES = int(os.environ.get("POLLENMOUNT_FUZZ", "0"))
+SETTINGS = settings(
+    max_examples=EXAMPLES or 300,
+    derandomize=not EXAMPLES,
+    phases=[Phase.generate],
+    database=None,
+    deadline=None,
+    suppress_health_check=list(HealthCheck),
+)
+
+
+class CrashError(Exception):
+    """The power is gone."""
+
+
+class FakeDisk:
+    """Files with a synced and a present content; `countdown` steps until a crash."""
+
+    def __init__(self, draw):
+        self.draw = draw
+        self.files, self.names, self.synced_names = {}, {}, {}
+        self.countdown = None
+        self.room = 1 << 30
+
+    def count(self):
+        if self.countdown is not None:
+            self.countdown -= 1
+            if self.countdown < 0:
+                raise CrashError
+
+    def read(self, name):
+        file = self.names.get(name)
+        return None if file is None else bytes(file[1])
+
+    def write(self, name, data):
+        self.names[name] = [b"", b""]
+        self.append(name, data)
+
+    def append(self, name, data):
+        file = self.names[name]
+        written = data[: self.room]
+        self.room -= len(written)
+        file[1] += written
+        self.count()
+        if len(written) < len(data):
+            raise OSError(errno.ENOSPC, "no room")
+
+    def truncate(self, name, length):
+        file = self.names[name]
+        file[1] = file[1][:length]
+        self.count()
+
+    def sync(self, name):
+        self.count()
+        file = self.names[name]
+        file[0] = file[1]
+
+    def rename(self, old, new):
+        self.names[new] = self.names.pop(old)
+        self.count()
+
+    def sync_folder(self):
+        self.count()
+        self.synced_names = dict(self.names)
+
+    def close(self):
+        pass
+
+    def crash(self):
+        """Keep the names and contents that a crash may leave."""
+        self.countdown = None
+        if self.draw.random() < 0.5:
+            self.names = dict(self.synced_names)
+        for file in self.names.values():
+            file[:] = [self.torn(*file)] * 2
+        self.synced_names = dict(self.names)
+
+    def torn(self, synced, present):
+        if not present.startswith(synced):
+            return self.draw.choice((synced, present))
+        tail = bytearray(present[len(synced) :])
+        del tail[self.draw.randint(0, len(tail)) :]
+        for _ in range(self.draw.randint(0, 2) if tail else 0):
+            tail[self.draw.randrange(len(tail))] = self.draw.randrange(256)
+        return synced + bytes(tail)
+
+
+def view(saved):
+    """Return what counts of a `Saved`: the log from its snapshot on."""
+    log = saved.log
+    start = max(saved.snapshot.index, log.base_index)
+    return saved._replace(log=(start, log.term_at(start), log.after(start)))
+
+
+class Writer:
+    """Saves at random and knows what may be found after a crash."""
+
+    def __init__(self, seed):
+        self.draw = random.Random(seed)
+        self.disk = FakeDisk(self.draw)
+        self.journal = j.Journal(self.disk)
+        self.now = self.journal.saved
+        self.saves = 0
+
+    def next_append(self):
+        draw, now = self.draw, self.now
+        log = now.log
+        first = draw.randint(
+            max(log.base_index, now.snapshot.index) + 1, log.last_index + 1
+        )
+        term = now.term + draw.randint(0, 1)
+        entries = tuple(
+            Entry(term, "x", draw.randbytes(draw.choice((0, 9, 300))))
+            for _ in range(draw.randint(0, 4))
+        )
+        new = now._replace(
+            term=term,
+            voted_for=draw.choice((None, VOTER)),
+            log=log.replaced_from(first, entries),
+        )
+        saves = (SaveEntries(first, entries),)
+        return [now, new], lambda: self.journal.save(term, new.voted_for, saves)
+
+    def next_snapshot(self):
+        draw, now = self.draw, self.now
+        index = draw.randint(now.snapshot.index + 1, now.log.last_index + 2)
+        known = now.log.term_at(index)
+        term = draw.choice((known or now.term, now.term))
+        data = draw.randbytes(draw.choice((0, 50)))
+        snapshot = Snapshot(index, term, Configuration((VOTER,)), data)
+        log = j.match_log(now.log, snapshot)
+        if known == term:
+            log = log.without(draw.randint(max(log.base_index, index - 2), index))
+        new = now._replace(snapshot=snapshot, log=log)
+        half = now._replace(snapshot=snapshot, log=j.match_log(now.log, snapshot))
+        save = self.journal.save_snapshot
+        return [now, half, new], lambda: save(snapshot, now.term, now.voted_for, log)
+
+    def work(self):
+        """Save once, with a crash or a full disk at times; check what is left."""
+        allowed, save = self.draw.choice(
+            (self.next_append, self.next_append, self.next_append, self.next_snapshot)
+        )()
+        fault = self.draw.random()
+        if fault < 0.2:
+            self.disk.countdown = self.draw.randint(0, 7)
+        elif fault < 0.3:
+            self.disk.room = self.draw.randint(0, 300)
+        try:
+            save()
+            allowed = allowed[-1:]
+            self.saves += 1
+        except (CrashError, j.JournalFullError):
+            allowed = allowed[:-1] if self.disk.countdown is None else allowed
+        self.disk.room = 1 << 30
+        crashed = self.disk.countdown is not None
+        if crashed or len(allowed) > 1 or self.draw.random() < 0.1:
+            self.reopen()
+            assert view(self.journal.saved) in [view(a) for a in allowed]
+            self.now = self.journal.saved
+        else:
+            self.now = allowed[-1]
+
+    def reopen(self):
+        """Open the journal after a crash, with a second crash meanwhile at times."""
+        self.disk.crash()
+        if self.draw.random() < 0.3:
+            self.disk.countdown = self.draw.randint(0, 5)
+            with contextlib.suppress(CrashError):
+                j.Journal(self.disk)
+            self.disk.crash()
+        self.journal = j.Journal(self.disk)
+
+
+@given(st.integers(0, 1 << 30))
+@SETTINGS
+def test_what_was_saved_is_found_after_a_crash(seed):
+    writer = Writer(seed)
+    for _ in range(30):
+        writer.work()
+    assert writer.saves
+
+
+def filled(disk, count=5):
+    journal = j.Journal(disk)
+    for index in range(1, count + 1):
+        entry = Entry(1, "x", b"body %d" % index)
+        journal.save(1, VOTER, (SaveEntries(index, (entry,)),))
+    return journal
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_damage_before_the_tail_is_refused_with_the_remedy(seed):
+    draw = random.Random(seed)
+    disk = FakeDisk(draw)
+    size = filled(disk).size
+    last = len(msgspec.msgpack.encode(j.Record(1, VOTER, ()))) + 16
+    file = disk.names[j.JOURNAL]
+    position = draw.randrange(size - last - 20)
+    data = bytearray(file[1])
+    data[position] ^= 1 << draw.randrange(8)
+    file[:] = [bytes(data)] * 2
+    with pytest.raises(j.JournalDamagedError, match="move the folder away"):
+        j.Journal(disk)
+
+
+def test_missing_files_are_refused(tmp_path):
+    for gone in (j.JOURNAL, j.SNAPSHOT):
+        disk = Disk(tmp_path / gone)
+        journal = filled(disk)
+        log = journal.disk and Log(3, 1, (Entry(1, "x", b""),))
+        journal.save_snapshot(
+            Snapshot(3, 1, Configuration((VOTER,)), b""), 1, None, log
+        )
+        journal.close()
+        (tmp_path / gone / gone).unlink()
+        with pytest.raises(j.JournalDamagedError):
+            j.Journal(Disk(tmp_path / gone))
+
+
+def test_real_files_hold_what_was_saved_and_a_new_folder_is_a_new_incarnation(tmp_path):
+    journal = filled(Disk(tmp_path / "a"))
+    journal.close()
+    with open(tmp_path / "a" / j.JOURNAL, "ab") as file:
+        file.write(b"torn")
+    again = j.Journal(Disk(tmp_path / "a"))
+    assert again.saved.incarnation == journal.saved.incarnation
+    assert len(again.saved.log.entries) == 5
+    again.save(2, None)
+    assert j.Journal(Disk(tmp_path / "a")).saved.term == 2
+    other = j.Journal(Disk(tmp_path / "b"))
+    assert other.saved.incarnation != journal.saved.incarnation
+
+
+def test_failed_sync_ends_the_journal():
+    class BrokenDisk(FakeDisk):
+        def sync(self, name):
+            raise OSError(errno.EIO, "broken")
+
+    disk = FakeDisk(random.Random(0))
+    journal = filled(disk)
+    for kind in (BrokenDisk, FakeDisk):
+        disk.__class__ = kind
+        with pytest.raises(j.JournalFailedError, match="restart the node"):
+            journal.save(2, None)
