--- /dev/null
+++ b/pollenmount/api/operations/groups.py
@@ -0,0 +1,17 @@
+"""Operations on replicated logs: the state of this node's replicas."""
+
+from pollenmount.api.web import json_reply
+from pollenmount.plugin import register
+
+
+@register("pollenmount.api.operations", "GET /v1/groups")
+def groups(kernel, request):
+    """Return a row for each replica on this node.
+
+    `confirmed` tells that it leads now and has applied all that was committed before.
+    """
+    rows = []
+    for group in kernel.get("local_groups").values():
+        confirmed = group.confirm()
+        rows.append({**group.status()._asdict(), "confirmed": confirmed})
+    return json_reply({"groups": rows})
--- a/pollenmount/consensus/group.py
+++ b/pollenmount/consensus/group.py
@@ -1,96 +1,390 @@
-"""Replicated logs as the rest of the program sees them.
+"""The runtime of one replica: a task that owns its state, journal and machine.
 
-A `Group` applies commands to a state machine in one agreed order; `GroupClient` finds
-its leader from any node.
+Everything that waits is taken in one batch: the step function is run over it, what it
+asks for is saved by one sync, and only then do messages and answers leave.
 """
 
+import contextlib
+import queue
 from typing import NamedTuple
 
 import msgspec
-from result import Err, Ok
 
-from pollenmount.bridge.control import register_call
-from pollenmount.errors import Refusal, RefusalKind
+from pollenmount import task
+from pollenmount.consensus import messages as m
+from pollenmount.consensus import state as s
+from pollenmount.consensus.calls import Exchange, Fate, ProposeReply, pack, unpack
+from pollenmount.consensus.journal import JournalFailedError, JournalFullError
+from pollenmount.consensus.link import Link
+from pollenmount.consensus.raft import step
+from pollenmount.consensus.waiting import Waiting
+from pollenmount.log import get_logger
 
-__all__ = ["Group", "GroupClient", "Propose", "ProposeReply"]
+__all__ = ["Group", "GroupStatus"]
 
-PROPOSE_TIMEOUT_MS = 3000
-RETRY_AFTER_MS = 1000
+PROPOSE_WAIT_MS = 3000
+EXCHANGE_WAIT_MS = 900
+COMPACT_ENTRIES = 1024
+COMPACT_BYTES = 4 << 20
+QUIET_MS = 1000
 
+logger = get_logger("consensus")
 
-class Propose(NamedTuple):
-    """Call: apply an encoded command to a group's machine."""
 
-    group: str
-    command: str
+class Incoming(NamedTuple):
+    """Messages of another replica; `reply` is sent those that go back, or is None."""
+
+    exchange: Exchange
+    reply: task.Event | None
+
+
+class Proposal(NamedTuple):
+    """A command of this node's; `done` is sent its `ProposeReply`."""
+
+    kind: str
     body: bytes
+    done: task.Event
 
 
-class ProposeReply(NamedTuple):
-    """The encoded answer; `leader` names another VM to ask when this one isn't it."""
+class Confirm(NamedTuple):
+    """A linearizable read; `done` is sent whether it was confirmed."""
 
-    applied: bool
-    answer: bytes
-    leader: str
+    done: task.Event
 
 
-register_call(Propose, ProposeReply)
+class GroupStatus(NamedTuple):
+    """One replica as an operator sees it; names are of VMs."""
+
+    group: str
+    role: str
+    term: int
+    leader: str
+    voters: tuple[str, ...]
+    outgoing: tuple[str, ...]
+    learners: tuple[str, ...]
+    commit: int
+    applied: int
+    snapshot_index: int
+    journal_bytes: int
+    failure: str
 
 
 class Group:
-    """One log with a single voter, held in memory."""
+    """One replica of the group `name`.
+
+    `machine` applies commands, `journal` holds what is promised and is written by
+    `worker`, `control` reaches other nodes. `on_apply` is called with the machine after
+    it changed, `stopping` tells that the node is about to end.
+    """
 
-    def __init__(self, machine, on_apply=lambda machine: None):
+    def __init__(self, name, me, machine, journal, worker, control, clock, **options):
+        self.name = name
+        self.me = me
         self.machine = machine
-        self.on_apply = on_apply
+        self.journal = journal
+        self.worker = worker
+        self.control = control
+        self.clock = clock
+        self.on_apply = options.get("on_apply", lambda machine: None)
+        self.stopping = options.get("stopping", lambda: False)
+        self.timing = options.get("timing", s.Timing())
         self.types = {command.__name__: command for command in machine.commands}
+        self.inbox = task.Mailbox()
+        self.links = {}
+        self.waiting = Waiting()
+        self.failure = ""
+        self.handed_over = False
+        self.applied = 0
+        self.rewritten_bytes = journal.size
+        saved = journal.saved
+        self.state = s.restore(
+            me,
+            self.timing,
+            clock.now(),
+            saved.term,
+            saved.voted_for,
+            saved.snapshot,
+            saved.log,
+            saved.commit,
+        )
+        self.quiet_at = 0
+        self.apply()
+        self.loop = task.spawn(self.run)
 
     def propose(self, request):
-        """Apply the command of a `Propose` and return its `ProposeReply`."""
-        command = msgspec.msgpack.decode(request.body, type=self.types[request.command])
-        answer = self.machine.apply(command)
-        self.on_apply(self.machine)
-        return ProposeReply(True, msgspec.msgpack.encode(answer), "")
+        """Return the `ProposeReply` to a `Propose`, at the latest after a while."""
+        # A body that can't be decoded must not get into the log.
+        msgspec.msgpack.decode(request.body, type=self.types[request.command])
+        done = task.Event()
+        reply = self.ask(Proposal(request.command, request.body, done), PROPOSE_WAIT_MS)
+        return reply or self.reply(Fate.UNKNOWN)
 
+    def confirm(self):
+        """Return whether this replica leads and has applied all that was committed."""
+        return bool(self.ask(Confirm(task.Event()), PROPOSE_WAIT_MS))
 
-class GroupClient:
-    """Proposes commands to groups, wherever their leaders are.
+    def exchange(self, exchange):
+        """Take in messages of another replica; return those that go back."""
+        reply = task.Event()
+        self.inbox.put(Incoming(exchange, reply))
+        back = reply.wait(EXCHANGE_WAIT_MS / task.MS_PER_S) or ()
+        return Exchange(self.name, self.me, exchange.sender, tuple(back))
 
-    `voters` maps group names to (VM name to control address).
-    """
+    def deliver(self, exchange):
+        """Take in messages that came back from another replica."""
+        self.inbox.put(Incoming(exchange, None))
 
-    def __init__(self, control, voters):
-        self.control = control
-        self.voters = voters
-        self.leaders = {}
-
-    def propose(self, group, command, answer_type):
-        """Return Ok(answer) or Err(Refusal); a lost answer is `outcome_unknown`."""
-        body = msgspec.msgpack.encode(command)
-        request = Propose(group, type(command).__name__, body)
-        maybe_sent = False
-        for address in self.addresses(group):
-            reply = self.control.call(address, request, PROPOSE_TIMEOUT_MS)
-            if isinstance(reply, Ok) and reply.ok_value.applied:
-                self.leaders[group] = address
-                answer = msgspec.msgpack.decode(reply.ok_value.answer, type=answer_type)
-                return Ok(answer)
-            if isinstance(reply, Err):
-                maybe_sent = maybe_sent or reply.err_value.sent
-        return Err(no_quorum(group, maybe_sent))
-
-    def addresses(self, group):
-        """Return the addresses to ask, the last known leader first."""
-        addresses = [*self.voters.get(group, {}).values()]
-        leader = self.leaders.get(group)
-        return sorted(addresses, key=lambda address: address != leader)
-
-
-def no_quorum(group, maybe_sent):
-    """Return the refusal for a group that gave no answer."""
-    return Refusal(
-        RefusalKind.NO_QUORUM,
-        f"the log {group!r} has no leader in reach; come back later with the same key",
-        not_run=not maybe_sent,
-        retry_after_ms=RETRY_AFTER_MS,
-    )
+    def offer(self, replica):
+        """Take in that a replica outside the group can join."""
+        self.inbox.put(m.Offer(replica))
+
+    def bootstrap(self, replicas):
+        """Start the group with its first voters."""
+        self.inbox.put(m.Bootstrap(m.Configuration(tuple(replicas))))
+
+    def ask(self, request, timeout_ms):
+        """Queue a request; return what its `done` is sent, or None in time."""
+        if self.failure:
+            return None
+        self.inbox.put(request)
+        return request.done.wait(timeout_ms / task.MS_PER_S)
+
+    def reply(self, fate, answer=b""):
+        """Return the `ProposeReply` for a fate."""
+        leader = self.state.leader
+        address = leader.address if leader else ""
+        return ProposeReply(fate is Fate.APPLIED, answer, address, fate)
+
+    def run(self):
+        """Take batches until the disk fails."""
+        while not self.failure:
+            try:
+                self.take(self.gather())
+            except JournalFailedError as error:
+                self.fail(str(error))
+            except Exception:
+                self.fail("a fault of the program; report it, then restart the node")
+                raise
+
+    def fail(self, problem):
+        """Take no further part in the group."""
+        self.failure = problem
+        self.waiting.end(self.reply(Fate.UNKNOWN))
+        logger.error("replica failed", extra={"group": self.name, "problem": problem})
+
+    def gather(self):
+        """Return all that waits, after waiting for something or for the next timer."""
+        batch = []
+        try:
+            batch.append(self.inbox.get(timeout=self.sleep_ms() / task.MS_PER_S))
+            while True:
+                batch.append(self.inbox.get_nowait())
+        except queue.Empty:
+            return batch
+
+    def sleep_ms(self):
+        """Return the time until the next timer, at most a heartbeat's interval."""
+        state = self.state
+        is_leader = state.role is s.Role.LEADER
+        next_at = state.heartbeat_at if is_leader else state.election_at
+        return min(max(1, next_at - self.clock.now()), self.timing.heartbeat_ms)
+
+    def take(self, batch):
+        """Run one batch through the step function, save, then let out what follows."""
+        draft = Draft(self.state, self.clock.now())
+        for item in batch:
+            self.put_in(draft, item)
+        proposals = [item for item in batch if isinstance(item, Proposal)]
+        if proposals:
+            commands = tuple((item.kind, item.body) for item in proposals)
+            draft.step(m.ProposeEntries(0, commands))
+        if self.stopping() and not self.handed_over:
+            self.handed_over = True
+            draft.step(m.Transfer())
+        draft.step(m.Tick())
+        try:
+            self.save(draft)
+        except JournalFullError as error:
+            self.refuse(batch, proposals, error)
+            return
+        self.let_out(draft, batch, proposals)
+        self.compact()
+        self.save_commit()
+
+    def put_in(self, draft, item):
+        """Put one item of the inbox into the draft; proposals go in together."""
+        if isinstance(item, Incoming):
+            if item.exchange.to == self.me:
+                for packed in item.exchange.messages:
+                    draft.step(m.Receive(item.exchange.sender, unpack(packed)))
+        elif isinstance(item, Confirm):
+            draft.step(m.Read(self.waiting.add_read(item.done)))
+        elif not isinstance(item, Proposal):
+            draft.step(item)
+
+    def save(self, draft):
+        """Save what the draft's effects ask for, by one sync."""
+        state = draft.state
+        if any(isinstance(effect, s.SaveSnapshot) for effect in draft.effects):
+            snapshot = state.snapshot
+            vote = (state.term, state.voted_for)
+            log = state.log
+            self.worker.run(
+                self.journal.save_snapshot, snapshot, *vote, log, state.commit
+            )
+            self.rewritten_bytes = self.journal.size
+            return
+        saves = [e for e in draft.effects if isinstance(e, s.SaveEntries)]
+        if saves or any(isinstance(effect, s.SaveVote) for effect in draft.effects):
+            self.save_record(state, saves)
+
+    def save_record(self, state, saves):
+        """Save one record, on the native thread."""
+        vote = (state.term, state.voted_for)
+        self.worker.run(self.journal.save, *vote, saves, state.commit)
+        self.quiet_at = self.clock.now() + QUIET_MS
+
+    def save_commit(self):
+        """Save how far the log is committed, once nothing else was for a while.
+
+        A node that restarts alone then has its newest plan in force at once.
+        """
+        if self.journal.commit < self.state.commit and self.clock.now() > self.quiet_at:
+            with contextlib.suppress(JournalFullError):
+                self.save_record(self.state, ())
+
+    def refuse(self, batch, proposals, error):
+        """Drop a batch that the disk has no room for, as if it had been lost."""
+        logger.error("disk full", extra={"group": self.name, "problem": str(error)})
+        for proposal in proposals:
+            proposal.done.send(self.reply(Fate.NO_ROOM))
+        self.handed_over = False
+        for item in batch:
+            if isinstance(item, Confirm):
+                self.waiting.fail_read(item.done)
+        rest = [item for item in batch if item not in proposals]
+        if proposals:
+            self.take([item for item in rest if not isinstance(item, Confirm)])
+            return
+        for item in rest:
+            if isinstance(item, Incoming) and item.reply:
+                item.reply.send(())
+
+    def let_out(self, draft, batch, proposals):
+        """Make the saved draft the state; apply, answer and send."""
+        self.state = draft.state
+        for effect in draft.effects:
+            if isinstance(effect, s.Appended):
+                self.waiting.add_proposals(effect, proposals)
+            elif isinstance(effect, s.Rejected):
+                for proposal in proposals:
+                    proposal.done.send(self.reply(Fate.NOT_APPENDED))
+        self.send(draft.effects, batch)
+        self.apply()
+        for effect in draft.effects:
+            if isinstance(effect, s.ReadReady | s.ReadFailed):
+                self.waiting.end_read(effect.id, isinstance(effect, s.ReadReady))
+
+    def send(self, effects, batch):
+        """Send messages: with the reply to a call that waits, or by a link."""
+        outgoing = {}
+        for effect in effects:
+            if isinstance(effect, s.Send):
+                outgoing.setdefault(effect.to, []).append(effect.message)
+        for item in batch:
+            if isinstance(item, Incoming) and item.reply:
+                item.reply.send(pack_all(outgoing.pop(item.exchange.sender, ())))
+        for to, messages in outgoing.items():
+            self.link(to).push(messages)
+
+    def link(self, to):
+        """Return the link to a replica; links to those gone are dropped."""
+        if to not in self.links:
+            members = self.state.configuration.members
+            self.links = {k: v for k, v in self.links.items() if k in members}
+            self.links[to] = Link(self.control, self.name, self.me, to, self.deliver)
+        return self.links[to]
+
+    def apply(self):
+        """Apply what is committed; tell `on_apply` once."""
+        state = self.state
+        before = self.applied
+        if state.snapshot.index > self.applied:
+            self.machine.restore(state.snapshot.data)
+            self.applied = state.snapshot.index
+            self.waiting.skip(self.applied, self.reply(Fate.UNKNOWN))
+        for entry in state.log.after(self.applied)[: state.commit - self.applied]:
+            self.applied += 1
+            answer = self.apply_entry(entry)
+            self.waiting.settle(self.applied, entry.term, answer, self.reply)
+        if self.applied > before:
+            self.on_apply(self.machine)
+
+    def apply_entry(self, entry):
+        """Apply one entry to the machine; return the encoded answer."""
+        if entry.kind not in self.types:
+            return b""
+        command = msgspec.msgpack.decode(entry.body, type=self.types[entry.kind])
+        return msgspec.msgpack.encode(self.machine.apply(command))
+
+    def compact(self):
+        """Take a snapshot once the log or the journal has grown enough."""
+        state = self.state
+        grown = self.journal.size - self.rewritten_bytes
+        limit = max(COMPACT_BYTES, self.rewritten_bytes + len(state.snapshot.data))
+        is_long = self.applied - state.snapshot.index >= COMPACT_ENTRIES
+        if not is_long and grown < limit:
+            return
+        draft = Draft(state, self.clock.now())
+        draft.step(m.Compact(self.applied, self.machine.snapshot()))
+        try:
+            self.save(draft)
+        except JournalFullError as error:
+            logger.error(
+                "no snapshot", extra={"group": self.name, "problem": str(error)}
+            )
+            return
+        self.let_out(draft, (), ())
+
+    def status(self):
+        """Return the `GroupStatus`."""
+        state = self.state
+        configuration = state.configuration
+        return GroupStatus(
+            self.name,
+            str(state.role),
+            state.term,
+            state.leader.name if state.leader else "",
+            tuple(voter.name for voter in configuration.voters),
+            tuple(voter.name for voter in configuration.outgoing),
+            tuple(learner.name for learner in configuration.learners),
+            state.commit,
+            self.applied,
+            state.snapshot.index,
+            self.journal.size,
+            self.failure,
+        )
+
+    def close(self):
+        """Stop and close the files."""
+        self.loop.kill()
+        self.journal.close()
+
+
+class Draft:
+    """Steps on top of a state, and their effects, before anything is saved."""
+
+    def __init__(self, state, now):
+        self.state = state
+        self.now = now
+        self.effects = []
+
+    def step(self, message):
+        """Take one step more."""
+        self.state, effects = step(self.state, message, self.now)
+        self.effects.extend(effects)
+
+
+def pack_all(messages):
+    """Return messages encoded for the wire."""
+    return tuple(pack(message) for message in messages)
--- /dev/null
+++ b/pollenmount/consensus/joining.py
@@ -0,0 +1,96 @@
+"""How a replica gets into its group: as one of the first voters, or by an offer.
+
+The first voter by name starts the group, once every first voter has answered that it
+knows of none. A replica on an empty disk thus never starts a group a second time while
+another voter has its disk.
+"""
+
+from result import Ok
+
+from pollenmount import task
+from pollenmount.consensus.calls import Hello, HelloReply
+from pollenmount.log import get_logger
+
+__all__ = ["Joiner"]
+
+HELLO_TIMEOUT_MS = 1000
+FIRST_INTERVAL_MS = 200
+INTERVAL_MS = 2000
+LOG_EVERY = 25
+
+logger = get_logger("consensus")
+
+
+class Joiner:
+    """Tells the voters named in the settings that this replica is there.
+
+    `voters` maps VM names to control addresses.
+    """
+
+    def __init__(self, group, control, voters):
+        self.group = group
+        self.control = control
+        self.voters = voters
+        self.rounds = 0
+        self.task = task.spawn(self.run)
+
+    def run(self):
+        """Say hello for as long as this replica is no voter."""
+        while True:
+            if not self.is_voter():
+                self.say_hello()
+            is_starting = (
+                self.group.state.is_blank and self.group.me.name in self.voters
+            )
+            task.sleep(FIRST_INTERVAL_MS if is_starting else INTERVAL_MS)
+
+    def is_voter(self):
+        """Return whether this replica votes and has a leader."""
+        state = self.group.state
+        is_silent = state.leader is None and self.group.clock.now() > (
+            state.heard_at + INTERVAL_MS
+        )
+        return self.group.me in state.configuration.voters and not is_silent
+
+    def say_hello(self):
+        """Ask every voter's VM; start the group if all know of none."""
+        me = self.group.me
+        others = {n: a for n, a in self.voters.items() if n != me.name}
+        request = Hello(self.group.name, me)
+        replies = {
+            name: reply.ok_value
+            for name, address in others.items()
+            if isinstance(
+                reply := self.control.call(address, request, HELLO_TIMEOUT_MS), Ok
+            )
+        }
+        if me.name == min(self.voters) and self.group.state.is_blank:
+            self.start(others, replies)
+
+    def start(self, others, replies):
+        """Start the group if every first voter is there and blank."""
+        blank = {n: r.replica for n, r in replies.items() if r.replica and r.blank}
+        known = [n for n, r in replies.items() if r.replica and not r.blank]
+        if blank.keys() == others.keys():
+            self.group.bootstrap((self.group.me, *blank.values()))
+        elif not known:
+            self.tell_missing(sorted(others.keys() - blank.keys()))
+
+    def tell_missing(self, missing):
+        """Log now and then which first voters the group waits for."""
+        self.rounds += 1
+        if self.rounds % LOG_EVERY == 0:
+            logger.warning(
+                "waiting for first voters; start them with a data_folder, or take them "
+                "out of 'groups' on all VMs",
+                extra={"group": self.group.name, "missing": missing},
+            )
+
+    def answer(self, hello):
+        """Take in another replica's hello."""
+        self.group.offer(hello.replica)
+        return HelloReply(self.group.me, self.group.state.is_blank)
+
+    def close(self):
+        """Stop."""
+        self.task.kill()
--- a/pollenmount/consensus/journal.py
+++ b/pollenmount/consensus/journal.py
@@ -56,11 +56,12 @@
 
 
 class Record(NamedTuple):
-    """One save: term and vote as they are now, and entries in order of saving."""
+    """One save: term, vote and commit as they are now, entries in order of saving."""
 
     term: int
     voted_for: Replica | None
     saves: tuple[SaveEntries, ...]
+    commit: int = 0
 
 
 class Saved(NamedTuple):
@@ -71,12 +72,14 @@
     voted_for: Replica | None = None
     snapshot: Snapshot = NO_SNAPSHOT
     log: Log = Log()
+    commit: int = 0
 
 
 class Journal:
     """The files of one replica on `disk`; opening reads them or makes new ones.
 
-    `saved` holds what was found, `size` the bytes of the journal without snapshot.
+    `saved` holds what was found, `size` the bytes of the journal without snapshot,
+    `commit` the commit index saved last.
     """
 
     def __init__(self, disk):
@@ -84,7 +87,9 @@
         self.salt = b""
         self.size = 0
         self.failed = False
+        self.commit = 0
         self.saved = self.load()
+        self.commit = self.saved.commit
 
     def load(self):
         """Return what is on disk, after repairing what a crash may leave."""
@@ -111,7 +116,7 @@
         """
         log = match_log(saved.log, saved.snapshot)
         if log != saved.log:
-            self.rewrite(saved.snapshot, saved.term, saved.voted_for, log)
+            self.rewrite(saved.snapshot, saved.term, saved.voted_for, log, saved.commit)
         return saved._replace(log=log)
 
     def create(self, snapshot_data):
@@ -120,7 +125,7 @@
             self.refuse(JOURNAL, 0)
         saved = Saved(uuid.uuid4().hex)
         self.incarnation = saved.incarnation
-        self.rewrite(NO_SNAPSHOT, 0, None, Log())
+        self.rewrite(NO_SNAPSHOT, 0, None, Log(), 0)
         return saved
 
     def read_snapshot(self, data, head):
@@ -140,9 +145,10 @@
         where = f"{getattr(self.disk, 'folder', '')}/{name}"
         raise JournalDamagedError(f"{where} is damaged at byte {position}; {REMEDY}")
 
-    def save(self, term, voted_for, saves=()):
+    def save(self, term, voted_for, saves=(), commit=0):
         """Append one record and sync it."""
-        content = msgspec.msgpack.encode(Record(term, voted_for, tuple(saves)))
+        found = Record(term, voted_for, tuple(saves), commit)
+        content = msgspec.msgpack.encode(found)
         data = record.pack(self.salt, content)
         with self.guard():
             try:
@@ -152,25 +158,26 @@
                 raise full(error) from error
             self.disk.sync(JOURNAL)
         self.size += len(data)
+        self.commit = commit
 
-    def save_snapshot(self, snapshot, term, voted_for, log):
+    def save_snapshot(self, snapshot, term, voted_for, log, commit=0):
         """Replace the snapshot, then the journal by what is still needed of it."""
         with self.guard():
             salt = record.draw_salt()
             content = msgspec.msgpack.encode(snapshot)
             self.replace(SNAPSHOT, record.pack(salt, content))
-        self.rewrite(snapshot, term, voted_for, log)
+        self.rewrite(snapshot, term, voted_for, log, commit)
 
-    def rewrite(self, snapshot, term, voted_for, log):
+    def rewrite(self, snapshot, term, voted_for, log, commit):
         """Replace the journal."""
         salt = record.draw_salt()
         head = Head(self.incarnation, log.base_index, log.base_term, snapshot.index)
         saves = (SaveEntries(log.base_index + 1, log.entries),)
-        contents = (head, Record(term, voted_for, saves))
+        contents = (head, Record(term, voted_for, saves, commit))
         data = b"".join(record.pack(salt, msgspec.msgpack.encode(c)) for c in contents)
         with self.guard():
             self.replace(JOURNAL, data)
-        self.salt, self.size = salt, len(data)
+        self.salt, self.size, self.commit = salt, len(data), commit
 
     def replace(self, name, data):
         """Replace a file as a whole, durably."""
@@ -216,7 +223,9 @@
         log = saved.log
         for save in found.saves:
             log = log.replaced_from(save.first_index, save.entries)
-        saved = saved._replace(term=found.term, voted_for=found.voted_for, log=log)
+        saved = saved._replace(
+            term=found.term, voted_for=found.voted_for, log=log, commit=found.commit
+        )
     return saved
 
 
--- /dev/null
+++ b/pollenmount/consensus/link.py
@@ -0,0 +1,55 @@
+"""Links to other replicas: one call at a time, with everything that waits in it."""
+
+import collections
+
+from result import Ok
+
+from pollenmount import task
+from pollenmount.consensus.calls import Exchange, pack
+
+__all__ = ["Link"]
+
+CALL_TIMEOUT_MS = 1000
+BYTES_PER_MS = 1000
+MAX_QUEUED = 256
+
+
+class Link:
+    """Carries the messages of one group to one other replica.
+
+    `deliver` is called with the `Exchange` that comes back. Messages may be lost.
+    """
+
+    def __init__(self, control, group, me, to, deliver):
+        self.control = control
+        self.group = group
+        self.me = me
+        self.to = to
+        self.deliver = deliver
+        self.queue = collections.deque(maxlen=MAX_QUEUED)
+        self.busy = False
+
+    def push(self, messages):
+        """Queue messages; they leave with the next call."""
+        self.queue.extend(messages)
+        if not self.busy:
+            self.busy = True
+            task.spawn(self.run)
+
+    def run(self):
+        """Send what is queued until nothing is."""
+        try:
+            while self.queue:
+                self.send(tuple(pack(message) for message in self.queue))
+        finally:
+            self.busy = False
+
+    def send(self, packed):
+        """Send messages in one call and take in what comes back."""
+        self.queue.clear()
+        exchange = Exchange(self.group, self.me, self.to, packed)
+        size = sum(len(message.body) for message in packed)
+        timeout_ms = CALL_TIMEOUT_MS + size // BYTES_PER_MS
+        reply = self.control.call(self.to.address, exchange, timeout_ms)
+        if isinstance(reply, Ok):
+            self.deliver(reply.ok_value)
--- a/pollenmount/consensus/state.py
+++ b/pollenmount/consensus/state.py
@@ -15,6 +15,7 @@
 )
 
 __all__ = [
+    "NO_SNAPSHOT",
     "Appended",
     "Log",
     "PendingRead",
@@ -309,9 +310,10 @@
     }
 
 
-def restore(me, timing, now, term=0, voted_for=None, snapshot=None, log=Log()):
+def restore(
+    me, timing, now, term=0, voted_for=None, snapshot=NO_SNAPSHOT, log=Log(), commit=0
+):
     """Return the state of a replica that starts from what it saved."""
-    snapshot = snapshot or NO_SNAPSHOT
     state = State(
         me,
         timing,
@@ -319,7 +321,7 @@
         voted_for=voted_for,
         log=log,
         snapshot=snapshot,
-        commit=snapshot.index,
+        commit=max(snapshot.index, min(commit, log.last_index)),
         heard_at=now - timing.election_ms,
         **find_configuration(log, snapshot),
     )
--- /dev/null
+++ b/pollenmount/consensus/waiting.py
@@ -0,0 +1,61 @@
+"""Requests of this node that wait for the log: proposals by index, reads by number."""
+
+from pollenmount.consensus.calls import Fate
+
+__all__ = ["Waiting"]
+
+
+class Waiting:
+    """Events to send, once it is known what became of a request."""
+
+    def __init__(self):
+        self.proposals = {}
+        self.reads = {}
+        self.next_read = 0
+
+    def add_proposals(self, appended, proposals):
+        """Remember proposals that are in the log now."""
+        for index, proposal in enumerate(proposals, start=appended.first_index):
+            self.proposals[index] = (appended.term, proposal.done)
+
+    def settle(self, index, term, answer, reply):
+        """Answer the proposal at an index that was committed.
+
+        An entry of another term there proves that the proposal's entry is gone.
+        """
+        if index not in self.proposals:
+            return
+        proposed_term, done = self.proposals.pop(index)
+        is_same = proposed_term == term
+        fate = Fate.APPLIED if is_same else Fate.NOT_APPENDED
+        done.send(reply(fate, answer if is_same else b""))
+
+    def skip(self, index, unknown):
+        """Answer `unknown` to proposals up to an index that a snapshot covers."""
+        for waiting in [known for known in self.proposals if known <= index]:
+            self.proposals.pop(waiting)[1].send(unknown)
+
+    def add_read(self, done):
+        """Remember a read; return its number."""
+        self.next_read += 1
+        self.reads[self.next_read] = done
+        return self.next_read
+
+    def end_read(self, id_, is_confirmed):
+        """Answer a read."""
+        if id_ in self.reads:
+            self.reads.pop(id_).send(is_confirmed)
+
+    def fail_read(self, done):
+        """Answer a read that was never started."""
+        for id_ in [known for known, event in self.reads.items() if event is done]:
+            self.end_read(id_, False)
+
+    def end(self, unknown):
+        """Answer everything, as the replica goes no further."""
+        for _, done in self.proposals.values():
+            done.send(unknown)
+        for done in self.reads.values():
+            done.send(False)
+        self.proposals.clear()
+        self.reads.clear()
--- a/pollenmount/parts/groups.py
+++ b/pollenmount/parts/groups.py
@@ -1,34 +1,110 @@
 """Replicated logs: the replicas on this node, and the client for all of them."""
 
+from pathlib import Path
+
 from pollenmount.actions.machine import ActionMachine
-from pollenmount.consensus.group import Group, GroupClient, Propose, ProposeReply
+from pollenmount.bridge.worker import NativeWorker
+from pollenmount.consensus.calls import (
+    Exchange,
+    Hello,
+    HelloReply,
+    Propose,
+    ProposeReply,
+)
+from pollenmount.consensus.client import GroupClient
+from pollenmount.consensus.disk import Disk
+from pollenmount.consensus.group import Group
+from pollenmount.consensus.joining import Joiner
+from pollenmount.consensus.journal import Journal
+from pollenmount.consensus.messages import Replica
 from pollenmount.plans.machine import GROUP as PLANS_GROUP
 from pollenmount.plans.machine import PlanMachine
 from pollenmount.plugin import register
 
+FOLDER = "groups"
+
 
 @register("pollenmount.parts", "group_client")
 def build_client(kernel):
     """Return the client that finds the leader of a group."""
-    return GroupClient(kernel.get("control_client"), kernel.settings.groups)
+    settings = kernel.settings
+    return GroupClient(
+        kernel.get("control_client"),
+        settings.groups,
+        kernel.clock,
+        kernel.get("local_groups"),
+        settings.listen.control,
+    )
 
 
 @register("pollenmount.parts", "local_groups")
 def build_local(kernel):
-    """Return this node's replicas of the groups it votes in, by name."""
-    store = kernel.get("plans")
+    """Return this node's replicas by group: voters, and spares for lost voters."""
+    settings = kernel.settings
     groups = {}
-    for name, voters in kernel.settings.groups.items():
-        if kernel.settings.name != next(iter(voters)):
-            continue
-        if name == PLANS_GROUP:
-            groups[name] = Group(PlanMachine(), lambda m: store.offer(m.current))
-        else:
-            groups[name] = Group(ActionMachine())
+    joiners = {}
+    for name, voters in settings.groups.items():
+        is_spare = name == PLANS_GROUP
+        if settings.data_folder and (is_spare or settings.name in voters):
+            groups[name] = build_group(kernel, name)
+            joiner = Joiner(groups[name], kernel.get("control_client"), voters)
+            joiners[name] = kernel.own(joiner)
+    register_handlers(kernel, groups, joiners)
+    return groups
+
+
+def build_group(kernel, name):
+    """Return the replica of one group, from what its folder holds."""
+    settings = kernel.settings
+    folder = Path(settings.data_folder) / FOLDER / name.replace("/", "-")
+    journal = Journal(Disk(folder))
+    me = Replica(
+        settings.name,
+        journal.saved.incarnation,
+        settings.failure_domain,
+        settings.listen.control,
+    )
+    machine, on_apply = build_machine(kernel, name)
+    worker = kernel.own(NativeWorker(kernel.get("hub")))
+    group = Group(
+        name,
+        me,
+        machine,
+        journal,
+        worker,
+        kernel.get("control_client"),
+        kernel.clock,
+        on_apply=on_apply,
+        stopping=lambda: kernel.stopping,
+    )
+    return kernel.own(group)
+
+
+def build_machine(kernel, name):
+    """Return the machine of a group, and what is called after it changed."""
+    if name == PLANS_GROUP:
+        store = kernel.get("plans")
+        return PlanMachine(), lambda machine: store.offer(machine.current)
+    return ActionMachine(), lambda machine: None
+
+
+def register_handlers(kernel, groups, joiners):
+    """Answer the calls of other nodes that concern groups."""
 
     def propose(request):
         group = groups.get(request.group)
         return group.propose(request) if group else ProposeReply(False, b"", "")
 
+    def exchange(request):
+        group = groups.get(request.group)
+        if group is None:
+            return Exchange(request.group, request.to, request.sender, ())
+        return group.exchange(request)
+
+    def hello(request):
+        joiner = joiners.get(request.group)
+        return joiner.answer(request) if joiner else HelloReply(None, False)
+
     kernel.handle(Propose, propose)
-    return groups
+    kernel.handle(Exchange, exchange)
+    kernel.handle(Hello, hello)
--- a/scripts/mutations.py
+++ b/scripts/mutations.py
@@ -219,7 +219,7 @@
     Mutation(
         "journal not replaced after a snapshot",
         JOURNAL,
-        "        self.rewrite(snapshot, term, voted_for, log)\n\n    def rewrite",
+        "        self.rewrite(snapshot, term, voted_for, log, commit)\n\n    def rewrite",
         "\n    def rewrite",
         FILES,
     ),
--- a/tests/stateful/raft_model.py
+++ b/tests/stateful/raft_model.py
@@ -53,8 +53,10 @@
         self.disk = Disk()
         self.start(now)
 
-    def start(self, now):
-        self.state = s.restore(self.replica, TIMING, now, **self.disk._asdict())
+    def start(self, now, commit=0):
+        self.state = s.restore(
+            self.replica, TIMING, now, **self.disk._asdict(), commit=commit
+        )
         self.applied = self.state.snapshot.index
         self.machine = int(self.state.snapshot.data or 0)
 
@@ -208,7 +210,8 @@
     def restart(self, name):
         self.down.discard(name)
         self.paused.discard(name)
-        self.nodes[name].start(self.now)
+        node = self.nodes[name]
+        node.start(self.now, node.state.commit if self.now % 100 else 0)
 
     def may_lose(self, name):
         """Return whether quorums survive the loss of this disk, as promised."""
