Count a plan as in force only against the newest number heard of

Cause: the demonstration took 'no plan anywhere' for 'in force everywhere' once the VM asked was no longer the one that decides; it failed with no_plan at kigali. plan_status compared with this node's own plan. Change: compare with the newest plan of all members heard of; the demo also waits for the sheet's own number.

--- a/pollenmount/api/operations/plan.py
+++ b/pollenmount/api/operations/plan.py
@@ -66,9 +66,10 @@
 @register("pollenmount.api.operations", "GET /v1/plan/status")
 def plan_status(kernel, request):
     """Return which plan is in force where, a row a region."""
-    newest = kernel.get("plans").number
+    members = kernel.get("members").live()
+    newest = max(member.plan_number for member in members)
     regions = {}
-    for member in kernel.get("members").live():
+    for member in members:
         row = regions.setdefault(member.region, {"in_force": [], "lagging": []})
         lags = member.plan_number < newest
         row["lagging" if lags else "in_force"].append(member.name)
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -7,6 +7,7 @@
 import time
 from typing import NamedTuple
 
+from pollenmount.plans.sheet import parse_sheet
 from scripts.examples import INZIRA, OPERATOR_KEY, PORTS, addresses, make_settings
 from standins.cluster import ROOT, Cluster, chat_body, wait_until
 
@@ -105,6 +106,8 @@
     """Apply the example's sheet once its log has a leader; wait until it's in force."""
     sheet = (ROOT / "examples" / deployment.name / "plan.csv").read_bytes()
 
+    number = parse_sheet(sheet).number
+
     def accepted():
         answer = cluster.call(operators, "PUT", "/v1/plan", OPERATOR_KEY, sheet)
         return answer.status == 200
@@ -112,7 +115,7 @@
     def in_force():
         status = cluster.call(operators, "GET", "/v1/plan/status", OPERATOR_KEY).json
         vms = [name for row in status["regions"] for name in row["in_force"]]
-        return len(vms) == sum(deployment.vms.values())
+        return status["number"] == number and len(vms) == sum(deployment.vms.values())
 
     wait_until(accepted)
     wait_until(in_force)
--- a/scripts/mutations.py
+++ b/scripts/mutations.py
@@ -219,8 +219,8 @@
     Mutation(
         "journal not replaced after a snapshot",
         JOURNAL,
-        "        self.rewrite(snapshot, term, voted_for, log, commit)\n\n    def rewrite",
-        "\n    def rewrite",
+        "term, voted_for, log, commit)\n\n    def rewrite",
+        "term, voted_for, log, commit) if 0 else None\n\n    def rewrite",
         FILES,
     ),
     Mutation(
