--- a/pollenmount/actions/lease.py
+++ b/pollenmount/actions/lease.py
@@ -4,12 +4,7 @@
 lease is checked once connected, right before the request is written.
 """
 
-import functools
-
-import urllib3
-from urllib3.connection import HTTPConnection
-
-from pollenmount.targets.upstream import UpstreamError
+from pollenmount.targets.upstream import Connection, Pool, UpstreamError
 
 __all__ = ["HOLD_MS", "LEASE_MS", "RENEW_MS", "Lease"]
 
@@ -44,15 +39,12 @@
         if not self.holds():
             raise UpstreamError("its lease ended before it was sent", not_run=True)
 
-    def pools(self):
+    def pool(self, *args, **options):
         """Return a pool of new connections that are written only under this lease."""
-        pools = urllib3.PoolManager(num_pools=1, maxsize=1, retries=False)
-        guarded = functools.partial(GuardedPool, lease=self)
-        pools.pool_classes_by_scheme = {"http": guarded}
-        return pools
+        return GuardedPool(*args, lease=self, **options)
 
 
-class GuardedConnection(HTTPConnection):
+class GuardedConnection(Connection):
     """A connection for one request, written only under a lease."""
 
     def __init__(self, *args, lease, **kwargs):
@@ -70,7 +62,7 @@
         super().send(data)
 
 
-class GuardedPool(urllib3.HTTPConnectionPool):
+class GuardedPool(Pool):
     """Connections that are written only under the lease given as `lease`."""
 
     ConnectionCls = GuardedConnection
--- a/pollenmount/actions/machine.py
+++ b/pollenmount/actions/machine.py
@@ -89,7 +89,7 @@
             return Reservation(ActionState.CONFLICT)
         if action.state is RUNNING and action.attempt == command.attempt:
             return Reservation(ActionState.GRANTED)
-        if action.state is UNKNOWN and action.attempt != command.attempt:
+        if action.state is UNKNOWN:
             return self.answer_unknown(command, action)
         return Reservation(action.state, action.answer)
 
@@ -153,7 +153,12 @@
         return self.time + MAX_STEP_MS + hold_ms
 
     def answer_unknown(self, command, action):
-        """Answer a `Reserve` of an action whose outcome is unknown."""
+        """Answer a `Reserve` of an action whose outcome is unknown.
+
+        An attempt that asks for itself has not been granted yet and may release it.
+        """
+        if action.attempt == command.attempt:
+            return Reservation(RELEASED)
         if action.repeatable and command.repeatable:
             del self.closed[command.key]
             return self.grant(command, maybe_ran=True)
--- a/pollenmount/actions/runner.py
+++ b/pollenmount/actions/runner.py
@@ -94,6 +94,8 @@
         if isinstance(reserved, Err):
             return self.give_up(attempt, reserved.err_value)
         reservation = reserved.ok_value
+        if reservation.state is ActionState.RELEASED:
+            self.settler.add(attempt.group, attempt.settle(ActionState.RELEASED))
         if reservation.state is not ActionState.GRANTED:
             return replay(reservation)
         return self.run_reserved(call, serve, attempt)
@@ -156,13 +158,13 @@
 
         A service that drops repeats itself is asked until it answers.
         """
-        parts = tuple(serve(call))
+        parts = collect(serve(call))
         backoff = FIRST_BACKOFF_MS
         maybe_ran = may_have_run(parts)
         while self.may_ask_again(call, parts, maybe_ran, backoff):
             self.sleep(backoff)
             backoff = min(2 * backoff, MAX_BACKOFF_MS)
-            parts = tuple(serve(call))
+            parts = collect(serve(call))
             maybe_ran = maybe_ran or may_have_run(parts)
         return mark_unknown(parts) if maybe_ran else parts
 
@@ -200,6 +202,12 @@
         return lease if is_granted(reply) else None
 
 
+def collect(serving):
+    """Return the parts of a whole answer, or only the refusal that it ended in."""
+    parts = tuple(serving)
+    return parts[-1:] if isinstance(parts[-1], Refusal) else parts
+
+
 def is_granted(reply):
     """Return whether the log granted what was proposed."""
     return not isinstance(reply, Err) and reply.ok_value.state is ActionState.GRANTED
--- a/pollenmount/errors.py
+++ b/pollenmount/errors.py
@@ -76,6 +76,7 @@
     UNKNOWN_MODEL = "unknown_model"
     UNKNOWN_PATH = "unknown_path"
     TOO_LARGE = "too_large"
+    HEADERS_TOO_LARGE = "headers_too_large"
     KEY_CONFLICT = "key_conflict"
     IN_PROGRESS = "in_progress"
     RATE_LIMITED = "rate_limited"
@@ -88,6 +89,7 @@
     TARGET_FAILED = "target_failed"
     OUTCOME_UNKNOWN = "outcome_unknown"
     ANSWER_GONE = "answer_gone"
+    INTERNAL = "internal"
 
 
 HTTP_STATUS = {
@@ -98,6 +100,7 @@
     RefusalKind.UNKNOWN_MODEL: 404,
     RefusalKind.UNKNOWN_PATH: 404,
     RefusalKind.TOO_LARGE: 413,
+    RefusalKind.HEADERS_TOO_LARGE: 431,
     RefusalKind.KEY_CONFLICT: 409,
     RefusalKind.IN_PROGRESS: 409,
     RefusalKind.RATE_LIMITED: 429,
@@ -110,6 +113,7 @@
     RefusalKind.TARGET_FAILED: 502,
     RefusalKind.OUTCOME_UNKNOWN: 502,
     RefusalKind.ANSWER_GONE: 410,
+    RefusalKind.INTERNAL: 500,
 }
 
 
--- a/pollenmount/parts/routing.py
+++ b/pollenmount/parts/routing.py
@@ -1,11 +1,36 @@
 """Parts that carry requests: admission, upstream connections, attempts."""
 
-from pollenmount.plugin import register
+from pollenmount import task
+from pollenmount.plugin import get_plugin_by_name, register
 from pollenmount.routing.admit import Admission
 from pollenmount.routing.attempt import Attempter
+from pollenmount.routing.budget import RetryBudget
+from pollenmount.routing.health import Health
+from pollenmount.routing.policies.base import FAMILY
+from pollenmount.routing.queue import CallQueue
+from pollenmount.routing.router import Router
+from pollenmount.routing.tracker import Tracker
 from pollenmount.routing.view import Viewer
 from pollenmount.targets.upstream import Upstream
 
+WAKE_MS = 50
+
+
+class Signal:
+    """Something that one task waits for; sending it twice is the same as once."""
+
+    def __init__(self):
+        self.event = task.Event()
+
+    def send(self):
+        """Wake the task that waits."""
+        if not self.event.ready():
+            self.event.send()
+
+    def wait(self):
+        """Wait until it is sent."""
+        self.event.wait()
+
 
 @register("pollenmount.parts", "admission")
 def build_admission(kernel):
@@ -19,12 +44,59 @@
     return kernel.own(Upstream())
 
 
+@register("pollenmount.parts", "tracker")
+def build_tracker(kernel):
+    """Return this node's own measurements."""
+    return Tracker(kernel.clock)
+
+
+@register("pollenmount.parts", "health")
+def build_health(kernel):
+    """Return the circuit breakers."""
+    return Health(kernel.clock)
+
+
+@register("pollenmount.parts", "policy")
+def build_policy(kernel):
+    """Return the policy that the settings name."""
+    policy = get_plugin_by_name(FAMILY, kernel.settings.policy)
+    return policy(kernel.get("tracker"), kernel.get("targets").cache)
+
+
 @register("pollenmount.parts", "attempter")
 def build_attempter(kernel):
     """Return what runs attempts."""
     settings = kernel.settings
-    upstream = kernel.get("upstream")
-    return Attempter(upstream, kernel.clock, settings.region, settings.peer_key)
+    return Attempter(
+        kernel.get("upstream"),
+        kernel.clock,
+        settings.region,
+        settings.peer_key,
+        kernel.get("tracker"),
+        kernel.get("health"),
+    )
+
+
+@register("pollenmount.parts", "call_queue")
+def build_queue(kernel):
+    """Return the calls that wait, woken regularly."""
+    queue = CallQueue(kernel.clock, Signal)
+    kernel.own(task.Task(queue.wake, WAKE_MS))
+    return queue
+
+
+@register("pollenmount.parts", "router")
+def build_router(kernel):
+    """Return what takes calls to their answers."""
+    return Router(
+        kernel.get("viewer"),
+        kernel.get("policy"),
+        kernel.get("attempter"),
+        kernel.get("health"),
+        RetryBudget(),
+        kernel.get("call_queue"),
+        task.sleep,
+    )
 
 
 @register("pollenmount.parts", "viewer")
--- a/pollenmount/routing/forward.py
+++ b/pollenmount/routing/forward.py
@@ -50,6 +50,7 @@
     remaining_ms: int
     key: str
     stream: bool
+    resume_from: int = 0
     attempt: str = ""
 
 
@@ -57,7 +58,7 @@
     """The other failure domain gave a typed refusal."""
 
     def __init__(self, refusal):
-        super().__init__(refusal.message, refusal.not_run)
+        super().__init__(refusal.message, refusal.not_run, refusal.retry_after_ms)
         self.refusal = refusal
 
 
@@ -74,6 +75,7 @@
         call.deadline - now,
         call.key,
         call.stream,
+        call.resume_from,
         call.guard.attempt if call.guard else "",
     )
     encoded = msgspec.json.encode(forwarded).decode("latin-1")
@@ -115,6 +117,7 @@
         now + forwarded.remaining_ms,
         forwarded.key,
         forwarded.stream,
+        forwarded.resume_from,
         guard,
     )
 
--- a/tests/test_action_machine.py
+++ b/tests/test_action_machine.py
@@ -94,6 +94,14 @@
     assert machine.apply(reserve("b", digest="other")).state is ActionState.GRANTED
 
 
+def test_attempt_that_was_never_granted_may_release_its_expired_hold(machine):
+    machine.apply(reserve("a"))
+    tick(machine, STEPS)
+    assert machine.apply(reserve("a")).state is ActionState.RELEASED
+    machine.apply(Settle(KEY, "a", ActionState.RELEASED))
+    assert machine.apply(reserve("b")).state is ActionState.GRANTED
+
+
 def test_reserve_that_arrives_after_its_release_is_not_granted(machine):
     machine.apply(Settle(KEY, "a", ActionState.RELEASED))
     assert machine.apply(reserve("a")).state is ActionState.RELEASED
