Keep a node up under a plan it can't read; bound the history of plans

Cause: a sheet that another version had accepted raised in the replica's task, which then took no further part in its group; the history of digests grew for ever. Change: the store keeps the plan before in force, logs the fault once and shows as lagging; the machine knows the last 4,096 numbers, older resends are 'stale'. Proof: fuzzing of acceptance and spread against a list of accepted offers; a test with processes in which two operators race five times, an old sheet comes late and a node without a disk starts from its peer.

--- a/pollenmount/plans/machine.py
+++ b/pollenmount/plans/machine.py
@@ -19,6 +19,7 @@
 ]
 
 GROUP = "plans"
+MAX_HISTORY = 4096
 
 
 class Acceptance(StrEnum):
@@ -63,7 +64,10 @@
 
 
 class PlanMachine:
-    """The newest accepted plan and the digests of all before it, by number."""
+    """The newest accepted plan and the digests of those before it, by number.
+
+    The last `MAX_HISTORY` are known; a resend of an older one is answered as stale.
+    """
 
     commands = (AcceptPlan,)
 
@@ -77,6 +81,8 @@
         if acceptance is Acceptance.ACCEPTED:
             self.current = AcceptedPlan(*command)
             self.history[command.number] = command.digest
+            if len(self.history) > MAX_HISTORY:
+                del self.history[min(self.history)]
         return PlanAnswer(acceptance, self.current.number, self.current.digest)
 
     def judge(self, command):
--- a/pollenmount/plans/store.py
+++ b/pollenmount/plans/store.py
@@ -1,5 +1,6 @@
 """The plan in force on this node. It only ever moves forward."""
 
+from pollenmount.errors import SheetError
 from pollenmount.log import get_logger
 from pollenmount.plans.sheet import parse_sheet
 
@@ -18,6 +19,7 @@
         self.plan = None
         self.accepted = None
         self.on_change = on_change
+        self.unreadable = 0
 
     @property
     def number(self):
@@ -28,8 +30,27 @@
         """Put an `AcceptedPlan` in force if it is newer; return whether it was."""
         if accepted is None or accepted.number <= self.number:
             return False
-        self.plan = parse_sheet(accepted.sheet)
+        plan = self.read(accepted)
+        if plan is None:
+            return False
+        self.plan = plan
         self.accepted = accepted
-        self.on_change(self.plan)
+        self.on_change(plan)
         logger.info("plan in force", extra={"plan": accepted.number})
         return True
+
+    def read(self, accepted):
+        """Return the plan in an accepted sheet, or None if this version can't read it.
+
+        The plan before stays in force then, and the node shows as lagging.
+        """
+        try:
+            return parse_sheet(accepted.sheet)
+        except SheetError as error:
+            if accepted.number != self.unreadable:
+                logger.error(
+                    "plan not readable here; run one version on all VMs",
+                    extra={"plan": accepted.number, "problem": str(error)},
+                )
+            self.unreadable = accepted.number
+            return None
