--- a/tests/faults/test_actions.py
+++ b/tests/faults/test_actions.py
@@ -30,13 +30,17 @@
             cluster.start_node(document)
         self.log, self.entry = (settings[f"kigali-{n}"]["listen"] for n in (1, 2))
         self.service = f"127.{network}.1.100:9000"
-        entries = f"{self.log['targets']},{self.entry['targets']}"
-        words = ["--services=filing,lookup", *flags]
-        cluster.start_standin("service", "service", self.service, entries, *words)
+        self.flags = flags
+        self.start_service()
         wait_until(lambda: self.apply(sheet))
         for listen in (self.log, self.entry):
             wait_until(lambda listen=listen: self.lookup(listen))
 
+    def start_service(self):
+        entries = f"{self.log['targets']},{self.entry['targets']}"
+        words = ["--services=filing,lookup", *self.flags]
+        self.cluster.start_standin("service", "service", self.service, entries, *words)
+
     def apply(self, sheet):
         operators = self.log["operators"]
         answer = self.cluster.call(operators, "PUT", "/v1/plan", OPERATOR_KEY, sheet)
@@ -111,7 +115,7 @@
     time.sleep(1)
     office.cluster.kill("kigali-2", STOP)
     office.cluster.kill("kigali-1", CONT)
-    wait_until(lambda: office.file(office.log).status != 409, LIMIT_S)
+    wait_until(lambda: office.file(office.log).status in (201, 502), LIMIT_S)
     repeat = office.file(office.log)
     office.cluster.kill("kigali-2", CONT)
     late = first.result(LIMIT_S)
@@ -168,3 +172,40 @@
     answer = office.file_until(office.log, 201)
     assert answer.headers["Pollenmount-Replayed"] == "yes"
     assert office.runs() == {"f-1": 1}
+
+
+def test_refused_connection_is_not_run_and_frees_the_key(office):
+    office.cluster.kill("service")
+    refused = office.file(office.entry)
+    assert refused.status >= 500
+    assert refused.json["error"]["not_run"] is True
+    office.start_service()
+    office.file_until(office.entry, 201)
+    assert office.runs() == {"f-1": 1}
+
+
+def test_forwarded_action_runs_once_where_its_lease_is_confirmed(cluster, network):
+    deployment = INZIRA._replace(vms={"kigali": 1, "huye": 1}, network=network)
+    settings = make_settings(deployment)
+    for document in settings.values():
+        cluster.start_node(document)
+    home, away = (settings[name]["listen"] for name in ("kigali-1", "huye-1"))
+    service = f"127.{network}.2.100:9000"
+    words = ["--services=filing,lookup"]
+    cluster.start_standin("service", "service", service, away["targets"], *words)
+    key = "key-aid-kigali"
+
+    def call(listen, method, path):
+        body = b"x" if method == "POST" else None
+        return cluster.call(listen["callers"], method, path, key, body, ACTION)
+
+    operators = home["operators"]
+    put = ("PUT", "/v1/plan", OPERATOR_KEY, SHEET)
+    wait_until(lambda: cluster.call(operators, *put).status == 200)
+    wait_until(lambda: call(home, "GET", "/cases/1").status == 200)
+    wait_until(lambda: call(home, "POST", "/filings").status == 201, LIMIT_S)
+    answers = [call(listen, "POST", "/filings") for listen in (home, away, home)]
+    assert {answer.status for answer in answers} == {201}
+    assert len({answer.body for answer in answers}) == 1
+    counts = cluster.call(service, "GET", "/standin/counts").json
+    assert counts["runs"] == {"f-1": 1}
--- a/tests/test_action_lease.py
+++ b/tests/test_action_lease.py
@@ -3,21 +3,26 @@
 from types import SimpleNamespace
 
 import pytest
-from result import Ok
+from result import Err, Ok
 
 from pollenmount.actions.lease import HOLD_MS, LEASE_MS, Lease
 from pollenmount.actions.machine import ActionMachine
 from pollenmount.actions.messages import ActionKey, ActionState, Holder, Reserve
 from pollenmount.actions.runner import ActionRunner, Attempt
 from pollenmount.actions.ticker import Ticker
+from pollenmount.actions.settler import Settler
 from pollenmount.clock import ManualClock
+from pollenmount.errors import Refusal, RefusalKind
+from pollenmount.routing.request import Chunk, Head
 
 KEY = ActionKey("court", "f-1")
 STEP_MS = 50
 
 
 class SlowGroups:
-    """A log that takes `delay_ms` to answer."""
+    """A log that takes `delay_ms` to answer, unless it is `away`."""
+
+    away = False
 
     def __init__(self, clock, delay_ms=0):
         self.clock = clock
@@ -25,6 +30,8 @@
         self.machine = ActionMachine()
 
     def propose(self, group, command, answer_type):
+        if self.away:
+            return Err(Refusal(RefusalKind.NO_QUORUM, "away", not_run=False))
         answer = self.machine.apply(command)
         self.clock.advance(self.delay_ms)
         return Ok(answer)
@@ -73,3 +80,20 @@
     assert runner.confirm(caller, "f-1", "a").holds()
     assert runner.confirm(caller, "f-1", "b") is None
     assert groups.machine.find(KEY).state is ActionState.RUNNING
+
+
+def test_answer_that_cannot_be_recorded_is_given_and_recorded_later():
+    clock = ManualClock(1000)
+    groups = SlowGroups(clock)
+    runner = ActionRunner(groups, clock, Holder("vm", "1"), Settler(groups))
+    groups.machine.apply(Reserve(KEY, "digest", "a", runner.holder, HOLD_MS))
+    attempt = Attempt("group", KEY, Lease(clock, "a", clock.now()))
+    groups.away = True
+    head, body = runner.record(attempt, (Head(201, (), "r", "t"), Chunk(b"receipt")))
+    assert ("Pollenmount-Recorded", "pending") in head.headers
+    runner.settler.step()
+    assert groups.machine.find(KEY).state is ActionState.RUNNING
+    groups.away = False
+    runner.settler.step()
+    assert groups.machine.find(KEY).answer.body == body.data
+    assert not runner.settler.waiting
