--- a/tests/test_action_lease.py
+++ b/tests/test_action_lease.py
@@ -9,8 +9,8 @@
 from pollenmount.actions.machine import ActionMachine
 from pollenmount.actions.messages import ActionKey, ActionState, Holder, Reserve
 from pollenmount.actions.runner import ActionRunner, Attempt
-from pollenmount.actions.ticker import Ticker
 from pollenmount.actions.settler import Settler
+from pollenmount.actions.ticker import Ticker
 from pollenmount.clock import ManualClock
 from pollenmount.errors import Refusal, RefusalKind
 from pollenmount.routing.request import Chunk, Head
