--- a/pollenmount/cmdline.py
+++ b/pollenmount/cmdline.py
@@ -7,8 +7,8 @@
 
 from absl import flags
 
-from pollenmount.errors import PollenmountError
-from pollenmount.plugin import get_plugin_by_name, load_family
+from pollenmount.errors import PollenmountError, UsageError
+from pollenmount.plugin import load_family
 
 __all__ = ["main"]
 
@@ -23,13 +23,18 @@
     if len(argv) < 2 or argv[1] in ("help", "--help", "-h"):
         print(usage())
         return 0 if len(argv) > 1 else EXIT_USAGE
+    commands = load_family(COMMANDS)
+    if argv[1] not in commands:
+        known = ", ".join(sorted(commands))
+        print(f"no command {argv[1]!r}; use one of: {known}", file=sys.stderr)
+        return EXIT_USAGE
     try:
-        command = get_plugin_by_name(COMMANDS, argv[1])()
+        command = commands[argv[1]]()
         values = flags.FlagValues()
         command.define_flags(values)
         words = values(argv[1:])[1:]
         return command.run(values, words)
-    except flags.Error as error:
+    except (flags.Error, UsageError) as error:
         print(f"{argv[1]}: {error}; see: pollenmount help", file=sys.stderr)
         return EXIT_USAGE
     except PollenmountError as error:
--- a/pollenmount/commands/base.py
+++ b/pollenmount/commands/base.py
@@ -8,12 +8,22 @@
 
 from pollenmount.errors import PollenmountError
 
-__all__ = ["Command", "OperatorClient", "define_client_flags"]
+__all__ = [
+    "Command",
+    "NodeError",
+    "OperatorClient",
+    "define_client_flags",
+    "format_table",
+]
 
 OPERATOR_KEY_VARIABLE = "POLLENMOUNT_OPERATOR_KEY"
 TIMEOUT_S = 15.0
 
 
+class NodeError(PollenmountError):
+    """The operators' interface of a node can't be used."""
+
+
 class Command:
     """One command.
 
@@ -51,13 +61,31 @@
         self.key = os.environ.get(OPERATOR_KEY_VARIABLE, "")
 
     def ask(self, method, path, body=None):
-        """Return (status, JSON document) of one call."""
+        """Return (status, JSON document) of one call, or raise `NodeError`."""
+        if not self.key:
+            problem = f"{OPERATOR_KEY_VARIABLE} is not set"
+            raise NodeError(f"{problem}; put your operator's key into it")
         headers = {"Authorization": f"Bearer {self.key}"}
         try:
             reply = self.pool.request(
                 method, self.base + path, body=body, headers=headers
             )
+            return reply.status, json.loads(reply.data)
         except urllib3.exceptions.HTTPError as error:
             problem = f"{self.base} gives no answer ({type(error).__name__})"
-            raise PollenmountError(f"{problem}; name another VM with --node") from error
-        return reply.status, json.loads(reply.data)
+            raise NodeError(f"{problem}; name another VM with --node") from error
+        except ValueError as error:
+            problem = f"{self.base} is no operators' address"
+            raise NodeError(f"{problem}; see listen.operators in settings") from error
+
+
+def format_table(header, rows):
+    """Return rows of texts as lines with aligned columns."""
+    table = [header, *rows]
+    widths = [max(len(row[i]) for row in table) for i in range(len(header))]
+    return "\n".join(
+        "  ".join(
+            text.ljust(width) for text, width in zip(row, widths, strict=True)
+        ).rstrip()
+        for row in table
+    )
--- a/pollenmount/commands/config.py
+++ b/pollenmount/commands/config.py
@@ -1,7 +1,7 @@
 """The command that checks a settings file."""
 
 from pollenmount.commands.base import Command
-from pollenmount.errors import PollenmountError
+from pollenmount.errors import UsageError
 from pollenmount.plugin import register
 from pollenmount.settings import load_settings
 
@@ -13,9 +13,7 @@
     def run(self, values, words):
         """Check the file named last; return 0 when it is sound."""
         if len(words) != 2 or words[0] != "check":
-            raise PollenmountError(
-                "nothing to check; use: pollenmount config check FILE"
-            )
+            raise UsageError("nothing to check; use: pollenmount config check FILE")
         checked = load_settings(words[1])
         print(f"{words[1]}: settings of {checked.name} are sound")
         return 0
--- a/pollenmount/errors.py
+++ b/pollenmount/errors.py
@@ -17,6 +17,7 @@
     "SheetError",
     "TransportError",
     "UnknownPluginError",
+    "UsageError",
 ]
 
 
@@ -28,6 +29,10 @@
     """No plug-in of that name is registered in the family."""
 
 
+class UsageError(PollenmountError):
+    """The words or flags of a command can't be used."""
+
+
 class Fault(NamedTuple):
     """One fault of a document: where it is, what is wrong, what to do."""
 
