--- /dev/null
+++ b/tests/test_pages.py
@@ -0,0 +1,67 @@
+"""The tables of the pages name what the code has."""
+
+import re
+
+import pytest
+
+from pollenmount.errors import HTTP_STATUS
+from pollenmount.metrics import Metrics, render
+from pollenmount.plans.sheet import records
+from pollenmount.plugin import load_family
+from pollenmount.settings import SCHEMA, Settings
+from standins.cluster import ROOT
+
+
+def rows(page, header):
+    """Yield the cells of the table under a header row."""
+    lines = (ROOT / "docs" / page).read_text().splitlines()
+    start = lines.index(header) + 2
+    for line in lines[start:]:
+        if not line.startswith("|"):
+            return
+        yield [cell.strip() for cell in re.split(r"(?<!\\)\|", line)[1:-1]]
+
+
+def test_refusals():
+    header = "| code | status | meaning | what to do |"
+    told = {row[0].strip("`"): int(row[1]) for row in rows("CALLERS.md", header)}
+    assert told == {str(kind): status for kind, status in HTTP_STATUS.items()}
+
+
+def test_settings():
+    told = {row[0].strip("`"): row[2] for row in rows("OPERATORS.md", SETTINGS)}
+    assert set(told) == set(SCHEMA["properties"])
+    for key, default in Settings._field_defaults.items():
+        if isinstance(default, int | str):
+            assert told[key].strip("`") == str(default), key
+
+
+SETTINGS = "| key | meaning | default |"
+
+
+def test_columns_of_the_sheet():
+    told = {}
+    for name, columns in rows("OPERATORS.md", "| record | columns |"):
+        plain = re.sub(r"\([^)]*\)", "", columns)
+        told[name.strip("`")] = set(re.findall(r"`(\w+)`", plain))
+    del told["plan"]
+    assert told == {name: set(record.columns) for name, record in records().items()}
+
+
+def test_metrics():
+    text = render(Metrics().registry).decode()
+    made = set(re.findall(r"# TYPE (\w+) (?:counter|gauge|histogram)", text))
+    told = {row[0].strip("`") for row in rows("OPERATORS.md", "| metric | what |")}
+    assert told == {name for name in made if not name.endswith("_created")}
+
+
+def test_commands():
+    text = "\n".join(r[0] for r in rows("OPERATORS.md", "| command | what it does |"))
+    told = set(re.findall(r"pollenmount (\w+)", text))
+    assert told == set(load_family("pollenmount.commands"))
+
+
+@pytest.mark.parametrize("page", ["CALLERS", "OPERATORS", "DESIGN", "GLOSSARY"])
+def test_lines_of_pages_fit(page):
+    lines = (ROOT / "docs" / f"{page}.md").read_text().splitlines()
+    assert [line for line in lines if len(line) > 120 and line[0] != "|"] == []
