--- a/pollenmount/api/peers.py
+++ b/pollenmount/api/peers.py
@@ -12,7 +12,7 @@
     get_service_by_path,
     parse_model_name,
 )
-from pollenmount.routing import choose, forward, pipeline
+from pollenmount.routing import forward, pipeline
 from pollenmount.routing.request import ModelRoute, ServiceRoute, is_idempotent
 from pollenmount.routing.rules import check_caller_region, check_rights
 
@@ -33,14 +33,16 @@
         made = self.make_call(request)
         if isinstance(made, Refusal):
             return refuse(made)
-        kernel = self.kernel
         if is_idempotent(made.route):
             request.cancel_on_hangup()
-        candidates = choose.local_candidates(
-            made, kernel.get("viewer").take(), kernel.get("attempter").in_flight
-        )
+        return self.answer(made)
+
+    def answer(self, call):
+        """Return the reply to a call that may run here."""
         with contextlib.ExitStack() as stack:
-            serving = pipeline.serve(made, candidates, kernel.get("attempter"))
+            # Counted, so that a planned stop waits for it.
+            stack.enter_context(self.kernel.get("admission").slot(call.caller))
+            serving = self.kernel.get("router").serve(call, remote=False)
             parts = stack.enter_context(contextlib.closing(serving))
             first, rest = pipeline.attempts(parts)
             if isinstance(first, Refusal):
--- a/pollenmount/targets/exact.py
+++ b/pollenmount/targets/exact.py
@@ -6,9 +6,8 @@
 
 from urllib3 import HTTPHeaderDict
 from urllib3.connection import HTTPConnection
-from urllib3.connectionpool import HTTPConnectionPool
 
-__all__ = ["ExactPool", "with_target"]
+__all__ = ["ExactConnection", "with_target"]
 
 TARGET = ":target"
 
@@ -23,12 +22,6 @@
         super().request(method, target, body=body, headers=sent, **options)
 
 
-class ExactPool(HTTPConnectionPool):
-    """A pool of such connections."""
-
-    ConnectionCls = ExactConnection
-
-
 def with_target(headers, target):
     """Return the headers of a request to `target`."""
     return HTTPHeaderDict(headers, **{TARGET: target})
--- a/tests/golden/session.py
+++ b/tests/golden/session.py
@@ -12,6 +12,7 @@
 
 IDS = re.compile(r"[0-9a-f]{32}(-[0-9]+)?")
 DIGESTS = re.compile(r"[0-9a-f]{64}")
+PAUSES = re.compile(r'("retry_after_ms": |Retry-After: )[1-9][0-9]*')
 ADDRESSES = re.compile(r"127\.[0-9]+\.")
 KEPT_HEADERS = (
     *("Content-Type", "Retry-After", "Idempotency-Key", "Connection"),
@@ -96,6 +97,7 @@
     def note(self, text):
         """Add a text to the transcript."""
         text = IDS.sub("ID", DIGESTS.sub("DIGEST", text))
+        text = PAUSES.sub(r"\1PAUSE", text)
         self.lines.append(ADDRESSES.sub("127.N.", text))
 
     @property
