Count bytes carried to other regions; replays count for no region

Cause: pollenmount_region_bytes_total was defined and never counted, and a recorded answer counted as served in a region without a name.

Run: test_work_sent_away_is_counted passed; scripts/test passed.

--- a/pollenmount/api/answer.py
+++ b/pollenmount/api/answer.py
@@ -72,7 +72,7 @@
             outcome = "caller_gone"
             try:
                 for part in parts:
-                    record.chunk()
+                    record.chunk(len(part.data))
                     yield part.data
                 outcome = "answered"
             except pipeline.BrokenAnswerError as error:
@@ -108,6 +108,7 @@
         self.head = None
         self.started = kernel.clock.now()
         self.last = None
+        self.bytes = len(call.body)
         labels = (call.caller.name, call.class_)
         self.first_token = kernel.get("metrics").first_token.labels(*labels)
         self.token_gap = kernel.get("metrics").token_gap.labels(*labels)
@@ -118,8 +119,9 @@
         labels = (self.call.caller.name, self.call.class_)
         self.kernel.get("metrics").queue_wait.labels(*labels).observe(waited / MS_PER_S)
 
-    def chunk(self):
-        """Measure one chunk."""
+    def chunk(self, size):
+        """Measure one chunk of `size` bytes."""
+        self.bytes += size
         now = self.kernel.clock.now()
         if self.last is None:
             self.first_token.observe((now - self.started) / MS_PER_S)
@@ -135,9 +137,8 @@
         metrics.outcomes.labels(*labels, outcome).inc()
         if outcome == "answered":
             metrics.whole_answer.labels(*labels).observe(elapsed / MS_PER_S)
-            metrics.served_in.labels(
-                call.caller.name, call.caller.home, self.head.region
-            ).inc()
+        if self.head:
+            self.count_region(outcome)
         logger.info(
             "call ended",
             extra={
@@ -151,3 +152,12 @@
                 "plan": self.kernel.get("plans").number,
             },
         )
+
+    def count_region(self, outcome):
+        """Count where the call ran; a recorded answer ran nowhere this time."""
+        call, region = self.call, self.head.region
+        metrics = self.kernel.get("metrics")
+        if region and outcome == "answered":
+            metrics.served_in.labels(call.caller.name, call.caller.home, region).inc()
+        if region not in ("", self.kernel.settings.region):
+            metrics.region_bytes.labels(region).inc(self.bytes)
--- a/tests/faults/test_product_secrets.py
+++ b/tests/faults/test_product_secrets.py
@@ -5,6 +5,7 @@
 import pytest
 
 from scripts.examples import OPERATOR_KEY, PEER_KEY
+from standins.cluster import wait_until
 from tests.faults.product import CHAT, Small, chat_body
 
 KEY = "key-aid-kigali"
@@ -84,3 +85,22 @@
         small.listen("kigali-1", "operators"), "GET", "/metrics", OPERATOR_KEY
     )
     assert 'outcome="unknown_model",tenant="aid-kigali"' in metrics.body.decode()
+
+
+def test_work_sent_away_is_counted(small):
+    call, address = small.cluster.call, small.listen("huye-1")
+    call(small.target(2, "engine"), "POST", "/standin/leave", "", b"")
+    body = chat_body("drafting", "x" * 1000, True)
+
+    def away():
+        answer = call(address, "POST", CHAT, "key-aid-huye", body)
+        return answer.headers.get("Pollenmount-Region") == "kigali"
+
+    wait_until(away)
+    operators = small.listen("huye-1", "operators")
+    metrics = call(operators, "GET", "/metrics", OPERATOR_KEY).body.decode()
+    values = dict(line.rsplit(" ", 1) for line in metrics.splitlines() if line)
+    labels = 'home="huye",region="kigali",tenant="aid-huye"'
+    assert float(values[f"pollenmount_served_total{{{labels}}}"]) == 1
+    carried = float(values['pollenmount_region_bytes_total{region="kigali"}'])
+    assert carried > len(body)
