Tell a taken address with its remedy; keep standard error to JSON lines

Cause: a node whose address was taken ended in a traceback of gRPC, and warnings of eventlet and lines of gRPC stood between the JSON lines of the log.

--- a/pollenmount/api/web.py
+++ b/pollenmount/api/web.py
@@ -18,7 +18,7 @@
     refusal_reply,
     status_line,
 )
-from pollenmount.errors import Refusal, RefusalKind
+from pollenmount.errors import ListenError, Refusal, RefusalKind
 from pollenmount.log import get_logger
 
 __all__ = [
@@ -165,9 +165,11 @@
         self.connections = 0
         self.active = 0
         self.budget = ByteBudget(MAX_BODIES_BYTES)
-        self.socket = eventlet.listen(
-            (host.strip("[]"), int(port)), reuse_port=False, backlog=BACKLOG
-        )
+        place = (host.strip("[]"), int(port))
+        try:
+            self.socket = eventlet.listen(place, reuse_port=False, backlog=BACKLOG)
+        except OSError as error:
+            raise ListenError(address, error.strerror) from error
         # Accepted sockets inherit it: small parts of an answer aren't held back.
         self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.thread = task.spawn(self.run, app)
--- a/pollenmount/bridge/control.py
+++ b/pollenmount/bridge/control.py
@@ -14,7 +14,7 @@
 from result import Err, Ok
 
 from pollenmount import task
-from pollenmount.errors import TransportError
+from pollenmount.errors import ListenError, TransportError
 from pollenmount.log import get_logger
 
 __all__ = ["ControlClient", "ControlServer", "register_call"]
@@ -77,7 +77,10 @@
             options=OPTIONS,
             maximum_concurrent_rpcs=MAX_CONCURRENT_CALLS,
         )
-        self.server.add_insecure_port(address)
+        try:
+            self.server.add_insecure_port(address)
+        except RuntimeError as error:
+            raise ListenError(address, "gRPC can't bind it") from error
         self.server.start()
 
     def service(self, handler_call_details):
--- a/pollenmount/commands/node.py
+++ b/pollenmount/commands/node.py
@@ -1,5 +1,8 @@
 """The command that runs one node."""
 
+import os
+import warnings
+
 from absl import flags
 
 from pollenmount.commands.base import Command
@@ -21,6 +24,9 @@
 
     def run(self, values, words):
         """Run the node; return 0 after an orderly stop."""
+        # Standard error has JSON lines only.
+        warnings.simplefilter("ignore")
+        os.environ.setdefault("GRPC_VERBOSITY", "NONE")
         from pollenmount import task
 
         task.patch()
--- a/pollenmount/errors.py
+++ b/pollenmount/errors.py
@@ -10,6 +10,7 @@
 __all__ = [
     "Fault",
     "FaultsError",
+    "ListenError",
     "PollenmountError",
     "Refusal",
     "RefusalKind",
@@ -33,6 +34,14 @@
     """The words or flags of a command can't be used."""
 
 
+class ListenError(PollenmountError):
+    """An address of the settings can't be listened on."""
+
+    def __init__(self, address, problem):
+        remedy = "end what uses it, or correct 'listen' in the settings"
+        super().__init__(f"can't listen on {address} ({problem}); {remedy}")
+
+
 class Fault(NamedTuple):
     """One fault of a document: where it is, what is wrong, what to do."""
 
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -77,11 +77,15 @@
         words = [f"--name={name}", f"--listen={listen}", f"--entries={entries}"]
         self.start(name, "standins", kind, *words, *flags)
 
-    def start(self, name, module, *words):
-        """Start a Python module as a process; its output goes to NAME.log."""
+    def start(self, name, module, *words, quiet=True):
+        """Start a Python module as a process; its output goes to NAME.log.
+
+        `quiet` turns its warnings off.
+        """
+        options = ["-W", "ignore"] if quiet else []
         with open(self.folder / f"{name}.log", "ab") as log:
             self.processes[name] = subprocess.Popen(
-                [sys.executable, "-W", "ignore", "-m", module, *words],
+                [sys.executable, *options, "-m", module, *words],
                 cwd=ROOT,
                 stdout=log,
                 stderr=log,
--- a/tests/test_bridge.py
+++ b/tests/test_bridge.py
@@ -11,6 +11,7 @@
 from pollenmount.bridge import control
 from pollenmount.bridge.control import ControlClient, ControlServer, register_call
 from pollenmount.bridge.hub import Hub
+from pollenmount.errors import ListenError
 
 KEY = "a key of sixteen characters"
 TIMEOUT_MS = 5000
@@ -169,6 +170,11 @@
         assert [n for thread, n in ran if thread == number] == [*range(2000)]
 
 
+def test_taken_address_is_told(address, hub):
+    with pytest.raises(ListenError, match=f"can't listen on {address}"):
+        ControlServer(hub, address, KEY, {})
+
+
 def test_closing_does_not_wait_for_a_handler(hub, network):
     address = f"127.{network}.9.2:7201"
     server = ControlServer(hub, address, KEY, {Say: handle})
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -14,6 +14,7 @@
 from pollenmount.api import connection, web
 from pollenmount.api.head import parse_head
 from pollenmount.api.reply import Reply, json_reply
+from pollenmount.errors import ListenError
 from pollenmount.targets.upstream import Upstream, read_body
 
 PORT = 7100
@@ -230,6 +231,12 @@
     upstream.close()
 
 
+def test_taken_address_is_told(serve):
+    address, _ = serve(echo)
+    with pytest.raises(ListenError, match=f"can't listen on {address}"):
+        web.WebServer(address, None)
+
+
 LINES = st.lists(
     st.one_of(
         st.binary(max_size=40).map(lambda data: data + b"\r\n"),
