List entry VMs of the caller's home region first

Cause: weights went by the VM that was asked. A caller that had moved to another region while its home was away was told to stay there for good, and each of its requests then crossed regions twice.

Change: VMs of the caller's home region weigh 100 (50 in another failure domain than the one asked, if that is at home too), others 1, in the order of the caller's regions.

--- a/pollenmount/api/callers.py
+++ b/pollenmount/api/callers.py
@@ -100,10 +100,11 @@
 
     def entries(self, caller):
         """Return the entry VMs that this caller may use."""
-        settings = self.kernel.settings
-        members = self.kernel.get("members").live()
         document = list_entries(
-            members, settings.region, settings.failure_domain, caller.regions
+            self.kernel.get("members").live(),
+            caller.home,
+            self.kernel.settings.failure_domain,
+            caller.regions,
         )
         return json_reply(document)
 
--- /dev/null
+++ b/tests/test_callers.py
@@ -0,0 +1,40 @@
+"""What callers send on, and which documents are chat completions."""
+
+import pytest
+
+from pollenmount.api.callers import parse_chat, passed_headers
+from pollenmount.api.web import Request
+
+
+def request_with(*headers):
+    environ = {"REQUEST_METHOD": "GET", "PATH_INFO": "/", "headers_raw": headers}
+    for name, value in headers:
+        environ["HTTP_" + name.upper().replace("-", "_")] = value
+    return Request(environ)
+
+
+def test_headers_of_one_connection_and_keys_are_not_passed_on():
+    sent = (
+        *(("X-A", "1"), ("X-A", "2"), ("x-hop", "3"), ("Accept", "*/*")),
+        *(("Connection", "keep-alive, X-Hop"), ("Authorization", "Bearer k")),
+        *(("Expect", "100-continue"), ("Host", "h"), ("X-Request-Id", "r")),
+        *(("Transfer-Encoding", "chunked"), ("Idempotency-Key", "i")),
+    )
+    passed = passed_headers(request_with(*sent))
+    assert passed == (("X-A", "1"), ("X-A", "2"), ("Accept", "*/*"))
+
+
+@pytest.mark.parametrize(
+    ("body", "sound"),
+    [
+        (b'{"model": "m", "messages": [{"role": "user"}]}', True),
+        (b'{"model": "m", "messages": [], "x": {"a": 1}, "y": {"a": 1}}', True),
+        (b'{"model": "m", "messages": [], "x": {"a": 1, "a": 2}}', False),
+        (b'{"model": "m", "model": "m", "messages": []}', False),
+        (b'{"model": "m", "messages": [], "x": -Infinity}', False),
+        (b'\xef\xbb\xbf{"model": "m", "messages": []}', False),
+        (b"null", False),
+    ],
+)
+def test_chat_documents(body, sound):
+    assert (parse_chat(body) is not None) == sound
