--- a/pollenmount/consensus/client.py
+++ b/pollenmount/consensus/client.py
@@ -10,6 +10,8 @@
 __all__ = ["GroupClient"]
 
 PROPOSE_TIMEOUT_MS = 4000
+CALL_TIMEOUT_MS = 1000
+SUSPECT_MS = 5000
 ROUND_MS = 100
 RETRY_AFTER_MS = 1000
 
@@ -28,6 +30,7 @@
         self.local = local or {}
         self.own_address = own_address
         self.leaders = {}
+        self.suspects = {}
 
     def propose(self, group, command, answer_type):
         """Return Ok(answer) or Err(Refusal), `not_run` only if surely not in the log.
@@ -43,19 +46,29 @@
         return Ok(msgspec.msgpack.decode(answer, type=answer_type))
 
     def ask(self, address, request, timeout_ms):
-        """Return what one node replies to a request."""
+        """Return what one node replies to a request; remember those that don't."""
         group = self.local.get(request.group)
         if group is not None and address == self.own_address:
             return Ok(group.propose(request))
-        return self.control.call(address, request, timeout_ms)
+        reply = self.control.call(address, request, timeout_ms)
+        if isinstance(reply, Err):
+            self.suspects[address] = self.clock.now()
+        else:
+            self.suspects.pop(address, None)
+        return reply
+
+    def is_suspect(self, address):
+        """Return whether a node gave no reply lately."""
+        failed_at = self.suspects.get(address)
+        return failed_at is not None and self.clock.now() - failed_at < SUSPECT_MS
 
     def addresses(self, group):
-        """Return the addresses to ask, the last known leader first."""
-        addresses = [*self.voters.get(group, {}).values()]
-        leader = self.leaders.get(group)
-        if leader:
-            addresses = [leader, *(a for a in addresses if a != leader)]
-        return addresses
+        """Return the addresses to ask: likely leaders first, silent nodes last."""
+        replica = self.local.get(group)
+        led_by = replica.state.leader if replica else None
+        likely = (led_by.address if led_by else None, self.leaders.get(group))
+        addresses = dict.fromkeys((*likely, *self.voters.get(group, {}).values()))
+        return sorted(filter(None, addresses), key=self.is_suspect)
 
 
 class Attempt:
@@ -86,7 +99,8 @@
     def ask(self, address, hops=2):
         """Ask one node, then the leader that it names; return the answer or None."""
         left_ms = max(1, self.limit - self.client.clock.now())
-        reply = self.client.ask(address, self.request, left_ms)
+        timeout_ms = min(left_ms, CALL_TIMEOUT_MS)
+        reply = self.client.ask(address, self.request, timeout_ms)
         if isinstance(reply, Err):
             self.maybe_appended |= reply.err_value.sent
             return None
@@ -96,10 +110,14 @@
             self.client.leaders[self.request.group] = address
             return reply.answer
         self.maybe_appended |= reply.fate is Fate.UNKNOWN
-        if reply.leader and reply.leader != address and hops:
+        if hops and reply.leader != address and self.may_ask(reply.leader):
             return self.ask(reply.leader, hops - 1)
         return None
 
+    def may_ask(self, leader):
+        """Return whether a leader is named that isn't known to be silent."""
+        return bool(leader) and not self.client.is_suspect(leader)
+
 
 def no_quorum(group, maybe_appended, fate):
     """Return the refusal for a group that gave no answer."""
--- a/pollenmount/consensus/group.py
+++ b/pollenmount/consensus/group.py
@@ -22,11 +22,12 @@
 
 __all__ = ["Group", "GroupStatus"]
 
-PROPOSE_WAIT_MS = 3000
+PROPOSE_WAIT_MS = 900
 EXCHANGE_WAIT_MS = 900
 COMPACT_ENTRIES = 1024
 COMPACT_BYTES = 4 << 20
 QUIET_MS = 1000
+LABEL_CHARS = 8
 
 logger = get_logger("consensus")
 
@@ -53,9 +54,10 @@
 
 
 class GroupStatus(NamedTuple):
-    """One replica as an operator sees it; names are of VMs."""
+    """One replica as an operator sees it; replicas are shown by `label`."""
 
     group: str
+    replica: str
     role: str
     term: int
     leader: str
@@ -352,12 +354,13 @@
         configuration = state.configuration
         return GroupStatus(
             self.name,
+            label(self.me),
             str(state.role),
             state.term,
-            state.leader.name if state.leader else "",
-            tuple(voter.name for voter in configuration.voters),
-            tuple(voter.name for voter in configuration.outgoing),
-            tuple(learner.name for learner in configuration.learners),
+            label(state.leader) if state.leader else "",
+            tuple(map(label, configuration.voters)),
+            tuple(map(label, configuration.outgoing)),
+            tuple(map(label, configuration.learners)),
             state.commit,
             self.applied,
             state.snapshot.index,
@@ -385,6 +388,11 @@
         self.effects.extend(effects)
 
 
+def label(replica):
+    """Return a replica's VM name with the start of its incarnation."""
+    return f"{replica.name}/{replica.incarnation[:LABEL_CHARS]}"
+
+
 def pack_all(messages):
     """Return messages encoded for the wire."""
     return tuple(pack(message) for message in messages)
