--- a/pollenmount/consensus/client.py
+++ b/pollenmount/consensus/client.py
@@ -7,7 +7,7 @@
 from pollenmount.consensus.calls import Fate, Propose
 from pollenmount.errors import Refusal, RefusalKind
 
-__all__ = ["GroupClient"]
+__all__ = ["GroupClient", "no_quorum"]
 
 PROPOSE_TIMEOUT_MS = 4000
 CALL_TIMEOUT_MS = 1000
@@ -119,7 +119,7 @@
         return bool(leader) and not self.client.is_suspect(leader)
 
 
-def no_quorum(group, maybe_appended, fate):
+def no_quorum(group, maybe_sent, fate=Fate.NOT_APPENDED):
     """Return the refusal for a group that gave no answer."""
     problem = f"the log {group!r} has no leader in reach; come back later"
     if fate is Fate.NO_ROOM:
@@ -130,6 +130,6 @@
     return Refusal(
         RefusalKind.NO_QUORUM,
         f"{problem} with the same key",
-        not_run=not maybe_appended,
+        not_run=not maybe_sent,
         retry_after_ms=RETRY_AFTER_MS,
     )
--- a/pollenmount/consensus/group.py
+++ b/pollenmount/consensus/group.py
@@ -14,13 +14,14 @@
 from pollenmount.consensus import messages as m
 from pollenmount.consensus import state as s
 from pollenmount.consensus.calls import Exchange, Fate, ProposeReply, pack, unpack
+from pollenmount.consensus.client import no_quorum
 from pollenmount.consensus.journal import JournalFailedError, JournalFullError
 from pollenmount.consensus.link import Link
 from pollenmount.consensus.raft import step
 from pollenmount.consensus.waiting import Waiting
 from pollenmount.log import get_logger
 
-__all__ = ["Group", "GroupStatus"]
+__all__ = ["Group", "GroupStatus", "no_quorum"]
 
 PROPOSE_WAIT_MS = 900
 EXCHANGE_WAIT_MS = 900
@@ -117,6 +118,8 @@
         """Return the `ProposeReply` to a `Propose`, at the latest after a while."""
         # A body that can't be decoded must not get into the log.
         msgspec.msgpack.decode(request.body, type=self.types[request.command])
+        if self.failure:
+            return self.reply(Fate.NOT_APPENDED)
         done = task.Event()
         reply = self.ask(Proposal(request.command, request.body, done), PROPOSE_WAIT_MS)
         return reply or self.reply(Fate.UNKNOWN)
--- /dev/null
+++ b/tests/faults/test_groups_disk.py
@@ -0,0 +1,84 @@
+"""One replica in this process, on a disk that runs full or fails."""
+
+import errno
+import random
+
+import msgspec
+import pytest
+
+from pollenmount.clock import Clock
+from pollenmount.consensus.calls import Fate, Propose
+from pollenmount.consensus.group import Group
+from pollenmount.consensus.journal import Journal
+from pollenmount.consensus.messages import Replica
+from pollenmount.plans.machine import AcceptPlan, PlanMachine
+from tests.stateful.test_journal import FakeDisk
+
+
+class DirectWorker:
+    """Runs calls at once."""
+
+    def run(self, function, *args):
+        return function(*args)
+
+
+def start(disk):
+    journal = Journal(disk)
+    me = Replica("a", journal.saved.incarnation, "x", "127.0.0.1:1")
+    machine = PlanMachine()
+    group = Group("plans", me, machine, journal, DirectWorker(), None, Clock())
+    group.bootstrap((me,))
+    while not group.confirm():
+        pass
+    return group
+
+
+def propose(group, number):
+    body = msgspec.msgpack.encode(AcceptPlan(number, f"{number}", b"sheet"))
+    return group.propose(Propose("plans", "AcceptPlan", body)).fate
+
+
+@pytest.fixture
+def disk():
+    return FakeDisk(random.Random(0))
+
+
+def test_full_disk_refuses_and_goes_on_when_there_is_room(disk):
+    group = start(disk)
+    assert propose(group, 1) is Fate.APPLIED
+    disk.room = 10
+    assert [propose(group, 2) for _ in range(3)] == [Fate.NO_ROOM] * 3
+    assert group.machine.current.number == 1
+    disk.room = 1 << 20
+    assert propose(group, 3) is Fate.APPLIED
+    group.close()
+    again = start(disk)
+    assert set(again.machine.history) == {1, 3}
+    again.close()
+
+
+def test_failed_disk_ends_the_replica_and_tells_the_fate_as_unknown(disk):
+    group = start(disk)
+
+    def fail(name):
+        raise OSError(errno.EIO, "broken")
+
+    disk.sync = fail
+    assert propose(group, 1) is Fate.UNKNOWN
+    assert "restart the node" in group.status().failure
+    assert propose(group, 2) is Fate.NOT_APPENDED
+    group.close()
+
+
+def test_committed_plan_is_in_force_after_a_restart_before_any_leader(disk):
+    group = start(disk)
+    assert propose(group, 7) is Fate.APPLIED
+    while group.journal.commit < group.state.commit:
+        group.confirm()
+    group.close()
+    disk.crash()
+    journal = Journal(disk)
+    machine = PlanMachine()
+    again = Group("plans", group.me, machine, journal, DirectWorker(), None, Clock())
+    assert machine.current.number == 7
+    again.close()
