--- a/pollenmount/kernel.py
+++ b/pollenmount/kernel.py
@@ -15,6 +15,7 @@
 
 PARTS = "pollenmount.parts"
 LAST_PART = "listeners"
+ANNOUNCED_MS = 2000
 
 
 class PartCycleError(PollenmountError):
@@ -25,13 +26,15 @@
     """Settings, clock and parts of one node.
 
     `stopping` is set once the node leaves the directory, `refusing` once it takes no
-    new requests. `incarnation` is new with each start of the process.
+    new requests. `started` is when the listeners were open, None before. `incarnation`
+    is new with each start of the process.
     """
 
     def __init__(self, settings, clock=None):
         self.settings = settings
         self.clock = clock or Clock()
         self.incarnation = uuid.uuid4().hex
+        self.started = None
         self.stopping = False
         self.refusing = False
         self.stack = contextlib.ExitStack()
@@ -65,6 +68,16 @@
             if name != LAST_PART:
                 self.get(name)
         self.get(LAST_PART)
+        self.started = self.clock.now()
+
+    def is_ready(self):
+        """Return whether callers may be sent here.
+
+        Not before a plan is in force and each target had the time to announce itself.
+        """
+        if self.started is None or self.stopping or self.get("plans").plan is None:
+            return False
+        return self.clock.now() - self.started >= ANNOUNCED_MS
 
     def close(self):
         """Close all parts in reverse order."""
