--- a/pollenmount/api/operations/groups.py
+++ b/pollenmount/api/operations/groups.py
@@ -1,6 +1,7 @@
 """Operations on replicated logs: the state of this node's replicas."""
 
 from pollenmount.api.web import json_reply
+from pollenmount.consensus.status import describe_group
 from pollenmount.plugin import register
 
 
@@ -13,5 +14,5 @@
     rows = []
     for group in kernel.get("local_groups").values():
         confirmed = group.confirm()
-        rows.append({**group.status()._asdict(), "confirmed": confirmed})
+        rows.append({**describe_group(group)._asdict(), "confirmed": confirmed})
     return json_reply({"groups": rows})
--- /dev/null
+++ b/pollenmount/consensus/batch.py
@@ -0,0 +1,44 @@
+"""What waits in the inbox of a replica, and the draft that a batch is stepped on."""
+
+from typing import NamedTuple
+
+from pollenmount import task
+from pollenmount.consensus.calls import Exchange
+from pollenmount.consensus.raft import step
+
+__all__ = ["Confirm", "Draft", "Incoming", "Proposal"]
+
+
+class Incoming(NamedTuple):
+    """Messages of another replica; `reply` is sent those that go back, or is None."""
+
+    exchange: Exchange
+    reply: task.Event | None
+
+
+class Proposal(NamedTuple):
+    """A command of this node's; `done` is sent its `ProposeReply`."""
+
+    kind: str
+    body: bytes
+    done: task.Event
+
+
+class Confirm(NamedTuple):
+    """A linearizable read; `done` is sent whether it was confirmed."""
+
+    done: task.Event
+
+
+class Draft:
+    """Steps on top of a state, and their effects, before anything is saved."""
+
+    def __init__(self, state, now):
+        self.state = state
+        self.now = now
+        self.effects = []
+
+    def step(self, message):
+        """Take one step more."""
+        self.state, effects = step(self.state, message, self.now)
+        self.effects.extend(effects)
--- a/pollenmount/consensus/group.py
+++ b/pollenmount/consensus/group.py
@@ -6,72 +6,31 @@
 
 import contextlib
 import queue
-from typing import NamedTuple
 
 import msgspec
 
 from pollenmount import task
 from pollenmount.consensus import messages as m
 from pollenmount.consensus import state as s
+from pollenmount.consensus.batch import Confirm, Draft, Incoming, Proposal
 from pollenmount.consensus.calls import Exchange, Fate, ProposeReply, pack, unpack
 from pollenmount.consensus.client import no_quorum
 from pollenmount.consensus.journal import JournalFailedError, JournalFullError
 from pollenmount.consensus.link import Link
-from pollenmount.consensus.raft import step
 from pollenmount.consensus.waiting import Waiting
 from pollenmount.log import get_logger
 
-__all__ = ["Group", "GroupStatus", "no_quorum"]
+__all__ = ["Group", "no_quorum"]
 
 PROPOSE_WAIT_MS = 900
 EXCHANGE_WAIT_MS = 900
 COMPACT_ENTRIES = 1024
 COMPACT_BYTES = 4 << 20
 QUIET_MS = 1000
-LABEL_CHARS = 8
 
 logger = get_logger("consensus")
 
 
-class Incoming(NamedTuple):
-    """Messages of another replica; `reply` is sent those that go back, or is None."""
-
-    exchange: Exchange
-    reply: task.Event | None
-
-
-class Proposal(NamedTuple):
-    """A command of this node's; `done` is sent its `ProposeReply`."""
-
-    kind: str
-    body: bytes
-    done: task.Event
-
-
-class Confirm(NamedTuple):
-    """A linearizable read; `done` is sent whether it was confirmed."""
-
-    done: task.Event
-
-
-class GroupStatus(NamedTuple):
-    """One replica as an operator sees it; replicas are shown by `label`."""
-
-    group: str
-    replica: str
-    role: str
-    term: int
-    leader: str
-    voters: tuple[str, ...]
-    outgoing: tuple[str, ...]
-    learners: tuple[str, ...]
-    commit: int
-    applied: int
-    snapshot_index: int
-    journal_bytes: int
-    failure: str
-
-
 class Group:
     """One replica of the group `name`.
 
@@ -351,51 +310,12 @@
             return
         self.let_out(draft, (), ())
 
-    def status(self):
-        """Return the `GroupStatus`."""
-        state = self.state
-        configuration = state.configuration
-        return GroupStatus(
-            self.name,
-            label(self.me),
-            str(state.role),
-            state.term,
-            label(state.leader) if state.leader else "",
-            tuple(map(label, configuration.voters)),
-            tuple(map(label, configuration.outgoing)),
-            tuple(map(label, configuration.learners)),
-            state.commit,
-            self.applied,
-            state.snapshot.index,
-            self.journal.size,
-            self.failure,
-        )
-
     def close(self):
         """Stop and close the files."""
         self.loop.kill()
         self.journal.close()
 
 
-class Draft:
-    """Steps on top of a state, and their effects, before anything is saved."""
-
-    def __init__(self, state, now):
-        self.state = state
-        self.now = now
-        self.effects = []
-
-    def step(self, message):
-        """Take one step more."""
-        self.state, effects = step(self.state, message, self.now)
-        self.effects.extend(effects)
-
-
-def label(replica):
-    """Return a replica's VM name with the start of its incarnation."""
-    return f"{replica.name}/{replica.incarnation[:LABEL_CHARS]}"
-
-
 def pack_all(messages):
     """Return messages encoded for the wire."""
     return tuple(pack(message) for message in messages)
--- a/tests/faults/test_groups_disk.py
+++ b/tests/faults/test_groups_disk.py
@@ -65,7 +65,7 @@
 
     disk.sync = fail
     assert propose(group, 1) is Fate.UNKNOWN
-    assert "restart the node" in group.status().failure
+    assert "restart the node" in group.failure
     assert propose(group, 2) is Fate.NOT_APPENDED
     group.close()
 
