--- a/pollenmount/consensus/client.py
+++ b/pollenmount/consensus/client.py
@@ -9,7 +9,7 @@
 
 __all__ = ["GroupClient", "no_quorum"]
 
-PROPOSE_TIMEOUT_MS = 4000
+PROPOSE_TIMEOUT_MS = 5000
 CALL_TIMEOUT_MS = 1000
 SUSPECT_MS = 5000
 ROUND_MS = 100
--- a/pollenmount/consensus/state.py
+++ b/pollenmount/consensus/state.py
@@ -67,8 +67,8 @@
         Size from which no further entry goes into a message.
     """
 
-    heartbeat_ms: int = 250
-    election_ms: int = 1250
+    heartbeat_ms: int = 500
+    election_ms: int = 1500
     replace_ms: int = 300_000
     offer_ms: int = 10_000
     snapshot_ms: int = 2000
