Replace the full mesh of heartbeats by gossip, reports and relays

Cause: every node called every known node each second with all members in each message; at 330 nodes that is 329 calls a second and node.

Change: inside a failure domain each node's heartbeat counter spreads by gossip to two members a round, with descriptions sent only when a key is unknown; a counter that grows by any path keeps its member, so one bad link removes nobody. Between failure domains two relays exchange small reports with an age; rosters are fetched by digest when they change. Plans go down a push tree as edits of the older sheet, mended by fetches from whoever is ahead; a plan that can't be read is not fetched again.

Ruled out: a replicated directory (needs a quorum in an isolated region); reports with members in them (about 2 KB a failure domain and round).

Proof: tests/stateful/test_members.py (cuts, loss, repeats, replays, restarts, long silence, against the set of running nodes).

--- /dev/null
+++ b/pollenmount/members/delta.py
@@ -0,0 +1,76 @@
+"""A newer sheet as edits of an older one, or whole and compressed."""
+
+import difflib
+import zlib
+from typing import NamedTuple
+
+from pollenmount.members.digest import digest_of
+
+__all__ = ["Edit", "PlanUpdate", "apply_update", "make_update"]
+
+
+class Edit(NamedTuple):
+    """Lines `start` to `end` of the older sheet are replaced by `lines`."""
+
+    start: int
+    end: int
+    lines: bytes
+
+
+class PlanUpdate(NamedTuple):
+    """An accepted plan on its way to a node.
+
+    `base` is the number of the plan whose sheet the edits apply to; 0 means that
+    `whole` is the compressed sheet. `check` is the digest of the resulting sheet.
+    """
+
+    number: int
+    digest: str
+    check: int
+    base: int
+    edits: tuple[Edit, ...]
+    whole: bytes
+
+
+def make_update(accepted, base=None):
+    """Return the update for a node that holds the accepted plan `base`."""
+    sheet = accepted.sheet
+    whole = zlib.compress(sheet)
+    edits = tuple(make_edits(base.sheet, sheet)) if base else ()
+    check = digest_of(sheet)
+    size = sum(len(edit.lines) for edit in edits)
+    if base is None or size >= len(whole):
+        return PlanUpdate(accepted.number, accepted.digest, check, 0, (), whole)
+    return PlanUpdate(accepted.number, accepted.digest, check, base.number, edits, b"")
+
+
+def make_edits(old, new):
+    """Yield the edits that turn the old sheet into the new one."""
+    old_lines = old.splitlines(keepends=True)
+    new_lines = new.splitlines(keepends=True)
+    matcher = difflib.SequenceMatcher(None, old_lines, new_lines, autojunk=False)
+    for tag, start, end, new_start, new_end in matcher.get_opcodes():
+        if tag != "equal":
+            yield Edit(start, end, b"".join(new_lines[new_start:new_end]))
+
+
+def apply_update(update, base):
+    """Return the sheet of an update, or None if `base` isn't the one it needs.
+
+    `base` is the accepted plan in force, or None.
+    """
+    if update.base == 0:
+        sheet = zlib.decompress(update.whole)
+    elif base is None or base.number != update.base:
+        return None
+    else:
+        sheet = edit(base.sheet, update.edits)
+    return sheet if digest_of(sheet) == update.check else None
+
+
+def edit(sheet, edits):
+    """Return the sheet with all edits made."""
+    lines = sheet.splitlines(keepends=True)
+    for start, end, new in reversed(edits):
+        lines[start:end] = [new]
+    return b"".join(lines)
--- /dev/null
+++ b/pollenmount/members/digest.py
@@ -0,0 +1,20 @@
+"""Short digests that stand for values which a peer may hold already."""
+
+import hashlib
+
+import msgspec
+
+__all__ = ["digest_of", "rank_of"]
+
+DIGEST_BYTES = 7
+
+
+def digest_of(value):
+    """Return a 56-bit integer for a value that msgpack can encode."""
+    data = msgspec.msgpack.encode(value)
+    return int.from_bytes(hashlib.blake2b(data, digest_size=DIGEST_BYTES).digest())
+
+
+def rank_of(name):
+    """Return the key by which members are ordered alike on all nodes."""
+    return digest_of(name), name
--- /dev/null
+++ b/pollenmount/members/far.py
@@ -0,0 +1,258 @@
+"""What other failure domains report of themselves, passed on between relays.
+
+A `Report` is small and changes with each heartbeat; the `Roster` that it names by
+digest changes when a member or an offer comes or goes, and is fetched when missing. A
+report carries its age, since clocks of two VMs can't be compared.
+"""
+
+import functools
+import zlib
+from typing import NamedTuple
+
+from pollenmount.members.digest import digest_of
+from pollenmount.members.summary import Counts
+from pollenmount.members.table import DomainSummary, Member, age_of
+
+__all__ = ["FarTable", "Offer", "Report", "Roster", "RosterKey", "domain_key"]
+
+FRESH_HEARTBEATS = 20
+FORGET_MS = 3_600_000
+MAX_DOMAINS = 256
+
+
+class Offer(NamedTuple):
+    """A model's version or a service, with the adapters loaded for it."""
+
+    name: str
+    adapters: tuple[str, ...]
+
+
+class Roster(NamedTuple):
+    """The slowly changing part of a failure domain: members and offers."""
+
+    failure_domain: str
+    region: str
+    offers: tuple[Offer, ...]
+    members: tuple[Member, ...]
+
+
+class Report(NamedTuple):
+    """What a failure domain says of itself.
+
+    The higher (`sequence`, `author`) is newer. `roster` is a digest. `counts` go with
+    the roster's offers, `behind` maps the index of a member to its older plan number.
+    """
+
+    failure_domain: str
+    sequence: int
+    author: int
+    age_ms: int
+    roster: int
+    plan_number: int
+    behind: dict[int, int]
+    counts: tuple[Counts, ...]
+
+
+class RosterKey(NamedTuple):
+    """Names one state of a roster."""
+
+    failure_domain: str
+    digest: int
+
+
+class Held(NamedTuple):
+    """A report, and when it was made by this node's clock."""
+
+    report: Report
+    made: int
+
+
+class HeldRoster(NamedTuple):
+    """A roster and its digest."""
+
+    digest: int
+    roster: Roster
+
+
+class FarTable:
+    """Reports and rosters of the other failure domains.
+
+    `heartbeat_ms`
+        Interval of heartbeats; a report holds for twenty. A failure domain silent for
+        `FORGET_MS` is forgotten.
+    """
+
+    def __init__(self, clock, heartbeat_ms, failure_domain):
+        self.clock = clock
+        self.fresh_ms = heartbeat_ms * FRESH_HEARTBEATS
+        self.failure_domain = failure_domain
+        self.own_sequence = 0
+        self.own_roster = None
+        self.held = {}
+        self.rosters = {}
+        self.changes = 0
+
+    def next_sequence(self):
+        """Return a sequence above all that were seen of the own failure domain."""
+        self.own_sequence += 1
+        return self.own_sequence
+
+    def take_in(self, reports):
+        """Take in reports that are newer than those held."""
+        for report in reports:
+            if report.failure_domain == self.failure_domain:
+                self.take_known(report.sequence)
+            else:
+                self.take_one(report)
+
+    def take_one(self, report):
+        """Take in one report of another failure domain if it is newer."""
+        held = self.held.get(report.failure_domain)
+        if held is None and len(self.held) >= MAX_DOMAINS:
+            return
+        if held and order(report) <= order(held.report):
+            return
+        made = self.clock.now() - max(report.age_ms, 0)
+        self.held[report.failure_domain] = Held(report, made)
+        self.changes += 1
+
+    def take_stamps(self, stamps):
+        """Learn from a peer's stamps how far the own sequence was seen to go."""
+        self.take_known(stamps.get(domain_key(self.failure_domain), 0))
+
+    def take_known(self, sequence):
+        """Learn how far a peer saw the own sequence go."""
+        self.own_sequence = max(self.own_sequence, sequence)
+
+    def sequence_of(self, failure_domain):
+        """Return the newest sequence heard of a failure domain, 0 if none."""
+        held = self.held.get(failure_domain)
+        return held.report.sequence if held else 0
+
+    def stamps(self):
+        """Return the newest sequence of each failure domain, by `domain_key`."""
+        own = {domain_key(self.failure_domain): self.own_sequence}
+        held = {
+            domain_key(domain): held.report.sequence
+            for domain, held in self.held.items()
+        }
+        return own | held
+
+    def newer_than(self, stamps, own=None):
+        """Return fresh reports that the sender of stamps and own report lacks."""
+        known = dict(stamps)
+        if own:
+            known[domain_key(own.failure_domain)] = own.sequence
+        now = self.clock.now()
+        return tuple(
+            held.report._replace(age_ms=age_of(now, held.made))
+            for domain, held in self.held.items()
+            if held.report.sequence > known.get(domain_key(domain), 0)
+            and self.is_fresh(held)
+        )
+
+    def total(self):
+        """Return a number that is higher on a node with newer reports."""
+        fresh = (held for held in self.held.values() if self.is_fresh(held))
+        return sum(held.report.sequence for held in fresh)
+
+    def is_fresh(self, held):
+        """Return whether a report still holds."""
+        return age_of(self.clock.now(), held.made) < self.fresh_ms
+
+    def fresh(self):
+        """Yield (held report, held roster) of failure domains heard of lately."""
+        for domain, held in self.held.items():
+            if domain in self.rosters and self.is_fresh(held):
+                yield held, self.rosters[domain]
+
+    def missing_rosters(self, reports):
+        """Return the keys of the rosters that reports name and this node lacks."""
+        return tuple(
+            RosterKey(report.failure_domain, report.roster)
+            for report in reports
+            if not self.has_roster(report.failure_domain, report.roster)
+        )
+
+    def has_roster(self, failure_domain, digest):
+        """Return whether the roster held of a failure domain is the one named."""
+        held = self.find_roster(failure_domain)
+        return held is not None and held.digest == digest
+
+    def take_rosters(self, rosters):
+        """Take in rosters that the reports held name."""
+        for roster in rosters:
+            held = self.held.get(roster.failure_domain)
+            digest = digest_of(roster)
+            if held and held.report.roster == digest:
+                self.rosters[roster.failure_domain] = HeldRoster(digest, roster)
+                self.changes += 1
+
+    def set_own_roster(self, roster):
+        """Keep the own failure domain's roster for peers; return its digest."""
+        if self.own_roster is None or self.own_roster.roster != roster:
+            self.own_roster = HeldRoster(digest_of(roster), roster)
+        return self.own_roster.digest
+
+    def give_rosters(self, keys):
+        """Return those of the rosters asked for that this node has."""
+        return tuple(
+            held.roster
+            for key in keys
+            if (held := self.find_roster(key.failure_domain))
+            and held.digest == key.digest
+        )
+
+    def find_roster(self, failure_domain):
+        """Return the held roster of a failure domain, or None."""
+        if failure_domain == self.failure_domain:
+            return self.own_roster
+        return self.rosters.get(failure_domain)
+
+    def sweep(self):
+        """Forget failure domains that were silent for long."""
+        now = self.clock.now()
+        for domain, held in [*self.held.items()]:
+            if age_of(now, held.made) >= FORGET_MS:
+                del self.held[domain]
+                self.rosters.pop(domain, None)
+                self.changes += 1
+
+    def live(self):
+        """Return the members of the failure domains heard of lately, as a tuple."""
+        return tuple(
+            member._replace(
+                plan_number=held.report.behind.get(index, held.report.plan_number)
+            )
+            for held, kept in self.fresh()
+            for index, member in enumerate(kept.roster.members)
+        )
+
+    def fresh_summaries(self):
+        """Return what the failure domains heard of lately can take, as a tuple."""
+        now = self.clock.now()
+        return tuple(
+            summary
+            for held, kept in self.fresh()
+            if held.report.roster == kept.digest
+            for summary in summaries(held.report, kept.roster, age_of(now, held.made))
+        )
+
+
+def summaries(report, roster, age_ms):
+    """Yield a `DomainSummary` for each offer of a roster."""
+    for offer, counts in zip(roster.offers, report.counts, strict=False):
+        yield DomainSummary(
+            roster.failure_domain, roster.region, *offer, *counts, age_ms
+        )
+
+
+def order(report):
+    """Return the key by which the newer of two reports is told."""
+    return report.sequence, report.author
+
+
+@functools.cache
+def domain_key(failure_domain):
+    """Return the number that stands for a failure domain's name in messages."""
+    return zlib.crc32(failure_domain.encode())
--- a/pollenmount/members/heartbeat.py
+++ b/pollenmount/members/heartbeat.py
@@ -1,91 +1,267 @@
-"""Heartbeats between nodes: who lives, what each failure domain can take, which plan.
+"""Rounds of heartbeats to few peers, and the answers to theirs.
 
-A node that hears of a newer plan fetches it from the one that has it.
+Inside the failure domain each round goes to two members in turn, and to those that are
+suspected. Two members, the relays, also exchange reports with relays of other failure
+domains; the rest pull these from a neighbour whose reports are newer.
 """
 
-from typing import NamedTuple
+import random
 
 from result import Ok
 
 from pollenmount import task
-from pollenmount.bridge.control import register_call
-from pollenmount.members.table import DomainSummary, Member
-from pollenmount.plans.machine import AcceptedPlan
+from pollenmount.members.messages import FetchRosters, Heartbeat, Pull, PullReply
+from pollenmount.members.near import RELAYS
+from pollenmount.members.peers import Contacts, Rotation, relay_address
 
-__all__ = ["FetchPlan", "Heartbeat", "Heartbeater"]
+__all__ = ["Heartbeater"]
 
-
-class Heartbeat(NamedTuple):
-    """Call and reply: a member, those it knows, its failure domain's summaries."""
-
-    member: Member
-    known: tuple[Member, ...]
-    summaries: tuple[DomainSummary, ...]
-
-
-class FetchPlan(NamedTuple):
-    """Call: the plan in force, if it is newer than `above`."""
-
-    above: int
-
-
-register_call(Heartbeat, Heartbeat)
-register_call(FetchPlan, AcceptedPlan | None)
+NEAR_FANOUT = 2
+FAR_FANOUT = 1
+JOIN_ROUNDS = 3
+RETRY_ROUNDS = 5
+SEED_ROUNDS = 10
+PULL_ROUNDS = 2
+JOIN_SPACING = 4
 
 
 class Heartbeater:
-    """Sends a heartbeat to every known member and to the seeds.
+    """Sends rounds of heartbeats and takes in what comes back.
 
-    `summarize` returns the summaries of this node's failure domain.
+    `report`
+        Returns a new `Report` of this failure domain.
+    `spread`
+        Fetches plans that peers are ahead with.
+    `spawn`
+        Runs a function in a task of its own (default `task.spawn`).
     """
 
-    def __init__(self, control, table, store, seeds, summarize, timeout_ms):
+    def __init__(self, control, members, report, spread, seeds, timeout_ms, spawn=None):
         self.control = control
-        self.table = table
-        self.store = store
+        self.near = members.near
+        self.far = members.far
+        self.report = report
+        self.spread = spread
         self.seeds = seeds
-        self.summarize = summarize
         self.timeout_ms = timeout_ms
+        self.spawn = spawn or task.spawn
+        self.rounds = 0
+        self.pulled = 0
+        self.answered = False
+        self.joined = False
+        self.join_rounds = 0
+        self.said_stopping = False
+        self.failures = {}
+        self.contacts = Contacts(self.far)
+        self.fetching = set()
+        seed = self.near.describe().incarnation
+        self.near_turns = Rotation(random.Random(seed))
+        self.far_turns = Rotation(random.Random(seed))
+        self.seed_turns = Rotation(random.Random(seed))
+        self.retry_turns = Rotation(random.Random(seed))
+
+    def join(self):
+        """Ask all known members in quick rounds, then let plans come into force."""
+        while not self.joined:
+            self.join_step()
+            task.sleep(self.timeout_ms // JOIN_SPACING)
+
+    def join_step(self):
+        """Start the next round; rounds in which no peer answered don't count."""
+        self.join_rounds += self.answered
+        self.answered = False
+        if self.join_rounds < JOIN_ROUNDS:
+            self.join_round()
+        else:
+            self.joined = True
+            self.spread.open()
+
+    def join_round(self):
+        """Send a heartbeat to every seed and every known near member."""
+        self.near.beat += 1
+        known = {row.member.control for row in self.near.rows.values()}
+        for address in known:
+            self.spawn(self.exchange, address)
+        for address in {*self.seeds} - known - {self.near.own().control}:
+            self.spawn(self.pull, address)
 
     def beat(self):
         """Send one round of heartbeats, each in a task of its own."""
-        own = self.table.describe()
-        message = self.message()
-        known = {member.control for member in self.table.members.values()}
-        for address in {*known, *self.seeds} - {own.control}:
-            task.spawn(self.send, address, message)
-
-    def message(self):
-        """Return this node's heartbeat."""
-        known = tuple(self.table.alive().values())
-        return Heartbeat(self.table.describe(), known, self.summarize())
-
-    def send(self, address, message):
-        """Send a heartbeat and take in the reply."""
-        reply = self.control.call(address, message, self.timeout_ms)
-        if isinstance(reply, Ok):
-            self.take_in(reply.ok_value)
+        self.rounds += 1
+        self.near.beat += 1
+        self.near.sweep()
+        self.far.sweep()
+        for address in self.near_addresses():
+            self.spawn(self.exchange, address)
+        for address, domain in self.far_addresses():
+            self.spawn(self.pull, address, domain)
+        self.spread.mend()
+
+    def near_addresses(self):
+        """Return the addresses of this round inside the failure domain."""
+        alive = [row.member.control for row in self.near.alive().values()]
+        if self.near.own().stopping and not self.said_stopping:
+            self.said_stopping = True
+            return alive
+        missing = [member.control for member in self.near.missing()]
+        chosen = self.near_turns.take(alive, NEAR_FANOUT)
+        suspects = [member.control for member in self.near.suspects()]
+        chosen += suspects[:NEAR_FANOUT]
+        if missing and (not alive or self.rounds % RETRY_ROUNDS == 0):
+            chosen += self.retry_turns.take(missing, 1)
+        return sorted({*chosen})
+
+    def far_addresses(self):
+        """Yield (address, failure domain or '') of this round outside."""
+        if self.is_relay():
+            domains = self.far_turns.take(self.far.rosters, FAR_FANOUT)
+            for domain in domains:
+                roster = self.far.rosters[domain].roster
+                turn = self.rounds % RELAYS + self.failures.get(domain, 0)
+                address = relay_address(roster, turn)
+                if address:
+                    yield address, domain
+        for address in self.seeds_to_ask():
+            yield address, ""
+
+    def seeds_to_ask(self):
+        """Return seeds that no member in reach answers for, one now and then."""
+        own = self.near.own().control
+        reached = {member.control for member in self.near.live()}
+        reached.update(member.control for member in self.far.live())
+        lost = sorted({*self.seeds} - reached - {own})
+        if not self.near.alive() and not self.far.held:
+            return lost
+        due = not self.far.held or self.rounds % SEED_ROUNDS == 0
+        return self.seed_turns.take(lost, 1) if due else []
+
+    def is_relay(self):
+        """Return whether this node is a relay of its failure domain."""
+        own = self.near.describe().name
+        return any(member.name == own for member in self.near.relays())
+
+    def message(self, described=(), unknown=(), known=()):
+        """Return this node's heartbeat, without what a peer's `known` pulses say."""
+        domain = self.far.failure_domain
+        pulses = self.near.pulses(known)
+        return Heartbeat(domain, pulses, described, unknown, self.far.total())
+
+    def exchange(self, address):
+        """Exchange heartbeats with one member, twice if one lacks descriptions."""
+        reply = self.control.call(address, self.message(), self.timeout_ms)
+        if not isinstance(reply, Ok):
+            return
+        unknown = self.take_in(reply.ok_value, address)
+        described = self.describe_for(reply.ok_value)
+        if unknown or described:
+            again = self.message(described, unknown)
+            reply = self.control.call(address, again, self.timeout_ms)
+            if isinstance(reply, Ok):
+                self.take_in(reply.ok_value, address)
+
+    def describe_for(self, message):
+        """Return the descriptions that the sender of a message needs."""
+        described = self.near.described(message.unknown)
+        return described + self.near.corrections(message.pulses[0].key)
 
     def receive(self, message):
-        """Take in a peer's heartbeat and return this node's."""
-        self.take_in(message)
-        return self.message()
-
-    def take_in(self, message):
-        """Remember what a heartbeat says; fetch its plan if that is newer."""
-        self.table.hear(message.member, message.summaries)
-        self.table.learn(message.known)
-        if message.member.plan_number > self.store.number:
-            task.spawn(self.fetch, message.member.control)
-
-    def fetch(self, address):
-        """Fetch the plan in force at `address` and put it in force here."""
-        request = FetchPlan(self.store.number)
+        """Take in a member's heartbeat and return this node's."""
+        if message.failure_domain != self.far.failure_domain:
+            return self.message()
+        self.near.learn(message.described)
+        unknown = self.near.take_in(message.pulses)
+        return self.message(self.describe_for(message), unknown, message.pulses)
+
+    def take_in(self, message, address):
+        """Take in a reply; return the keys that need a description."""
+        if message.failure_domain != self.far.failure_domain:
+            return ()
+        self.answered = True
+        self.near.learn(message.described)
+        unknown = self.near.take_in(message.pulses)
+        self.near.confirm(message.pulses[0].key)
+        self.spread.hint(message.pulses[0].plan_number, address)
+        if message.far_total > self.far.total() and self.may_pull():
+            self.pulled = self.rounds
+            self.spawn(self.pull, address, self.far.failure_domain)
+        return unknown
+
+    def may_pull(self):
+        """Return whether the last pull inside the failure domain is old enough."""
+        return self.rounds - self.pulled >= PULL_ROUNDS or not self.far.held
+
+    def pull(self, address, domain=""):
+        """Exchange reports with a peer of `domain` ('' for a seed's, unknown)."""
+        own = self.near.own()
+        speaks = domain != self.far.failure_domain and self.is_relay()
+        report = self.report() if speaks and self.joined else None
+        request = Pull(
+            self.far.failure_domain,
+            own.control,
+            own.plan_number,
+            report,
+            self.far.stamps(),
+            not domain,
+        )
         reply = self.control.call(address, request, self.timeout_ms)
         if isinstance(reply, Ok):
-            self.store.offer(reply.ok_value)
+            self.failures.pop(domain, None)
+            self.take_reply(reply.ok_value, address)
+            if not domain and reply.ok_value.failure_domain == own.failure_domain:
+                self.exchange(address)
+            for contact in {*reply.ok_value.contacts} - {own.control}:
+                self.exchange(contact)
+        elif domain in self.far.rosters:
+            self.failures[domain] = self.failures.get(domain, 0) + 1
+
+    def take_reply(self, reply, address):
+        """Take in the answer to a `Pull`."""
+        self.answered = True
+        self.far.take_known(reply.known)
+        self.take_reports(reply.reports, address)
+        self.spread.hint(reply.plan_number, address)
+
+    def give_reports(self, request):
+        """Answer a `Pull`."""
+        self.far.take_stamps(request.stamps)
+        if request.report:
+            self.take_reports((request.report,), request.control)
+        self.spread.hint(request.plan_number, request.control)
+        domain = request.failure_domain
+        contacts = ()
+        if request.seeking and domain != self.far.failure_domain:
+            contacts = self.contacts.introduce(domain, request.control)
+        return PullReply(
+            self.far.failure_domain,
+            self.near.describe().plan_number,
+            self.far.sequence_of(domain),
+            self.far.newer_than(request.stamps, request.report),
+            contacts,
+        )
+
+    def take_reports(self, reports, address):
+        """Take in reports; fetch the rosters they name that are missing."""
+        self.far.take_in(reports)
+        missing = {*self.far.missing_rosters(reports)} - self.fetching
+        if missing:
+            self.fetching |= missing
+            self.spawn(self.fetch_rosters, address, tuple(sorted(missing)))
+
+    def fetch_rosters(self, address, keys):
+        """Fetch rosters from a peer."""
+        try:
+            reply = self.control.call(address, FetchRosters(keys), self.timeout_ms)
+            if isinstance(reply, Ok):
+                self.far.take_rosters(reply.ok_value)
+                self.learn_own(reply.ok_value)
+        finally:
+            self.fetching.difference_update(keys)
+
+    def learn_own(self, rosters):
+        """Learn members of the own failure domain that others know of."""
+        for roster in rosters:
+            self.near.learn(roster.members)
 
-    def give_plan(self, request):
-        """Return the plan in force if it is newer than the peer's."""
-        newer = self.store.number > request.above
-        return self.store.accepted if newer else None
+    def give_rosters(self, request):
+        """Answer a `FetchRosters`."""
+        return self.far.give_rosters(request.keys)
--- /dev/null
+++ b/pollenmount/members/peers.py
@@ -0,0 +1,83 @@
+"""Chooses the peers of one round of heartbeats, and introduces nodes that join."""
+
+import collections
+
+from pollenmount.members.digest import rank_of
+
+__all__ = ["Contacts", "Rotation", "relay_address"]
+
+RECENT_CONTACTS = 4
+MAX_DOMAINS = 256
+INTRODUCED = 2
+
+
+class Rotation:
+    """Goes round changing sets of items in a shuffled order.
+
+    `random`
+        Source of the order.
+    """
+
+    def __init__(self, random):
+        self.random = random
+        self.waiting = []
+
+    def take(self, items, count):
+        """Return up to `count` of the items, each once a round."""
+        items = set(items)
+        chosen = []
+        while items and len(chosen) < min(count, len(items)):
+            if not self.waiting:
+                self.waiting = sorted(items - {*chosen})
+                self.random.shuffle(self.waiting)
+            item = self.waiting.pop()
+            if item in items and item not in chosen:
+                chosen.append(item)
+        return chosen
+
+
+class Contacts:
+    """Addresses of other failure domains' members, for nodes that join there.
+
+    `far`
+        The table whose rosters name the members that are known for longer.
+    """
+
+    def __init__(self, far):
+        self.far = far
+        self.recent = collections.OrderedDict()
+
+    def introduce(self, failure_domain, address):
+        """Return addresses to join at, and remember the caller's for others."""
+        recent = self.recent.pop(failure_domain, ())
+        self.recent[failure_domain] = (address, *without(recent, address))[
+            :RECENT_CONTACTS
+        ]
+        if len(self.recent) > MAX_DOMAINS:
+            self.recent.popitem(last=False)
+        held = self.far.rosters.get(failure_domain)
+        members = ranked(held.roster) if held else []
+        known = [member.control for member in members[:INTRODUCED]]
+        return tuple({*known, *without(recent, address)})
+
+
+def without(addresses, address):
+    """Return the addresses but for one."""
+    return [other for other in addresses if other != address]
+
+
+def ranked(roster):
+    """Return a roster's members, the relays first."""
+    members = [member for member in roster.members if not member.stopping]
+    return sorted(members, key=lambda member: rank_of(member.name))
+
+
+def relay_address(roster, turn):
+    """Return the control address to ask for a failure domain, or None.
+
+    Turns 0 and 1 stand for its relays, later ones for the other members.
+    """
+    members = ranked(roster)
+    if not members:
+        return None
+    return members[turn % len(members)].control
--- a/pollenmount/members/summary.py
+++ b/pollenmount/members/summary.py
@@ -1,18 +1,34 @@
 """Sums up what the targets of a failure domain can take."""
 
-from pollenmount.members.table import DomainSummary
+from typing import NamedTuple
 
-__all__ = ["summarize"]
+__all__ = ["Counts", "OfferSum", "sum_offers"]
 
 
-def summarize(targets, failure_domain, region):
-    """Return a tuple with one `DomainSummary` for each offer of the targets."""
-    rows = {}
+class Counts(NamedTuple):
+    """Slots and requests of all targets with one offer."""
+
+    slots: int
+    running: int
+    waiting: int
+
+
+class OfferSum(NamedTuple):
+    """One model's version or service, its loaded adapters and its counts."""
+
+    offer: str
+    adapters: tuple[str, ...]
+    counts: Counts
+
+
+def sum_offers(targets):
+    """Return an `OfferSum` for each offer of the targets, ordered by name."""
+    sums = {}
     for target in targets:
         for offer, adapters in offers_of(target.said):
-            empty = DomainSummary(failure_domain, region, offer, (), 0, 0, 0)
-            rows[offer] = add(rows.get(offer, empty), target.said, adapters)
-    return tuple(rows.values())
+            empty = OfferSum(offer, (), Counts(0, 0, 0))
+            sums[offer] = add(sums.get(offer, empty), target.said, adapters)
+    return tuple(sums[offer] for offer in sorted(sums))
 
 
 def offers_of(said):
@@ -24,10 +40,10 @@
 
 
 def add(row, said, adapters):
-    """Return the summary with one target more."""
-    return row._replace(
-        adapters=tuple(sorted({*row.adapters, *adapters})),
-        slots=row.slots + said.slots,
-        running=row.running + said.running,
-        waiting=row.waiting + said.waiting,
+    """Return the sum with one target more."""
+    counts = Counts(
+        row.counts.slots + said.slots,
+        row.counts.running + said.running,
+        row.counts.waiting + said.waiting,
     )
+    return OfferSum(row.offer, tuple(sorted({*row.adapters, *adapters})), counts)
--- a/pollenmount/members/table.py
+++ b/pollenmount/members/table.py
@@ -1,14 +1,22 @@
-"""Nodes that this node knows of, and when each was last heard of."""
+"""Nodes that this node knows of, near and far, as one table.
+
+`near` holds the members of the own failure domain, `far` what other failure domains
+report of themselves.
+"""
 
 from typing import NamedTuple
 
-__all__ = ["DomainSummary", "Member", "MemberTable"]
+__all__ = ["DomainSummary", "Member", "MemberTable", "age_of"]
 
-SUSPECT_HEARTBEATS = 3
+CACHE_MS = 200
 
 
 class Member(NamedTuple):
-    """One node as it describes itself. Addresses are `IP:port`."""
+    """One node as it describes itself. Addresses are `IP:port`.
+
+    `version` grows with each change of the description; a restarted node takes a
+    higher one than its earlier incarnation had.
+    """
 
     name: str
     incarnation: str
@@ -19,12 +27,14 @@
     control: str
     plan_number: int
     stopping: bool
+    version: int = 1
 
 
 class DomainSummary(NamedTuple):
     """What a failure domain can take of one model or service.
 
-    `offer` is `name@version` or a service's name; counts are of requests.
+    `offer` is `name@version` or a service's name; counts are of requests; `age_ms` is
+    how long ago they were counted.
     """
 
     failure_domain: str
@@ -34,57 +44,36 @@
     slots: int
     running: int
     waiting: int
+    age_ms: int = 0
 
 
 class MemberTable:
-    """Members by name; those not heard of for a while are unreachable.
-
-    `heartbeat_ms`
-        Interval of heartbeats; three missed ones make a member unreachable.
-    `describe`
-        Returns this node's own `Member`.
-    """
+    """Members in reach, from the near table and the far one."""
 
-    def __init__(self, clock, heartbeat_ms, describe):
+    def __init__(self, clock, near, far):
         self.clock = clock
-        self.describe = describe
-        self.limit_ms = heartbeat_ms * SUSPECT_HEARTBEATS
-        self.members = {}
-        self.seen = {}
-        self.summaries = {}
-
-    def hear(self, member, summaries):
-        """Take in what a member said itself."""
-        self.members[member.name] = member
-        self.seen[member.name] = self.clock.now()
-        if summaries:
-            self.summaries[member.failure_domain] = (self.clock.now(), summaries)
-
-    def learn(self, members):
-        """Take in members that another one knows, without taking them as alive."""
-        for member in members:
-            self.members.setdefault(member.name, member)
-
-    def alive(self):
-        """Return the members heard of lately, by name."""
-        now = self.clock.now()
-        return {
-            name: self.members[name]
-            for name, seen in self.seen.items()
-            if now - seen < self.limit_ms
-        }
+        self.near = near
+        self.far = far
+        self.cached_for = None
+        self.cached = ()
 
     def live(self):
         """Return the members in reach, this node included, as a tuple."""
-        own = self.describe()
-        return tuple({**self.alive(), own.name: own}.values())
+        return (*self.near.live(), *self.far_members())
+
+    def far_members(self):
+        """Return the far members; computed anew after a change or `CACHE_MS`."""
+        key = (self.far.changes, self.clock.now() // CACHE_MS)
+        if key != self.cached_for:
+            self.cached_for = key
+            self.cached = self.far.live()
+        return self.cached
 
     def fresh_summaries(self):
-        """Return the summaries of failure domains heard of lately."""
-        now = self.clock.now()
-        return tuple(
-            summary
-            for seen, summaries in self.summaries.values()
-            for summary in summaries
-            if now - seen < self.limit_ms
-        )
+        """Return the summaries of the other failure domains heard of lately."""
+        return self.far.fresh_summaries()
+
+
+def age_of(now, moment):
+    """Return the milliseconds since `moment`, never below 0."""
+    return max(now - moment, 0)
--- a/pollenmount/parts/members.py
+++ b/pollenmount/parts/members.py
@@ -1,8 +1,12 @@
-"""Membership: table of members, heartbeats, summaries of this failure domain."""
+"""Membership: tables of members, heartbeats, reports and the spread of plans."""
 
 from pollenmount import task
-from pollenmount.members.heartbeat import FetchPlan, Heartbeat, Heartbeater
-from pollenmount.members.summary import summarize
+from pollenmount.members.far import FarTable
+from pollenmount.members.heartbeat import Heartbeater
+from pollenmount.members.messages import FetchRosters, Heartbeat, Pull
+from pollenmount.members.near import NearTable
+from pollenmount.members.report import Reporter
+from pollenmount.members.spread import FetchPlan, PlanSpread, PushPlan
 from pollenmount.members.table import Member, MemberTable
 from pollenmount.plugin import register
 
@@ -10,26 +14,45 @@
 @register("pollenmount.parts", "members")
 def build_table(kernel):
     """Return the table of members."""
-    return MemberTable(
-        kernel.clock, kernel.settings.heartbeat_ms, lambda: describe(kernel)
+    settings = kernel.settings
+    beat_ms = settings.heartbeat_ms
+    near = NearTable(kernel.clock, beat_ms, lambda: describe(kernel))
+    far = FarTable(kernel.clock, beat_ms, settings.failure_domain)
+    return MemberTable(kernel.clock, near, far)
+
+
+@register("pollenmount.parts", "spread")
+def build_spread(kernel):
+    """Return what brings plans to all nodes."""
+    spread = PlanSpread(
+        kernel.get("control_client"),
+        kernel.get("members"),
+        kernel.get("plans"),
+        kernel.settings.heartbeat_ms,
     )
+    kernel.handle(FetchPlan, spread.give_plan)
+    kernel.handle(PushPlan, spread.receive)
+    return spread
 
 
 @register("pollenmount.parts", "heartbeater")
 def build_heartbeater(kernel):
     """Return the sender of heartbeats."""
     settings = kernel.settings
+    members = kernel.get("members")
     targets = kernel.get("targets")
     heartbeater = Heartbeater(
         kernel.get("control_client"),
-        kernel.get("members"),
-        kernel.get("plans"),
+        members,
+        Reporter(members.near, members.far, targets.live).report,
+        kernel.get("spread"),
         settings.seeds,
-        lambda: summarize(targets.live(), settings.failure_domain, settings.region),
         settings.heartbeat_ms,
     )
     kernel.handle(Heartbeat, heartbeater.receive)
-    kernel.handle(FetchPlan, heartbeater.give_plan)
+    kernel.handle(Pull, heartbeater.give_reports)
+    kernel.handle(FetchRosters, heartbeater.give_rosters)
+    task.spawn(heartbeater.join)
     kernel.own(task.Task(heartbeater.beat, settings.heartbeat_ms))
     return heartbeater
 
--- /dev/null
+++ b/tests/stateful/__init__.py
@@ -0,0 +1,1 @@
+"""Fuzzing of decisions against simple oracles."""
--- /dev/null
+++ b/tests/stateful/test_members.py
@@ -0,0 +1,141 @@
+"""Membership and spread of plans under cuts, loss, repeats, restarts and long silence.
+
+Oracle: the set of nodes that run, and the highest plan accepted. After quiet time every
+node sees just those, and that plan; until then nothing goes back.
+"""
+
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from bench.network import UNREADABLE, FakeNetwork, accept
+from pollenmount.members import far, near, spread
+
+DOMAINS = ("r1-a", "r1-b", "r2-a")
+PER_DOMAIN = 3
+QUIET_TICKS = 60
+INDEX = st.integers(0, len(DOMAINS) * PER_DOMAIN - 1)
+
+
+class MembersMachine(RuleBasedStateMachine):
+    def __init__(self):
+        super().__init__()
+        self.net = FakeNetwork()
+        seeds = ("r1-a-0:1", "r2-a-0:1")
+        for domain in DOMAINS:
+            for index in range(PER_DOMAIN):
+                name = f"{domain}-{index}"
+                self.net.add(name, domain, seeds, reads_all=name != "r1-b-2")
+        self.nodes = [*self.net.nodes.values()]
+        self.accepted = 0
+        self.versions = {}
+        self.net.tick(12)
+
+    @rule(count=st.integers(1, 9))
+    def tick(self, count):
+        self.net.tick(count)
+
+    @rule(index=INDEX)
+    def crash(self, index):
+        self.nodes[index].alive = False
+
+    @rule(index=INDEX)
+    def restart(self, index):
+        self.nodes[index].start()
+
+    @rule(index=INDEX)
+    def stop(self, index):
+        node = self.nodes[index]
+        if node.alive:
+            node.stopping = True
+            node.heartbeater.beat()
+            self.net.run()
+            for peer in self.nodes:
+                if peer.domain == node.domain and not self.net.cuts:
+                    seen = {m.name: m for m in peer.members.live()}
+                    exact = self.net.loss == 0 and node.name in seen
+                    assert not exact or seen[node.name].stopping
+            node.alive = False
+
+    @rule(one=INDEX, other=INDEX, both=st.booleans())
+    def cut(self, one, other, both):
+        pair = (self.nodes[one].name, self.nodes[other].name)
+        self.net.cuts |= {pair, pair[::-1]} if both else {pair}
+
+    @rule(one=st.sampled_from(DOMAINS), other=st.sampled_from(DOMAINS))
+    def cut_domains(self, one, other):
+        self.net.cuts |= {(one, other), (other, one)} if one != other else set()
+
+    @rule(index=INDEX)
+    def isolate(self, index):
+        name = self.nodes[index].name
+        for node in self.nodes:
+            self.net.cuts |= {(name, node.name), (node.name, name)}
+
+    @rule(loss=st.sampled_from([0, 0.1, 0.4]), again=st.sampled_from([0, 0.3]))
+    def disturb(self, loss, again):
+        self.net.loss, self.net.repeats, self.net.replays = loss, again, again
+
+    @rule()
+    def heal(self):
+        self.net.cuts.clear()
+
+    @rule()
+    def long_silence(self):
+        self.net.clock.advance(max(near.FORGET_MS, far.FORGET_MS))
+
+    @rule(index=st.sampled_from([0, 6]), unreadable=st.booleans())
+    def accept_plan(self, index, unreadable):
+        node = self.nodes[index]
+        if node.alive:
+            self.accepted += 1
+            sheet = b"".join(b"row,%d\n" % (n * self.accepted) for n in range(9))
+            accept(node, self.accepted, sheet + UNREADABLE * unreadable)
+
+    @invariant()
+    def plans_never_go_back(self):
+        for node in self.nodes:
+            assert node.store.numbers == sorted({*node.store.numbers})
+
+    @invariant()
+    def incarnations_never_go_back(self):
+        for node in self.nodes:
+            for name, row in node.members.near.rows.items():
+                order = (row.member.version, row.member.incarnation)
+                key = (node.incarnation, name, row.member.incarnation)
+                assert self.versions.get(key, 0) <= row.member.version, order
+                self.versions[key] = row.member.version
+
+    @invariant()
+    def state_is_bounded(self):
+        for node in self.nodes:
+            members = node.members
+            assert len(members.near.rows) < len(self.nodes)
+            assert len(members.near.retired) <= near.MAX_RETIRED
+            assert {*members.near.names.values()} == {*members.near.rows}
+            assert len(node.members.far.held) < len(DOMAINS)
+            assert len(node.spread.kept) <= spread.KEPT_PLANS
+
+    def teardown(self):
+        self.net.cuts.clear()
+        self.disturb(0, 0)
+        self.net.tick(QUIET_TICKS)
+        alive = [node for node in self.nodes if node.alive]
+        truth = {node.name: node.incarnation for node in alive}
+        seeds_up = all(self.net.nodes[seed].alive for seed in self.nodes[0].seeds)
+        newest = max((node.store.number for node in alive), default=0)
+        for node in alive if seeds_up else ():
+            seen = {m.name: m.incarnation for m in node.members.live()}
+            assert seen == truth, node.name
+            assert node.store.number == newest or not node.reads_all, node.name
+
+
+TestMembers = MembersMachine.TestCase
+TestMembers.settings = settings(
+    max_examples=40,
+    stateful_step_count=25,
+    derandomize=True,
+    database=None,
+    deadline=None,
+    suppress_health_check=[*HealthCheck],
+)
