Measure control slopes on a fake network and the real bridge

Rows without a pulse don't count as alive; the earlier flag for a counter seen to grow twice caught no fault that the fuzzing could show.

--- a/pollenmount/members/heartbeat.py
+++ b/pollenmount/members/heartbeat.py
@@ -21,7 +21,7 @@
 JOIN_ROUNDS = 3
 RETRY_ROUNDS = 5
 SEED_ROUNDS = 10
-PULL_ROUNDS = 2
+PULL_ROUNDS = 3
 JOIN_SPACING = 4
 
 
@@ -179,7 +179,6 @@
         self.answered = True
         self.near.learn(message.described)
         unknown = self.near.take_in(message.pulses)
-        self.near.confirm(message.pulses[0].key)
         self.spread.hint(message.pulses[0].plan_number, address)
         if message.far_total > self.far.total() and self.may_pull():
             self.pulled = self.rounds
--- a/pollenmount/members/near.py
+++ b/pollenmount/members/near.py
@@ -32,14 +32,12 @@
 class Row(NamedTuple):
     """A member, its newest pulse, and when its counter last grew.
 
-    `grown` is false until the counter has been seen to grow; until then the member
-    doesn't count as alive, since an old message may have named it.
+    A member that was only described, with no pulse yet, doesn't count as alive.
     """
 
     member: Member
     pulse: Pulse
     seen: int
-    grown: bool
 
 
 class Retired(NamedTuple):
@@ -124,15 +122,7 @@
         name = self.names[pulse.key]
         row = self.rows[name]
         if pulse.beat > row.pulse.beat:
-            grown = row.grown or row.pulse.beat > 0
-            self.rows[name] = Row(row.member, pulse, self.clock.now(), grown)
-
-    def confirm(self, key):
-        """Count a member as alive that has just answered a call itself."""
-        if key in self.names:
-            name = self.names[key]
-            row = self.rows[name]
-            self.rows[name] = row._replace(seen=self.clock.now(), grown=True)
+            self.rows[name] = Row(row.member, pulse, self.clock.now())
 
     def learn(self, members):
         """Take in descriptions of members of this failure domain."""
@@ -157,12 +147,14 @@
         if known:
             self.drop(known)
         self.names[key_of(member)] = member.name
-        pulse = Pulse(key_of(member), 0, 0)
-        # A member that only changed its description has proved that it lives.
-        same = known is not None and known.member.incarnation == member.incarnation
-        grown = same and known.grown
-        seen = known.seen if same else self.clock.now()
-        self.rows[member.name] = Row(member, pulse, seen, grown)
+        self.rows[member.name] = self.first_row(member, known)
+
+    def first_row(self, member, known):
+        """Return the row of a new description; it goes on if only that changed."""
+        if known and known.member.incarnation == member.incarnation:
+            pulse = known.pulse._replace(key=key_of(member))
+            return Row(member, pulse, known.seen)
+        return Row(member, Pulse(key_of(member), 0, 0), self.clock.now())
 
     def outbid(self, own, member):
         """Take a higher version than a description of this node that isn't its own."""
@@ -210,7 +202,7 @@
         return {
             name: row
             for name, row in self.rows.items()
-            if row.grown and self.silent_for(row) < UNREACHABLE_HEARTBEATS
+            if row.pulse.beat > 0 and self.silent_for(row) < UNREACHABLE_HEARTBEATS
         }
 
     def suspects(self):
--- /dev/null
+++ b/standins/relay.py
@@ -0,0 +1,170 @@
+"""A TCP relay between processes that can cut, delay and stall, and counts bytes.
+
+A cut direction passes nothing on and keeps what arrived, as a network partition does
+under TCP; after `heal` it goes on. It runs in a thread of its own.
+"""
+
+import collections
+import random
+import selectors
+import socket
+import threading
+import time
+from typing import NamedTuple
+
+__all__ = ["Direction", "Relay"]
+
+READ_BYTES = 65_536
+POLL_S = 0.005
+STALL_S = 0.2
+
+
+class Direction(NamedTuple):
+    """State of one direction of a relay.
+
+    `delay_s` is added to each chunk; `loss` is the share of chunks that wait for
+    `STALL_S` more, as after a retransmission.
+    """
+
+    cut: bool = False
+    delay_s: float = 0.0
+    loss: float = 0.0
+
+
+class Chunk(NamedTuple):
+    """Bytes that wait to be passed on, from `due` on."""
+
+    due: float
+    data: bytes
+
+
+class Pipe:
+    """One direction of one connection."""
+
+    def __init__(self, name, source, target):
+        self.name = name
+        self.source = source
+        self.target = target
+        self.chunks = collections.deque()
+        self.ended = False
+
+
+class Relay:
+    """Relays connections at `listen` to `target` (both `IP:port`).
+
+    `seed`
+        Seed of the losses (default 1).
+    """
+
+    def __init__(self, listen, target, seed=1):
+        self.target = split(target)
+        self.random = random.Random(seed)
+        self.directions = {"in": Direction(), "out": Direction()}
+        self.bytes = collections.Counter()
+        self.pipes = []
+        self.closing = threading.Event()
+        self.listener = socket.create_server(split(listen))
+        self.listener.setblocking(False)
+        self.selector = selectors.DefaultSelector()
+        self.selector.register(self.listener, selectors.EVENT_READ)
+        self.thread = threading.Thread(target=self.run, daemon=True)
+        self.thread.start()
+
+    def set(self, name, **changes):
+        """Change direction `in` (to the target) or `out` (from it)."""
+        self.directions[name] = self.directions[name]._replace(**changes)
+
+    def cut(self, *names):
+        """Cut the directions named, both by default."""
+        for name in names or ("in", "out"):
+            self.set(name, cut=True)
+
+    def heal(self):
+        """Pass everything on again."""
+        self.directions = {"in": Direction(), "out": Direction()}
+
+    def run(self):
+        """Relay until closed."""
+        while not self.closing.is_set():
+            for key, _ in self.selector.select(POLL_S):
+                if key.fileobj is self.listener:
+                    self.accept()
+                else:
+                    self.read(key.data)
+            for pipe in [*self.pipes]:
+                self.pass_on(pipe)
+        for pipe in self.pipes:
+            pipe.source.close()
+        self.listener.close()
+        self.selector.close()
+
+    def accept(self):
+        """Take a connection and open the one to the target."""
+        source, _ = self.listener.accept()
+        try:
+            target = socket.create_connection(self.target, timeout=1)
+        except OSError:
+            source.close()
+            return
+        for name, one, other in (("in", source, target), ("out", target, source)):
+            one.setblocking(False)
+            pipe = Pipe(name, one, other)
+            self.pipes.append(pipe)
+            self.selector.register(one, selectors.EVENT_READ, pipe)
+
+    def read(self, pipe):
+        """Take what has arrived in one direction."""
+        try:
+            data = pipe.source.recv(READ_BYTES)
+        except OSError:
+            data = b""
+        direction = self.directions[pipe.name]
+        stall = STALL_S if self.random.random() < direction.loss else 0
+        due = time.monotonic() + direction.delay_s + stall
+        pipe.chunks.append(Chunk(due, data))
+        if not data:
+            self.selector.unregister(pipe.source)
+
+    def pass_on(self, pipe):
+        """Pass on what is due in one direction."""
+        now = time.monotonic()
+        while pipe.chunks and pipe.chunks[0].due <= now:
+            if self.directions[pipe.name].cut or pipe.ended:
+                return
+            data = pipe.chunks.popleft().data
+            if data and self.send(pipe, data):
+                continue
+            self.end(pipe)
+
+    def send(self, pipe, data):
+        """Write all the data; return whether that worked."""
+        try:
+            pipe.target.setblocking(True)
+            pipe.target.sendall(data)
+            pipe.target.setblocking(False)
+        except OSError:
+            return False
+        self.bytes[pipe.name] += len(data)
+        return True
+
+    def end(self, pipe):
+        """End both directions of a connection once one has ended."""
+        both = [p for p in self.pipes if pipe.source in (p.source, p.target)]
+        for one in both:
+            one.ended = True
+            if one.source.fileno() in self.selector.get_map():
+                self.selector.unregister(one.source)
+            self.pipes.remove(one)
+        for one in both:
+            one.source.close()
+
+    def close(self):
+        """Stop relaying and close all connections."""
+        self.closing.set()
+        self.thread.join()
+
+
+def split(address):
+    """Return (IP, port) of an `IP:port` address."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
--- /dev/null
+++ b/tests/test_members_size.py
@@ -0,0 +1,55 @@
+"""Membership and spread at 24 failure domains of 14 members, on a fake network."""
+
+import pytest
+
+from bench.domains import build, measure, sheet
+from bench.network import accept
+
+NODES = 24 * 14
+BUDGET_BYTES = 7000
+FRAMING_BYTES_A_CALL = 165
+CALLERS = 320
+TICKS_IN_5_S = 5
+
+
+@pytest.fixture(scope="module")
+def network():
+    built = build(24, 14)
+    built.tick(16)
+    return built
+
+
+def test_every_node_sees_every_other(network):
+    assert {len(node.names()) for node in network.nodes.values()} == {NODES}
+
+
+def test_bytes_stay_in_the_budget(network):
+    measured = measure(network, 10)
+    framing = measured.relay_messages * FRAMING_BYTES_A_CALL
+    assert measured.most_bytes + framing < BUDGET_BYTES, measured
+
+
+def test_plan_is_in_force_everywhere_in_5_s(network):
+    nodes = [*network.nodes.values()]
+    for number in (1, 2):
+        accept(nodes[0], number, sheet(CALLERS, number))
+        network.tick(TICKS_IN_5_S)
+        assert {node.store.number for node in nodes} == {number}
+
+
+def test_change_of_one_row_costs_few_bytes(network):
+    nodes = [*network.nodes.values()]
+    network.bytes.clear()
+    accept(nodes[0], 3, sheet(CALLERS, 3))
+    network.run()
+    assert {node.store.number for node in nodes} == {3}
+    assert max(network.bytes.values()) < CALLERS * 100
+
+
+def test_plan_arrives_without_the_push(network, monkeypatch):
+    nodes = [*network.nodes.values()]
+    for node in nodes:
+        monkeypatch.setattr(node.spread, "push", lambda *call: None)
+    accept(nodes[0], 4, sheet(CALLERS, 4))
+    network.tick(12)
+    assert {node.store.number for node in nodes} == {4}
