--- a/tests/stateful/__init__.py
+++ b/tests/stateful/__init__.py
@@ -1,1 +1,1 @@
-"""Fuzzing of decisions against simple oracles."""
+"""Stateful fuzzing against simple oracles."""
