Load the family of plan records once, not for every row

Cause: parse_sheet scanned the package of records three times a row. Each node parses on its event loop at each change, so streams stood still that long. Touches plans/sheet.py only to cache its table of records. Left: the check for a caller listed twice is quadratic in callers.

--- a/pollenmount/plans/sheet.py
+++ b/pollenmount/plans/sheet.py
@@ -5,6 +5,7 @@
 """
 
 import csv
+import functools
 import hashlib
 import io
 import json
@@ -117,6 +118,7 @@
     return record, parsed
 
 
+@functools.cache
 def records():
     """Return one instance of each record class, by name."""
     return {name: record() for name, record in load_family(RECORDS).items()}
