Keep members that aren't ready in rosters and as last relays

Change: any change of the flag makes a new version and is told at once; relays are ordered with ready members first. The fake network's nodes describe themselves the same way.

--- a/bench/network.py
+++ b/bench/network.py
@@ -125,7 +125,7 @@
             f"{self.name}:3",
             self.address,
             self.store.number,
-            self.stopping,
+            self.stopping or self.store.number == 0,
         )
 
     def step(self):
--- a/pollenmount/members/heartbeat.py
+++ b/pollenmount/members/heartbeat.py
@@ -50,7 +50,7 @@
         self.answered = False
         self.joined = False
         self.join_rounds = 0
-        self.said_stopping = False
+        self.said_version = 0
         self.failures = {}
         self.contacts = Contacts(self.far)
         self.fetching = set()
@@ -100,8 +100,9 @@
     def near_addresses(self):
         """Return the addresses of this round inside the failure domain."""
         alive = [row.member.control for row in self.near.alive().values()]
-        if self.near.own().stopping and not self.said_stopping:
-            self.said_stopping = True
+        version = self.near.own().version
+        if version != self.said_version:
+            self.said_version = version
             return alive
         missing = [member.control for member in self.near.missing()]
         chosen = self.near_turns.take(alive, NEAR_FANOUT)
--- a/pollenmount/members/near.py
+++ b/pollenmount/members/near.py
@@ -11,7 +11,7 @@
 from pollenmount.members.digest import digest_of, rank_of
 from pollenmount.members.table import Member, age_of
 
-__all__ = ["NearTable", "Pulse"]
+__all__ = ["RELAYS", "NearTable", "Pulse", "by_rank"]
 
 SUSPECT_HEARTBEATS = 3
 UNREACHABLE_HEARTBEATS = 6
@@ -71,8 +71,8 @@
     def own(self):
         """Return this node's own description."""
         member = self.describe()
-        if member.stopping and not self.stopping:
-            self.stopping = True
+        if member.stopping != self.stopping:
+            self.stopping = member.stopping
             self.version += 1
         return member._replace(version=self.version)
 
@@ -228,8 +228,12 @@
 
     def relays(self):
         """Return the members that carry traffic to other failure domains."""
-        able = [member for member in self.live() if not member.stopping]
-        return sorted(able, key=lambda member: rank_of(member.name))[:RELAYS]
+        return by_rank(self.live())[:RELAYS]
+
+
+def by_rank(members):
+    """Return members in the order in which they are relays, alike on all nodes."""
+    return sorted(members, key=lambda member: (member.stopping, rank_of(member.name)))
 
 
 def key_of(member):
--- a/pollenmount/members/peers.py
+++ b/pollenmount/members/peers.py
@@ -2,7 +2,7 @@
 
 import collections
 
-from pollenmount.members.digest import rank_of
+from pollenmount.members.near import by_rank
 
 __all__ = ["Contacts", "Rotation", "relay_address"]
 
@@ -56,7 +56,7 @@
         if len(self.recent) > MAX_DOMAINS:
             self.recent.popitem(last=False)
         held = self.far.rosters.get(failure_domain)
-        members = ranked(held.roster) if held else []
+        members = by_rank(held.roster.members) if held else []
         known = [member.control for member in members[:INTRODUCED]]
         return tuple({*known, *without(recent, address)})
 
@@ -66,18 +66,12 @@
     return [other for other in addresses if other != address]
 
 
-def ranked(roster):
-    """Return a roster's members, the relays first."""
-    members = [member for member in roster.members if not member.stopping]
-    return sorted(members, key=lambda member: rank_of(member.name))
-
-
 def relay_address(roster, turn):
     """Return the control address to ask for a failure domain, or None.
 
     Turns 0 and 1 stand for its relays, later ones for the other members.
     """
-    members = ranked(roster)
+    members = by_rank(roster.members)
     if not members:
         return None
     return members[turn % len(members)].control
--- a/pollenmount/members/report.py
+++ b/pollenmount/members/report.py
@@ -23,20 +23,23 @@
         self.targets = targets
         self.newest = None
         self.made = 0
+        self.version = 0
 
     def report(self):
         """Return the newest `Report`; its roster is kept for peers that ask for it."""
         now = self.far.clock.now()
-        stale = now - self.made >= REPORT_MS or self.near.stopping
+        version = self.near.own().version
+        stale = now - self.made >= REPORT_MS or version != self.version
         if self.newest is None or stale:
             self.newest = self.make()
             self.made = now
+            self.version = version
         return self.newest._replace(age_ms=now - self.made)
 
     def make(self):
         """Make a new report."""
         own = self.near.own()
-        members = [member for member in self.near.live() if not member.stopping]
+        members = [*self.near.live()]
         members.sort(key=lambda member: member.name)
         sums = sum_offers(self.targets())
         number = max((member.plan_number for member in members), default=0)
--- a/pollenmount/members/spread.py
+++ b/pollenmount/members/spread.py
@@ -15,8 +15,7 @@
 from pollenmount.errors import SheetError
 from pollenmount.log import get_logger
 from pollenmount.members.delta import PlanUpdate, apply_update, make_update
-from pollenmount.members.digest import rank_of
-from pollenmount.members.near import RELAYS
+from pollenmount.members.near import RELAYS, by_rank
 from pollenmount.plans.machine import AcceptedPlan
 
 __all__ = ["FetchPlan", "PlanSpread", "PushPlan", "PushReply", "Taken"]
@@ -205,11 +204,9 @@
         """Yield (address, share) for the relays of each failure domain in reach."""
         domains = {}
         for member in self.members.live():
-            if not member.stopping:
-                domains.setdefault(member.failure_domain, []).append(member)
+            domains.setdefault(member.failure_domain, []).append(member)
         for members in domains.values():
-            members.sort(key=lambda member: rank_of(member.name))
-            for share, member in enumerate(members[:RELAYS]):
+            for share, member in enumerate(by_rank(members)[:RELAYS]):
                 yield member.control, share
 
     def push_to_share(self, share):
