Ask the next voter when a leader doesn't answer in 1.5 s

Change: one ask takes at most 1.5 s, and a leader that gave no answer is forgotten. A few lines in consensus/client.py, which belongs to the log.

--- a/pollenmount/consensus/client.py
+++ b/pollenmount/consensus/client.py
@@ -10,6 +10,7 @@
 __all__ = ["GroupClient"]
 
 PROPOSE_TIMEOUT_MS = 4000
+ASK_TIMEOUT_MS = 1500
 ROUND_MS = 100
 RETRY_AFTER_MS = 1000
 
@@ -86,9 +87,12 @@
     def ask(self, address, hops=2):
         """Ask one node, then the leader that it names; return the answer or None."""
         left_ms = max(1, self.limit - self.client.clock.now())
+        left_ms = min(left_ms, ASK_TIMEOUT_MS)
         reply = self.client.ask(address, self.request, left_ms)
         if isinstance(reply, Err):
             self.maybe_appended |= reply.err_value.sent
+            # A leader that was cut off silently must not use up the next attempt.
+            self.client.leaders.pop(self.request.group, None)
             return None
         reply = reply.ok_value
         self.fate = reply.fate
