Add the optional setting advertise: addresses that others use

A node behind an address translation or a relay is reached at other addresses than it listens on. Members, groups and the check of a voter's own address use them.

--- a/pollenmount/parts/groups.py
+++ b/pollenmount/parts/groups.py
@@ -33,7 +33,7 @@
         settings.groups,
         kernel.clock,
         kernel.get("local_groups"),
-        settings.listen.control,
+        settings.advertised.control,
     )
 
 
@@ -62,7 +62,7 @@
         settings.name,
         journal.saved.incarnation,
         settings.failure_domain,
-        settings.listen.control,
+        settings.advertised.control,
     )
     machine, on_apply = build_machine(kernel, name)
     worker = kernel.own(NativeWorker(kernel.get("hub")))
--- a/pollenmount/parts/members.py
+++ b/pollenmount/parts/members.py
@@ -65,9 +65,9 @@
         kernel.incarnation,
         settings.region,
         settings.failure_domain,
-        settings.listen.callers,
-        settings.listen.peers,
-        settings.listen.control,
+        settings.advertised.callers,
+        settings.advertised.peers,
+        settings.advertised.control,
         kernel.get("plans").number,
         not kernel.is_ready(),
     )
--- a/pollenmount/settings.py
+++ b/pollenmount/settings.py
@@ -34,6 +34,11 @@
             "required": list(LISTENERS),
             "properties": dict.fromkeys(LISTENERS, ADDRESS),
         },
+        "advertise": {
+            "type": "object",
+            "additionalProperties": False,
+            "properties": dict.fromkeys(LISTENERS, ADDRESS),
+        },
         "data_folder": {"type": "string", "minLength": 1},
         "seeds": {"type": "array", "items": ADDRESS},
         "peer_key": {"type": "string", "minLength": MIN_KEY_CHARS},
@@ -92,7 +97,8 @@
 class Settings(NamedTuple):
     """Checked settings. Durations are in milliseconds.
 
-    `groups` names the first voters of each replicated log, VM name to control address.
+    `groups` names the first voters of each replicated log, VM name to control address;
+    `advertise` the addresses that others use where they differ from `listen`.
     """
 
     name: str
@@ -111,6 +117,12 @@
     stop_limit_ms: int = 300_000
     max_body_bytes: int = 4 << 20
     policy: str = "adaptive"
+    advertise: dict[str, str] = {}
+
+    @property
+    def advertised(self):
+        """Return the addresses at which other VMs and callers reach this node."""
+        return self.listen._replace(**self.advertise)
 
 
 def check_settings(document):
--- a/pollenmount/settings_rules.py
+++ b/pollenmount/settings_rules.py
@@ -99,7 +99,8 @@
     name = document.get("name")
     if not isinstance(name, str) or name not in voters:
         return
-    own = get_table(document, "listen").get("control")
+    addresses = get_table(document, "listen") | get_table(document, "advertise")
+    own = addresses.get("control")
     if own is not None and voters[name] != own:
         problem = f"is {voters[name]!r}, but this VM's listen.control is {own!r}"
         yield Fault(f"groups.{group}.{name}", problem, "make them equal")
