Add the page on capacity, and a region cut off between processes

docs/CAPACITY.md is worked out by scripts/capacity.py from bench/slopes.json; tests/test_capacity.py fails when they disagree.

--- a/standins/relay.py
+++ b/standins/relay.py
@@ -5,14 +5,17 @@
 """
 
 import collections
+import contextlib
+import os
 import random
 import selectors
 import socket
 import threading
 import time
+from pathlib import Path
 from typing import NamedTuple
 
-__all__ = ["Direction", "Relay"]
+__all__ = ["Direction", "Relay", "find_owner"]
 
 READ_BYTES = 65_536
 POLL_S = 0.005
@@ -39,10 +42,11 @@
 
 
 class Pipe:
-    """One direction of one connection."""
+    """One direction of one connection; `owner` names the process that opened it."""
 
-    def __init__(self, name, source, target):
+    def __init__(self, name, owner, source, target):
         self.name = name
+        self.owner = owner
         self.source = source
         self.target = target
         self.chunks = collections.deque()
@@ -52,11 +56,17 @@
 class Relay:
     """Relays connections at `listen` to `target` (both `IP:port`).
 
+    `identify`
+        Returns the name of the process behind a peer address (default: '' for all).
     `seed`
         Seed of the losses (default 1).
+
+    `apart` holds names of processes whose connections are cut in both directions.
     """
 
-    def __init__(self, listen, target, seed=1):
+    def __init__(self, listen, target, identify=lambda peer: "", seed=1):
+        self.identify = identify
+        self.apart = frozenset()
         self.target = split(target)
         self.random = random.Random(seed)
         self.directions = {"in": Direction(), "out": Direction()}
@@ -82,6 +92,7 @@
     def heal(self):
         """Pass everything on again."""
         self.directions = {"in": Direction(), "out": Direction()}
+        self.apart = frozenset()
 
     def run(self):
         """Relay until closed."""
@@ -100,7 +111,8 @@
 
     def accept(self):
         """Take a connection and open the one to the target."""
-        source, _ = self.listener.accept()
+        source, peer = self.listener.accept()
+        owner = self.identify(peer)
         try:
             target = socket.create_connection(self.target, timeout=1)
         except OSError:
@@ -108,7 +120,7 @@
             return
         for name, one, other in (("in", source, target), ("out", target, source)):
             one.setblocking(False)
-            pipe = Pipe(name, one, other)
+            pipe = Pipe(name, owner, one, other)
             self.pipes.append(pipe)
             self.selector.register(one, selectors.EVENT_READ, pipe)
 
@@ -129,13 +141,17 @@
         """Pass on what is due in one direction."""
         now = time.monotonic()
         while pipe.chunks and pipe.chunks[0].due <= now:
-            if self.directions[pipe.name].cut or pipe.ended:
+            if pipe.ended or self.is_cut(pipe):
                 return
             data = pipe.chunks.popleft().data
             if data and self.send(pipe, data):
                 continue
             self.end(pipe)
 
+    def is_cut(self, pipe):
+        """Return whether nothing passes in this direction now."""
+        return pipe.owner in self.apart or self.directions[pipe.name].cut
+
     def send(self, pipe, data):
         """Write all the data; return whether that worked."""
         try:
@@ -164,6 +180,33 @@
         self.thread.join()
 
 
+def find_owner(processes, peer):
+    """Return the name of the process, of those given by name, that has the socket.
+
+    `peer` is the (IP, port) that the socket is bound to.
+    """
+    inode = find_inode(peer)
+    for name, process in processes.items():
+        for link in Path(f"/proc/{process.pid}/fd").glob("*"):
+            with contextlib.suppress(OSError):
+                if os.readlink(link) == f"socket:[{inode}]":
+                    return name
+    return ""
+
+
+def find_inode(peer):
+    """Return the inode of the TCP socket bound to (IP, port), '' if there is none."""
+    host, port = peer
+    wanted = f"{socket.inet_aton(host)[::-1].hex().upper()}:{port:04X}"
+    # A client may use an IPv6 socket for an IPv4 address.
+    for table in ("tcp", "tcp6"):
+        for line in Path(f"/proc/net/{table}").read_text().splitlines()[1:]:
+            fields = line.split()
+            if fields[1].endswith(wanted) and fields[9] != "0":
+                return fields[9]
+    return ""
+
+
 def split(address):
     """Return (IP, port) of an `IP:port` address."""
     host, _, port = address.rpartition(":")
--- /dev/null
+++ b/tests/test_capacity.py
@@ -0,0 +1,17 @@
+"""The page on capacity says what follows from the stored slopes."""
+
+import copy
+
+from bench import slopes
+from scripts.capacity import make_page, read_page
+
+
+def test_page_agrees_with_the_slopes():
+    page = read_page()
+    assert make_page(page, slopes.load()) == page
+
+
+def test_other_slopes_make_another_page():
+    known = copy.deepcopy(slopes.load())
+    known["control"]["bridge"]["call_us"] += 100
+    assert make_page(read_page(), known) != read_page()
