--- /dev/null
+++ b/tests/test_members.py
@@ -0,0 +1,96 @@
+"""Reports of failure domains and updates of plans, one decision at a time."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from bench.network import BEAT_MS, UNREADABLE, FakeNetwork, accept
+from pollenmount.clock import ManualClock
+from pollenmount.members.delta import apply_update, make_update
+from pollenmount.members.far import FRESH_HEARTBEATS, FarTable, Report, domain_key
+from pollenmount.plans.machine import AcceptedPlan
+
+LINES = st.lists(st.binary(max_size=3).map(lambda line: line + b"\n"), max_size=12)
+
+
+def make_report(sequence, age_ms=0):
+    return Report("far-a", sequence, 1, age_ms, 7, sequence, {}, ())
+
+
+def test_older_report_is_not_taken():
+    table = FarTable(ManualClock(10_000), BEAT_MS, "own-a")
+    table.take_in((make_report(5), make_report(4)))
+    assert table.sequence_of("far-a") == 5
+
+
+def test_report_keeps_its_age_on_the_way_and_ends():
+    clock = ManualClock(100_000)
+    table = FarTable(clock, BEAT_MS, "own-a")
+    table.take_in((make_report(5, age_ms=700),))
+    clock.advance(300)
+    (passed_on,) = table.newer_than({})
+    assert passed_on.age_ms == 1000
+    assert table.newer_than({domain_key("far-a"): 5}) == ()
+    clock.advance(FRESH_HEARTBEATS * BEAT_MS - 1000)
+    assert table.newer_than({}) == ()
+
+
+def test_own_sequence_goes_on_above_what_peers_saw():
+    table = FarTable(ManualClock(1), BEAT_MS, "own-a")
+    table.take_stamps({domain_key("own-a"): 41})
+    assert table.next_sequence() == 42
+    table.take_known(50)
+    assert table.next_sequence() == 51
+
+
+@settings(derandomize=True, database=None, deadline=None)
+@given(old=LINES, new=LINES, other=LINES)
+def test_update_gives_the_sheet_or_asks_for_the_whole(old, new, other):
+    base, newer = (
+        AcceptedPlan(number, "d", b"".join(lines))
+        for number, lines in ((1, old), (2, new))
+    )
+    assert apply_update(make_update(newer), None) == newer.sheet
+    update = make_update(newer, base)
+    assert apply_update(update, base) == newer.sheet
+    wrong = AcceptedPlan(1, "e", b"".join(other))
+    assert apply_update(update, wrong) in (newer.sheet, None)
+    if update.base:
+        assert apply_update(update, base._replace(number=9)) is None
+
+
+def test_unreadable_plan_is_kept_out_and_not_fetched_again():
+    network = FakeNetwork()
+    nodes = [
+        network.add(f"r-a-{index}", "r-a", ("r-a-0:1",), reads_all=index != 2)
+        for index in range(3)
+    ]
+    network.tick(8)
+    accept(nodes[0], 1)
+    network.tick(4)
+    accept(nodes[0], 2, UNREADABLE)
+    network.tick(4)
+    assert [node.store.number for node in nodes] == [2, 2, 1]
+    assert nodes[2].spread.unreadable == 2
+    network.kinds.clear()
+    network.tick(20)
+    assert network.kinds["FetchPlan"] == network.kinds["PushPlan"] == 0
+    accept(nodes[0], 3)
+    network.tick(4)
+    assert [node.store.number for node in nodes] == [3, 3, 3]
+
+
+def test_starting_node_takes_the_highest_plan_of_its_peers():
+    network = FakeNetwork()
+    seeds = ("r-a-0:1", "r-a-1:1")
+    nodes = [network.add(f"r-a-{index}", "r-a", seeds) for index in range(3)]
+    network.tick(8)
+    accept(nodes[0], 1)
+    network.tick(4)
+    nodes[2].alive = False
+    network.cuts |= {("r-a-0", "r-a-1"), ("r-a-1", "r-a-0")}
+    accept(nodes[1], 2)
+    network.run()
+    assert nodes[0].store.number == 1
+    nodes[2].start()
+    network.tick(12)
+    assert nodes[2].store.numbers == [0, 2]
