--- a/pollenmount/errors.py
+++ b/pollenmount/errors.py
@@ -10,6 +10,7 @@
 __all__ = [
     "Fault",
     "FaultsError",
+    "ListenError",
     "PollenmountError",
     "Refusal",
     "RefusalKind",
@@ -17,6 +18,7 @@
     "SheetError",
     "TransportError",
     "UnknownPluginError",
+    "UsageError",
 ]
 
 
@@ -28,6 +30,18 @@
     """No plug-in of that name is registered in the family."""
 
 
+class UsageError(PollenmountError):
+    """The words or flags of a command can't be used."""
+
+
+class ListenError(PollenmountError):
+    """An address of the settings can't be listened on."""
+
+    def __init__(self, address, problem):
+        remedy = "end what uses it, or correct 'listen' in the settings"
+        super().__init__(f"can't listen on {address} ({problem}); {remedy}")
+
+
 class Fault(NamedTuple):
     """One fault of a document: where it is, what is wrong, what to do."""
 
@@ -88,6 +102,7 @@
     DEADLINE = "deadline"
     TARGET_FAILED = "target_failed"
     OUTCOME_UNKNOWN = "outcome_unknown"
+    ANSWER_GONE = "answer_gone"
     INTERNAL = "internal"
 
 
@@ -111,6 +126,7 @@
     RefusalKind.DEADLINE: 504,
     RefusalKind.TARGET_FAILED: 502,
     RefusalKind.OUTCOME_UNKNOWN: 502,
+    RefusalKind.ANSWER_GONE: 410,
     RefusalKind.INTERNAL: 500,
 }
 
--- a/pollenmount/parts/routing.py
+++ b/pollenmount/parts/routing.py
@@ -1,7 +1,6 @@
-"""Parts that carry requests: admission, upstream connections, attempts, actions."""
+"""Parts that carry requests: admission, upstream connections, attempts."""
 
 from pollenmount import task
-from pollenmount.actions.runner import ActionRunner
 from pollenmount.plugin import get_plugin_by_name, register
 from pollenmount.routing.admit import Admission
 from pollenmount.routing.attempt import Attempter
@@ -110,9 +109,3 @@
         kernel.get("targets"),
         kernel.get("members"),
     )
-
-
-@register("pollenmount.parts", "actions")
-def build_actions(kernel):
-    """Return what runs actions at most once."""
-    return ActionRunner(kernel.get("group_client"))
--- a/pollenmount/routing/attempt.py
+++ b/pollenmount/routing/attempt.py
@@ -109,7 +109,7 @@
         if is_idempotent(call.route):
             left = min(left, FIRST_BYTE_MS.get(call.class_, left))
         return self.upstream.open(
-            address, method, path, headers, call.body, left, fresh
+            address, method, path, headers, call.body, left, fresh, call.guard
         )
 
 
--- a/pollenmount/routing/request.py
+++ b/pollenmount/routing/request.py
@@ -1,7 +1,7 @@
 """A request on its way through the gateway, and the parts of its answer."""
 
 from functools import singledispatch
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from pollenmount.members.table import DomainSummary, Member
 from pollenmount.plans.plan import IDEMPOTENT, Caller, Model, Plan, Service
@@ -45,7 +45,8 @@
 
     `deadline` is monotonic milliseconds of this node's clock; `key` is the idempotency
     key; `headers` are those passed on; `path` includes the query. `resume_from` counts
-    the events of the answer that were delivered before this attempt.
+    the events of the answer that were delivered before this attempt. `guard` is the
+    lease of an action's attempt.
     """
 
     id: str
@@ -60,6 +61,7 @@
     key: str
     stream: bool
     resume_from: int = 0
+    guard: Any = None
 
 
 class Head(NamedTuple):
