--- a/tests/stateful/raft_model.py
+++ b/tests/stateful/raft_model.py
@@ -241,7 +241,10 @@
         leaders = self.leading()
         if len(leaders) != 1:
             return False
-        configuration = self.nodes[leaders[0]].state.configuration
+        state = self.nodes[leaders[0]].state
+        if state.commit < state.log.last_index:
+            return False
+        configuration = state.configuration
         nodes = [self.nodes[voter.name] for voter in configuration.voters]
         return (
             not configuration.outgoing
