--- a/pollenmount/routing/forward.py
+++ b/pollenmount/routing/forward.py
@@ -37,7 +37,7 @@
 
     The receiver looks the caller up in its own plan. `offer` names the model with its
     version and adapter ('' for a service); `remaining_ms` is the time left, since
-    clocks of two VMs can't be compared.
+    clocks of two VMs can't be compared. `attempt` is the attempt at an action, or ''.
     """
 
     id: str
@@ -51,6 +51,7 @@
     key: str
     stream: bool
     resume_from: int = 0
+    attempt: str = ""
 
 
 class ForwardRefusedError(UpstreamError):
@@ -75,6 +76,7 @@
         call.key,
         call.stream,
         call.resume_from,
+        call.guard.attempt if call.guard else "",
     )
     encoded = msgspec.json.encode(forwarded).decode("latin-1")
     return {CALL_HEADER: encoded, KEY_HEADER: peer_key}
@@ -101,7 +103,7 @@
         return Refusal(RefusalKind.BAD_REQUEST, message)
 
 
-def to_call(forwarded, caller, route, body, now):
+def to_call(forwarded, caller, route, body, now, guard=None):
     """Return the `Call` that a forwarded one stands for on this node."""
     return Call(
         forwarded.id,
@@ -116,6 +118,7 @@
         forwarded.key,
         forwarded.stream,
         forwarded.resume_from,
+        guard,
     )
 
 
--- a/pollenmount/targets/upstream.py
+++ b/pollenmount/targets/upstream.py
@@ -82,28 +82,32 @@
         )
         self.pools.pool_classes_by_scheme = {"http": Pool}
 
-    def open(self, address, method, path, headers, body, timeout_ms, fresh=False):
+    def open(
+        self, address, method, path, headers, body, timeout_ms, fresh=False, guard=None
+    ):
         """Send a request and return the response, its body still unread.
 
         `fresh` uses a new connection, so that a failure to connect is the only
         ambiguity-free failure and a stale pooled connection can't cause another.
+        `guard` gives a new connection that is written only under its lease.
         """
         timeout = urllib3.Timeout(
             connect=CONNECT_TIMEOUT_S, read=max(timeout_ms, 1) / MS_PER_S
         )
         with contextlib.ExitStack() as stack:
-            pool = self.pool(address, fresh, stack)
+            pool = self.pool(address, fresh, stack, guard)
             response = send(pool, method, path, headers, body, timeout)
             # A fresh connection is closed with its pool, when the answer is read.
             response.owned = stack.pop_all()
         return response
 
-    def pool(self, address, fresh, stack):
+    def pool(self, address, fresh, stack, guard=None):
         """Return the pool to use; `stack` owns one that no other request uses."""
         if not fresh:
             return self.pools.connection_from_url(f"http://{address}")
         host, _, port = address.rpartition(":")
-        pool = Pool(host.strip("[]"), int(port), maxsize=1, retries=False)
+        make = guard.pool if guard else Pool
+        pool = make(host.strip("[]"), int(port), maxsize=1, retries=False)
         stack.callback(pool.close)
         return pool
 
