--- a/pollenmount/api/callers.py
+++ b/pollenmount/api/callers.py
@@ -106,6 +106,8 @@
             self.kernel.settings.failure_domain,
             caller.regions,
         )
+        if not document["entries"]:
+            return self.refuse(no_entries(), caller.name)
         return json_reply(document)
 
     def entries_without_plan(self):
@@ -269,6 +271,12 @@
     raise ValueError(f"{text} is not JSON")
 
 
+def no_entries():
+    """Return the refusal of a VM that knows of no entry VM for a caller yet."""
+    message = "no entry VM for you is known here yet; come back or ask another VM"
+    return Refusal(RefusalKind.NO_TARGET, message, True, RETRY_AFTER_MS)
+
+
 def no_plan():
     """Return the refusal of a VM that has no plan yet."""
     message = "no plan is in force here yet; come back or use another VM"
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -1,7 +1,10 @@
 """Which entry VMs a caller is told, and in which order."""
 
+from types import SimpleNamespace
+
 import pytest
 
+from pollenmount.api.callers import CallersApi
 from pollenmount.api.entries import list_entries
 from pollenmount.members.table import Member
 
@@ -37,3 +40,15 @@
     told = [(entry["name"], entry["weight"]) for entry in document["entries"]]
     assert told == expected
     assert document["ttl_ms"] == 5000
+
+
+def test_vm_that_knows_no_entry_says_so():
+    refused = []
+    kernel = SimpleNamespace(
+        get=lambda name: SimpleNamespace(live=lambda: ()),
+        settings=SimpleNamespace(failure_domain="west-a"),
+    )
+    api = CallersApi(kernel)
+    api.refuse = lambda refusal, tenant: refused.append((refusal.kind, tenant))
+    api.entries(SimpleNamespace(name="branch", home="west", regions=("west",)))
+    assert refused == [("no_target", "branch")]
