--- a/pollenmount/api/answer.py
+++ b/pollenmount/api/answer.py
@@ -3,12 +3,7 @@
 import contextlib
 import json
 
-from pollenmount.api.hangup import (
-    GONE,
-    CallerGoneError,
-    make_watch,
-    watched_parts,
-)
+from pollenmount import task
 from pollenmount.api.web import Reply, refusal_document, refusal_reply
 from pollenmount.errors import Refusal
 from pollenmount.log import get_logger
@@ -18,6 +13,7 @@
 __all__ = ["Answerer"]
 
 MS_PER_S = 1000
+CALLER_GONE = "caller_gone"
 
 logger = get_logger("calls")
 
@@ -28,8 +24,8 @@
     def __init__(self, kernel):
         self.kernel = kernel
 
-    def answer(self, call, connection=None):
-        """Return the reply to one call; give it up when `connection` is closed."""
+    def answer(self, call):
+        """Return the reply to one call."""
         record = Record(self.kernel, call)
         refusal = self.kernel.get("admission").check(call.caller)
         if refusal:
@@ -38,14 +34,12 @@
         with contextlib.ExitStack() as guard:
             guard.push(stack)
             stack.enter_context(self.kernel.get("admission").slot(call.caller))
-            watch = make_watch(stack, call, connection)
             parts = stack.enter_context(contextlib.closing(self.parts(call, record)))
             try:
-                with watch:
-                    first, rest = pipeline.attempts(parts)
-            except CallerGoneError:
-                record.end("caller_gone")
-                return GONE
+                first, rest = pipeline.attempts(parts)
+            except task.Cancelled:
+                record.end(CALLER_GONE)
+                raise
             if isinstance(first, Refusal):
                 return self.refuse(record, first)
             guard.pop_all()
@@ -57,7 +51,7 @@
             ("Pollenmount-Region", first.region),
             *([("Idempotency-Key", call.key)] if call.key else ()),
         )
-        return Reply(first.status, headers, self.body(stack, rest, record, watch))
+        return Reply(first.status, headers, self.body(stack, rest, record))
 
     def parts(self, call, record):
         """Return the generator of the answer's parts."""
@@ -73,14 +67,14 @@
             call, on_retry=retries.inc, on_start=record.start
         )
 
-    def body(self, stack, parts, record, watch):
+    def body(self, stack, parts, record):
         """Yield the bytes of an answer; an answer that breaks ends in an error."""
         with stack:
-            outcome = "caller_gone"
+            outcome = CALLER_GONE
             try:
-                for data in watched_parts(parts, watch):
+                for part in parts:
                     record.chunk()
-                    yield data
+                    yield part.data
                 outcome = "answered"
             except pipeline.BrokenAnswerError as error:
                 outcome = str(error.refusal.kind)
--- a/pollenmount/api/peers.py
+++ b/pollenmount/api/peers.py
@@ -5,12 +5,6 @@
 
 import contextlib
 
-from pollenmount.api.hangup import (
-    GONE,
-    CallerGoneError,
-    make_watch,
-    watched_parts,
-)
 from pollenmount.api.web import Reply, refusal_reply
 from pollenmount.errors import Refusal, RefusalKind
 from pollenmount.plans.plan import (
@@ -19,7 +13,7 @@
     parse_model_name,
 )
 from pollenmount.routing import forward, pipeline
-from pollenmount.routing.request import ModelRoute, ServiceRoute
+from pollenmount.routing.request import ModelRoute, ServiceRoute, is_idempotent
 from pollenmount.routing.rules import check_caller_region, check_rights
 
 __all__ = ["PeersApi"]
@@ -34,29 +28,27 @@
     def handle(self, request):
         """Answer one forwarded call."""
         if self.kernel.refusing:
-            message = "this VM is stopping; use another one"
+            message = "this VM is stopping; another one of its failure domain serves"
             return refuse(Refusal(RefusalKind.STOPPING, message, True, 1000))
         made = self.make_call(request)
         if isinstance(made, Refusal):
             return refuse(made)
-        return self.answer(made, request.connection)
+        if is_idempotent(made.route):
+            # An action runs on, so that its answer is recorded.
+            request.cancel_on_hangup()
+        return self.answer(made)
 
-    def answer(self, call, connection):
+    def answer(self, call):
         """Return the reply to a call that may run here."""
         with contextlib.ExitStack() as stack:
             # Counted, so that a planned stop waits for it.
             stack.enter_context(self.kernel.get("admission").slot(call.caller))
-            watch = make_watch(stack, call, connection)
             serving = self.kernel.get("router").serve(call, remote=False)
             parts = stack.enter_context(contextlib.closing(serving))
-            try:
-                with watch:
-                    first, rest = pipeline.attempts(parts)
-            except CallerGoneError:
-                return GONE
+            first, rest = pipeline.attempts(parts)
             if isinstance(first, Refusal):
                 return refuse(first)
-            body = send(stack.pop_all(), rest, watch)
+            body = send(stack.pop_all(), rest)
         return Reply(200, (forward.encode_head(first),), body)
 
     def make_call(self, request):
@@ -101,7 +93,8 @@
     return refusal_reply(refusal, [forward.encode_refusal(refusal)])
 
 
-def send(stack, parts, watch):
+def send(stack, parts):
     """Yield the bytes of an answer; a broken one gets no regular end."""
     with stack:
-        yield from watched_parts(parts, watch)
+        for part in parts:
+            yield part.data
--- a/pollenmount/routing/pipeline.py
+++ b/pollenmount/routing/pipeline.py
@@ -14,7 +14,6 @@
 
 MAX_ATTEMPTS = 3
 RETRY_AFTER_MS = 1000
-RETRY_AFTER_SPREAD_MS = 1000
 PAUSE_MS = 50
 MAX_COLLECTED_BYTES = 8 << 20
 
@@ -109,7 +108,7 @@
     """
     if not failures:
         message = "no target that may serve this is in reach; come back later"
-        return Refusal(RefusalKind.NO_TARGET, message, True, retry_after())
+        return Refusal(RefusalKind.NO_TARGET, message, retry_after_ms=RETRY_AFTER_MS)
     failure = failures[-1]
     not_run = all(failure.not_run for failure in failures)
     if isinstance(failure, ForwardRefusedError):
@@ -119,7 +118,7 @@
         return Refusal(RefusalKind.DEADLINE, message, not_run=not_run)
     if is_idempotent(call.route) or not_run:
         message = f"the target failed ({failure}); send the request again"
-        wait_ms = max(failure.retry_after_ms, retry_after())
+        wait_ms = max(failure.retry_after_ms, RETRY_AFTER_MS)
         return Refusal(RefusalKind.TARGET_FAILED, message, not_run, wait_ms)
     message = (
         f"the outcome is unknown ({failure}); it is not run again, "
@@ -128,11 +127,6 @@
     return Refusal(RefusalKind.OUTCOME_UNKNOWN, message, not_run=False)
 
 
-def retry_after():
-    """Return a time to come back; callers refused together come back apart."""
-    return RETRY_AFTER_MS + random.randint(0, RETRY_AFTER_SPREAD_MS)
-
-
 def attempts(parts):
     """Split the parts of an answer into (head or refusal, rest)."""
     first = next(parts)
--- a/pollenmount/targets/upstream.py
+++ b/pollenmount/targets/upstream.py
@@ -14,6 +14,8 @@
     ReadTimeoutError,
 )
 
+from pollenmount.targets.exact import ExactPool, with_target
+
 __all__ = [
     "ConnectError",
     "LateError",
@@ -54,7 +56,7 @@
     """The answer, or its next part, didn't come in time."""
 
 
-class Connection(urllib3.connection.HTTPConnection):
+class Connection(ExactPool.ConnectionCls):
     """A connection whose responses keep its socket, to set timeouts on it."""
 
     def getresponse(self):
@@ -65,7 +67,7 @@
         return response
 
 
-class Pool(urllib3.HTTPConnectionPool):
+class Pool(ExactPool):
     """Connections to one address."""
 
     ConnectionCls = Connection
@@ -115,8 +117,8 @@
     try:
         return pool.urlopen(
             method,
-            path,
-            headers=headers,
+            "/",
+            headers=with_target(headers, path),
             body=body,
             timeout=timeout,
             retries=False,
--- a/pollenmount/task.py
+++ b/pollenmount/task.py
@@ -7,18 +7,20 @@
 import eventlet
 import eventlet.event
 import eventlet.queue
+import greenlet
+from eventlet.green import socket
 
 from pollenmount.log import get_logger
 
 __all__ = [
+    "Cancelled",
     "Event",
     "Mailbox",
     "Task",
     "Timeout",
-    "current",
-    "interrupt",
     "patch",
     "sleep",
+    "socketpair",
     "spawn",
 ]
 
@@ -27,6 +29,8 @@
 Event = eventlet.event.Event
 Mailbox = eventlet.queue.LightQueue
 Timeout = eventlet.Timeout
+socketpair = socket.socketpair
+Cancelled = greenlet.GreenletExit
 
 logger = get_logger("task")
 
@@ -46,16 +50,6 @@
     return eventlet.spawn(run_logged, function, *args)
 
 
-def current():
-    """Return the task that runs."""
-    return eventlet.getcurrent()
-
-
-def interrupt(thread, error):
-    """Raise `error` in another task, at the point where it waits."""
-    eventlet.kill(thread, error)
-
-
 def run_logged(function, *args):
     """Call `function` and log the exception that ends it, if any."""
     try:
