Forward to a stopping VM, or to a neighbour, where there is no other

Cause: tests/faults/test_product_stop.py::test_restarting_each_vm_in_turn_fails_no_caller failed in 3 of 8 runs with no_target: a VM that has just started knows no target of its own yet, and the only entry VM of the other failure domain was already stopping, which candidates left out. Ruled out: the circuit breakers (no failure was logged before).

Change: a stopping VM is a candidate where its failure domain has no other, since it takes work until it says otherwise; and a VM without targets forwards to its neighbours.

--- a/bench/world.py
+++ b/bench/world.py
@@ -77,6 +77,7 @@
             world.members,
             tuple(s for rows in world.summaries.values() for s in rows),
             world.time.now(),
+            self.member.name,
         )
 
     def forward(self, address, headers, body, limit):
--- a/pollenmount/routing/choose.py
+++ b/pollenmount/routing/choose.py
@@ -66,30 +66,44 @@
             and (target.said.resume or not call.resume_from)
             and may_try(target.said.name)
         )
-    away = find_domains(call, view, regions, may_try) if remote else ()
+    away = find_domains(call, view, regions, may_try, local) if remote else ()
     return Options(local, away, view.region)
 
 
-def find_domains(call, view, regions, may_try):
-    """Return a `RemoteDomain` for each other failure domain that can run the call."""
-    wanted = offer_name(call.route)
-    adapters = set(offered_adapters(call.route))
+def find_domains(call, view, regions, may_try, local):
+    """Return a `RemoteDomain` for each failure domain that can run the call.
+
+    This node's own is among them only while it knows no target here: just started, it
+    may hear of them later than its neighbours.
+    """
     found = {}
     for summary in view.summaries:
-        if (
-            summary.offer != wanted
-            or summary.region not in regions
-            or summary.failure_domain == view.failure_domain
-            or not adapters.issubset(summary.adapters)
-        ):
+        here = summary.failure_domain == view.failure_domain
+        if not can_run(call, summary, regions) or (here and local):
             continue
-        members = tuple(
-            member
-            for member in view.members
-            if member.failure_domain == summary.failure_domain
-            and not member.stopping
-            and may_try(member.name)
-        )
+        members = usable_members(view, summary.failure_domain, may_try)
         if members:
             found[summary.failure_domain] = RemoteDomain(summary, members)
     return tuple(found.values())
+
+
+def can_run(call, summary, regions):
+    """Return whether a failure domain has what the call needs, where it may run."""
+    return (
+        summary.offer == offer_name(call.route)
+        and summary.region in regions
+        and set(offered_adapters(call.route)).issubset(summary.adapters)
+    )
+
+
+def usable_members(view, failure_domain, may_try):
+    """Return the entry VMs of a failure domain; stopping ones if it has no others."""
+    members = tuple(
+        member
+        for member in view.members
+        if member.failure_domain == failure_domain
+        and member.name != view.name
+        and may_try(member.name)
+    )
+    staying = tuple(member for member in members if not member.stopping)
+    return staying or members
--- a/pollenmount/routing/request.py
+++ b/pollenmount/routing/request.py
@@ -132,7 +132,7 @@
 
 
 class View(NamedTuple):
-    """All that a decision looks at, taken once."""
+    """All that a decision looks at, taken once; `name` is this VM's."""
 
     plan: Plan
     region: str
@@ -141,6 +141,7 @@
     members: tuple[Member, ...]
     summaries: tuple[DomainSummary, ...]
     now: int
+    name: str = ""
 
 
 @singledispatch
--- a/pollenmount/routing/view.py
+++ b/pollenmount/routing/view.py
@@ -25,4 +25,5 @@
             self.members.live(),
             self.members.fresh_summaries(),
             self.clock.now(),
+            self.settings.name,
         )
