Limit rates and tokens by share; index caches from events; fuzz the tables

Change: Admission keeps requests a second, requests at a time and tokens a minute, each VM its share by the live VMs of the caller's home (nine tenths) and elsewhere. The stand-in engine tells its prefix cache in numbered events and sends the whole list when an entry VM reports a gap.

--- a/pollenmount/api/answer.py
+++ b/pollenmount/api/answer.py
@@ -8,7 +8,8 @@
 from pollenmount.errors import Refusal
 from pollenmount.log import get_logger
 from pollenmount.routing import pipeline
-from pollenmount.routing.request import is_idempotent
+from pollenmount.routing.request import ModelRoute, is_idempotent
+from pollenmount.routing.tokens import count_tokens
 
 __all__ = ["Answerer"]
 
@@ -74,6 +75,7 @@
             try:
                 for part in parts:
                     record.chunk()
+                    record.count(part.data)
                     yield part.data
                 outcome = "answered"
             except pipeline.BrokenAnswerError as error:
@@ -107,6 +109,7 @@
         self.kernel = kernel
         self.call = call
         self.head = None
+        self.admission = kernel.get("admission")
         self.started = kernel.clock.now()
         self.last = None
         labels = (call.caller.name, call.class_)
@@ -119,6 +122,12 @@
         labels = (self.call.caller.name, self.call.class_)
         self.kernel.get("metrics").queue_wait.labels(*labels).observe(waited / MS_PER_S)
 
+    def count(self, data):
+        """Take the tokens of one part off the caller's budget, if it has one."""
+        caller = self.call.caller
+        if caller.tokens and isinstance(self.call.route, ModelRoute):
+            self.admission.spend(caller, count_tokens(self.call, data))
+
     def chunk(self):
         """Measure one chunk."""
         now = self.kernel.clock.now()
--- a/pollenmount/api/targets.py
+++ b/pollenmount/api/targets.py
@@ -38,4 +38,5 @@
         refusal = take_in(said)
         if refusal:
             return refusal_reply(refusal)
-        return json_reply({"ttl_ms": self.table.ttl_ms})
+        resync = said.name in self.table.gaps
+        return json_reply({"ttl_ms": self.table.ttl_ms, "cache_resync": resync})
--- a/pollenmount/parts/routing.py
+++ b/pollenmount/parts/routing.py
@@ -3,7 +3,7 @@
 from pollenmount import task
 from pollenmount.actions.runner import ActionRunner
 from pollenmount.plugin import get_plugin_by_name, register
-from pollenmount.routing.admit import Admission
+from pollenmount.routing.admit import Admission, get_share
 from pollenmount.routing.attempt import Attempter
 from pollenmount.routing.budget import RetryBudget
 from pollenmount.routing.health import Health
@@ -36,7 +36,12 @@
 @register("pollenmount.parts", "admission")
 def build_admission(kernel):
     """Return the limits of callers."""
-    return Admission()
+    members = kernel.get("members")
+
+    def share(caller):
+        return get_share(caller, members.describe(), members.live())
+
+    return Admission(kernel.clock, share)
 
 
 @register("pollenmount.parts", "upstream")
--- a/pollenmount/routing/admit.py
+++ b/pollenmount/routing/admit.py
@@ -1,32 +1,126 @@
-"""Admission of requests: limits of a caller."""
+"""Limits of callers: requests a second, requests at a time, tokens a minute.
+
+Each entry VM grants its share of a limit, so no counter is common to all: VMs of the
+caller's home share nine tenths, the others that it may use one tenth. While VMs see
+each other, all of them together grant at most the limit and one request a VM. Parts
+that can't see each other grant up to the limit each.
+"""
 
 import contextlib
+import math
 
 from pollenmount.errors import Refusal, RefusalKind
 
-__all__ = ["Admission"]
+__all__ = ["Admission", "get_share"]
 
 RETRY_AFTER_MS = 1000
+HOME_SHARE = 0.9
+MS_PER_S = 1000
+MS_PER_MINUTE = 60_000
+MAX_CALLERS = 4096
+
+
+class Bucket:
+    """A budget that fills up at a steady rate, at most to `size`."""
+
+    __slots__ = ("at", "left")
+
+    def __init__(self, size, now):
+        self.left = size
+        self.at = now
+
+    def fill(self, size, per_ms, now):
+        """Add what has come since the last time."""
+        self.left = min(size, self.left + (now - self.at) * per_ms)
+        self.at = now
+
+    def wait_ms(self, needed, per_ms):
+        """Return the time until `needed` is there, 0 if it is."""
+        return max(0, math.ceil((needed - self.left) / per_ms))
+
+
+def get_share(caller, own, members):
+    """Return the share of a caller's limits that the VM `own` grants."""
+    usable = [m for m in members if m.region in caller.regions and not m.stopping]
+    home = sum(m.region == caller.home for m in usable)
+    away = len(usable) - home
+    if own.region == caller.home:
+        return (HOME_SHARE if away else 1.0) / max(home, 1)
+    return (1 - HOME_SHARE if home else 1.0) / max(away, 1)
 
 
 class Admission:
-    """Counts the requests of each caller that run on this node."""
+    """Grants this VM's share of the limits in the plan.
 
-    def __init__(self):
+    `share`
+        Returns the share of a caller's limits that this VM grants (default all).
+    """
+
+    def __init__(self, clock, share=lambda caller: 1.0):
+        self.clock = clock
+        self.share = share
         self.running = {}
+        self.rates = {}
+        self.tokens = {}
 
     def check(self, caller):
-        """Return a `Refusal` if the caller has too many requests running."""
-        if (
-            caller.concurrency
-            and self.running.get(caller.name, 0) >= caller.concurrency
-        ):
+        """Return a `Refusal` if the caller is at a limit, else count the request."""
+        share = self.share(caller)
+        return (
+            self.check_concurrency(caller, share)
+            or self.check_tokens(caller, share)
+            or self.check_rate(caller, share)
+        )
+
+    def check_concurrency(self, caller, share):
+        """Return a `Refusal` if too many requests run."""
+        running = self.running.get(caller.name, 0)
+        if caller.concurrency and running >= math.ceil(caller.concurrency * share):
             message = "too many requests at a time; wait for one to end"
-            return Refusal(
-                RefusalKind.RATE_LIMITED, message, retry_after_ms=RETRY_AFTER_MS
-            )
+            return refuse(message, RETRY_AFTER_MS)
         return None
 
+    def check_rate(self, caller, share):
+        """Return a `Refusal` if the rate is used up, else take one request off it."""
+        if not caller.rate:
+            return None
+        per_ms = caller.rate * share / MS_PER_S
+        size = max(1.0, caller.rate * share)
+        bucket = self.get(self.rates, caller, size)
+        bucket.fill(size, per_ms, self.clock.now())
+        wait_ms = bucket.wait_ms(1, per_ms)
+        if wait_ms:
+            return refuse("too many requests a second; send fewer", wait_ms)
+        bucket.left -= 1
+        return None
+
+    def check_tokens(self, caller, share):
+        """Return a `Refusal` if no token of the budget is left."""
+        if not caller.tokens:
+            return None
+        per_ms = caller.tokens * share / MS_PER_MINUTE
+        bucket = self.get(self.tokens, caller, caller.tokens * share)
+        bucket.fill(caller.tokens * share, per_ms, self.clock.now())
+        if bucket.left > 0:
+            return None
+        message = "too many tokens a minute; ask for shorter answers"
+        return refuse(message, max(1, bucket.wait_ms(0, per_ms)))
+
+    def spend(self, caller, tokens):
+        """Take generated tokens off the caller's budget, which may fall below 0."""
+        if caller.tokens:
+            size = caller.tokens * self.share(caller)
+            self.get(self.tokens, caller, size).left -= tokens
+
+    def get(self, buckets, caller, size):
+        """Return a caller's bucket, full if it is new; the oldest makes room for it."""
+        bucket = buckets.get(caller.name)
+        if bucket is None:
+            if len(buckets) >= MAX_CALLERS:
+                del buckets[min(buckets, key=lambda name: buckets[name].at)]
+            bucket = buckets[caller.name] = Bucket(size, self.clock.now())
+        return bucket
+
     @contextlib.contextmanager
     def slot(self, caller):
         """Count one request of the caller while the context lasts."""
@@ -37,3 +131,8 @@
             self.running[caller.name] -= 1
             if not self.running[caller.name]:
                 del self.running[caller.name]
+
+
+def refuse(message, retry_after_ms):
+    """Return the refusal of a request over a limit."""
+    return Refusal(RefusalKind.RATE_LIMITED, message, retry_after_ms=retry_after_ms)
--- a/pollenmount/targets/cache.py
+++ b/pollenmount/targets/cache.py
@@ -47,14 +47,14 @@
         self.by_target = {}
 
     def take_in(self, name, incarnation, events):
-        """Take in the events of an announcement."""
+        """Take in the events of an announcement; return whether some were missing."""
         known = self.by_target.get(name)
         gap = known is None or known.incarnation != incarnation
         gap = gap or events.first > known.next or events.whole
         if gap:
             known = self.by_target[name] = Holding(incarnation, events.first)
         elif events.first < known.next:
-            return
+            return False
         known.next = events.first + len(events.stored) + len(events.evicted)
         for digest in events.stored:
             known.blocks.pop(digest, None)
@@ -63,6 +63,7 @@
             known.blocks.pop(digest, None)
         while len(known.blocks) > self.max_blocks:
             del known.blocks[next(iter(known.blocks))]
+        return gap and events.first > 0 and not events.whole
 
     def forget(self, name):
         """Forget a target that has gone."""
--- a/pollenmount/targets/table.py
+++ b/pollenmount/targets/table.py
@@ -74,6 +74,8 @@
 
     `ttl_ms`
         How long an announcement holds.
+    `gaps` are the targets whose last cache events had others missing before them.
+
     `in_flight`
         Returns how many requests of this node are in flight at a target's name.
     """
@@ -85,6 +87,7 @@
         self.by_name = {}
         self.tombstones = {}
         self.cache = CacheIndex()
+        self.gaps = set()
 
     def announce(self, said):
         """Take in an announcement; return a `Refusal` if it is full, else None."""
@@ -102,8 +105,9 @@
             return Refusal(RefusalKind.OVERLOADED, message)
         own = self.in_flight(said.name)
         self.by_name[said.name] = Target(said, now, since, own)
-        if said.cache:
-            self.cache.take_in(said.name, said.incarnation, said.cache)
+        self.gaps.discard(said.name)
+        if said.cache and self.cache.take_in(said.name, said.incarnation, said.cache):
+            self.gaps.add(said.name)
         return None
 
     def leave(self, said):
@@ -119,6 +123,7 @@
         """Forget a target and what its cache held."""
         del self.by_name[name]
         self.cache.forget(name)
+        self.gaps.discard(name)
 
     def sweep(self):
         """Forget silent targets and old tombstones."""
--- a/standins/base.py
+++ b/standins/base.py
@@ -115,9 +115,14 @@
     def post(self, url, document):
         """Post one document; an entry VM that is away is tried the next time."""
         try:
-            self.pool.request("POST", url, body=json.dumps(document))
+            reply = self.pool.request("POST", url, body=json.dumps(document))
         except urllib3.exceptions.HTTPError:
             return
+        if reply.status == 200:
+            self.take_reply(reply.json())
+
+    def take_reply(self, document):
+        """Take in what an entry VM answers to an announcement."""
 
     def leave(self):
         """Leave: take no more work, finish what runs."""
--- a/standins/kinds/engine.py
+++ b/standins/kinds/engine.py
@@ -4,7 +4,8 @@
 `--token-ms` for each word of the answer. The answer's words depend on the prompt only,
 so a resumed or repeated stream can be compared.
 
-Faults besides those of all stand-ins: `cut_after` (words until the stream breaks off).
+Faults besides those of all stand-ins: `cut_after` (words until the stream breaks off),
+`lose_cache_events`.
 """
 
 import hashlib
@@ -17,6 +18,7 @@
 
 from pollenmount.api.web import Reply, json_reply
 from pollenmount.plugin import register
+from pollenmount.routing.prefix import BLOCK_WORDS, block_digests
 from standins.base import FAMILY, Standin
 
 __all__ = ["Engine", "answer_words"]
@@ -71,27 +73,44 @@
 
 
 class PrefixCache:
-    """Prompts seen lately, by digest of each prefix block, in limited memory."""
+    """Prompts seen lately, by digest of each prefix block, in limited memory.
+
+    `stored` and `evicted` are the changes that were not told yet; `told` counts the
+    others.
+    """
 
     def __init__(self, blocks):
         self.limit = blocks
         self.blocks = {}
+        self.stored = []
+        self.evicted = []
+        self.told = 0
 
-    def lookup(self, words, block_words=16):
+    def lookup(self, words):
         """Return how many leading words are cached, and cache the rest."""
-        cached = 0
-        hit = True
-        for end in range(block_words, len(words) + 1, block_words):
-            key = hash(tuple(words[:end]))
-            if hit and key in self.blocks:
-                cached = end
-            else:
-                hit = False
-            self.blocks.pop(key, None)
-            self.blocks[key] = True
+        digests = block_digests(words)
+        missing = [digest for digest in digests if digest not in self.blocks]
+        cached = digests.index(missing[0]) if missing else len(digests)
+        self.stored += missing
+        for digest in digests:
+            self.blocks.pop(digest, None)
+            self.blocks[digest] = True
         while len(self.blocks) > self.limit:
-            del self.blocks[next(iter(self.blocks))]
-        return cached
+            oldest = next(iter(self.blocks))
+            del self.blocks[oldest]
+            self.evicted.append(oldest)
+        return cached * BLOCK_WORDS
+
+    def take_events(self, whole):
+        """Return the changes since the last time, or all that is held."""
+        first = self.told
+        self.told += len(self.stored) + len(self.evicted)
+        events = {"first": first, "stored": self.stored, "evicted": self.evicted}
+        if whole:
+            events = {"first": self.told, "stored": [*self.blocks], "whole": True}
+            self.told += len(self.blocks)
+        self.stored, self.evicted = [], []
+        return events
 
 
 @register(FAMILY, "engine")
@@ -113,6 +132,7 @@
         super().__init__(args)
         self.slots = Slots(args.slots)
         self.cache = PrefixCache(args.cache_blocks)
+        self.resync = False
         self.models = [parse_model(text) for text in args.models.split(",")]
         self.prompt_words = 0
         self.computed_words = 0
@@ -120,8 +140,17 @@
         self.fence = 0
 
     def offer(self):
-        """Return the models it has loaded."""
-        return {"kind": "engine", "models": self.models, "resume": True}
+        """Return the models it has loaded, and what changed in its cache."""
+        events = self.cache.take_events(self.resync)
+        self.resync = False
+        offer = {"kind": "engine", "models": self.models, "resume": True}
+        if not self.faults.get("lose_cache_events"):
+            offer["cache"] = events
+        return offer
+
+    def take_reply(self, document):
+        """Tell all of the cache the next time if an entry VM missed something."""
+        self.resync = self.resync or document.get("cache_resync", False)
 
     def counts(self):
         """Return what the engine did, prompt words computed and generated included."""
--- /dev/null
+++ b/tests/test_routing_limits.py
@@ -0,0 +1,167 @@
+"""Limits, breakers, queues and budgets, each against the sums it must keep."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from bench.virtual_time import Signal, VirtualTime
+from pollenmount.clock import ManualClock
+from pollenmount.errors import RefusalKind
+from pollenmount.members.table import Member
+from pollenmount.routing.admit import Admission, get_share
+from pollenmount.routing.budget import RetryBudget
+from pollenmount.routing.health import Health
+from pollenmount.routing.queue import CallQueue
+from tests.stateful.scripted import CALLERS, make_call
+
+FIXED = settings(derandomize=True, database=None, deadline=None, max_examples=60)
+LIMITED = CALLERS["free"]._replace(rate=5, tokens=600, concurrency=4)
+TIMES = st.lists(st.integers(0, 400), max_size=200)
+
+
+def member(name, region, stopping=False):
+    return Member(name, "1", region, f"{region}-a", "", name, "", 1, stopping)
+
+
+@FIXED
+@given(TIMES)
+def test_rate_is_kept_over_every_span(gaps):
+    clock = ManualClock()
+    admission = Admission(clock)
+    caller = LIMITED._replace(tokens=0, concurrency=0)
+    admitted = []
+    for gap in gaps:
+        clock.advance(gap)
+        refusal = admission.check(caller)
+        if refusal is None:
+            admitted.append(clock.now())
+        else:
+            assert refusal.kind is RefusalKind.RATE_LIMITED
+            assert 0 < refusal.retry_after_ms <= 200
+    for start in range(len(admitted)):
+        for end in range(start, len(admitted)):
+            span = admitted[end] - admitted[start]
+            assert end - start + 1 <= 5 + 5 * span / 1000 + 1e-6
+
+
+def test_refused_caller_gets_in_after_the_time_it_was_told():
+    clock = ManualClock()
+    admission = Admission(clock)
+    admission.spend(LIMITED, 700)
+    refusal = admission.check(LIMITED)
+    assert "tokens" in refusal.message
+    clock.advance(refusal.retry_after_ms - 1)
+    assert admission.check(LIMITED)
+    clock.advance(2)
+    assert admission.check(LIMITED) is None
+
+
+@FIXED
+@given(st.integers(0, 5), st.integers(0, 5), st.sampled_from(["free", "bound", "near"]))
+def test_shares_of_all_vms_add_up_to_the_limit(east, west, name):
+    members = [member(f"e{i}", "east") for i in range(east)]
+    members += [member(f"w{i}", "west") for i in range(west)]
+    members += [member("n", "north", stopping=True)]
+    caller = CALLERS[name]
+    usable = [m for m in members if m.region in caller.regions and not m.stopping]
+    total = sum(get_share(caller, own, members) for own in usable)
+    assert total == pytest.approx(1.0 if usable else 0.0)
+
+
+def test_breaker_lets_one_probe_through_and_closes():
+    clock = ManualClock()
+    health = Health(clock, seed=1)
+    for _ in range(3):
+        assert health.usable("a")
+        health.failed("a")
+    assert not health.usable("a")
+    clock.advance(700)
+    assert health.usable("a")
+    health.begin("a")
+    assert not health.usable("a")
+    health.failed("a")
+    clock.advance(700)
+    assert not health.usable("a")
+    clock.advance(700)
+    health.begin("a")
+    health.succeeded("a")
+    assert health.usable("a")
+
+
+@FIXED
+@given(st.lists(st.booleans(), max_size=300))
+def test_retries_stay_within_their_share(steps):
+    budget = RetryBudget(ratio=0.2, burst=3)
+    requests = retries = 0
+    for is_retry in steps:
+        if is_retry:
+            retries += budget.withdraw()
+        else:
+            requests += 1
+            budget.deposit()
+        assert retries <= 3 + 0.2 * requests + 1e-6
+
+
+class Waiters:
+    """Calls in a queue whose room a test opens by hand."""
+
+    def __init__(self, max_waiting=4):
+        self.time = VirtualTime()
+        self.queue = CallQueue(self.time, lambda: Signal(self.time), max_waiting)
+        self.room = 0
+        self.gone = []
+        self.refused = []
+
+    def has_room(self):
+        return self.room > 0
+
+    def enter(self, call, wait_ms=lambda ahead: 0):
+        refusal = self.queue.wait(call, self.has_room, wait_ms)
+        if refusal:
+            self.refused.append((call.id, self.time.value, refusal))
+            return
+        self.room -= 1
+        self.gone.append(call.id)
+
+    def start(self, name, class_, **options):
+        call = make_call(name, "free", "chat", class_, self.time.now())
+        self.time.spawn(self.enter, call, *options.values())
+        self.time.run(self.time.value)
+
+    def open(self, room):
+        self.room = room
+        self.queue.wake()
+        self.time.run(self.time.value)
+
+
+def test_interactive_goes_first_then_by_deadline():
+    waiters = Waiters()
+    waiters.start("d1", "deferred")
+    waiters.start("i1", "interactive")
+    waiters.start("d2", "deferred")
+    waiters.start("i2", "interactive")
+    waiters.open(3)
+    assert waiters.gone == ["i1", "i2", "d1"]
+    waiters.open(1)
+    assert waiters.gone[-1] == "d2"
+    assert not waiters.queue.by_offer and not waiters.queue.bytes
+
+
+def test_deferred_goes_before_its_deadline_without_room():
+    waiters = Waiters()
+    waiters.start("d1", "deferred")
+    waiters.time.at(46_000, waiters.queue.wake)
+    waiters.time.run(44_000)
+    assert waiters.gone == []
+    waiters.time.run(46_000)
+    assert waiters.gone == ["d1"]
+
+
+def test_full_queue_and_hopeless_wait_are_refused_at_once():
+    waiters = Waiters(max_waiting=1)
+    waiters.start("i1", "interactive")
+    waiters.start("i2", "interactive")
+    waiters.start("d1", "deferred", wait_ms=lambda ahead: 70_000)
+    assert [(name, at) for name, at, _ in waiters.refused] == [("i2", 0), ("d1", 0)]
+    assert all(refusal.not_run for _, _, refusal in waiters.refused)
+    assert waiters.refused[1][2].retry_after_ms == 70_000
