Prove whole answers with engines killed, slow, lying or cut off

tests/faults/test_routing.py: four engines, one node; streams cut after seven words are whole and right; a stream that no target can go on with ends in a broken connection; of 48 calls with two engines killed, one slow and one that reports no load, each answer is whole and its words are those of its prompt.

--- /dev/null
+++ b/tests/faults/test_routing.py
@@ -0,0 +1,107 @@
+"""Answers stay whole and right while targets are killed, slow, cut off or lying."""
+
+import json
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+import urllib3
+
+from scripts.examples import INZIRA, OPERATOR_KEY, make_settings
+from standins.cluster import ROOT, chat_body, wait_until
+from standins.kinds.engine import answer_words
+
+CHAT = "/v1/chat/completions"
+KEY = "key-court-kigali"
+ENGINES = ("one", "two", "three", "four")
+CALLS = 48
+WORDS = 24
+
+
+@pytest.fixture
+def region(cluster, network):
+    """Start one node and four engines; return a function that asks it."""
+    deployment = INZIRA._replace(vms={"kigali": 1, "huye": 1}, network=network)
+    settings = make_settings(deployment)["kigali-1"]
+    control = {"kigali-1": settings["listen"]["control"]}
+    groups = {"plans": control, "actions/kigali": control}
+    cluster.start_node({**settings, "groups": groups, "seeds": []})
+    listen = settings["listen"]
+    for number, name in enumerate(ENGINES, start=1):
+        cluster.start_standin(
+            "engine",
+            name,
+            engine_address(network, name),
+            listen["targets"],
+            "--models=drafting@v1",
+            "--token-ms=10",
+            f"--slots={4 + number}",
+        )
+    sheet = (ROOT / "examples/inzira/plan.csv").read_bytes()
+    operators = listen["operators"]
+    wait_until(
+        lambda: (
+            cluster.call(operators, "PUT", "/v1/plan", OPERATOR_KEY, sheet).status
+            == 200
+        )
+    )
+    wait_until(lambda: len(status(cluster, operators)["targets"]) == len(ENGINES))
+
+    def ask(number, stream=True):
+        body = chat_body("drafting", f"question {number}", stream, WORDS)
+        return cluster.call(listen["callers"], "POST", CHAT, KEY, body)
+
+    return ask
+
+
+def status(cluster, operators):
+    return cluster.call(operators, "GET", "/v1/status", OPERATOR_KEY).json
+
+
+def engine_address(network, name):
+    return f"127.{network}.1.{101 + ENGINES.index(name)}:9000"
+
+
+def words_of(answer):
+    """Return the words of a streamed answer, which must be whole."""
+    assert answer.status == 200, answer.body
+    assert answer.body.endswith(b"data: [DONE]\n\n")
+    events = answer.body.decode().split("\n\n")[:-2]
+    deltas = [json.loads(event[6:])["choices"][0]["delta"] for event in events]
+    return [delta["content"].strip() for delta in deltas]
+
+
+def set_faults(cluster, network, name, **faults):
+    address = engine_address(network, name)
+    body = json.dumps(faults).encode()
+    assert cluster.call(address, "POST", "/standin/faults", "", body).status == 200
+
+
+def test_cut_streams_go_on_elsewhere(region, cluster, network):
+    for name in ENGINES[:2]:
+        set_faults(cluster, network, name, cut_after=7)
+    for number in range(6):
+        expected = answer_words(f"question {number}", WORDS)
+        assert words_of(region(number)) == expected
+    for name in ENGINES:
+        set_faults(cluster, network, name, cut_after=2)
+    with pytest.raises(urllib3.exceptions.ProtocolError):
+        region(7)
+
+
+def test_half_of_the_targets_lost_under_load(region, cluster, network):
+    set_faults(cluster, network, "three", slow_ms=300)
+    set_faults(cluster, network, "four", load=0)
+    with ThreadPoolExecutor(16) as pool:
+        asked = [pool.submit(region, number, number % 3 > 0) for number in range(CALLS)]
+        wait_until(lambda: sum(answer.done() for answer in asked) >= 8)
+        cluster.kill("one")
+        cluster.kill("two")
+        answers = [answer.result() for answer in asked]
+    for number, answer in enumerate(answers):
+        expected = answer_words(f"question {number}", WORDS)
+        if number % 3:
+            assert words_of(answer) == expected
+        else:
+            assert answer.status == 200, answer.body
+            text = answer.json["choices"][0]["message"]["content"]
+            assert text.split() == expected
