--- a/pollenmount/routing/pipeline.py
+++ b/pollenmount/routing/pipeline.py
@@ -2,7 +2,6 @@
 
 import contextlib
 import itertools
-import random
 
 from pollenmount.errors import Refusal, RefusalKind
 from pollenmount.routing.delivery import Delivery
@@ -29,13 +28,14 @@
 class Retries:
     """Decides whether a call gets another attempt.
 
-    `budget` is the node's; `pause` lets milliseconds pass; `on_retry` is called with
-    each further attempt.
+    `budget` is the node's; `pause` lets milliseconds pass; `random` draws how many;
+    `on_retry` is called with each further attempt.
     """
 
-    def __init__(self, budget, pause, on_retry=lambda: None):
+    def __init__(self, budget, pause, random, on_retry=lambda: None):
         self.budget = budget
         self.pause = pause
+        self.random = random
         self.on_retry = on_retry
 
     def allow(self, call, failure, number, clock):
@@ -46,7 +46,7 @@
         if not self.budget.withdraw():
             return False
         if number > 1:
-            self.pause(random.randint(0, PAUSE_MS * number))
+            self.pause(self.random.randint(0, PAUSE_MS * number))
         self.on_retry()
         return clock.now() < call.deadline
 
--- a/pollenmount/targets/upstream.py
+++ b/pollenmount/targets/upstream.py
@@ -14,7 +14,7 @@
     ReadTimeoutError,
 )
 
-from pollenmount.targets.exact import ExactPool, with_target
+from pollenmount.targets.exact import ExactConnection, with_target
 
 __all__ = [
     "ConnectError",
@@ -56,7 +56,7 @@
     """The answer, or its next part, didn't come in time."""
 
 
-class Connection(ExactPool.ConnectionCls):
+class Connection(ExactConnection):
     """A connection whose responses keep its socket, to set timeouts on it."""
 
     def getresponse(self):
@@ -67,7 +67,7 @@
         return response
 
 
-class Pool(ExactPool):
+class Pool(urllib3.HTTPConnectionPool):
     """Connections to one address."""
 
     ConnectionCls = Connection
