--- a/pollenmount/routing/choose.py
+++ b/pollenmount/routing/choose.py
@@ -97,13 +97,12 @@
 
 
 def usable_members(view, failure_domain, may_try):
-    """Return the entry VMs of a failure domain; stopping ones if it has no others."""
-    members = tuple(
+    """Return the entry VMs of a failure domain that take work."""
+    return tuple(
         member
         for member in view.members
         if member.failure_domain == failure_domain
         and member.name != view.name
+        and not member.stopping
         and may_try(member.name)
     )
-    staying = tuple(member for member in members if not member.stopping)
-    return staying or members
