--- a/pollenmount/routing/choose.py
+++ b/pollenmount/routing/choose.py
@@ -57,29 +57,32 @@
 def find_options(call, view, may_try, remote):
     """Return the `Options` of a call."""
     regions = allowed_regions(call)
-    local = ()
-    if view.region in regions:
-        local = tuple(
-            target
-            for target in view.targets
-            if offers(call.route, target.said)
-            and (target.said.resume or not call.resume_from)
-            and may_try(target.said.name)
-        )
-    away = find_domains(call, view, regions, may_try, local) if remote else ()
+    known = find_targets(call, view) if view.region in regions else ()
+    local = tuple(target for target in known if may_try(target.said.name))
+    away = find_domains(call, view, regions, may_try, known) if remote else ()
     return Options(local, away, view.region)
 
 
-def find_domains(call, view, regions, may_try, local):
+def find_targets(call, view):
+    """Return this failure domain's targets that have what the call needs."""
+    return tuple(
+        target
+        for target in view.targets
+        if offers(call.route, target.said)
+        and (target.said.resume or not call.resume_from)
+    )
+
+
+def find_domains(call, view, regions, may_try, known):
     """Return a `RemoteDomain` for each failure domain that can run the call.
 
-    This node's own is among them only while it knows no target here: just started, it
-    may hear of them later than its neighbours.
+    This node's own is among them only while it has no `known` target here: just
+    started, it may hear of them later than its neighbours.
     """
     found = {}
     for summary in view.summaries:
         here = summary.failure_domain == view.failure_domain
-        if not can_run(call, summary, regions) or (here and local):
+        if not can_run(call, summary, regions) or (here and known):
             continue
         members = usable_members(view, summary.failure_domain, may_try)
         if members:
--- a/tests/test_routing_sessions.py
+++ b/tests/test_routing_sessions.py
@@ -72,7 +72,6 @@
     def run(self, ms):
         """Let time pass."""
         self.time.run(self.time.value + ms)
-        self.time.value = max(self.time.value, 0)
 
 
 def quiet_day(session):
@@ -125,9 +124,22 @@
     session.run(3000)
 
 
+def lost_then_unreachable(session):
+    session.targets["east-s"].script.append("reset")
+    session.targets["west-s"].script.append("refuse")
+    session.call("east-1", "free", "look")
+    session.run(2000)
+    for target in ("east-s", "west-s"):
+        session.targets[target].script.append("refuse")
+    session.call("east-1", "free", "look")
+
+
 @pytest.mark.parametrize(
     "script",
-    [quiet_day, full_region, region_cut_off, leaving_target, answers_for_another],
+    [
+        *(quiet_day, full_region, region_cut_off, leaving_target),
+        *(answers_for_another, lost_then_unreachable),
+    ],
     ids=lambda script: script.__name__,
 )
 def test_session(script, snapshot):
