--- a/tests/stateful/scripted.py
+++ b/tests/stateful/scripted.py
@@ -5,8 +5,10 @@
 import itertools
 
 from bench.fakes import FakeSocket
+from bench.world import PEER_KEY
 from pollenmount.plans.plan import digest_key
 from pollenmount.plans.sheet import parse_sheet
+from pollenmount.routing import forward
 from pollenmount.routing.request import Call, ModelRoute, ServiceRoute
 from pollenmount.targets.table import Announcement
 from pollenmount.targets.upstream import ConnectError, LateError, UpstreamError
@@ -121,7 +123,8 @@
         """Send a request."""
         target = self.targets.get(address)
         if target is None:
-            self.on_open(self.forward.__self__, address, None)
+            call_id = forward.decode_call(headers, PEER_KEY).id
+            self.on_open(self.forward.__self__, address, call_id)
             limit = self.time.value + timeout_ms
             return self.forward(address, headers, body, limit)
         call_id = headers["X-Request-Id"].rpartition("-")[0]
--- a/tests/stateful/test_pipeline.py
+++ b/tests/stateful/test_pipeline.py
@@ -10,7 +10,7 @@
 from pollenmount.plugin import get_plugin_by_name
 from pollenmount.routing.pipeline import BrokenAnswerError
 from pollenmount.routing.policies.base import FAMILY
-from pollenmount.routing.request import Chunk, Head, is_idempotent
+from pollenmount.routing.request import Chunk, Head, is_idempotent, route_regions
 from tests.stateful import scripted
 
 TTL_MS = 3000
@@ -28,8 +28,9 @@
 class Ending:
     """A call and the parts of its answer."""
 
-    def __init__(self, call):
+    def __init__(self, call, entry):
         self.call = call
+        self.entry = entry
         self.parts = []
         self.broken = None
         self.ended = False
@@ -46,7 +47,6 @@
         self.targets = {t[0]: scripted.ScriptedTarget(*t) for t in TARGETS}
         self.endings = {}
         self.gone_at = {}
-        self.forwarded = set()
         make = get_plugin_by_name(FAMILY, self.policy)
         self.world = World(
             self.time, scripted.PLAN, VMS, self.targets, make, 1, self.make_upstream
@@ -64,16 +64,19 @@
     def on_open(self, node, address, call_id):
         """Check that a request may go there."""
         target = self.targets.get(address)
+        call = self.endings[call_id].call
         if target is None:
+            assert node.member.name == self.endings[call_id].entry, "a second hop"
+            assert self.world.nodes[address].region in call.caller.regions
             return
-        call = self.endings[call_id].call
+        assert target.region in route_regions(call.route)
         assert target.region in call.caller.regions
-        assert target.region == node.region, "a second hop"
+        assert target.region == node.region
         assert target.kind == "engine" or not call.stream
         assert self.time.value < self.gone_at.get(address, self.time.value + 1)
 
     @rule(
-        node=st.sampled_from(["east-1", "east-2", "west-1"]),
+        node=st.sampled_from(["east-1", "east-2", "west-1", "north-1"]),
         caller=st.sampled_from(["free", "bound", "near"]),
         kind=st.sampled_from(["chat", "chat", "chat", "file", "look"]),
         class_=st.sampled_from(["interactive", "deferred"]),
@@ -85,7 +88,7 @@
             return
         name = f"call{len(self.endings)}"
         made = scripted.make_call(name, caller, kind, class_, self.time.now(), stream)
-        ending = self.endings[name] = Ending(made)
+        ending = self.endings[name] = Ending(made, node)
         self.time.spawn(self.serve, self.world.nodes[node], ending)
         self.time.run(self.time.value)
 
