--- a/bench/fakes.py
+++ b/bench/fakes.py
@@ -180,7 +180,17 @@
         self.engines = engines
         self.forward = forward
 
-    def open(self, address, method, path, headers, body, timeout_ms, fresh=False):
+    def open(
+        self,
+        address,
+        method,
+        path,
+        headers,
+        body,
+        timeout_ms,
+        fresh=False,
+        guard=None,
+    ):
         """Send a request; return the response once its first byte is there."""
         limit = self.time.value + timeout_ms
         engine = self.engines.get(address)
--- a/tests/stateful/scripted.py
+++ b/tests/stateful/scripted.py
@@ -119,7 +119,17 @@
         self.targets = targets
         self.forward = forward
 
-    def open(self, address, method, path, headers, body, timeout_ms, fresh=False):
+    def open(
+        self,
+        address,
+        method,
+        path,
+        headers,
+        body,
+        timeout_ms,
+        fresh=False,
+        guard=None,
+    ):
         """Send a request."""
         target = self.targets.get(address)
         if target is None:
