--- a/pollenmount/api/answer.py
+++ b/pollenmount/api/answer.py
@@ -8,11 +8,13 @@
 from pollenmount.errors import Refusal
 from pollenmount.log import get_logger
 from pollenmount.routing import pipeline
-from pollenmount.routing.request import is_idempotent
+from pollenmount.routing.request import ModelRoute, is_idempotent
+from pollenmount.routing.tokens import count_tokens
 
 __all__ = ["Answerer"]
 
 MS_PER_S = 1000
+CALLER_GONE = "caller_gone"
 
 logger = get_logger("calls")
 
@@ -37,7 +39,7 @@
             try:
                 first, rest = pipeline.attempts(parts)
             except task.Cancelled:
-                record.end("caller_gone")
+                record.end(CALLER_GONE)
                 raise
             if isinstance(first, Refusal):
                 return self.refuse(record, first)
@@ -71,10 +73,10 @@
     def body(self, stack, parts, record):
         """Yield the bytes of an answer; an answer that breaks ends in an error."""
         with stack:
-            outcome = "caller_gone"
+            outcome = CALLER_GONE
             try:
                 for part in parts:
-                    record.chunk(len(part.data))
+                    record.chunk(part.data)
                     yield part.data
                 outcome = "answered"
             except pipeline.BrokenAnswerError as error:
@@ -108,6 +110,7 @@
         self.kernel = kernel
         self.call = call
         self.head = None
+        self.admission = kernel.get("admission")
         self.started = kernel.clock.now()
         self.last = None
         self.bytes = len(call.body)
@@ -121,9 +124,16 @@
         labels = (self.call.caller.name, self.call.class_)
         self.kernel.get("metrics").queue_wait.labels(*labels).observe(waited / MS_PER_S)
 
-    def chunk(self, size):
-        """Measure one chunk of `size` bytes."""
-        self.bytes += size
+    def count(self, data):
+        """Take the tokens of one part off the caller's budget, if it has one."""
+        caller = self.call.caller
+        if caller.tokens and isinstance(self.call.route, ModelRoute):
+            self.admission.spend(caller, count_tokens(self.call, data))
+
+    def chunk(self, data):
+        """Measure one chunk."""
+        self.bytes += len(data)
+        self.count(data)
         now = self.kernel.clock.now()
         if self.last is None:
             self.first_token.observe((now - self.started) / MS_PER_S)
--- a/pollenmount/api/peers.py
+++ b/pollenmount/api/peers.py
@@ -34,6 +34,7 @@
         if isinstance(made, Refusal):
             return refuse(made)
         if is_idempotent(made.route):
+            # An action runs on, so that its answer is recorded.
             request.cancel_on_hangup()
         return self.answer(made)
 
--- a/pollenmount/routing/pipeline.py
+++ b/pollenmount/routing/pipeline.py
@@ -2,7 +2,6 @@
 
 import contextlib
 import itertools
-import random
 
 from pollenmount.errors import Refusal, RefusalKind
 from pollenmount.routing.delivery import Delivery
@@ -14,7 +13,6 @@
 
 MAX_ATTEMPTS = 3
 RETRY_AFTER_MS = 1000
-RETRY_AFTER_SPREAD_MS = 1000
 PAUSE_MS = 50
 MAX_COLLECTED_BYTES = 8 << 20
 
@@ -30,13 +28,14 @@
 class Retries:
     """Decides whether a call gets another attempt.
 
-    `budget` is the node's; `pause` lets milliseconds pass; `on_retry` is called with
-    each further attempt.
+    `budget` is the node's; `pause` lets milliseconds pass; `random` draws how many;
+    `on_retry` is called with each further attempt.
     """
 
-    def __init__(self, budget, pause, on_retry=lambda: None):
+    def __init__(self, budget, pause, random, on_retry=lambda: None):
         self.budget = budget
         self.pause = pause
+        self.random = random
         self.on_retry = on_retry
 
     def allow(self, call, failure, number, clock):
@@ -47,7 +46,7 @@
         if not self.budget.withdraw():
             return False
         if number > 1:
-            self.pause(random.randint(0, PAUSE_MS * number))
+            self.pause(self.random.randint(0, PAUSE_MS * number))
         self.on_retry()
         return clock.now() < call.deadline
 
@@ -60,7 +59,7 @@
     lost in mid-answer costs a retry. Raises `BrokenAnswerError` when parts of a stream
     were delivered and no target can go on.
     """
-    delivery = Delivery()
+    delivery = Delivery(call.resume_from)
     failures = []
     for number in itertools.count(1):
         candidate = candidates.next(call)
@@ -73,8 +72,6 @@
             return
         except UpstreamError as error:
             failures.append(error)
-        if delivery.ended:
-            return
         if delivery.head and not delivery.resumable:
             break
         if not retries.allow(call, failures[-1], number, attempter.clock):
@@ -111,7 +108,7 @@
     """
     if not failures:
         message = "no target that may serve this is in reach; come back later"
-        return Refusal(RefusalKind.NO_TARGET, message, True, retry_after())
+        return Refusal(RefusalKind.NO_TARGET, message, retry_after_ms=RETRY_AFTER_MS)
     failure = failures[-1]
     not_run = all(failure.not_run for failure in failures)
     if isinstance(failure, ForwardRefusedError):
@@ -121,7 +118,7 @@
         return Refusal(RefusalKind.DEADLINE, message, not_run=not_run)
     if is_idempotent(call.route) or not_run:
         message = f"the target failed ({failure}); send the request again"
-        wait_ms = max(failure.retry_after_ms, retry_after())
+        wait_ms = max(failure.retry_after_ms, RETRY_AFTER_MS)
         return Refusal(RefusalKind.TARGET_FAILED, message, not_run, wait_ms)
     message = (
         f"the outcome is unknown ({failure}); it is not run again, "
@@ -130,11 +127,6 @@
     return Refusal(RefusalKind.OUTCOME_UNKNOWN, message, not_run=False)
 
 
-def retry_after():
-    """Return a time to come back; callers refused together come back apart."""
-    return RETRY_AFTER_MS + random.randint(0, RETRY_AFTER_SPREAD_MS)
-
-
 def attempts(parts):
     """Split the parts of an answer into (head or refusal, rest)."""
     first = next(parts)
--- a/pollenmount/routing/request.py
+++ b/pollenmount/routing/request.py
@@ -134,7 +134,7 @@
 
 
 class View(NamedTuple):
-    """All that a decision looks at, taken once."""
+    """All that a decision looks at, taken once; `name` is this VM's."""
 
     plan: Plan
     region: str
@@ -143,6 +143,7 @@
     members: tuple[Member, ...]
     summaries: tuple[DomainSummary, ...]
     now: int
+    name: str = ""
 
 
 @singledispatch
--- a/pollenmount/routing/router.py
+++ b/pollenmount/routing/router.py
@@ -44,7 +44,9 @@
         on_start()
         if self.queue.is_urgent(call):
             call = call._replace(class_=INTERACTIVE)
-        retries = pipeline.Retries(self.budget, self.pause, on_retry)
+        retries = pipeline.Retries(
+            self.budget, self.pause, self.policy.random, on_retry
+        )
         try:
             yield from pipeline.serve(call, candidates, self.attempter, retries)
         finally:
--- a/tests/test_members_size.py
+++ b/tests/test_members_size.py
@@ -39,10 +39,12 @@
 
 def test_change_of_one_row_costs_few_bytes(network):
     nodes = [*network.nodes.values()]
-    network.bytes.clear()
     accept(nodes[0], 3, sheet(CALLERS, 3))
+    network.tick(TICKS_IN_5_S)
+    network.bytes.clear()
+    accept(nodes[0], 4, sheet(CALLERS, 4))
     network.run()
-    assert {node.store.number for node in nodes} == {3}
+    assert {node.store.number for node in nodes} == {4}
     assert max(network.bytes.values()) < CALLERS * 100
 
 
@@ -50,6 +52,6 @@
     nodes = [*network.nodes.values()]
     for node in nodes:
         monkeypatch.setattr(node.spread, "push", lambda *call: None)
-    accept(nodes[0], 4, sheet(CALLERS, 4))
+    accept(nodes[0], 5, sheet(CALLERS, 5))
     network.tick(12)
-    assert {node.store.number for node in nodes} == {4}
+    assert {node.store.number for node in nodes} == {5}
--- /dev/null
+++ b/tests/test_routing_sessions.py
@@ -0,0 +1,149 @@
+"""Whole sessions over fake targets in virtual time, as golden files."""
+
+import pytest
+
+from bench.virtual_time import VirtualTime
+from bench.world import World
+from pollenmount.errors import Refusal
+from pollenmount.plugin import get_plugin_by_name
+from pollenmount.routing.pipeline import BrokenAnswerError
+from pollenmount.routing.policies.base import FAMILY
+from pollenmount.routing.request import Head
+from tests.stateful import scripted
+
+TARGETS = (
+    *(("east-e1", "engine", True), ("east-e2", "engine", True)),
+    *(("west-e1", "engine", True), ("east-s", "service", False)),
+    ("west-s", "service", False),
+)
+NODES = ("east-1", "east-2", "west-1")
+
+
+class Session:
+    """A deployment of three VMs whose events are written down."""
+
+    def __init__(self):
+        self.time = VirtualTime()
+        self.targets = {t[0]: scripted.ScriptedTarget(*t) for t in TARGETS}
+        self.lines = []
+        self.world = World(
+            self.time,
+            scripted.PLAN,
+            {"east": 2, "west": 1},
+            self.targets,
+            get_plugin_by_name(FAMILY, "adaptive"),
+            1,
+            scripted.ScriptedUpstream,
+        )
+        for caller in scripted.CALLERS.values():
+            self.world.register(caller)
+        self.time.run(1500)
+
+    def note(self, text):
+        """Write a line down."""
+        self.lines.append(f"{self.time.now() - 1500:>6} ms  {text}")
+
+    def call(self, node, caller, kind, class_="interactive", stream=False):
+        """Let a call enter."""
+        name = f"call{len([line for line in self.lines if ' enters ' in line])}"
+        made = scripted.make_call(name, caller, kind, class_, self.time.now(), stream)
+        self.note(f"{name} enters {node}: {caller} {kind} {class_}")
+        self.time.spawn(self.serve, self.world.nodes[node], made)
+        self.time.run(self.time.value)
+
+    def serve(self, node, call):
+        """Write down how a call ends."""
+        where = ""
+        try:
+            for part in node.router.serve(call):
+                if isinstance(part, Refusal):
+                    told = "not run" if part.not_run else "may have run"
+                    self.note(f"{call.id} refused: {part.kind}, {told}")
+                    return
+                if isinstance(part, Head):
+                    where = part.target
+        except BrokenAnswerError as error:
+            self.note(f"{call.id} broke off: {error.refusal.kind}")
+            return
+        runs = {t.name: t.runs[call.id] for t in self.targets.values()}
+        ran = ", ".join(name for name, count in runs.items() if count)
+        self.note(f"{call.id} answered by {where}; asked: {ran}")
+
+    def run(self, ms):
+        """Let time pass."""
+        self.time.run(self.time.value + ms)
+
+
+def quiet_day(session):
+    for kind in ("chat", "look", "file"):
+        session.call("east-1", "free", kind)
+        session.call("west-1", "near", kind)
+        session.run(1000)
+    session.call("east-2", "bound", "chat", stream=True)
+
+
+def full_region(session):
+    for _ in range(3):
+        for node in ("east-1", "east-2"):
+            session.call(node, "free", "chat")
+        session.call("east-1", "bound", "chat", "deferred")
+    session.run(2000)
+
+
+def region_cut_off(session):
+    members, session.world.members = session.world.members, ()
+    session.world.summaries.clear()
+    for target in ("east-e1", "east-e2"):
+        session.targets[target].script.extend(["refuse"] * 2)
+    session.call("east-1", "free", "chat")
+    session.call("west-1", "near", "chat")
+    session.run(5000)
+    session.note("healed")
+    session.world.members = members
+    session.call("east-1", "free", "chat")
+
+
+def leaving_target(session):
+    session.call("east-1", "bound", "chat", stream=True)
+    session.run(100)
+    session.note("east-e1 leaves")
+    session.targets["east-e1"].alive = False
+    for node in session.world.nodes_of("east"):
+        node.table.leave(session.targets["east-e1"].announcement())
+    for _ in range(3):
+        session.call("east-2", "bound", "chat")
+        session.run(500)
+
+
+def answers_for_another(session):
+    for target in session.targets.values():
+        target.script.extend(["crossed"] * 2)
+    session.call("east-1", "free", "chat")
+    session.call("east-1", "bound", "chat", stream=True)
+    session.call("east-1", "free", "file")
+    session.run(3000)
+
+
+def lost_then_unreachable(session):
+    session.targets["east-s"].script.append("reset")
+    session.targets["west-s"].script.append("refuse")
+    session.call("east-1", "free", "look")
+    session.run(2000)
+    for target in ("east-s", "west-s"):
+        session.targets[target].script.append("refuse")
+    session.call("east-1", "free", "look")
+
+
+@pytest.mark.parametrize(
+    "script",
+    [
+        *(quiet_day, full_region, region_cut_off, leaving_target),
+        *(answers_for_another, lost_then_unreachable),
+    ],
+    ids=lambda script: script.__name__,
+)
+def test_session(script, snapshot):
+    session = Session()
+    script(session)
+    session.run(70_000)
+    assert "\n".join(session.lines) == snapshot
