--- a/pollenmount/routing/attempt.py
+++ b/pollenmount/routing/attempt.py
@@ -15,6 +15,7 @@
     Chunk,
     Head,
     LocalTarget,
+    ModelRoute,
     RemoteEntry,
     is_idempotent,
 )
@@ -106,13 +107,23 @@
     def open(self, address, method, path, headers, call, fresh):
         """Send a request; return the response, or raise if it is late."""
         left = call.deadline - self.clock.now()
-        if is_idempotent(call.route):
+        if shows_progress(call):
             left = min(left, FIRST_BYTE_MS.get(call.class_, left))
         return self.upstream.open(
             address, method, path, headers, call.body, left, fresh, call.guard
         )
 
 
+def shows_progress(call):
+    """Return whether a healthy target answers the first byte soon.
+
+    An engine's whole answer comes in one piece at its end, however long that takes.
+    """
+    if isinstance(call.route, ModelRoute):
+        return call.stream
+    return is_idempotent(call.route)
+
+
 @singledispatch
 def counted_names(candidate):
     """Return the names under which a request at the candidate is counted."""
--- /dev/null
+++ b/tests/test_attempt.py
@@ -0,0 +1,39 @@
+"""How long an attempt may wait for the first byte."""
+
+from types import SimpleNamespace
+
+import pytest
+
+from pollenmount.clock import ManualClock
+from pollenmount.plans.plan import Model, Service
+from pollenmount.routing.attempt import Attempter
+from pollenmount.routing.request import Call, ModelRoute, ServiceRoute
+
+DEADLINE_MS = 30_000
+MODEL = ModelRoute(Model("draft", "v1", (), ("west",), "interactive", False), "")
+
+
+def service(repeat):
+    paths = ("/x",)
+    return ServiceRoute(Service("s", ("GET",), paths, ("west",), repeat, "interactive"))
+
+
+@pytest.mark.parametrize(
+    ("route", "stream", "expected"),
+    [
+        (MODEL, True, 10_000),
+        (MODEL, False, DEADLINE_MS),
+        (service("idempotent"), False, 10_000),
+        (service("once"), False, DEADLINE_MS),
+    ],
+)
+def test_wait_for_the_first_byte(route, stream, expected):
+    waits = []
+    upstream = SimpleNamespace(open=lambda *args: waits.append(args[5]))
+    attempter = Attempter(upstream, ManualClock(), "west", "key", None, None)
+    call = Call(
+        *("id", None, route, "POST", "/x", (), b"", "interactive"),
+        *(DEADLINE_MS, "", stream),
+    )
+    attempter.open("a", "POST", "/x", {}, call, False)
+    assert waits == [expected]
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -65,3 +65,12 @@
 def test_lines_of_pages_fit(page):
     lines = (ROOT / "docs" / f"{page}.md").read_text().splitlines()
     assert [line for line in lines if len(line) > 120 and line[0] != "|"] == []
+
+
+def test_promises_name_tests_that_exist():
+    page = (ROOT / "docs/PROMISES.md").read_text()
+    files = [*(ROOT / "tests").rglob("test_*.py")]
+    code = "".join(path.read_text() for path in files)
+    known = {path.name for path in files} | set(re.findall(r"def (test_\w+)", code))
+    named = set(re.findall(r"`(test_[\w.]+)`", page))
+    assert named - known == set()
