--- a/tests/stateful/test_members.py
+++ b/tests/stateful/test_members.py
@@ -4,7 +4,7 @@
 node sees just those, and that plan; until then nothing goes back.
 """
 
-from hypothesis import HealthCheck, settings
+from hypothesis import HealthCheck, Phase, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
@@ -164,4 +164,6 @@
     database=None,
     deadline=None,
     suppress_health_check=[*HealthCheck],
+    # Shrinking a failure takes longer than a whole run of the checks may.
+    phases=[Phase.explicit, Phase.generate],
 )
