--- a/pollenmount/api/connection.py
+++ b/pollenmount/api/connection.py
@@ -7,6 +7,7 @@
 
 import contextlib
 import socket
+from typing import NamedTuple
 from urllib.parse import unquote
 
 import eventlet
@@ -16,11 +17,16 @@
 
 from pollenmount import task
 from pollenmount.api.body import Body
-from pollenmount.api.head import MAX_LINE_BYTES, parse_head, read_lines
+from pollenmount.api.head import (
+    MAX_HEAD_BYTES,
+    MAX_LINE_BYTES,
+    parse_head,
+    read_lines,
+)
 from pollenmount.api.reply import refusal_reply, status_line
 from pollenmount.errors import Refusal, RefusalKind
 
-__all__ = ["Connection"]
+__all__ = ["Connection", "ConnectionLimits"]
 
 IDLE_TIMEOUT_S = 75
 HEAD_TIMEOUT_S = 10
@@ -31,6 +37,14 @@
 READ_BYTES = 65_536
 
 
+class ConnectionLimits(NamedTuple):
+    """How long a connection may be idle and a head may take, and a head's bytes."""
+
+    idle_s: float = IDLE_TIMEOUT_S
+    head_s: float = HEAD_TIMEOUT_S
+    head_bytes: int = MAX_HEAD_BYTES
+
+
 class Connection(eventlet.wsgi.HttpProtocol):
     """A connection of `listener`, which counts connections and running requests."""
 
@@ -63,19 +77,21 @@
 
     def receive(self):
         """Return Ok(Head), Err(Refusal), or None when no request came."""
-        self.connection.settimeout(IDLE_TIMEOUT_S)
+        limits = self.listener.limits()
+        self.connection.settimeout(limits.idle_s)
         try:
             if not self.rfile.peek(1):
                 return None
             self.connection.settimeout(SOCKET_TIMEOUT_S)
-            with task.Timeout(HEAD_TIMEOUT_S):
+            with task.Timeout(limits.head_s):
                 first = self.rfile.readline(MAX_LINE_BYTES + 1)
-                return read_lines(first, self.rfile.readline).and_then(parse_head)
+                lines = read_lines(first, self.rfile.readline, limits.head_bytes)
+                return lines.and_then(parse_head)
         except OSError:
             return None
         except task.Timeout:
-            message = f"send the head within {HEAD_TIMEOUT_S} s"
-            return Err(Refusal(RefusalKind.BAD_REQUEST, message))
+            message = f"send the head within {limits.head_s:g} s"
+            return Err(Refusal(RefusalKind.SLOW_REQUEST, message))
 
     def refuse(self, refusal):
         """Answer a head that can't be served; the connection ends with it."""
--- a/pollenmount/api/head.py
+++ b/pollenmount/api/head.py
@@ -14,7 +14,7 @@
 
 __all__ = ["Head", "parse_head", "read_lines"]
 
-MAX_LINE_BYTES = 8192
+MAX_LINE_BYTES = 16_384
 MAX_HEAD_BYTES = 65_536
 MAX_HEADERS = 100
 
@@ -67,8 +67,11 @@
         return int(self.header("content-length") or 0)
 
 
-def read_lines(first, readline):
-    """Return Ok(lines of a head without the empty one) or Err(Refusal)."""
+def read_lines(first, readline, max_bytes=MAX_HEAD_BYTES):
+    """Return Ok(lines of a head without the empty one) or Err(Refusal).
+
+    A head of more than `max_bytes` is refused.
+    """
     lines = [first]
     size = len(first)
     while True:
@@ -76,8 +79,8 @@
         if line == b"\r\n":
             return Ok(lines)
         size += len(line)
-        if len(line) > MAX_LINE_BYTES or size > MAX_HEAD_BYTES:
-            message = f"send at most {MAX_HEAD_BYTES} bytes of headers"
+        if len(line) > MAX_LINE_BYTES or size > max_bytes:
+            message = f"send at most {max_bytes} bytes of headers"
             return Err(Refusal(RefusalKind.HEADERS_TOO_LARGE, message))
         if not line.endswith(b"\n"):
             return bad("the head ended early; send it whole")
--- a/pollenmount/api/web.py
+++ b/pollenmount/api/web.py
@@ -10,7 +10,11 @@
 
 from pollenmount import task
 from pollenmount.api.body import BodyError, BudgetError, ByteBudget
-from pollenmount.api.connection import SOCKET_TIMEOUT_S, Connection
+from pollenmount.api.connection import (
+    SOCKET_TIMEOUT_S,
+    Connection,
+    ConnectionLimits,
+)
 from pollenmount.api.reply import (
     Reply,
     json_reply,
@@ -54,6 +58,11 @@
         self.path = environ["PATH_INFO"]
         self.query = environ.get("QUERY_STRING", "")
 
+    @property
+    def head(self):
+        """Return the `Head` of the request, as it was sent."""
+        return self.environ["wsgi.input"].head
+
     @property
     def target(self):
         """Return path and query as they were sent."""
@@ -157,11 +166,13 @@
 class WebServer:
     """Serves a WSGI application on `address` until it is closed.
 
-    `connections` are open, `active` requests are running.
+    `connections` are open, `active` requests are running. `limits` returns the
+    `ConnectionLimits` for the next request.
     """
 
-    def __init__(self, address, app):
+    def __init__(self, address, app, limits=ConnectionLimits):
         host, _, port = address.rpartition(":")
+        self.limits = limits
         self.connections = 0
         self.active = 0
         self.budget = ByteBudget(MAX_BODIES_BYTES)
--- a/pollenmount/consensus/calls.py
+++ b/pollenmount/consensus/calls.py
@@ -87,10 +87,14 @@
 
 
 class HelloReply(NamedTuple):
-    """The replica of the VM asked, if it has one; `blank` if it knows of no group."""
+    """The replica of the VM asked, if it has one; `blank` if it knows of no group.
+
+    `leader` is the address of the leader that it follows, '' for none.
+    """
 
     replica: Replica | None
     blank: bool
+    leader: str = ""
 
 
 register_call(Propose, ProposeReply)
--- a/pollenmount/consensus/joining.py
+++ b/pollenmount/consensus/joining.py
@@ -24,13 +24,18 @@
 class Joiner:
     """Tells the voters named in the settings that this replica is there.
 
-    `voters` maps VM names to control addresses.
+    `voters` maps VM names to control addresses, `may_start` allows to start the group;
+    `interval_ms` is how often a replica that isn't yet a voter offers itself;
+    `more_addresses` returns further nodes that may know the leader.
     """
 
-    def __init__(self, group, control, voters):
+    def __init__(self, group, control, voters, may_start=True, **options):
         self.group = group
         self.control = control
         self.voters = voters
+        self.may_start = may_start
+        self.interval_ms = options.get("interval_ms", INTERVAL_MS)
+        self.more_addresses = options.get("more_addresses", tuple)
         self.rounds = 0
         self.task = task.spawn(self.run)
 
@@ -40,9 +45,11 @@
             if not self.is_voter():
                 self.say_hello()
             is_starting = (
-                self.group.state.is_blank and self.group.me.name in self.voters
+                self.may_start
+                and self.group.state.is_blank
+                and self.group.me.name in self.voters
             )
-            task.sleep(FIRST_INTERVAL_MS if is_starting else INTERVAL_MS)
+            task.sleep(FIRST_INTERVAL_MS if is_starting else self.interval_ms)
 
     def is_voter(self):
         """Return whether this replica votes and has a leader."""
@@ -56,16 +63,28 @@
         """Ask every voter's VM; start the group if all know of none."""
         me = self.group.me
         others = {n: a for n, a in self.voters.items() if n != me.name}
-        request = Hello(self.group.name, me)
-        replies = {
-            name: reply.ok_value
-            for name, address in others.items()
-            if isinstance(
-                reply := self.control.call(address, request, HELLO_TIMEOUT_MS), Ok
-            )
-        }
-        if me.name == min(self.voters) and self.group.state.is_blank:
+        replies = self.call_all(others)
+        if self.may_start and me.name == min(self.voters) and self.group.state.is_blank:
             self.start(others, replies)
+        else:
+            self.reach_leader(replies, {*others.values(), me.address})
+
+    def call_all(self, addresses):
+        """Say hello to nodes by name, all at a time; return the replies that came."""
+        request = Hello(self.group.name, self.group.me)
+        calls = {
+            name: task.spawn(self.control.call, address, request, HELLO_TIMEOUT_MS)
+            for name, address in addresses.items()
+        }
+        replies = {name: call.wait() for name, call in calls.items()}
+        return {n: r.ok_value for n, r in replies.items() if isinstance(r, Ok)}
+
+    def reach_leader(self, replies, called):
+        """Say hello to the leader, whom only others than those called may know."""
+        leaders = {reply.leader for reply in replies.values() if reply.leader}
+        if not leaders:
+            leaders = {*self.more_addresses()}
+        self.call_all({address: address for address in leaders - called})
 
     def start(self, others, replies):
         """Start the group if every first voter is there and blank."""
@@ -89,7 +108,9 @@
     def answer(self, hello):
         """Take in another replica's hello."""
         self.group.offer(hello.replica)
-        return HelloReply(self.group.me, self.group.state.is_blank)
+        state = self.group.state
+        leader = state.leader.address if state.leader else ""
+        return HelloReply(self.group.me, state.is_blank, leader)
 
     def close(self):
         """Stop."""
--- a/pollenmount/consensus/membership.py
+++ b/pollenmount/consensus/membership.py
@@ -47,16 +47,43 @@
     if configuration.outgoing or not is_settled:
         return
     swap = next(find_swaps(turn), None)
-    if swap is None:
-        return
-    lost, spare = swap
+    if swap is not None:
+        lost, spare = swap
+        voters = tuple(spare if v == lost else v for v in configuration.voters)
+        take_in(turn, spare, voters)
+    elif len(configuration.voters) < state.timing.voters:
+        spare = choose_addition(turn)
+        if spare is not None:
+            take_in(turn, spare, (*configuration.voters, spare))
+
+
+def take_in(turn, spare, voters):
+    """Let a spare learn the log; once it has caught up, change to `voters`."""
+    configuration = turn.state.configuration
     if spare not in configuration.learners:
         change(turn, Configuration(configuration.voters, (), (spare,)))
     elif has_caught_up(turn, spare):
-        voters = tuple(spare if v == lost else v for v in configuration.voters)
         change(turn, Configuration(voters, configuration.voters))
 
 
+def choose_addition(turn):
+    """Return the spare to add, of a failure domain without a voter if there is one.
+
+    A spare that learns already goes first, so that one is taken in after the other.
+    """
+    configuration = turn.state.configuration
+    domains = {voter.failure_domain for voter in configuration.voters}
+    return min(
+        live_offers(turn),
+        key=lambda replica: (
+            replica not in configuration.learners,
+            replica.failure_domain in domains,
+            replica,
+        ),
+        default=None,
+    )
+
+
 def find_swaps(turn):
     """Yield (lost voter, spare); a new incarnation of the same VM goes first."""
     state = turn.state
--- a/pollenmount/consensus/state.py
+++ b/pollenmount/consensus/state.py
@@ -63,6 +63,8 @@
         Entries before the snapshot that are kept for slow replicas.
     `in_flight_entries`
         Entries sent to a replica before it confirms any.
+    `voters`
+        Replicas that offer themselves become voters up to this number; 0 adds none.
     `message_bytes`
         Size from which no further entry goes into a message.
     """
@@ -75,6 +77,7 @@
     keep_entries: int = 64
     in_flight_entries: int = 1024
     message_bytes: int = 1 << 20
+    voters: int = 0
 
 
 class Log(NamedTuple):
--- a/pollenmount/errors.py
+++ b/pollenmount/errors.py
@@ -89,6 +89,7 @@
     MISDIRECTED = "misdirected"
     UNKNOWN_MODEL = "unknown_model"
     UNKNOWN_PATH = "unknown_path"
+    SLOW_REQUEST = "slow_request"
     TOO_LARGE = "too_large"
     HEADERS_TOO_LARGE = "headers_too_large"
     KEY_CONFLICT = "key_conflict"
@@ -113,6 +114,7 @@
     RefusalKind.MISDIRECTED: 421,
     RefusalKind.UNKNOWN_MODEL: 404,
     RefusalKind.UNKNOWN_PATH: 404,
+    RefusalKind.SLOW_REQUEST: 408,
     RefusalKind.TOO_LARGE: 413,
     RefusalKind.HEADERS_TOO_LARGE: 431,
     RefusalKind.KEY_CONFLICT: 409,
--- /dev/null
+++ b/pollenmount/fleet/client.py
@@ -0,0 +1,122 @@
+"""The member's side of links: keeps some to control VMs open, nearest first."""
+
+import contextlib
+import socket
+import zlib
+
+from pollenmount import task
+from pollenmount.fleet.channel import Channel, ChannelError
+from pollenmount.fleet.messages import CONTROL, Beat, Link
+from pollenmount.log import get_logger
+
+__all__ = ["LinkClient"]
+
+CONNECT_TIMEOUT_S = 0.5
+ROUND_MS = 250
+BEAT_MS = 250
+RETRY_MS = 700
+LINKS_OF_AN_ENTRY = 3
+
+logger = get_logger("links")
+
+
+class LinkClient:
+    """Links of this VM.
+
+    `describe` returns this VM's `MemberRecord`, `loads` its work at the targets,
+    `seeds` the link addresses of the control VMs that the settings name.
+    """
+
+    def __init__(self, fleet, clock, describe, loads, seeds):
+        self.fleet = fleet
+        self.clock = clock
+        self.describe = describe
+        self.loads = loads
+        self.seeds = seeds
+        self.open = {}
+        self.tried = {}
+        self.contacts = 0
+        self.task = task.Task(self.round, ROUND_MS)
+
+    def round(self):
+        """Open links that are missing; forget what is old."""
+        self.fleet.sweep()
+        now = self.clock.now()
+        wanted = self.wanted()
+        for address in wanted:
+            is_due = now - self.tried.get(address, -RETRY_MS) >= RETRY_MS
+            if address not in self.open and is_due and self.needs_link(wanted):
+                self.tried[address] = now
+                self.open[address] = None
+                task.spawn(self.run, address)
+
+    def needs_link(self, wanted):
+        """Return whether one more link is needed."""
+        me = self.describe()
+        limit = len(wanted) if me.role == CONTROL else LINKS_OF_AN_ENTRY
+        return len(self.open) < limit
+
+    def wanted(self):
+        """Return the link addresses of control VMs, nearest first, without our own."""
+        me = self.describe()
+        ranks = {}
+        for member in self.fleet.members.known():
+            if member.role == CONTROL and not member.stopping:
+                ranks[member.links] = (
+                    member.failure_domain != me.failure_domain,
+                    member.region != me.region,
+                )
+        for address in self.seeds():
+            ranks.setdefault(address, (True, True))
+        ranks.pop(me.links, None)
+
+        def order(address):
+            spread = zlib.crc32(f"{me.name} {address}".encode())
+            return *ranks[address], spread
+
+        return sorted(ranks, key=order)
+
+    def run(self, address):
+        """Keep one link until it breaks."""
+        host, _, port = address.rpartition(":")
+        try:
+            opened = socket.create_connection((host, int(port)), CONNECT_TIMEOUT_S)
+            opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            with contextlib.closing(Channel(opened)) as channel:
+                self.serve(address, channel)
+        except OSError as error:
+            logger.info("no link", extra={"address": address, "problem": str(error)})
+        finally:
+            del self.open[address]
+
+    def serve(self, address, channel):
+        """Introduce this VM and take in messages until the link breaks."""
+        self.open[address] = channel
+        channel.push(Link(self.describe()))
+        beats = task.Task(lambda: self.beat(channel), BEAT_MS)
+        try:
+            with contextlib.closing(beats):
+                while True:
+                    message = channel.receive()
+                    self.contacts += 1
+                    self.fleet.take(message, address)
+        except ChannelError as error:
+            logger.info("link lost", extra={"address": address, "problem": str(error)})
+        self.fleet.forget_source(address)
+
+    def beat(self, channel):
+        """Send this VM's record and work."""
+        channel.push(Beat(self.describe(), self.loads()))
+
+    def announce(self):
+        """Send this VM's record at once on all links."""
+        for channel in self.open.values():
+            if channel is not None:
+                self.beat(channel)
+
+    def close(self):
+        """Close all links."""
+        self.task.close()
+        for channel in [*self.open.values()]:
+            if channel is not None:
+                channel.close()
--- /dev/null
+++ b/pollenmount/fleet/fleet.py
@@ -0,0 +1,136 @@
+"""Everything that a VM knows of the fleet, and the dispatch of messages into it."""
+
+import zlib
+from functools import singledispatchmethod
+
+from pollenmount.fleet.messages import (
+    EvacuationsChanged,
+    Loads,
+    MemberDown,
+    MemberUp,
+    RoutesChanged,
+    TargetGone,
+    TargetSeen,
+    TargetSilent,
+)
+from pollenmount.fleet.table import MemberTable, TargetTable
+from pollenmount.log import get_logger
+
+__all__ = ["Fleet"]
+
+logger = get_logger("fleet")
+
+
+class Fleet:
+    """Members, targets, routes and evacuations as this VM knows them.
+
+    `store` takes new plans of routes. `listeners` are called with (message, source)
+    for each message that changed something.
+    """
+
+    def __init__(self, clock, store):
+        self.clock = clock
+        self.store = store
+        self.listeners = []
+        self.targets = TargetTable(clock, self.tell)
+        self.members = MemberTable(clock, self.tell)
+        self.evacuations = EvacuationsChanged(0, ())
+        self.routes = RoutesChanged(0, 0, b"")
+        self.loads = {}
+
+    def tell(self, message, source):
+        """Log a change and pass it on to the listeners."""
+        logger.info(
+            "fleet changed",
+            extra={"source": source, "change": type(message).__name__, **show(message)},
+        )
+        for listener in self.listeners:
+            listener(message, source)
+
+    @singledispatchmethod
+    def take(self, message, source):
+        """Take in one message of a source."""
+        raise TypeError(f"no message of a fleet: {type(message).__name__}")
+
+    @take.register
+    def _(self, message: TargetSeen, source):
+        self.targets.seen(message, source)
+
+    @take.register
+    def _(self, message: TargetSilent, source):
+        self.targets.silent(message, source)
+
+    @take.register
+    def _(self, message: TargetGone, source):
+        self.targets.gone(message, source)
+
+    @take.register
+    def _(self, message: MemberUp, source):
+        self.members.up(message, source)
+
+    @take.register
+    def _(self, message: MemberDown, source):
+        self.members.down(message, source)
+
+    @take.register
+    def _(self, message: Loads, source):
+        self.loads[source] = {load.id: load for load in message.loads}
+
+    @take.register
+    def _(self, message: RoutesChanged, source):
+        if message.revision > self.routes.revision:
+            document = zlib.decompress(message.document)
+            if self.store.offer(message.version, document):
+                self.routes = message
+                self.tell(message, source)
+
+    @take.register
+    def _(self, message: EvacuationsChanged, source):
+        if message.revision > self.evacuations.revision:
+            self.evacuations = message
+            self.tell(message, source)
+
+    def forget_source(self, source):
+        """Take back what a source vouched for; the rest is kept for a while."""
+        self.targets.forget_source(source)
+        self.members.forget_source(source)
+        self.loads.pop(source, None)
+
+    def sweep(self):
+        """Forget what is old."""
+        self.members.sweep()
+        self.targets.sweep(0)
+
+    def snapshot(self):
+        """Yield the messages that tell everything to another VM."""
+        if self.routes.revision:
+            yield self.routes
+        if self.evacuations.revision:
+            yield self.evacuations
+        yield from self.members.snapshot()
+        yield from self.targets.snapshot()
+
+
+def show(message):
+    """Return what a log line says of a message; documents are left out."""
+    if isinstance(message, RoutesChanged):
+        return {"revision": message.revision, "version": message.version}
+    if isinstance(message, MemberUp):
+        member = message.member
+        return {
+            "member": member.name,
+            "ready": member.ready,
+            "stopping": member.stopping,
+            "plan": member.plan,
+        }
+    if isinstance(message, TargetSeen):
+        target = message.target
+        return {
+            "target": target.id,
+            "service": target.service,
+            "address": target.address,
+            "draining": target.draining,
+            "sequence": target.sequence,
+            "age_ms": message.age_ms,
+        }
+    return {name: getattr(message, name) for name in message.__struct_fields__}
--- /dev/null
+++ b/pollenmount/fleet/messages.py
@@ -0,0 +1,184 @@
+"""Messages on the links between VMs, and the records that they carry.
+
+Ages and remaining times are relative, since clocks of two VMs can't be compared.
+"""
+
+from typing import NamedTuple
+
+import msgspec
+
+__all__ = [
+    "CONTROL",
+    "ENTRY",
+    "Beat",
+    "EvacuationsChanged",
+    "Link",
+    "Loads",
+    "MemberDown",
+    "MemberRecord",
+    "MemberUp",
+    "RoutesChanged",
+    "TargetGone",
+    "TargetLoad",
+    "TargetRecord",
+    "TargetSeen",
+    "TargetSilent",
+    "decode",
+    "encode",
+]
+
+ENTRY = "entry"
+CONTROL = "control"
+
+
+class MemberRecord(NamedTuple):
+    """One VM as others know it.
+
+    `started` is the wall clock at its start, in milliseconds; with `sequence` it tells
+    the newer of two records. Addresses that the role doesn't have are empty. `plan` is
+    the version in force, `ready` whether callers may be sent there.
+    """
+
+    name: str
+    incarnation: str
+    started: int
+    sequence: int
+    role: str
+    region: str
+    failure_domain: str
+    callers: str
+    hops: str
+    links: str
+    consensus: str
+    plan: int
+    ready: bool
+    stopping: bool
+
+
+class TargetRecord(NamedTuple):
+    """One target as it describes itself.
+
+    `born` is the wall clock of its start in milliseconds, `sequence` grows with each
+    heartbeat of that start. `cold_ms` is how much longer it is cold.
+    """
+
+    id: str
+    born: int
+    sequence: int
+    service: str
+    address: str
+    failure_domain: str
+    version: str
+    slots: int
+    draining: bool
+    cold_ms: int
+
+    @property
+    def stamp(self):
+        """Return what tells the newer of two records of one target."""
+        return self.born, self.sequence
+
+
+class TargetLoad(NamedTuple):
+    """Work of one VM, or of several, at a target: requests and prompt tokens to read."""
+
+    id: str
+    requests: int
+    tokens: int
+
+
+class Message(msgspec.Struct, frozen=True, array_like=True, tag=True):
+    """Base of all messages on a link."""
+
+
+class Link(Message, frozen=True, array_like=True, tag=True):
+    """First message of a client on a link."""
+
+    member: MemberRecord
+
+
+class Beat(Message, frozen=True, array_like=True, tag=True):
+    """A member's record, repeated, with its work at each target."""
+
+    member: MemberRecord
+    loads: tuple[TargetLoad, ...] = ()
+
+
+class MemberUp(Message, frozen=True, array_like=True, tag=True):
+    """A member is there, or its record has changed."""
+
+    member: MemberRecord
+
+
+class MemberDown(Message, frozen=True, array_like=True, tag=True):
+    """A member isn't heard any more."""
+
+    name: str
+    incarnation: str
+
+
+class TargetSeen(Message, frozen=True, array_like=True, tag=True):
+    """A target was heard `age_ms` ago."""
+
+    target: TargetRecord
+    age_ms: int
+
+
+class TargetSilent(Message, frozen=True, array_like=True, tag=True):
+    """A target has missed several heartbeats."""
+
+    id: str
+
+
+class TargetGone(Message, frozen=True, array_like=True, tag=True):
+    """A target has left; `born` tells which start of it."""
+
+    id: str
+    born: int
+
+
+class RoutesChanged(Message, frozen=True, array_like=True, tag=True):
+    """The plan of routes; `document` is compressed."""
+
+    revision: int
+    version: int
+    document: bytes
+
+
+class EvacuationsChanged(Message, frozen=True, array_like=True, tag=True):
+    """The failure domains that are evacuated."""
+
+    revision: int
+    failure_domains: tuple[str, ...]
+
+
+class Loads(Message, frozen=True, array_like=True, tag=True):
+    """Sums of the work of all members at the targets; also the server's heartbeat."""
+
+    loads: tuple[TargetLoad, ...]
+
+
+AnyMessage = (
+    Link
+    | Beat
+    | MemberUp
+    | MemberDown
+    | TargetSeen
+    | TargetSilent
+    | TargetGone
+    | RoutesChanged
+    | EvacuationsChanged
+    | Loads
+)
+ENCODER = msgspec.msgpack.Encoder()
+DECODER = msgspec.msgpack.Decoder(AnyMessage)
+
+
+def encode(message):
+    """Return the bytes of one message."""
+    return ENCODER.encode(message)
+
+
+def decode(data):
+    """Return the message in `data`, or raise `msgspec.DecodeError`."""
+    return DECODER.decode(data)
--- /dev/null
+++ b/pollenmount/fleet/server.py
@@ -0,0 +1,154 @@
+"""The control VM's side of links: takes members in and tells them what changes."""
+
+import contextlib
+
+import eventlet
+
+from pollenmount import task
+from pollenmount.errors import ListenError
+from pollenmount.fleet.channel import Channel, ChannelError
+from pollenmount.fleet.messages import (
+    CONTROL,
+    Beat,
+    Link,
+    Loads,
+    MemberDown,
+    MemberUp,
+    TargetLoad,
+    TargetSeen,
+)
+from pollenmount.log import get_logger
+
+__all__ = ["DIRECT", "LinkServer"]
+
+DIRECT = "direct"
+LOADS_MS = 250
+RECONNECT_MS = 800
+BACKLOG = 512
+
+logger = get_logger("links")
+
+
+class LinkServer:
+    """Accepts links on `address` and keeps their members up to date."""
+
+    def __init__(self, address, fleet, clock):
+        host, _, port = address.rpartition(":")
+        self.fleet = fleet
+        self.clock = clock
+        self.channels = {}
+        self.lost = {}
+        self.loads = {}
+        fleet.listeners.append(self.pass_on)
+        try:
+            self.socket = eventlet.listen((host, int(port)), backlog=BACKLOG)
+        except OSError as error:
+            raise ListenError(address, error.strerror) from error
+        self.thread = task.spawn(self.run)
+        self.ticker = task.Task(self.tick, LOADS_MS)
+
+    def run(self):
+        """Accept links for ever."""
+        while True:
+            opened, _ = self.socket.accept()
+            task.spawn(self.serve, Channel(opened))
+
+    def serve(self, channel):
+        """Serve one link until it breaks."""
+        with contextlib.closing(channel):
+            try:
+                first = channel.receive()
+                if isinstance(first, Link):
+                    self.serve_member(channel, first.member)
+            except ChannelError as error:
+                logger.info("link refused", extra={"problem": str(error)})
+
+    def serve_member(self, channel, member):
+        """Serve one member until its link breaks."""
+        name = member.name
+        before = self.channels.pop(name, None)
+        if before is not None:
+            before.close()
+        self.channels[name] = channel
+        channel.role = member.role
+        channel.incarnation = member.incarnation
+        self.lost.pop(name, None)
+        logger.info("link open", extra={"member": name, "role": member.role})
+        for message in self.fleet.snapshot():
+            channel.push(message)
+        self.fleet.members.up(MemberUp(member), DIRECT)
+        try:
+            while True:
+                self.take(name, channel.receive())
+        except ChannelError as error:
+            self.end(name, channel, str(error))
+
+    def take(self, name, message):
+        """Take in one message of a member."""
+        if isinstance(message, Beat):
+            self.loads[name] = message.loads
+            known = self.fleet.members.get(name)
+            if known != message.member:
+                self.fleet.members.up(MemberUp(message.member), DIRECT)
+
+    def end(self, name, channel, problem):
+        """Note that a member's link broke; it may come back in a moment."""
+        logger.info("link lost", extra={"member": name, "problem": problem})
+        if self.channels.get(name) is channel:
+            del self.channels[name]
+            self.lost[name] = (self.clock.now(), channel.incarnation)
+            self.loads.pop(name, None)
+
+    def tick(self):
+        """Drop members whose links stay broken; send the sums of all work."""
+        now = self.clock.now()
+        for name, (lost, incarnation) in [*self.lost.items()]:
+            if now - lost >= RECONNECT_MS:
+                del self.lost[name]
+                self.fleet.members.down(MemberDown(name, incarnation), DIRECT)
+        loads = Loads(self.sum_loads())
+        for channel in [*self.channels.values()]:
+            channel.push(loads)
+
+    def sum_loads(self):
+        """Return the work of all members at each target."""
+        sums = {}
+        for loads in self.loads.values():
+            for load in loads:
+                before = sums.get(load.id, TargetLoad(load.id, 0, 0))
+                sums[load.id] = TargetLoad(
+                    load.id,
+                    before.requests + load.requests,
+                    before.tokens + load.tokens,
+                )
+        return tuple(sums.values())
+
+    def pass_on(self, message, source):
+        """Tell all members of a change; other control VMs only what was heard here."""
+        for channel in [*self.channels.values()]:
+            if channel.role != CONTROL or source == DIRECT:
+                channel.push(message)
+
+    def pass_heartbeat(self, message):
+        """Tell other control VMs of a target's heartbeat."""
+        for channel in [*self.channels.values()]:
+            if channel.role == CONTROL:
+                channel.push(message)
+
+    def heard(self, record):
+        """Take in a target's own heartbeat."""
+        message = TargetSeen(record, 0)
+        if self.fleet.targets.seen(message, DIRECT):
+            self.pass_heartbeat(message)
+
+    def left(self, id_):
+        """Take in that a target leaves."""
+        self.fleet.targets.leave(id_, DIRECT)
+
+    def close(self):
+        """Close all links."""
+        self.ticker.close()
+        self.thread.kill()
+        self.socket.close()
+        for channel in self.channels.values():
+            channel.close()
--- /dev/null
+++ b/pollenmount/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The gateway of routes: entry VMs and control VMs of one fleet."""
--- /dev/null
+++ b/pollenmount/gateway/attempt.py
@@ -0,0 +1,212 @@
+"""One attempt at one target or at an entry VM of another region."""
+
+import contextlib
+from typing import NamedTuple
+
+from pollenmount.gateway.call import Answer, Call, Start
+from pollenmount.gateway.dialect import AttemptInfo
+from pollenmount.gateway.hop import raise_refusal
+from pollenmount.routes.plan import Repeat
+from pollenmount.wire.connection import encode_request
+from pollenmount.wire.errors import ExchangeError, MalformedAnswerError
+from pollenmount.wire.events import EventSplitter
+
+__all__ = [
+    "Attempt",
+    "FailedAnswerError",
+    "MisdirectedError",
+    "NotRunError",
+    "Place",
+    "Sender",
+    "Watch",
+]
+
+MISDIRECTED = 421
+SERVER_ERROR = 500
+OK = 200
+MULTIPLE = 300
+MAX_FOREIGN_ANSWERS = 3
+ANSWER_GRACE_MS = 150
+ONCE_IDLE_MS = 1000
+MAX_WHOLE_BYTES = 8 << 20
+
+
+class NotRunError(ExchangeError):
+    """The target says that it did not run the request."""
+
+    not_run = True
+
+    def __init__(self, status):
+        super().__init__(f"the target didn't run it ({status})")
+        self.status = status
+
+
+class MisdirectedError(NotRunError):
+    """Another target answers at the address."""
+
+
+class FailedAnswerError(ExchangeError):
+    """The target ran the request and answered with a failure; `answer` is whole."""
+
+    def __init__(self, answer):
+        super().__init__(f"the target failed ({answer.start.status})")
+        self.answer = answer
+
+
+class Place(NamedTuple):
+    """Where an attempt is sent: `name` counts and marks it, `stamp` is its start.
+
+    `headers` are added for an entry VM of another region; `target` is the target's id,
+    '' there.
+    """
+
+    name: str
+    address: str
+    stamp: object
+    region: str
+    target: str
+    headers: tuple[tuple[str, str], ...] = ()
+
+
+class Watch:
+    """Is told how an attempt's answer comes."""
+
+    def first_byte(self):
+        """The first byte of the body is there."""
+
+    def delivered(self, event_id):
+        """All events up to this number were handed on."""
+
+
+class Attempt(NamedTuple):
+    """A call at a place, going on after an event ('' for the beginning).
+
+    `watch` is told of the first byte and of each event's number.
+    """
+
+    call: Call
+    place: Place
+    resume_after: str
+    watch: Watch
+
+
+class Sender:
+    """Sends attempts over pooled connections and reads their answers."""
+
+    def __init__(self, pool, dialect, clock):
+        self.pool = pool
+        self.dialect = dialect
+        self.clock = clock
+
+    def run(self, attempt):
+        """Yield a `Start` and the answer's bytes, or raise `ExchangeError`.
+
+        Whole answers come in one piece, streams event by event.
+        """
+        call, place = attempt.call, attempt.place
+        key = (place.name, place.address)
+        once = not call.route.may_repeat
+        connection = self.pool.take(
+            key, place.address, *((ONCE_IDLE_MS,) if once else ())
+        )
+        head = None
+        try:
+            connection.send(self.encode(attempt))
+            head, info = self.read_head(connection, attempt)
+            yield from self.read_answer(connection, head, info, attempt)
+        finally:
+            if head is None:
+                self.pool.discard(key, connection)
+            else:
+                self.pool.give_back(key, connection, head)
+
+    def encode(self, attempt):
+        """Return the bytes of the request."""
+        call = attempt.call
+        info = AttemptInfo(
+            attempt.place.target,
+            max(1, call.limit - self.clock.now()),
+            call.route.rank,
+            attempt.resume_after,
+        )
+        headers = self.dialect.attempt_headers(call.info, info)
+        headers = (*headers, *attempt.place.headers)
+        return encode_request(call.method, call.target, headers, call.body)
+
+    def left_ms(self, call):
+        """Return the function that tells the time left for an answer."""
+        limit = call.limit + ANSWER_GRACE_MS
+        return lambda: limit - self.clock.now()
+
+    def read_head(self, connection, attempt):
+        """Return (head, info) of the call's own answer; late foreign ones are skipped.
+
+        A target may answer an earlier request twice; the id tells.
+        """
+        left_ms = self.left_ms(attempt.call)
+        for _ in range(MAX_FOREIGN_ANSWERS):
+            head = connection.read_head(left_ms)
+            raise_refusal(head)
+            info = self.dialect.read_answer(head)
+            if info.id == attempt.call.id or (info.not_run and not info.id):
+                return head, info
+            for _ in connection.read_body(head, attempt.call.method, left_ms):
+                pass
+            if not connection.reusable:
+                break
+        raise MalformedAnswerError("the answers are to other requests")
+
+    def read_answer(self, connection, head, info, attempt):
+        """Yield the parts of the call's own answer."""
+        call = attempt.call
+        parts = connection.read_body(head, call.method, self.left_ms(call))
+        with contextlib.closing(parts):
+            if info.not_run or head.status == MISDIRECTED:
+                for _ in parts:
+                    pass
+                kind = MisdirectedError if head.status == MISDIRECTED else NotRunError
+                raise kind(head.status)
+            if OK <= head.status < MULTIPLE and not info.stamped:
+                raise MalformedAnswerError(
+                    "a success that the target doesn't vouch for"
+                )
+            place = attempt.place
+            start = Start(head.status, info.headers, place.target, place.region)
+            if call.route.repeat is Repeat.STREAM and head.status < MULTIPLE:
+                yield from self.read_events(start, parts, attempt)
+            else:
+                yield from read_whole(start, parts, attempt)
+
+    def read_events(self, start, parts, attempt):
+        """Yield a stream's events as they come, each of them whole."""
+        before = attempt.resume_after
+        splitter = EventSplitter(int(before) if before.isdecimal() else None)
+        started = False
+        for part in parts:
+            attempt.watch.first_byte()
+            events = splitter.feed(part)
+            if events and not started:
+                started = True
+                yield start
+            if events:
+                yield events
+                attempt.watch.delivered(splitter.last_id)
+        if not started:
+            yield start
+        if splitter.rest:
+            yield splitter.rest
+
+
+def read_whole(start, parts, attempt):
+    """Yield an answer once it is whole; a failure is raised with it."""
+    body = bytearray()
+    for part in parts:
+        attempt.watch.first_byte()
+        body += part
+        if len(body) > MAX_WHOLE_BYTES:
+            raise ExchangeError("the answer is too long")
+    answer = Answer(start, bytes(body))
+    if start.status >= SERVER_ERROR:
+        raise FailedAnswerError(answer)
+    yield start
+    yield answer.body
--- /dev/null
+++ b/pollenmount/gateway/cache.py
@@ -0,0 +1,64 @@
+"""Which shared parts of prompts a target has read lately, as far as this VM knows."""
+
+import collections
+import hashlib
+
+__all__ = ["PrefixBook", "preferred"]
+
+KEPT_MS = 30_000
+MAX_PARTS = 4096
+
+
+class PrefixBook:
+    """Parts sent to each target, newest last; old ones are taken as evicted."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.by_target = {}
+
+    def note(self, id_, prompt):
+        """Remember that a target has read a prompt."""
+        parts = self.by_target.setdefault(id_, collections.OrderedDict())
+        now = self.clock.now()
+        for part in prompt.parts:
+            parts[prompt.model, part.id] = now
+            parts.move_to_end((prompt.model, part.id))
+        while len(parts) > MAX_PARTS:
+            parts.popitem(last=False)
+
+    def cached_tokens(self, id_, prompt):
+        """Return how many tokens at the prompt's start the target need not read."""
+        parts = self.by_target.get(id_)
+        if not parts:
+            return 0
+        oldest = self.clock.now() - KEPT_MS
+        tokens = 0
+        for part in prompt.parts:
+            if parts.get((prompt.model, part.id), oldest) <= oldest:
+                break
+            tokens += part.tokens
+        return tokens
+
+    def forget(self, id_):
+        """Forget a target that has lost its memory."""
+        self.by_target.pop(id_, None)
+
+
+def shared_parts(prompt):
+    """Return the parts that other prompts share: all but the request's own last."""
+    return prompt.parts[:-1]
+
+
+def preferred(prompt, ids):
+    """Return the target that every VM picks for the shared parts (rendezvous hash)."""
+    shared = shared_parts(prompt)
+    if not shared or not ids:
+        return None
+    key = f"{prompt.model} {shared[-1].id}"
+    return max(ids, key=lambda id_: weight(key, id_))
+
+
+def weight(key, id_):
+    """Return the rendezvous weight of a target for a key."""
+    data = f"{key} {id_}".encode()
+    return hashlib.blake2b(data, digest_size=8).digest()
--- /dev/null
+++ b/pollenmount/gateway/call.py
@@ -0,0 +1,72 @@
+"""A request on its way through the gateway, and the parts of its answer."""
+
+from typing import NamedTuple
+
+from pollenmount.gateway.dialect import CallerInfo
+from pollenmount.routes.plan import Route
+
+__all__ = ["Answer", "Call", "Failure", "Refused", "Start"]
+
+
+class Call(NamedTuple):
+    """One request that a route takes.
+
+    `limit` is when its caller or its route stops waiting, by this VM's clock. `target`
+    is path and query as sent. `service` is the one picked of the route's splits.
+    """
+
+    info: CallerInfo
+    route: Route
+    service: str
+    method: str
+    target: str
+    body: bytes
+    received: int
+    limit: int
+    plan: int
+
+    @property
+    def id(self):
+        """Return the id of this try of the caller."""
+        return self.info.id
+
+    @property
+    def resume_after(self):
+        """Return the number of the last event the caller has, None for none."""
+        text = self.info.resume_after
+        return int(text) if text.isdecimal() else None
+
+
+class Start(NamedTuple):
+    """Head of an answer on its way to the caller, and which target gave it."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    target: str
+    region: str
+
+
+class Answer(NamedTuple):
+    """A whole answer."""
+
+    start: Start
+    body: bytes
+
+
+class Failure(NamedTuple):
+    """Why an attempt brought nothing. `not_run` only when that is proved."""
+
+    problem: str
+    not_run: bool
+
+
+class Refused(NamedTuple):
+    """The gateway's own final answer.
+
+    `status` 503 and 429 promise that nothing ran; 502 and 504 promise nothing.
+    `retry_after_ms` is 0 when coming back can't help.
+    """
+
+    status: int
+    reason: str
+    retry_after_ms: int = 0
--- /dev/null
+++ b/pollenmount/gateway/dispatch.py
@@ -0,0 +1,248 @@
+"""The way of a call to its answer, through as many attempts as are safe.
+
+Another attempt is made when the one before is proved not to have run, or when the
+route may be repeated; within the route's attempts, the time left and the budget.
+"""
+
+import contextlib
+
+from pollenmount.gateway.attempt import (
+    Attempt,
+    FailedAnswerError,
+    MisdirectedError,
+    NotRunError,
+    Place,
+    Watch,
+)
+from pollenmount.gateway.call import Failure, Refused, Start
+from pollenmount.gateway.choose import Candidate
+from pollenmount.gateway.hop import HopRefusedError, encode_hop
+from pollenmount.log import get_logger
+from pollenmount.wire.errors import ConnectError, ExchangeError, LateAnswerError
+
+__all__ = ["BrokenAnswerError", "Dispatcher"]
+
+MAX_SENDS = 5
+MIN_LEFT_MS = 30
+RETRY_AFTER_MS = 250
+UNAVAILABLE = 503
+BAD_GATEWAY = 502
+GATEWAY_TIMEOUT = 504
+
+logger = get_logger("calls")
+
+
+class BrokenAnswerError(Exception):
+    """An answer broke off after parts of it were delivered."""
+
+
+class Progress:
+    """What happened to one call so far.
+
+    `runs` counts attempts that may have run, `sends` all of them; `tried` names the
+    targets and VMs; `answer` is the last failure that a target answered; `last_id` the
+    number of the last event delivered.
+    """
+
+    def __init__(self, call):
+        self.runs = 0
+        self.sends = 0
+        self.tried = set()
+        self.failures = []
+        self.answer = None
+        self.started = None
+        self.last_id = call.resume_after
+        self.retry_after_ms = 0
+        self.place = None
+
+
+class Dispatcher:
+    """Runs calls.
+
+    `situation` tells the options, `chooser` picks one, `sender` runs attempts,
+    `budget` bounds the further ones. `books` are the loads, prefixes, marks and lags
+    that attempts leave behind.
+    """
+
+    def __init__(self, situation, chooser, sender, budget, clock):
+        self.situation = situation
+        self.chooser = chooser
+        self.sender = sender
+        self.budget = budget
+        self.clock = clock
+
+    def serve(self, call, progress, may_hop=True):
+        """Yield a `Start` and bytes, or one `Refused`; raise if the answer breaks."""
+        while True:
+            place, expected_ms = self.pick(call, progress, may_hop)
+            if place is None:
+                yield from self.give_up(call, progress, "no target can take it")
+                return
+            try:
+                yield from self.attempt(call, progress, place, expected_ms)
+                return
+            except ExchangeError as error:
+                self.note_failure(call, progress, place, error)
+                problem = self.find_obstacle(call, progress, error)
+            if problem:
+                yield from self.give_up(call, progress, problem)
+                return
+
+    def pick(self, call, progress, may_hop):
+        """Return (place, expected ms to the first byte), (None, 0) if there is none."""
+        options = self.situation.options(call, progress.tried)
+        if not may_hop:
+            options = options._replace(far=())
+        prompt = call.info.prompt
+        chosen = self.chooser.choose(options, prompt, call.route.target_ms)
+        if chosen is None:
+            return None, 0
+        if isinstance(chosen, Candidate):
+            return self.target_place(chosen.target), chosen.expected_ms
+        return self.hop_place(call, progress, chosen.region), chosen.expected_ms
+
+    def target_place(self, id_):
+        """Return the place of a target of this region."""
+        target = self.situation.fleet.targets.by_id[id_]
+        record = target.record
+        self.situation.health.probe(id_, record.born)
+        if target.is_cold(self.clock.now()):
+            self.situation.cold.note(id_)
+        region = self.situation.settings.region
+        return Place(id_, record.address, record.born, region, id_)
+
+    def hop_place(self, call, progress, region):
+        """Return the place of the entry VM in another region with the least work."""
+        members = self.situation.hop_members(region, progress.tried)
+        loads = self.situation.loads.own
+        member = min(
+            members,
+            key=lambda m: (loads[m.name].requests if m.name in loads else 0, m.name),
+        )
+        self.situation.health.probe(member.name, member.incarnation)
+        left_ms = max(1, call.limit - self.clock.now())
+        attempts = max(1, call.route.attempts - progress.runs)
+        header = encode_hop(call, left_ms, attempts)
+        return Place(
+            member.name, member.hops, member.incarnation, region, "", (header,)
+        )
+
+    def attempt(self, call, progress, place, expected_ms):
+        """Yield the parts of one attempt's answer."""
+        progress.sends += 1
+        progress.place = place
+        progress.tried.add(place.name)
+        prompt = call.info.prompt
+        tokens = prompt.tokens if prompt else 0
+        if prompt and place.target:
+            tokens -= self.situation.cache.cached_tokens(place.target, prompt)
+        sent = self.clock.now()
+        with self.situation.loads.counted(place.name, tokens) as end_reading:
+            watch = AnswerWatch(self, progress, place, end_reading, sent + expected_ms)
+            if prompt and place.target:
+                self.situation.cache.note(place.target, prompt)
+            resume_after = call.info.resume_after
+            if progress.started:
+                resume_after = str(progress.last_id)
+            parts = self.sender.run(Attempt(call, place, resume_after, watch))
+            with contextlib.closing(parts):
+                for part in parts:
+                    if not isinstance(part, Start):
+                        yield part
+                    elif progress.started is None:
+                        progress.started = part
+                        yield part
+        self.situation.health.succeeded(place.name)
+
+    def note_first_byte(self, place, late_ms):
+        """Learn from the time to an answer's first byte."""
+        if place.target:
+            self.situation.lags.note(place.target, late_ms)
+        self.situation.health.succeeded(place.name)
+
+    def note_failure(self, call, progress, place, error):
+        """Keep what a failed attempt tells of the place and of the call."""
+        health = self.situation.health
+        if isinstance(error, MisdirectedError):
+            health.gone(place.name, place.stamp)
+            self.situation.cache.forget(place.name)
+        elif isinstance(error, FailedAnswerError):
+            progress.answer = error.answer
+        elif not isinstance(error, NotRunError | HopRefusedError | LateAnswerError):
+            health.failed(place.name, place.stamp)
+        if not error.not_run:
+            progress.runs += 1
+        if isinstance(error, HopRefusedError):
+            progress.retry_after_ms = error.retry_after_ms
+        progress.failures.append(Failure(str(error), error.not_run))
+        logger.info(
+            "attempt failed",
+            extra={
+                "request": call.id,
+                "place": place.name,
+                "address": place.address,
+                "problem": str(error),
+                "not_run": error.not_run,
+                "sends": progress.sends,
+            },
+        )
+
+    def find_obstacle(self, call, progress, error):
+        """Return why there is no further attempt, or None."""
+        if not (error.not_run or call.route.may_repeat):
+            return "it may have run and must not be repeated"
+        if progress.started and (not call.route.resumable or progress.last_id is None):
+            return "the stream broke and can't be resumed"
+        if progress.runs >= call.route.attempts:
+            return "the route allows no further attempt"
+        if progress.sends >= MAX_SENDS:
+            return "enough targets were tried"
+        if call.limit - self.clock.now() < MIN_LEFT_MS:
+            return "there is no time left"
+        is_arrival = not isinstance(error, ConnectError)
+        if is_arrival and not self.budget.take(call.service):
+            return "the retry budget is used up"
+        return None
+
+    def give_up(self, call, progress, problem):
+        """Yield the final answer of a call that got none."""
+        if progress.started:
+            raise BrokenAnswerError(problem)
+        if progress.answer is not None:
+            yield progress.answer.start
+            yield progress.answer.body
+            return
+        yield self.refuse(call, progress, problem)
+
+    def refuse(self, call, progress, problem):
+        """Return the `Refused` that is true of what happened."""
+        if all(failure.not_run for failure in progress.failures):
+            wait_ms = max(RETRY_AFTER_MS, progress.retry_after_ms)
+            return Refused(UNAVAILABLE, problem, wait_ms)
+        if self.clock.now() >= call.limit:
+            return Refused(GATEWAY_TIMEOUT, "the time for an answer is over")
+        return Refused(BAD_GATEWAY, problem)
+
+
+class AnswerWatch(Watch):
+    """Notes when an answer begins, and how far a stream was delivered."""
+
+    def __init__(self, dispatcher, progress, place, end_reading, expected_at):
+        self.dispatcher = dispatcher
+        self.progress = progress
+        self.place = place
+        self.end_reading = end_reading
+        self.expected_at = expected_at
+        self.begun = False
+
+    def first_byte(self):
+        """Learn from the first byte; later ones tell nothing."""
+        if not self.begun:
+            self.begun = True
+            self.end_reading()
+            late_ms = self.dispatcher.clock.now() - self.expected_at
+            self.dispatcher.note_first_byte(self.place, late_ms)
+
+    def delivered(self, event_id):
+        """Remember from where another target would go on."""
+        self.progress.last_id = event_id
--- /dev/null
+++ b/pollenmount/gateway/health.py
@@ -0,0 +1,58 @@
+"""What this VM's own requests show of a target or VM: failures and pauses."""
+
+from typing import NamedTuple
+
+__all__ = ["Health"]
+
+FIRST_PAUSE_MS = 300
+MAX_PAUSE_MS = 2400
+GONE_MS = 10_000
+
+
+class Mark(NamedTuple):
+    """Failures in a row, and until when nothing is sent. `stamp` tells the start."""
+
+    failures: int
+    until: int
+    stamp: object
+
+
+class Health:
+    """Marks by name; a mark holds for one start of a target only."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.marks = {}
+
+    def failed(self, name, stamp=None):
+        """Note that a request failed in a way that says something of the target."""
+        known = self.marks.get(name)
+        failures = known.failures + 1 if known and known.stamp == stamp else 1
+        pause = min(MAX_PAUSE_MS, FIRST_PAUSE_MS << (failures - 1))
+        self.marks[name] = Mark(failures, self.clock.now() + pause, stamp)
+
+    def gone(self, name, stamp=None):
+        """Note that something else answers at the target's address."""
+        self.marks[name] = Mark(1, self.clock.now() + GONE_MS, stamp)
+
+    def succeeded(self, name):
+        """Note that a request was answered."""
+        self.marks.pop(name, None)
+
+    def probe(self, name, stamp=None):
+        """Note that a request finds out whether it works again; others wait for it."""
+        mark = self.marks.get(name)
+        if mark is not None and mark.stamp == stamp:
+            until = self.clock.now() + FIRST_PAUSE_MS
+            self.marks[name] = mark._replace(until=until)
+
+    def is_doubtful(self, name, stamp=None):
+        """Return whether the last request there failed."""
+        mark = self.marks.get(name)
+        return mark is not None and mark.stamp == stamp
+
+    def is_paused(self, name, stamp=None):
+        """Return whether nothing may be sent there at present."""
+        mark = self.marks.get(name)
+        paused = mark is not None and mark.stamp == stamp
+        return paused and self.clock.now() < mark.until
--- /dev/null
+++ b/pollenmount/gateway/hop.py
@@ -0,0 +1,122 @@
+"""The one hop of a request to an entry VM of another region.
+
+A hop has no way to be sent on: the entry VM there looks at targets of its own region
+only. The headers below are the gateway's own; callers' are dropped.
+"""
+
+from typing import NamedTuple
+
+import msgspec
+
+from pollenmount.routes.plan import Repeat, Route
+from pollenmount.wire.errors import ExchangeError
+
+__all__ = [
+    "HOP_REQUEST",
+    "HopRefusedError",
+    "HopRequest",
+    "decode_hop",
+    "encode_hop",
+    "is_own_header",
+    "raise_refusal",
+    "refusal_headers",
+    "to_route",
+]
+
+HOP_REQUEST = "Pollenmount-Hop"
+HOP_REFUSED = "Pollenmount-Hop-Refused"
+HOP_TARGET = "Pollenmount-Hop-Target"
+PREFIX = "pollenmount-hop"
+MS_PER_S = 1000
+
+
+class HopRequest(NamedTuple):
+    """What the entry VM of the other region must know beside the request itself."""
+
+    service: str
+    repeat: Repeat
+    resumable: bool
+    rank: int
+    attempts: int
+    target_ms: int
+    left_ms: int
+    plan: int
+
+
+class HopRefusal(NamedTuple):
+    """Why the other region ran nothing, or can't tell."""
+
+    status: int
+    reason: str
+    not_run: bool
+    retry_after_ms: int
+
+
+class HopRefusedError(ExchangeError):
+    """The entry VM of the other region gave no answer of a target."""
+
+    def __init__(self, refusal):
+        super().__init__(f"the other region refused: {refusal.reason}")
+        self.not_run = refusal.not_run
+        self.retry_after_ms = refusal.retry_after_ms
+
+
+def encode_hop(call, left_ms, attempts):
+    """Return the header of a call that is sent to another region."""
+    route = call.route
+    request = HopRequest(
+        call.service,
+        route.repeat,
+        route.resumable,
+        route.rank,
+        attempts,
+        route.target_ms,
+        left_ms,
+        call.plan,
+    )
+    return (HOP_REQUEST, msgspec.json.encode(request).decode())
+
+
+def decode_hop(text):
+    """Return the `HopRequest` in a header, or None."""
+    try:
+        return msgspec.json.decode(text, type=HopRequest)
+    except msgspec.DecodeError:
+        return None
+
+
+def to_route(hop):
+    """Return a route with what a hop says of it."""
+    return Route(
+        "hop",
+        "",
+        "/",
+        hop.repeat,
+        hop.left_ms,
+        hop.target_ms,
+        hop.rank,
+        (),
+        hop.attempts,
+        hop.resumable,
+        (),
+    )
+
+
+def refusal_headers(refused, not_run):
+    """Return the headers that tell another region's entry VM of a refusal."""
+    refusal = HopRefusal(
+        refused.status, refused.reason, not_run, refused.retry_after_ms
+    )
+    return [(HOP_REFUSED, msgspec.json.encode(refusal).decode())]
+
+
+def raise_refusal(head):
+    """Raise `HopRefusedError` if an answer is a refusal of the other region."""
+    text = head.header(HOP_REFUSED.lower())
+    if text:
+        raise HopRefusedError(msgspec.json.decode(text, type=HopRefusal))
+
+
+def is_own_header(name):
+    """Return whether a header is one of the hop's own."""
+    return name.lower().startswith(PREFIX)
--- /dev/null
+++ b/pollenmount/gateway/lag.py
@@ -0,0 +1,39 @@
+"""How much later than expected a target has answered lately."""
+
+from typing import NamedTuple
+
+__all__ = ["LagBook"]
+
+WEIGHT = 0.25
+HALF_LIFE_MS = 2000.0
+MAX_LAG_MS = 3000.0
+
+
+class Lag(NamedTuple):
+    """An average of lags, as of `at`."""
+
+    ms: float
+    at: int
+
+
+class LagBook:
+    """Moving averages of lags by target, which fade with time."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.lags = {}
+
+    def note(self, id_, late_ms):
+        """Take in how many milliseconds later than expected an answer began."""
+        late_ms = min(max(late_ms, 0.0), MAX_LAG_MS)
+        value = self.get(id_)
+        value += WEIGHT * (late_ms - value)
+        self.lags[id_] = Lag(value, self.clock.now())
+
+    def get(self, id_):
+        """Return the lag of a target, faded since it was noted."""
+        lag = self.lags.get(id_)
+        if lag is None:
+            return 0.0
+        age_ms = self.clock.now() - lag.at
+        return lag.ms * 0.5 ** (age_ms / HALF_LIFE_MS)
--- /dev/null
+++ b/pollenmount/gateway/metrics.py
@@ -0,0 +1,61 @@
+"""Counters and latency histograms of the gateway of routes."""
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+
+__all__ = ["GatewayMetrics"]
+
+ELAPSED_BUCKETS_S = (0.02, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1, 1.5, 2.5, 5, 10, 15)
+MS_PER_S = 1000
+
+
+class GatewayMetrics:
+    """All metrics of one VM, in a registry of their own."""
+
+    def __init__(self):
+        self.registry = CollectorRegistry()
+        self.calls = Counter(
+            "pollenmount_calls_total",
+            "Calls by route and status; status 0 is a caller who left",
+            ("route", "status", "hop"),
+            registry=self.registry,
+        )
+        self.sends = Counter(
+            "pollenmount_attempts_total",
+            "Attempts at targets and other regions by service",
+            ("service",),
+            registry=self.registry,
+        )
+        self.refusals = Counter(
+            "pollenmount_refusals_total",
+            "Requests that didn't become a call, by status",
+            ("status",),
+            registry=self.registry,
+        )
+        self.elapsed = Histogram(
+            "pollenmount_call_seconds",
+            "Time to the end of an answer by route",
+            ("route",),
+            buckets=ELAPSED_BUCKETS_S,
+            registry=self.registry,
+        )
+        self.plan_version = Gauge(
+            "pollenmount_plan_version",
+            "Version of the plan of routes in force",
+            registry=self.registry,
+        )
+        self.dropped_lines = Gauge(
+            "pollenmount_log_lines_dropped",
+            "Log lines dropped since the start, as the output was too slow",
+            registry=self.registry,
+        )
+
+    def count_call(self, call, status, outcome, elapsed_ms, is_own):
+        """Count the end of a call; `is_own` unless another VM sent it."""
+        route = call.route.name
+        self.calls.labels(route, str(status), str(not is_own)).inc()
+        if outcome == "answered":
+            self.elapsed.labels(route).observe(elapsed_ms / MS_PER_S)
+
+    def count_refusal(self, refused):
+        """Count a request that didn't become a call."""
+        self.refusals.labels(str(refused.status)).inc()
--- /dev/null
+++ b/pollenmount/gateway/node.py
@@ -0,0 +1,137 @@
+"""What entry VMs and control VMs of the gateway have in common; runs one of them."""
+
+import contextlib
+import signal
+import uuid
+
+from prometheus_client import generate_latest
+
+from pollenmount import task
+from pollenmount.api.web import Reply, WebServer, make_app
+from pollenmount.clock import Clock
+from pollenmount.fleet.fleet import Fleet
+from pollenmount.fleet.messages import CONTROL, ENTRY, MemberRecord
+from pollenmount.gateway.metrics import GatewayMetrics
+from pollenmount.log import get_logger
+from pollenmount.plugin import get_plugin_by_name
+from pollenmount.routes.store import RoutesStore
+
+__all__ = ["GatewayNode", "run_gateway"]
+
+ROLES = "pollenmount.gateway.roles"
+POLL_MS = 20
+
+logger = get_logger("node")
+
+
+class GatewayNode:
+    """State and clean-up of one VM, whatever its role.
+
+    `stopping` is set once it leaves the directory, `refusing` once it takes no new
+    requests.
+    """
+
+    def __init__(self, settings, dialect, clock=None):
+        self.settings = settings
+        self.dialect = dialect
+        self.clock = clock or Clock()
+        self.incarnation = uuid.uuid4().hex
+        self.started = self.clock.wall()
+        self.stopping = False
+        self.refusing = False
+        self.said = None
+        self.sequence = 0
+        self.stack = contextlib.ExitStack()
+        self.metrics = GatewayMetrics()
+        self.store = RoutesStore(dialect.read_plan)
+        self.fleet = Fleet(self.clock, self.store)
+
+    def own(self, part):
+        """Close `part` when the node closes; return it."""
+        self.stack.callback(part.close)
+        return part
+
+    def serve(self, address, handle, limits=None):
+        """Return a `WebServer` with `handle` on an address."""
+        app = make_app(handle, lambda: self.stopping)
+        options = (limits,) if limits else ()
+        return self.own(WebServer(address, app, *options))
+
+    def serve_metrics(self):
+        """Serve the metrics, if the settings name a port for them."""
+        if self.settings.metrics_port:
+            address = f"{self.settings.ip}:{self.settings.metrics_port}"
+            self.serve(address, self.show_metrics)
+
+    def show_metrics(self, request):
+        """Answer a request for the metrics."""
+        self.metrics.plan_version.set(self.store.version)
+        kind = ("Content-Type", "text/plain; version=0.0.4")
+        return Reply(200, (kind,), [generate_latest(self.metrics.registry)])
+
+    def describe(self):
+        """Return this VM as others know it; the sequence grows with each change."""
+        settings = self.settings
+        is_control = settings.is_control
+        record = MemberRecord(
+            settings.name,
+            self.incarnation,
+            self.started,
+            self.sequence,
+            CONTROL if is_control else ENTRY,
+            settings.region,
+            settings.failure_domain,
+            settings.listen.callers,
+            "" if is_control else settings.hops,
+            settings.links if is_control else "",
+            settings.consensus if is_control else "",
+            self.store.version,
+            self.is_ready(),
+            self.stopping,
+        )
+        if record != self.said:
+            self.sequence += 1
+            record = record._replace(sequence=self.sequence)
+            self.said = record
+        return record
+
+    def is_ready(self):
+        """Return whether callers may be sent here."""
+        return not self.stopping and self.store.plan is not None
+
+    def close(self):
+        """Close all parts in reverse order."""
+        self.stack.close()
+
+
+def run_gateway(settings, dialect, reload=lambda: None):
+    """Run one VM until SIGTERM or SIGINT; return 0 after an orderly stop.
+
+    `reload` is called after SIGHUP and returns new settings, or None to keep the old.
+    """
+    signals = []
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, lambda number, frame: signals.append(number))
+    role = "control" if settings.is_control else "entry"
+    node = GatewayNode(settings, dialect)
+    with contextlib.closing(node):
+        part = get_plugin_by_name(ROLES, role)(node)
+        logger.info("started", extra={"incarnation": node.incarnation, "role": role})
+        while not {signal.SIGTERM, signal.SIGINT} & {*signals}:
+            if signal.SIGHUP in signals:
+                signals.remove(signal.SIGHUP)
+                apply_settings(node, reload)
+            task.sleep(POLL_MS)
+        logger.info("stopping")
+        part.stop()
+        logger.info("stopped")
+    return 0
+
+
+def apply_settings(node, reload):
+    """Take in changed settings: the seeds; the rest holds until the next start."""
+    settings = reload()
+    if settings is None:
+        return
+    node.settings = node.settings._replace(seeds=settings.seeds)
+    logger.info("settings reloaded", extra={"seeds": list(settings.seeds)})
--- /dev/null
+++ b/pollenmount/gateway/replies.py
@@ -0,0 +1,30 @@
+"""The gateway's own final answers as HTTP replies."""
+
+import json
+
+from pollenmount.api.reply import Reply
+
+__all__ = ["document_reply", "empty_reply", "refused_reply"]
+
+MS_PER_S = 1000
+
+
+def refused_reply(refused, headers=()):
+    """Return the reply that tells a `Refused`; Retry-After may be a fraction."""
+    document = json.dumps({"error": refused.reason}).encode()
+    extra = list(headers)
+    if refused.retry_after_ms:
+        extra.append(("Retry-After", f"{refused.retry_after_ms / MS_PER_S:g}"))
+    return document_reply(document, refused.status, extra)
+
+
+def document_reply(document, status=200, headers=()):
+    """Return a reply with the bytes of a JSON document."""
+    length = ("Content-Length", str(len(document)))
+    kind = ("Content-Type", "application/json")
+    return Reply(status, (kind, length, *headers), [document])
+
+
+def empty_reply(status):
+    """Return a reply without a body."""
+    return Reply(status, (("Content-Length", "0"),), [b""])
--- /dev/null
+++ b/pollenmount/gateway/roles/__init__.py
@@ -0,0 +1,1 @@
+"""Roles of a VM; each module registers the class that builds its parts."""
--- /dev/null
+++ b/pollenmount/gateway/roles/control.py
@@ -0,0 +1,54 @@
+"""A control VM: holds the log, hears targets, and tells members what changes."""
+
+from pollenmount import task
+from pollenmount.fleet.client import LinkClient
+from pollenmount.fleet.server import DIRECT, LinkServer
+from pollenmount.gateway.control import ControlApi, DirectoryApi
+from pollenmount.gateway.routes_log import RoutesLog
+from pollenmount.plugin import register
+
+__all__ = ["ControlRole"]
+
+SWEEP_MS = 300
+MISSED_HEARTBEATS = 3.5
+STOP_MS = 700
+STEP_MS = 20
+
+
+@register("pollenmount.gateway.roles", "control")
+class ControlRole:
+    """The parts of a control VM."""
+
+    def __init__(self, node):
+        self.node = node
+        settings, clock = node.settings, node.clock
+        self.server = node.own(LinkServer(settings.links, node.fleet, clock))
+        self.log = RoutesLog(node)
+        self.links = node.own(
+            LinkClient(node.fleet, clock, node.describe, tuple, self.seed_links)
+        )
+        node.own(task.Task(self.sweep, SWEEP_MS))
+        node.serve_metrics()
+        api = ControlApi(node, self.log, self.server)
+        self.operators = node.serve(settings.listen.operators, api.handle)
+        if settings.listen.directory:
+            node.serve(settings.listen.directory, DirectoryApi(node).handle)
+
+    def seed_links(self):
+        """Return the link addresses of the control VMs in the settings."""
+        settings = self.node.settings
+        return [f"{ip}:{settings.last_port}" for ip in settings.peer_ips()]
+
+    def sweep(self):
+        """Mark targets that missed several heartbeats."""
+        silence_ms = MISSED_HEARTBEATS * self.node.settings.heartbeat_ms
+        self.node.fleet.targets.sweep(silence_ms, DIRECT)
+
+    def stop(self):
+        """Hand over leadership, finish calls that run."""
+        self.node.stopping = True
+        limit = self.node.clock.now() + STOP_MS
+        task.sleep(STEP_MS)
+        while self.operators.active and self.node.clock.now() < limit:
+            task.sleep(STEP_MS)
+        task.sleep(STOP_MS // 2)
--- /dev/null
+++ b/pollenmount/gateway/roles/entry.py
@@ -0,0 +1,138 @@
+"""An entry VM: serves callers and hops, asks control VMs for what it must know."""
+
+from pollenmount import task
+from pollenmount.api.connection import ConnectionLimits
+from pollenmount.fleet.client import LinkClient
+from pollenmount.fleet.messages import ENTRY
+from pollenmount.gateway.attempt import Sender
+from pollenmount.gateway.budget import ColdGate, RetryBudget
+from pollenmount.gateway.cache import PrefixBook
+from pollenmount.gateway.callers import CallersApi, HopsApi
+from pollenmount.gateway.choose import Chooser
+from pollenmount.gateway.dispatch import Dispatcher
+from pollenmount.gateway.health import Health
+from pollenmount.gateway.lag import LagBook
+from pollenmount.gateway.load import LoadBook
+from pollenmount.gateway.replies import empty_reply
+from pollenmount.gateway.situation import Situation
+from pollenmount.log import get_logger
+from pollenmount.plugin import register
+from pollenmount.wire.pool import Pool
+
+__all__ = ["EntryRole"]
+
+SWEEP_MS = 200
+MS_PER_S = 1000
+STEP_MS = 20
+# Callers that kept an old directory entry still come for a while.
+REFUSE_SHARE = 0.375
+END_SHARE = 0.93
+LAST_CONNECTIONS_MS = 200
+READY_AFTER_MS = 300
+NOT_READY = 503
+
+logger = get_logger("entry")
+
+
+@register("pollenmount.gateway.roles", "entry")
+class EntryRole:
+    """The parts of an entry VM."""
+
+    def __init__(self, node):
+        self.node = node
+        settings, clock = node.settings, node.clock
+        self.loads = LoadBook(self.reported_loads)
+        pool = node.own(Pool(clock))
+        self.situation = Situation(
+            settings,
+            clock,
+            node.fleet,
+            node.store,
+            loads=self.loads,
+            cache=PrefixBook(clock),
+            health=Health(clock),
+            cold=ColdGate(clock),
+            pool=pool,
+            lags=LagBook(clock),
+        )
+        node.budget = RetryBudget(clock, settings.bounds, self.share)
+        sender = Sender(pool, node.dialect, clock)
+        node.dispatcher = Dispatcher(
+            self.situation, Chooser(), sender, node.budget, clock
+        )
+        self.links = node.own(
+            LinkClient(
+                node.fleet, clock, node.describe, self.loads.report, self.seed_links
+            )
+        )
+        node.own(task.Task(pool.sweep, SWEEP_MS))
+        node.is_ready = self.is_ready
+        self.plan_since = None
+        node.serve_metrics()
+        node.serve(settings.listen.readiness, self.answer_readiness)
+        self.hops = node.serve(settings.hops, HopsApi(node).handle)
+        self.callers = node.serve(
+            settings.listen.callers, CallersApi(node).handle, self.limits
+        )
+
+    def limits(self):
+        """Return the `ConnectionLimits` that the plan sets for callers."""
+        limits = self.node.store.limits
+        return ConnectionLimits(
+            limits.idle_ms / MS_PER_S, limits.head_ms / MS_PER_S, limits.head_bytes
+        )
+
+    def seed_links(self):
+        """Return the link addresses of the control VMs in the settings."""
+        settings = self.node.settings
+        return [f"{ip}:{settings.last_port}" for ip in settings.peer_ips()]
+
+    def reported_loads(self):
+        """Return the work at the targets as the nearest control VM sums it up."""
+        for address in self.links.wanted():
+            if address in self.node.fleet.loads:
+                return self.node.fleet.loads[address]
+        return {}
+
+    def share(self):
+        """Return this VM's part of the budgets that all entry VMs share."""
+        members = self.node.fleet.members.known()
+        entries = sum(member.role == ENTRY for member in members)
+        return 1 / max(1, entries)
+
+    def is_ready(self):
+        """Return whether callers may be sent here: with a plan and some targets."""
+        node = self.node
+        if node.stopping or node.store.plan is None or not node.fleet.targets.by_id:
+            return False
+        if self.plan_since is None:
+            self.plan_since = node.clock.now()
+        return node.clock.now() - self.plan_since >= READY_AFTER_MS
+
+    def answer_readiness(self, request):
+        """Answer whether this VM is ready."""
+        if not self.node.dialect.is_readiness(request.method, request.path):
+            return empty_reply(404)
+        return empty_reply(200 if self.is_ready() else NOT_READY)
+
+    def stop(self):
+        """Leave the directory, then refuse, then finish what runs."""
+        node = self.node
+        node.stopping = True
+        self.links.announce()
+        grace_ms = node.settings.bounds.stop_grace_s * MS_PER_S
+        began = node.clock.now()
+        self.wait_until(began + REFUSE_SHARE * grace_ms, lambda: True)
+        node.refusing = True
+        logger.info("refusing")
+        self.wait_until(began + END_SHARE * grace_ms, self.is_busy)
+        task.sleep(LAST_CONNECTIONS_MS)
+
+    def is_busy(self):
+        """Return whether requests run."""
+        return bool(self.callers.active or self.hops.active)
+
+    def wait_until(self, limit, needed):
+        """Wait until `limit` by the clock while it is `needed`."""
+        while self.node.clock.now() < limit and needed():
+            task.sleep(STEP_MS)
--- /dev/null
+++ b/pollenmount/gateway/situation.py
@@ -0,0 +1,122 @@
+"""Gathers what a choice looks at from the tables of this VM."""
+
+from pollenmount.fleet.messages import ENTRY
+from pollenmount.gateway.choose import Options, TargetOption
+
+__all__ = ["Situation"]
+
+DEFAULT_SLOTS = 16
+CONNECTIONS_SHARE = 0.85
+
+
+class Situation:
+    """Answers what targets and VMs a request may go to at this moment."""
+
+    def __init__(self, settings, clock, fleet, store, **books):
+        self.settings = settings
+        self.clock = clock
+        self.fleet = fleet
+        self.store = store
+        self.loads = books["loads"]
+        self.cache = books["cache"]
+        self.health = books["health"]
+        self.cold = books["cold"]
+        self.pool = books["pool"]
+        self.lags = books["lags"]
+
+    def options(self, call, tried):
+        """Return the `Options` of a call; `tried` names what it was sent to already."""
+        near, far = [], []
+        evacuated = self.fleet.evacuations.failure_domains
+        for target in self.fleet.targets.by_id.values():
+            record = target.record
+            region = self.region_of(record.failure_domain)
+            if (
+                record.service != call.service
+                or record.draining
+                or record.failure_domain in evacuated
+                or record.id in tried
+                or not allows(call.route, region)
+            ):
+                continue
+            if region != self.settings.region:
+                far.append(self.option(target, region, call))
+            elif self.may_send(target):
+                near.append(self.option(target, region, call))
+        return Options(tuple(near), self.reachable(far, tried))
+
+    def region_of(self, failure_domain):
+        """Return the region of a failure domain."""
+        return self.settings.failure_domains.get(failure_domain, failure_domain)
+
+    def may_send(self, target):
+        """Return whether this VM may send a request to a target of its region now."""
+        record = target.record
+        if self.health.is_paused(record.id, record.born):
+            return False
+        backend = self.store.plan.backends.get(record.service)
+        if backend is None:
+            return False
+        if target.is_cold(self.clock.now()) and backend.cold_per_s > 0:
+            sharers = len(self.entries_of(self.settings.region))
+            if not self.cold.may_send(record.id, backend.cold_per_s, sharers):
+                return False
+        return self.has_connection(record.id, backend)
+
+    def has_connection(self, id_, backend):
+        """Return whether this VM's part of a target's connections leaves one."""
+        if backend.max_connections <= 0:
+            return True
+        sharers = max(1, len(self.entries_of(self.settings.region)))
+        limit = max(1, CONNECTIONS_SHARE * backend.max_connections / sharers)
+        own = self.loads.own.get(id_)
+        return (own.requests if own else 0) < limit
+
+    def option(self, target, region, call):
+        """Return the `TargetOption` of a target."""
+        record = target.record
+        load = self.loads.at(record.id)
+        prompt = call.info.prompt
+        cached = self.cache.cached_tokens(record.id, prompt) if prompt else 0
+        return TargetOption(
+            record.id,
+            region,
+            record.slots or DEFAULT_SLOTS,
+            load.requests,
+            load.tokens,
+            cached,
+            self.lags.get(record.id),
+            target.vouched,
+        )
+
+    def reachable(self, far, tried):
+        """Return the far options in whose regions an entry VM can be asked."""
+        regions = {option.region for option in far}
+        usable = {region for region in regions if self.hop_members(region, tried)}
+        return tuple(option for option in far if option.region in usable)
+
+    def entries_of(self, region):
+        """Return the entry VMs of a region, as members."""
+        return [
+            member
+            for member in self.fleet.members.live()
+            if member.role == ENTRY and member.region == region
+        ]
+
+    def hop_members(self, region, tried):
+        """Return the entry VMs of a region that can take a hop."""
+        return [
+            member
+            for member in self.fleet.members.known()
+            if member.role == ENTRY
+            and member.region == region
+            and member.plan
+            and not member.stopping
+            and member.name not in tried
+            and not self.health.is_paused(member.name, member.incarnation)
+        ]
+
+
+def allows(route, region):
+    """Return whether a route may be served in a region."""
+    return not route.homes or region in route.homes
--- /dev/null
+++ b/pollenmount/routes/__init__.py
@@ -0,0 +1,1 @@
+"""Plans of routes: what callers may reach by host and path, and which target serves."""
--- /dev/null
+++ b/pollenmount/routes/check.py
@@ -0,0 +1,33 @@
+"""Faults of a plan of routes that make it unusable as a whole."""
+
+from pollenmount.errors import Fault
+
+__all__ = ["find_faults"]
+
+
+def find_faults(plan):
+    """Yield each fault of a `RoutePlan`."""
+    seen = {}
+    for route in plan.routes:
+        yield from check_route(route, plan.backends)
+        place = (route.host.lower(), route.prefix)
+        if place in seen:
+            problem = f"has the host and prefix of {seen[place]}"
+            yield Fault(route.name, problem, "remove one of them")
+        seen[place] = route.name
+
+
+def check_route(route, backends):
+    """Yield the faults of one route."""
+    for split in route.splits:
+        if split.backend not in backends:
+            problem = f"names the unknown service {split.backend!r}"
+            yield Fault(route.name, problem, "add the service, or correct its name")
+        if split.weight < 0:
+            yield Fault(route.name, "has a negative weight", "use 0 or more")
+    if sum(split.weight for split in route.splits) <= 0:
+        yield Fault(route.name, "has weights that add up to 0", "give one a weight")
+    if route.timeout_ms <= 0:
+        yield Fault(route.name, "has no time-out", "use 1 ms or more")
+    if not (route.prefix.startswith("/") and route.prefix.endswith("/")):
+        yield Fault(route.name, "has a malformed prefix", "begin and end it with /")
--- /dev/null
+++ b/pollenmount/wire/connection.py
@@ -0,0 +1,276 @@
+"""One client connection: sends requests, reads heads and bodies of answers.
+
+A body that didn't end as its framing says raises `ExchangeError`; so does anything that
+isn't HTTP/1.1. Times are milliseconds of the node's clock.
+"""
+
+import contextlib
+import re
+import socket
+from typing import NamedTuple
+
+from pollenmount import task
+from pollenmount.wire.errors import (
+    ConnectError,
+    ExchangeError,
+    LateAnswerError,
+    MalformedAnswerError,
+)
+
+__all__ = ["AnswerHead", "Connection", "connect", "encode_request"]
+
+MS_PER_S = 1000
+READ_BYTES = 65_536
+MAX_HEAD_BYTES = 65_536
+MAX_CHUNK_LINE_BYTES = 256
+INLINE_BODY_BYTES = 8192
+# Unacknowledged bytes mean that the other VM or the path to it is gone.
+UNACKNOWLEDGED_MS = 1500
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 2
+STATUS_LINE = re.compile(rb"HTTP/1\.([01]) ([1-5][0-9]{2})(?: [^\r\n]*)?")
+HEADER_LINE = re.compile(rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):[ \t]*([^\r\n]*?)[ \t]*")
+CHUNK_LINE = re.compile(rb"([0-9A-Fa-f]{1,8})[ \t]*(?:;[^\r\n]*)?")
+CONTINUE = 100
+FIRST_FINAL = 200
+NO_CONTENT = 204
+NOT_MODIFIED = 304
+
+
+class AnswerHead(NamedTuple):
+    """Head of an answer. `headers` are as sent; `closes` if the connection ends."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    closes: bool
+
+    def header(self, name):
+        """Return the first value of a header by its lower-case name, or ''."""
+        values = (value for key, value in self.headers if key.lower() == name)
+        return next(values, "")
+
+
+def connect(address, timeout_ms):
+    """Return a `Connection` to `IP:port`, or raise `ConnectError`."""
+    host, _, port = address.rpartition(":")
+    try:
+        opened = socket.create_connection((host, int(port)), timeout_ms / MS_PER_S)
+        set_options(opened)
+    except (OSError, ValueError) as error:
+        raise ConnectError(f"can't connect to {address}: {error}") from error
+    return Connection(opened)
+
+
+def set_options(opened):
+    """Send small parts at once, and notice a peer that is gone without a reset."""
+    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    tcp = socket.IPPROTO_TCP
+    opened.setsockopt(tcp, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
+    opened.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    opened.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    opened.setsockopt(tcp, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+
+
+def encode_request(method, target, headers, body):
+    """Return the bytes of a request; a body always gets a Content-Length."""
+    lines = [f"{method} {target} HTTP/1.1"]
+    lines += [f"{name}: {value}" for name, value in headers]
+    if body or method not in ("GET", "HEAD", "DELETE"):
+        lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join([*lines, "", ""]).encode("latin-1") + body
+
+
+class Connection:
+    """A connection that carries one request at a time.
+
+    `reusable` is whether another request may follow the one before; `used` counts the
+    requests sent.
+    """
+
+    def __init__(self, opened):
+        self.socket = opened
+        self.buffer = bytearray()
+        self.reusable = True
+        self.ended = False
+        self.used = 0
+        self.unsent = 0
+        self.sender = None
+
+    def send(self, data):
+        """Send a request; a long one leaves while the answer is read already."""
+        self.used += 1
+        self.reusable = False
+        self.unsent = len(data)
+        if len(data) <= INLINE_BODY_BYTES:
+            self.send_all(data)
+        else:
+            self.sender = task.spawn(self.send_rest, data)
+
+    def send_rest(self, data):
+        """Send in the background; a target may answer before it has read all."""
+        with contextlib.suppress(ExchangeError):
+            self.send_all(data)
+
+    def send_all(self, data):
+        """Send every byte, or raise `ExchangeError`."""
+        try:
+            self.socket.sendall(data)
+        except OSError as error:
+            raise ExchangeError(f"the connection broke: {error}") from error
+        self.unsent = 0
+
+    def fill(self, left_ms):
+        """Read more bytes; return whether any came, false at the connection's end."""
+        if left_ms <= 0:
+            raise LateAnswerError("no answer in time")
+        self.socket.settimeout(left_ms / MS_PER_S)
+        try:
+            data = self.socket.recv(READ_BYTES)
+        except TimeoutError as error:
+            raise self.classify_timeout(error) from error
+        except OSError as error:
+            raise ExchangeError(f"the connection broke: {error}") from error
+        self.buffer += data
+        self.ended = not data
+        return bool(data)
+
+    def classify_timeout(self, error):
+        """Return the error for a wait that ended: ours, or TCP's own time-out."""
+        if error.errno:
+            return ExchangeError(f"the connection broke: {error}")
+        return LateAnswerError("no answer in time")
+
+    def read_head(self, left_ms):
+        """Return the next final `AnswerHead`; `left_ms()` is the time left."""
+        while True:
+            head = self.read_one_head(left_ms)
+            if head.status >= FIRST_FINAL:
+                return head
+
+    def read_one_head(self, left_ms):
+        """Return the next head, interim ones included."""
+        while (end := self.buffer.find(b"\r\n\r\n")) < 0:
+            if len(self.buffer) > MAX_HEAD_BYTES:
+                raise MalformedAnswerError("the head of the answer is too long")
+            if not self.could_be_head():
+                raise MalformedAnswerError("the answer isn't HTTP/1.1")
+            if not self.fill(left_ms()):
+                raise ExchangeError("the connection ended before an answer")
+        data = bytes(self.buffer[:end])
+        del self.buffer[: end + 4]
+        return parse_head(data)
+
+    def could_be_head(self):
+        """Return whether the bytes so far can begin an answer."""
+        start = b"HTTP/1."
+        return start.startswith(self.buffer[: len(start)])
+
+    def read_body(self, head, method, left_ms):
+        """Yield the parts of the body of `head` as they come."""
+        if method == "HEAD" or head.status in (NO_CONTENT, NOT_MODIFIED):
+            parts = ()
+        elif head.header("transfer-encoding"):
+            parts = self.chunks(head, left_ms)
+        elif head.header("content-length"):
+            parts = self.counted(parse_length(head), left_ms)
+        else:
+            parts = self.until_end(left_ms)
+        yield from parts
+        self.reusable = not (head.closes or self.ended or self.unsent)
+
+    def counted(self, length, left_ms):
+        """Yield `length` bytes."""
+        while length:
+            if not self.buffer and not self.fill(left_ms()):
+                raise ExchangeError("the answer ended early")
+            part = bytes(self.buffer[:length])
+            del self.buffer[:length]
+            length -= len(part)
+            yield part
+
+    def chunks(self, head, left_ms):
+        """Yield the data of all chunks."""
+        if head.header("transfer-encoding").lower() != "chunked":
+            raise MalformedAnswerError("unknown transfer encoding")
+        while size := self.chunk_size(left_ms):
+            yield from self.counted(size, left_ms)
+            if self.read_line(left_ms):
+                raise MalformedAnswerError("malformed chunk")
+        while self.read_line(left_ms):
+            pass
+
+    def chunk_size(self, left_ms):
+        """Return the size of the next chunk."""
+        match = CHUNK_LINE.fullmatch(self.read_line(left_ms))
+        if not match:
+            raise MalformedAnswerError("malformed size of a chunk")
+        return int(match[1], 16)
+
+    def read_line(self, left_ms):
+        """Return one short line without its end."""
+        while (end := self.buffer.find(b"\r\n")) < 0:
+            if len(self.buffer) > MAX_CHUNK_LINE_BYTES:
+                raise MalformedAnswerError("line too long")
+            if not self.fill(left_ms()):
+                raise ExchangeError("the answer ended early")
+        line = bytes(self.buffer[:end])
+        del self.buffer[: end + 2]
+        return line
+
+    def until_end(self, left_ms):
+        """Yield all bytes until the connection ends in an orderly way."""
+        while True:
+            if self.buffer:
+                part = bytes(self.buffer)
+                self.buffer.clear()
+                yield part
+            if not self.fill(left_ms()):
+                return
+
+    def is_quiet(self):
+        """Return whether nothing came on the idle connection, not even its end."""
+        if self.buffer:
+            return False
+        plain = getattr(self.socket, "fd", self.socket)
+        try:
+            plain.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
+    def close(self):
+        """Close the connection; what runs at the other end may stop."""
+        self.reusable = False
+        if self.sender is not None:
+            self.sender.kill()
+            self.sender = None
+        with contextlib.suppress(OSError):
+            self.socket.close()
+
+
+def parse_head(data):
+    """Return the `AnswerHead` in the bytes before the empty line."""
+    first, *rest = data.split(b"\r\n")
+    status_line = STATUS_LINE.fullmatch(first)
+    matches = [HEADER_LINE.fullmatch(line) for line in rest]
+    if not status_line or not all(matches):
+        raise MalformedAnswerError("the head of the answer can't be read")
+    headers = tuple((m[1].decode("ascii"), m[2].decode("latin-1")) for m in matches)
+    head = AnswerHead(int(status_line[2]), headers, False)
+    options = head.header("connection").lower()
+    closes = "close" in options or (
+        status_line[1] == b"0" and "keep-alive" not in options
+    )
+    return head._replace(closes=closes)
+
+
+def parse_length(head):
+    """Return the Content-Length of an answer."""
+    lengths = {v for k, v in head.headers if k.lower() == "content-length"}
+    if len(lengths) != 1 or not (length := lengths.pop()).isdecimal():
+        raise MalformedAnswerError("malformed Content-Length")
+    return int(length)
--- /dev/null
+++ b/pollenmount/wire/events.py
@@ -0,0 +1,35 @@
+"""Splits a stream of server-sent events into whole events with their numbers."""
+
+import re
+
+__all__ = ["EventSplitter"]
+
+END = re.compile(rb"\r\n\r\n|\n\n")
+ID_LINE = re.compile(rb"(?:^|\n)id:[ \t]*([0-9]{1,18})[ \t]*(?:\r|\n|$)")
+
+
+class EventSplitter:
+    """Takes bytes as they come and gives back whole events.
+
+    `last_id` is the number of the last event given back, None before the first.
+    """
+
+    def __init__(self, last_id=None):
+        self.rest = b""
+        self.last_id = last_id
+
+    def feed(self, data):
+        """Return the bytes of the events that are whole by now."""
+        self.rest += data
+        end = 0
+        for match in END.finditer(self.rest):
+            self.note(self.rest[end : match.end()])
+            end = match.end()
+        whole, self.rest = self.rest[:end], self.rest[end:]
+        return whole
+
+    def note(self, event):
+        """Remember the number of an event."""
+        match = ID_LINE.search(event)
+        if match:
+            self.last_id = int(match[1])
--- /dev/null
+++ b/pollenmount/wire/pool.py
@@ -0,0 +1,103 @@
+"""Idle connections, kept by address until shortly before the other end closes them."""
+
+import collections
+from typing import NamedTuple
+
+from pollenmount.wire.connection import Connection, connect
+
+__all__ = ["Pool"]
+
+CONNECT_TIMEOUT_MS = 400
+DEFAULT_IDLE_MS = 400
+CLOSE_MARGIN_MS = 500
+MAX_IDLE_MS = 20_000
+MS_PER_S = 1000
+MAX_IDLE_CONNECTIONS = 64
+
+
+class Idle(NamedTuple):
+    """An idle connection; `since` and `until` are when it may carry a request."""
+
+    connection: Connection
+    since: int
+    until: int
+
+
+class Pool:
+    """Connections by key, such as a target's name and address.
+
+    `open_counts` has the connections that are open, idle ones included.
+    """
+
+    def __init__(self, clock, connect_timeout_ms=CONNECT_TIMEOUT_MS):
+        self.clock = clock
+        self.connect_timeout_ms = connect_timeout_ms
+        self.idle = {}
+        self.open_counts = collections.Counter()
+
+    def take(self, key, address, max_idle_ms=MAX_IDLE_MS):
+        """Return a connection: one idle for at most `max_idle_ms`, else a new one."""
+        now = self.clock.now()
+        idle = self.idle.get(key, [])
+        while idle:
+            kept = idle.pop()
+            is_fresh = now < kept.until and now - kept.since <= max_idle_ms
+            if is_fresh and kept.connection.is_quiet():
+                return kept.connection
+            self.discard(key, kept.connection)
+        self.open_counts[key] += 1
+        try:
+            return connect(address, self.connect_timeout_ms)
+        except BaseException:
+            self.forget_one(key)
+            raise
+
+    def give_back(self, key, connection, head):
+        """Keep a connection for the next request, or close it."""
+        idle = self.idle.setdefault(key, [])
+        if not connection.reusable or len(idle) >= MAX_IDLE_CONNECTIONS:
+            self.discard(key, connection)
+            return
+        now = self.clock.now()
+        idle.append(Idle(connection, now, now + idle_limit_ms(head)))
+
+    def discard(self, key, connection):
+        """Close a connection."""
+        connection.close()
+        self.forget_one(key)
+
+    def forget_one(self, key):
+        """Count one open connection less."""
+        self.open_counts[key] -= 1
+        if self.open_counts[key] <= 0:
+            del self.open_counts[key]
+
+    def sweep(self):
+        """Close idle connections that may not be used any more."""
+        now = self.clock.now()
+        for key, idle in [*self.idle.items()]:
+            for kept in [kept for kept in idle if now >= kept.until]:
+                idle.remove(kept)
+                self.discard(key, kept.connection)
+            if not idle:
+                del self.idle[key]
+
+    def drop(self, key):
+        """Close the idle connections of a key."""
+        for kept in self.idle.pop(key, []):
+            self.discard(key, kept.connection)
+
+    def close(self):
+        """Close all idle connections."""
+        for key in [*self.idle]:
+            self.drop(key)
+
+
+def idle_limit_ms(head):
+    """Return how long the connection of an answer may be idle."""
+    for option in head.header("keep-alive").split(","):
+        name, _, value = option.strip().partition("=")
+        if name.lower() == "timeout" and value.isdecimal():
+            limit = int(value) * MS_PER_S
+            return min(MAX_IDLE_MS, max(limit - CLOSE_MARGIN_MS, limit // 2))
+    return DEFAULT_IDLE_MS
