--- a/pollenmount/fleet/messages.py
+++ b/pollenmount/fleet/messages.py
@@ -80,7 +80,7 @@
 
 
 class TargetLoad(NamedTuple):
-    """Work of one VM, or of several, at a target: requests and prompt tokens to read."""
+    """Work at a target: requests, and prompt tokens that are still to be read."""
 
     id: str
     requests: int
--- a/pollenmount/fleet/table.py
+++ b/pollenmount/fleet/table.py
@@ -104,9 +104,9 @@
     def gone(self, message, source):
         """Take in that a target has left for good."""
         known = self.by_id.get(message.id)
-        if known and message.born not in (ANY_START, known.record.born):
-            if known.record.born > message.born:
-                return
+        is_older = known and ANY_START < message.born < known.record.born
+        if is_older:
+            return
         is_news = message.id not in self.tombstones or known is not None
         while len(self.tombstones) >= MAX_TOMBSTONES:
             del self.tombstones[next(iter(self.tombstones))]
--- a/pollenmount/gateway/attempt.py
+++ b/pollenmount/gateway/attempt.py
@@ -72,10 +72,10 @@
     """Is told how an attempt's answer comes."""
 
     def first_byte(self):
-        """The first byte of the body is there."""
+        """Take in that the first byte of the body is there."""
 
     def delivered(self, event_id):
-        """All events up to this number were handed on."""
+        """Take in that all events up to this number were handed on."""
 
 
 class Attempt(NamedTuple):
--- a/pollenmount/gateway/dispatch.py
+++ b/pollenmount/gateway/dispatch.py
@@ -189,10 +189,9 @@
 
     def find_obstacle(self, call, progress, error):
         """Return why there is no further attempt, or None."""
-        if not (error.not_run or call.route.may_repeat):
-            return "it may have run and must not be repeated"
-        if progress.started and (not call.route.resumable or progress.last_id is None):
-            return "the stream broke and can't be resumed"
+        unsafe = self.find_danger(call, progress, error)
+        if unsafe:
+            return unsafe
         if progress.runs >= call.route.attempts:
             return "the route allows no further attempt"
         if progress.sends >= MAX_SENDS:
@@ -204,6 +203,14 @@
             return "the retry budget is used up"
         return None
 
+    def find_danger(self, call, progress, error):
+        """Return why another attempt could run it twice or join two runs, or None."""
+        if not (error.not_run or call.route.may_repeat):
+            return "it may have run and must not be repeated"
+        if progress.started and (not call.route.resumable or progress.last_id is None):
+            return "the stream broke and can't be resumed"
+        return None
+
     def give_up(self, call, progress, problem):
         """Yield the final answer of a call that got none."""
         if progress.started:
