Weigh running requests and waits for slots; count hops at their receiver

Cause: at 128 running requests an engine's streams took 14 s, since the choice looked at prompt tokens only and sent more there; streams that broke when an engine crashed found the retry budget used up, since requests that came by a hop weren't counted where they were retried. Ruled out: the network (no attempt failed there before the crash).

--- a/pollenmount/gateway/callers.py
+++ b/pollenmount/gateway/callers.py
@@ -53,7 +53,6 @@
             return self.refuse(info, made)
         if made.route.repeat is not Repeat.ONCE:
             request.cancel_on_hangup()
-        self.node.budget.note_request(made.service)
         return Answering(self.node, made, may_hop=True).reply()
 
     def check_state(self, info):
--- a/pollenmount/gateway/choose.py
+++ b/pollenmount/gateway/choose.py
@@ -13,7 +13,10 @@
 __all__ = ["Candidate", "Chooser", "Hop", "Options", "TargetOption"]
 
 READ_TOKENS_PER_MS = 40.0
-REQUEST_MS = 0.6
+# A running request lengthens each step of the engine, and each prompt that is read
+# holds up the streams that run.
+RUNNING_MS = 5.0
+HOLD_MS = 3000.0
 FIRST_TOKEN_MS = 30.0
 PREFERRED_SHARE = 0.75
 SERVICE_MS = 45.0
@@ -116,8 +119,9 @@
         return penalty + SERVICE_MS * (turns if waiting else 0.2 * turns)
     unread = prompt.tokens - cached_tokens(option, prompt, is_favourite)
     reading = (option.tokens + unread) / READ_TOKENS_PER_MS
-    running = REQUEST_MS * option.requests
-    return penalty + FIRST_TOKEN_MS + reading + running
+    running = RUNNING_MS * min(option.requests, option.slots)
+    for_slot = HOLD_MS * waiting / max(1, option.slots)
+    return penalty + FIRST_TOKEN_MS + reading + running + for_slot
 
 
 def cached_tokens(option, prompt, is_favourite):
--- a/pollenmount/gateway/control.py
+++ b/pollenmount/gateway/control.py
@@ -154,7 +154,7 @@
         order = dialect.read_order(request.method, request.target)
         if order is None or order.kind != OrderKind.ENTRIES:
             return refused_reply(Refused(NOT_FOUND, "no such call here"))
-        addresses = self.choose(order.region, order.name)
+        addresses = self.choose(order.region, order.name, order.host)
         is_settled = self.node.clock.now() - self.began >= SETTLE_MS
         if not addresses or not is_settled or self.node.stopping:
             reason = "no entry VM is known here yet"
@@ -162,19 +162,31 @@
         ttl_s = min(1, settings.bounds.entries_ttl_s)
         return document_reply(dialect.write_entries(addresses, ttl_s))
 
-    def choose(self, region, failure_domain):
-        """Return the addresses of the nearest ready entry VMs."""
+    def choose(self, region, failure_domain, host):
+        """Return the addresses of the nearest ready entry VMs for a host's callers.
+
+        Outside the caller's region those in the homes of the host's routes go first:
+        data may be sent there.
+        """
         ready = [
             member
             for member in self.node.fleet.members.live()
             if member.role == ENTRY and member.ready and not member.stopping
         ]
+        homes = self.homes_of(host)
         for is_near in (
             lambda member: member.failure_domain == failure_domain,
             lambda member: member.region == region,
+            lambda member: member.region in homes,
             lambda member: True,
         ):
             near = sorted(member.callers for member in ready if is_near(member))
             if near:
                 return near[:MAX_ENTRIES]
         return []
+
+    def homes_of(self, host):
+        """Return the regions in which every bound route of a host may be served."""
+        routes = self.node.store.by_host.get(host.lower(), ())
+        homes = [{*route.homes} for route in routes if route.homes]
+        return set.intersection(*homes) if homes else set()
--- a/pollenmount/gateway/dialect.py
+++ b/pollenmount/gateway/dialect.py
@@ -96,12 +96,13 @@
     """One call at the operators', targets' or directory's interface.
 
     `name` is the failure domain, the target's id, or the caller's failure domain;
-    `region` the caller's region.
+    `region` the caller's region, `host` the host that it wants to reach.
     """
 
     kind: str
     name: str = ""
     region: str = ""
+    host: str = ""
 
 
 class Dialect:
--- a/pollenmount/gateway/dispatch.py
+++ b/pollenmount/gateway/dispatch.py
@@ -129,6 +129,9 @@
 
     def attempt(self, call, progress, place, expected_ms):
         """Yield the parts of one attempt's answer."""
+        if place.target and not progress.sends:
+            # A hop is counted by the VM that sends it to a target.
+            self.budget.note_request(call.service)
         progress.sends += 1
         progress.place = place
         progress.tried.add(place.name)
--- a/pollenmount/gateway/roles/entry.py
+++ b/pollenmount/gateway/roles/entry.py
@@ -2,8 +2,8 @@
 
 from pollenmount import task
 from pollenmount.api.connection import ConnectionLimits
+from pollenmount.fleet.census import Census
 from pollenmount.fleet.client import LinkClient
-from pollenmount.fleet.messages import ENTRY
 from pollenmount.gateway.attempt import Sender
 from pollenmount.gateway.budget import ColdGate, RetryBudget
 from pollenmount.gateway.cache import PrefixBook
@@ -43,6 +43,7 @@
         settings, clock = node.settings, node.clock
         self.loads = LoadBook(self.reported_loads)
         pool = node.own(Pool(clock))
+        census = Census(clock, node.fleet.members)
         self.situation = Situation(
             settings,
             clock,
@@ -54,8 +55,9 @@
             cold=ColdGate(clock),
             pool=pool,
             lags=LagBook(clock),
+            census=census,
         )
-        node.budget = RetryBudget(clock, settings.bounds, self.share)
+        node.budget = RetryBudget(clock, settings.bounds, lambda: 1 / census.entries())
         sender = Sender(pool, node.dialect, clock)
         node.dispatcher = Dispatcher(
             self.situation, Chooser(), sender, node.budget, clock
@@ -94,12 +96,6 @@
                 return self.node.fleet.loads[address]
         return {}
 
-    def share(self):
-        """Return this VM's part of the budgets that all entry VMs share."""
-        members = self.node.fleet.members.known()
-        entries = sum(member.role == ENTRY for member in members)
-        return 1 / max(1, entries)
-
     def is_ready(self):
         """Return whether callers may be sent here: with a plan and some targets."""
         node = self.node
--- a/pollenmount/gateway/situation.py
+++ b/pollenmount/gateway/situation.py
@@ -23,6 +23,7 @@
         self.cold = books["cold"]
         self.pool = books["pool"]
         self.lags = books["lags"]
+        self.census = books["census"]
 
     def options(self, call, tried):
         """Return the `Options` of a call; `tried` names what it was sent to already."""
@@ -58,7 +59,7 @@
         if backend is None:
             return False
         if target.is_cold(self.clock.now()) and backend.cold_per_s > 0:
-            sharers = len(self.entries_of(self.settings.region))
+            sharers = self.census.entries(self.settings.region)
             if not self.cold.may_send(record.id, backend.cold_per_s, sharers):
                 return False
         return self.has_connection(record.id, backend)
--- a/pollenmount/task.py
+++ b/pollenmount/task.py
@@ -6,6 +6,7 @@
 
 import eventlet
 import eventlet.event
+import eventlet.hubs
 import eventlet.queue
 import greenlet
 from eventlet.green import socket
@@ -19,6 +20,7 @@
     "Task",
     "Timeout",
     "patch",
+    "receive",
     "sleep",
     "socketpair",
     "spawn",
@@ -45,6 +47,28 @@
     eventlet.sleep(ms / MS_PER_S)
 
 
+def receive(opened, size, timeout_ms):
+    """Return bytes of a connection, b'' at its orderly end; wait `timeout_ms` at most.
+
+    A reset raises `ConnectionResetError`, which a green socket's own `recv` would
+    return as an orderly end; a wait that ends raises `TimeoutError`.
+    """
+    plain = getattr(opened, "fd", None)
+    if plain is None:
+        opened.settimeout(timeout_ms / MS_PER_S)
+        return opened.recv(size)
+    while True:
+        try:
+            return plain.recv(size)
+        except BlockingIOError:
+            eventlet.hubs.trampoline(
+                plain.fileno(),
+                read=True,
+                timeout=timeout_ms / MS_PER_S,
+                timeout_exc=TimeoutError,
+            )
+
+
 def spawn(function, *args):
     """Run `function` once in the background; a fault in it is logged."""
     return eventlet.spawn(run_logged, function, *args)
--- a/pollenmount/wire/connection.py
+++ b/pollenmount/wire/connection.py
@@ -125,9 +125,8 @@
         """Read more bytes; return whether any came, false at the connection's end."""
         if left_ms <= 0:
             raise LateAnswerError("no answer in time")
-        self.socket.settimeout(left_ms / MS_PER_S)
         try:
-            data = self.socket.recv(READ_BYTES)
+            data = task.receive(self.socket, READ_BYTES, left_ms)
         except TimeoutError as error:
             raise self.classify_timeout(error) from error
         except OSError as error:
