Name home regions of most routes in the directory; one attempt a hop

BUDGET broke (4 requests on 3 targets of 2 allowed) when a hop's VM resumed a stream and the sender resumed it again. Ruled out: a directory that knew too few VMs (its log lines name all of them).

--- a/pollenmount/gateway/control.py
+++ b/pollenmount/gateway/control.py
@@ -1,5 +1,7 @@
 """Operators', targets' and directory's interfaces of a control VM."""
 
+import collections
+
 from result import Err
 
 from pollenmount.errors import Refusal, SheetError
@@ -147,6 +149,7 @@
     def __init__(self, node):
         self.node = node
         self.began = node.clock.now()
+        self.named = {}
 
     def handle(self, request):
         """Answer one caller of the directory."""
@@ -159,9 +162,18 @@
         if not addresses or not is_settled or self.node.stopping:
             reason = "no entry VM is known here yet"
             return refused_reply(Refused(UNAVAILABLE, reason, RETRY_AFTER_MS))
+        self.log_change(order, addresses)
         ttl_s = min(1, settings.bounds.entries_ttl_s)
         return document_reply(dialect.write_entries(addresses, ttl_s))
 
+    def log_change(self, order, addresses):
+        """Log what callers of a place are told, once for each change."""
+        place = (order.name, order.host)
+        if self.named.get(place) != addresses:
+            self.named[place] = addresses
+            extra = {"domain": order.name, "host": order.host, "entries": addresses}
+            logger.info("directory changed", extra=extra)
+
     def choose(self, region, failure_domain, host):
         """Return the addresses of the nearest ready entry VMs for a host's callers.
 
@@ -186,7 +198,8 @@
         return []
 
     def homes_of(self, host):
-        """Return the regions in which every bound route of a host may be served."""
+        """Return the regions that are home to the most routes of a host."""
         routes = self.node.store.by_host.get(host.lower(), ())
-        homes = [{*route.homes} for route in routes if route.homes]
-        return set.intersection(*homes) if homes else set()
+        counts = collections.Counter(home for route in routes for home in route.homes)
+        most = max(counts.values(), default=0)
+        return {home for home, count in counts.items() if count == most}
--- a/pollenmount/gateway/dispatch.py
+++ b/pollenmount/gateway/dispatch.py
@@ -24,6 +24,8 @@
 
 MAX_SENDS = 5
 MIN_LEFT_MS = 30
+# The VM that sends a hop counts the runs; the one that takes it can't know of others.
+HOP_ATTEMPTS = 1
 RETRY_AFTER_MS = 250
 UNAVAILABLE = 503
 BAD_GATEWAY = 502
@@ -121,8 +123,7 @@
         )
         self.situation.health.probe(member.name, member.incarnation)
         left_ms = max(1, call.limit - self.clock.now())
-        attempts = max(1, call.route.attempts - progress.runs)
-        header = encode_hop(call, left_ms, attempts)
+        header = encode_hop(call, left_ms, HOP_ATTEMPTS)
         return Place(
             member.name, member.hops, member.incarnation, region, "", (header,)
         )
