Pause a target after failures in a row; let few VMs share a cold target

One lost answer took a region's only plain service out for 300 ms. Ruled out: late news of cold targets (the log has them cold before the requests). Tests: both patterns in test_gateway_choose and test_gateway_dispatch, failing before.

--- a/pollenmount/commands/node.py
+++ b/pollenmount/commands/node.py
@@ -24,7 +24,7 @@
 
     def run(self, values, words):
         """Run the node; return 0 after an orderly stop."""
-        # Standard error has JSON lines only.
+        # Standard output has JSON lines only, standard error nothing.
         warnings.simplefilter("ignore")
         os.environ.setdefault("GRPC_VERBOSITY", "NONE")
         from pollenmount import task
@@ -34,10 +34,11 @@
         from pollenmount.node import run_node
 
         node_settings = settings.load_settings(values.config)
-        log.configure(
+        writer = log.configure(
             node_settings.log_level,
             vm=node_settings.name,
             region=node_settings.region,
             failure_domain=node_settings.failure_domain,
         )
-        return run_node(node_settings)
+        with task.writing(writer):
+            return run_node(node_settings)
--- a/pollenmount/gateway/budget.py
+++ b/pollenmount/gateway/budget.py
@@ -1,11 +1,13 @@
 """Budgets that all VMs share without a central counter: each takes an equal part."""
 
 import collections
+import zlib
 
 __all__ = ["ColdGate", "RetryBudget"]
 
 MS_PER_S = 1000
 CAUTION = 0.8
+MAX_SHARERS = 3
 
 
 class RetryBudget:
@@ -47,24 +49,36 @@
 
 
 class ColdGate:
-    """Requests to cold targets: this VM's part of what such a target takes a second."""
+    """Requests to cold targets: this VM's part of what such a target takes a second.
 
-    def __init__(self, clock):
+    Few VMs of a region share a target, picked alike by all of them: a part of one
+    request a second for each of many would add up to too much at one moment.
+    """
+
+    def __init__(self, clock, name):
         self.clock = clock
+        self.name = name
         self.sent = {}
 
-    def allowance(self, per_s, sharers):
-        """Return how many requests a second this VM may send, at least part of one."""
-        return CAUTION * per_s / max(1, sharers)
+    def may_send(self, id_, per_s, entries):
+        """Return whether a request may go to a cold target now.
 
-    def may_send(self, id_, per_s, sharers):
-        """Return whether a request may go to a cold target now."""
-        rate = self.allowance(per_s, sharers)
-        if rate <= 0:
+        `entries` are the names of the region's entry VMs.
+        """
+        sharers = pick_sharers(id_, per_s, entries)
+        if self.name not in sharers:
             return False
+        rate = CAUTION * per_s / len(sharers)
         last = self.sent.get(id_)
         return last is None or self.clock.now() - last >= MS_PER_S / rate
 
     def note(self, id_):
         """Count a request to a cold target."""
         self.sent[id_] = self.clock.now()
+
+
+def pick_sharers(id_, per_s, entries):
+    """Return the VMs that may send to a cold target (rendezvous hash)."""
+    count = max(1, min(MAX_SHARERS, int(per_s)))
+    ranked = sorted(entries, key=lambda name: zlib.crc32(f"{id_} {name}".encode()))
+    return ranked[:count]
--- a/pollenmount/gateway/dispatch.py
+++ b/pollenmount/gateway/dispatch.py
@@ -173,7 +173,7 @@
         elif isinstance(error, FailedAnswerError):
             progress.answer = error.answer
         elif not isinstance(error, NotRunError | HopRefusedError | LateAnswerError):
-            health.failed(place.name, place.stamp)
+            health.failed(place.name, place.stamp, isinstance(error, ConnectError))
         if not error.not_run:
             progress.runs += 1
         if isinstance(error, HopRefusedError):
--- a/pollenmount/gateway/health.py
+++ b/pollenmount/gateway/health.py
@@ -6,6 +6,8 @@
 
 FIRST_PAUSE_MS = 300
 MAX_PAUSE_MS = 2400
+MAX_EXPONENT = 8
+FAILURES_TO_PAUSE = 3
 GONE_MS = 10_000
 
 
@@ -24,12 +26,22 @@
         self.clock = clock
         self.marks = {}
 
-    def failed(self, name, stamp=None):
-        """Note that a request failed in a way that says something of the target."""
+    def failed(self, name, stamp=None, at_once=False):
+        """Note that a request failed in a way that says something of the target.
+
+        Nothing is sent for a while after some failures in a row; `at_once` after one,
+        since no connection came about.
+        """
         known = self.marks.get(name)
         failures = known.failures + 1 if known and known.stamp == stamp else 1
-        pause = min(MAX_PAUSE_MS, FIRST_PAUSE_MS << (failures - 1))
-        self.marks[name] = Mark(failures, self.clock.now() + pause, stamp)
+        if at_once:
+            failures = max(failures, FAILURES_TO_PAUSE)
+        until = 0
+        if failures >= FAILURES_TO_PAUSE:
+            exponent = failures - FAILURES_TO_PAUSE
+            pause = min(MAX_PAUSE_MS, FIRST_PAUSE_MS << min(exponent, MAX_EXPONENT))
+            until = self.clock.now() + pause
+        self.marks[name] = Mark(failures, until, stamp)
 
     def gone(self, name, stamp=None):
         """Note that something else answers at the target's address."""
@@ -42,7 +54,7 @@
     def probe(self, name, stamp=None):
         """Note that a request finds out whether it works again; others wait for it."""
         mark = self.marks.get(name)
-        if mark is not None and mark.stamp == stamp:
+        if mark is not None and mark.stamp == stamp and mark.until:
             until = self.clock.now() + FIRST_PAUSE_MS
             self.marks[name] = mark._replace(until=until)
 
--- a/pollenmount/gateway/roles/entry.py
+++ b/pollenmount/gateway/roles/entry.py
@@ -52,7 +52,7 @@
             loads=self.loads,
             cache=PrefixBook(clock),
             health=Health(clock),
-            cold=ColdGate(clock),
+            cold=ColdGate(clock, settings.name),
             pool=pool,
             lags=LagBook(clock),
             census=census,
--- a/pollenmount/gateway/situation.py
+++ b/pollenmount/gateway/situation.py
@@ -59,8 +59,8 @@
         if backend is None:
             return False
         if target.is_cold(self.clock.now()) and backend.cold_per_s > 0:
-            sharers = self.census.entries(self.settings.region)
-            if not self.cold.may_send(record.id, backend.cold_per_s, sharers):
+            entries = [m.name for m in self.entries_of(self.settings.region)]
+            if not self.cold.may_send(record.id, backend.cold_per_s, entries):
                 return False
         return self.has_connection(record.id, backend)
 
--- a/pollenmount/log.py
+++ b/pollenmount/log.py
@@ -1,17 +1,22 @@
-"""Structured logs as JSON lines.
+"""Structured logs as JSON lines on standard output, bounded and never blocking.
 
-Prompts, answers and keys are never passed to a logger.
+Prompts, answers and keys are never passed to a logger. A line that standard output
+can't take yet waits in a bounded queue; lines beyond it are dropped and counted.
 """
 
+import collections
 import logging
+import os
 import sys
 
 from pythonjsonlogger.json import JsonFormatter
 
-__all__ = ["configure", "get_logger"]
+__all__ = ["LineWriter", "configure", "get_logger"]
 
 FIELDS = "%(asctime)s %(levelname)s %(name)s %(message)s"
 ROOT = "pollenmount"
+MAX_WAITING_LINES = 10_000
+MAX_WRITE_BYTES = 65_536
 
 
 def get_logger(name):
@@ -19,11 +24,71 @@
     return logging.getLogger(f"{ROOT}.{name}")
 
 
+class LineWriter:
+    """Writes lines to a descriptor from a task of its own.
+
+    `dropped` counts the lines that found the queue full.
+    """
+
+    def __init__(self, descriptor, max_lines=MAX_WAITING_LINES):
+        self.descriptor = descriptor
+        self.max_lines = max_lines
+        self.lines = collections.deque()
+        self.rest = b""
+        self.dropped = 0
+        os.set_blocking(descriptor, False)
+
+    def put(self, line):
+        """Queue a line, or drop it when too many wait."""
+        if len(self.lines) >= self.max_lines:
+            self.dropped += 1
+            return
+        self.lines.append(line)
+
+    def write_some(self):
+        """Write what the descriptor takes now; return whether all was written."""
+        while self.rest or self.lines:
+            parts = [self.rest]
+            size = len(self.rest)
+            while self.lines and size < MAX_WRITE_BYTES:
+                part = self.lines.popleft().encode() + b"\n"
+                size += len(part)
+                parts.append(part)
+            self.rest = b"".join(parts)
+            try:
+                written = os.write(self.descriptor, self.rest)
+            except BlockingIOError:
+                return False
+            self.rest = self.rest[written:]
+        return True
+
+    def close(self):
+        """Write the last lines, as far as the descriptor takes them."""
+        self.write_some()
+
+
+class LineHandler(logging.Handler):
+    """Formats records and hands them to a `LineWriter`."""
+
+    def __init__(self, writer):
+        super().__init__()
+        self.writer = writer
+
+    def emit(self, record):
+        """Format and queue one record."""
+        self.writer.put(self.format(record))
+
+
 def configure(level="INFO", **fixed):
-    """Send logs to standard error, with the `fixed` fields on each line."""
-    handler = logging.StreamHandler(sys.stderr)
+    """Send logs to standard output, with the `fixed` fields on each line.
+
+    Return the `LineWriter`, whose `write_some` a task has to call regularly.
+    """
+    writer = LineWriter(sys.stdout.fileno())
+    handler = LineHandler(writer)
     handler.setFormatter(JsonFormatter(FIELDS, static_fields=fixed))
     root = logging.getLogger(ROOT)
     root.handlers[:] = [handler]
     root.setLevel(level)
     root.propagate = False
+    return writer
--- a/pollenmount/task.py
+++ b/pollenmount/task.py
@@ -4,6 +4,8 @@
 change in one place.
 """
 
+import contextlib
+
 import eventlet
 import eventlet.event
 import eventlet.hubs
@@ -24,9 +26,11 @@
     "sleep",
     "socketpair",
     "spawn",
+    "writing",
 ]
 
 MS_PER_S = 1000
+WRITE_MS = 20
 
 Event = eventlet.event.Event
 Mailbox = eventlet.queue.LightQueue
@@ -83,6 +87,17 @@
         return None
 
 
+@contextlib.contextmanager
+def writing(writer):
+    """Let a `LineWriter` write from a task while the context lasts."""
+    loop = Task(writer.write_some, WRITE_MS)
+    try:
+        yield
+    finally:
+        loop.close()
+        writer.close()
+
+
 class Task:
     """A loop that calls `step` every `interval_ms` until it is closed.
 
--- /dev/null
+++ b/tests/gateway_world.py
@@ -0,0 +1,194 @@
+"""An entry VM without network: tables, choice and dispatch, with scripted attempts."""
+
+from pollenmount.clock import ManualClock
+from pollenmount.fleet.census import Census
+from pollenmount.fleet.fleet import Fleet
+from pollenmount.fleet.messages import (
+    CONTROL,
+    ENTRY,
+    EvacuationsChanged,
+    MemberRecord,
+    MemberUp,
+    TargetRecord,
+    TargetSeen,
+)
+from pollenmount.gateway.budget import ColdGate, RetryBudget
+from pollenmount.gateway.cache import PrefixBook
+from pollenmount.gateway.call import Call, Start
+from pollenmount.gateway.choose import Chooser
+from pollenmount.gateway.dialect import CallerInfo, Prompt, PromptPart
+from pollenmount.gateway.dispatch import Dispatcher, Progress
+from pollenmount.gateway.health import Health
+from pollenmount.gateway.lag import LagBook
+from pollenmount.gateway.load import LoadBook
+from pollenmount.gateway.settings import Bounds, GatewaySettings, Listen
+from pollenmount.gateway.situation import Situation
+from pollenmount.routes.plan import (
+    DEFAULT_LIMITS,
+    Backend,
+    EngineLimits,
+    Repeat,
+    Route,
+    RoutePlan,
+    Split,
+)
+from pollenmount.routes.store import RoutesStore
+
+SETTLED_MS = 5000
+BOUNDS = Bounds(3000, 8, 3000, 5000, 0.2, 10, 54, 1.5, 3, 5)
+ENGINE = Backend("engine", 620, 2.7, EngineLimits(128, 247_053))
+DESK = Backend("desk", 100, 0.0, None)
+
+
+def make_settings(name="west-1", region="west", **changes):
+    """Return the settings of an entry VM."""
+    settings = GatewaySettings(
+        name,
+        "10.1.0.1",
+        region,
+        f"{region}-a",
+        {"west-a": "west", "east-a": "east", "south-a": "south"},
+        Listen("10.1.0.1:80", "10.1.0.1:81", "", ""),
+        7000,
+        7015,
+        ("10.1.0.9:90",),
+        True,
+        1,
+        1200,
+        300,
+        BOUNDS,
+    )
+    return settings._replace(**changes)
+
+
+def make_route(repeat=Repeat.IDEMPOTENT, service="desk", **changes):
+    """Return a route to one service."""
+    route = Route(
+        "r", "h", "/r/", repeat, 5000, 500, 0, (Split(service, 1),), 2, False, ()
+    )
+    return route._replace(**changes)
+
+
+def make_prompt(subject="s", shared=2000, own=500):
+    """Return a prompt with one shared part and one of its own."""
+    parts = (PromptPart(subject, shared), PromptPart(f"own-{subject}", own))
+    return Prompt("m", shared + own, 50, parts)
+
+
+class ScriptedSender:
+    """Plays what a test says: each attempt takes the next step of the script.
+
+    A step is a list of parts to yield; an exception in it is raised there.
+    """
+
+    def __init__(self):
+        self.script = []
+        self.attempts = []
+
+    def run(self, attempt):
+        """Yield the parts of the next step."""
+        self.attempts.append(attempt)
+        for part in self.script.pop(0):
+            if isinstance(part, Exception):
+                raise part
+            if isinstance(part, int):
+                attempt.watch.delivered(part)
+            else:
+                yield part
+
+
+class EntryWorld:
+    """One entry VM of the region west, with whatever targets a test adds."""
+
+    def __init__(self, **changes):
+        self.clock = ManualClock(1_000_000)
+        self.settings = make_settings(**changes)
+        self.store = RoutesStore(lambda document: document)
+        self.store.plan = RoutePlan(
+            1, (), {"engine": ENGINE, "desk": DESK}, DEFAULT_LIMITS
+        )
+        self.fleet = Fleet(self.clock, self.store)
+        self.loads = LoadBook(lambda: self.reported)
+        self.reported = {}
+        self.census = Census(self.clock, self.fleet.members)
+        self.situation = Situation(
+            self.settings,
+            self.clock,
+            self.fleet,
+            self.store,
+            loads=self.loads,
+            cache=PrefixBook(self.clock),
+            health=Health(self.clock),
+            cold=ColdGate(self.clock, self.settings.name),
+            pool=None,
+            lags=LagBook(self.clock),
+            census=self.census,
+        )
+        self.budget = RetryBudget(self.clock, BOUNDS, lambda: 1 / self.census.entries())
+        self.sender = ScriptedSender()
+        self.dispatcher = Dispatcher(
+            self.situation, Chooser(), self.sender, self.budget, self.clock
+        )
+        self.add_entry("west-1", "west")
+        self.clock.advance(SETTLED_MS)
+
+    def add_entry(self, name, region, **changes):
+        """Add an entry VM to the members."""
+        self.add_member(name, region, ENTRY, **changes)
+
+    def add_member(self, name, region, role=CONTROL, **changes):
+        """Add a member that one source lists."""
+        record = MemberRecord(
+            *(name, "i", 1, 1, role, region, f"{region}-a"),
+            *(f"{name}:80", f"{name}:70", f"{name}:75", f"{name}:70"),
+            *(1, True, False),
+        )
+        self.fleet.take(MemberUp(record._replace(**changes)), "c")
+
+    def add_target(self, id_, region="west", service="desk", **changes):
+        """Add a target, as its newest heartbeat says."""
+        record = TargetRecord(
+            id_, 1, 1, service, f"{id_}:1", f"{region}-a", "v1", 6, False, 0
+        )
+        self.fleet.take(TargetSeen(record._replace(**changes), 0), "c")
+
+    def evacuate(self, *domains):
+        """Evacuate failure domains."""
+        revision = self.fleet.evacuations.revision + 1
+        self.fleet.take(EvacuationsChanged(revision, domains), "c")
+
+    def make_call(self, route=None, prompt=None, wait_ms=5000, **changes):
+        """Return a call that has just come in."""
+        route = route or make_route()
+        info = CallerInfo("id-1", "h", wait_ms, "", prompt, ())
+        now = self.clock.now()
+        call = Call(
+            info,
+            route,
+            route.splits[0].backend,
+            "POST",
+            "/r/1",
+            b"",
+            now,
+            now + wait_ms,
+            1,
+        )
+        return call._replace(**changes)
+
+    def serve(self, call, *script):
+        """Return (parts, progress) of a call whose attempts go as scripted."""
+        self.sender.script = [*script]
+        progress = Progress(call)
+        return list(self.dispatcher.serve(call, progress)), progress
+
+    def choose(self, call):
+        """Return what the chooser picks for a call."""
+        options = self.situation.options(call, set())
+        return self.dispatcher.chooser.choose(
+            options, call.info.prompt, call.route.target_ms
+        )
+
+
+def ok(target="t", body=b"done"):
+    """Return the parts of a whole answer."""
+    return [Start(200, (), target, "west"), body]
--- /dev/null
+++ b/tests/test_gateway_choose.py
@@ -0,0 +1,112 @@
+"""Where requests go under load, one pattern a test, without network."""
+
+import collections
+
+from pollenmount.fleet.messages import TargetLoad
+from pollenmount.gateway.choose import Candidate, Hop
+from pollenmount.routes.plan import Repeat
+from tests.gateway_world import EntryWorld, make_prompt, make_route
+
+STREAM = make_route(Repeat.STREAM, "engine", target_ms=1000)
+
+
+def engines(world, *names, region="west"):
+    for name in names:
+        world.add_target(name, region, "engine", slots=128)
+
+
+def place(world, prompt, route=STREAM):
+    chosen = world.choose(world.make_call(route, prompt))
+    return chosen.target if isinstance(chosen, Candidate) else chosen
+
+
+def test_shared_prompts_spread_by_rendezvous_hash():
+    """Pattern: every entry VM picks the same target for a subject, without asking."""
+    one, other = EntryWorld(), EntryWorld(name="west-2")
+    for world in (one, other):
+        engines(world, "a", "b", "c")
+    subjects = [make_prompt(f"s{number}") for number in range(60)]
+    picks = [place(one, prompt) for prompt in subjects]
+    assert picks == [place(other, prompt) for prompt in subjects]
+    assert min(collections.Counter(picks).values()) >= 10
+
+
+def test_affinity_yields_to_load():
+    """Pattern: bounded-load affinity; a hot subject overflows to its neighbours."""
+    world = EntryWorld()
+    engines(world, "a", "b")
+    prompt = make_prompt()
+    favourite = place(world, prompt)
+    world.reported = {favourite: TargetLoad(favourite, 60, 60_000)}
+    assert place(world, prompt) != favourite
+
+
+def test_long_streams_count_beside_prompts():
+    """Pattern: least expected time, with running streams as well as waiting tokens."""
+    world = EntryWorld()
+    engines(world, "a", "b")
+    world.reported = {"a": TargetLoad("a", 120, 0)}
+    picks = {place(world, make_prompt(f"s{n}")) for n in range(20)}
+    assert picks == {"b"}
+
+
+def test_a_target_without_a_free_slot_costs_the_wait_for_one():
+    world = EntryWorld()
+    engines(world, "a", "b")
+    world.reported = {"a": TargetLoad("a", 160, 0), "b": TargetLoad("b", 110, 4000)}
+    assert {place(world, make_prompt(f"s{n}")) for n in range(20)} == {"b"}
+
+
+def test_a_full_region_spills_to_one_with_room():
+    """Pattern: spill by expected gain; it must exceed what the way costs."""
+    world = EntryWorld()
+    engines(world, "a")
+    engines(world, "e", region="east")
+    world.add_entry("east-1", "east")
+    assert place(world, make_prompt()) == "a"
+    world.reported = {"a": TargetLoad("a", 120, 30_000)}
+    assert isinstance(place(world, make_prompt()), Hop)
+    world.reported["e"] = TargetLoad("e", 120, 30_000)
+    assert place(world, make_prompt()) == "a"
+
+
+def test_homes_bind_whatever_the_load():
+    world = EntryWorld()
+    engines(world, "a")
+    engines(world, "e", region="east")
+    world.add_entry("east-1", "east")
+    bound = STREAM._replace(homes=("west",))
+    world.reported = {"a": TargetLoad("a", 400, 900_000)}
+    assert place(world, make_prompt(), bound) == "a"
+    assert place(world, make_prompt(), STREAM._replace(homes=("south",))) is None
+
+
+def test_evacuated_and_draining_targets_get_nothing():
+    world = EntryWorld()
+    world.add_target("a", draining=True)
+    assert world.choose(world.make_call()) is None
+    world.add_target("b")
+    assert world.choose(world.make_call()).target == "b"
+    world.evacuate("west-a")
+    assert world.choose(world.make_call()) is None
+
+
+def test_a_cold_target_gets_a_few_vms_parts_only():
+    """Pattern: an equal part for each of a few VMs, which all pick alike.
+
+    With 23 entry VMs in a region, one request a second from each would be too much.
+    """
+    names = [f"west-{number}" for number in range(1, 24)]
+    sent = 0
+    for name in names:
+        world = EntryWorld(name=name)
+        for other in names:
+            world.add_entry(other, "west")
+        world.add_target("a", service="engine", cold_ms=10_000)
+        call = world.make_call(STREAM, make_prompt())
+        for _ in range(1000):
+            if world.choose(call) is not None:
+                world.dispatcher.target_place("a")
+                sent += 1
+            world.clock.advance(1)
+    assert 1 <= sent <= 2.7 * 1.5 + 3
--- /dev/null
+++ b/tests/test_gateway_dispatch.py
@@ -0,0 +1,151 @@
+"""Attempts at a call: what is tried again, and what a caller is told."""
+
+import pytest
+
+from pollenmount.gateway.attempt import FailedAnswerError, MisdirectedError, NotRunError
+from pollenmount.gateway.call import Answer, Refused, Start
+from pollenmount.gateway.dispatch import BrokenAnswerError
+from pollenmount.gateway.hop import HOP_REQUEST, decode_hop
+from pollenmount.routes.plan import Repeat
+from pollenmount.wire.errors import ConnectError, ExchangeError, LateAnswerError
+from tests.gateway_world import EntryWorld, make_route, ok
+
+ONCE = make_route(Repeat.ONCE)
+STREAM = make_route(Repeat.STREAM, resumable=True)
+FAILURE = Answer(Start(500, (), "a", "west"), b"no")
+
+
+@pytest.fixture
+def world():
+    world = EntryWorld()
+    for name in ("a", "b", "c"):
+        world.add_target(name)
+    return world
+
+
+def test_what_may_have_run_is_not_repeated(world):
+    parts, progress = world.serve(world.make_call(ONCE), [ExchangeError("reset")])
+    assert parts[0].status == 502
+    assert progress.sends == 1
+
+
+@pytest.mark.parametrize("error", [ConnectError("x"), NotRunError(503)])
+def test_what_did_not_run_goes_to_another_target(world, error):
+    parts, progress = world.serve(world.make_call(ONCE), [error], ok())
+    assert parts[0].status == 200
+    assert len(progress.tried) == 2
+
+
+def test_a_promise_is_made_only_when_nothing_ran(world):
+    script = [[NotRunError(503)]] * 3
+    parts, _ = world.serve(world.make_call(ONCE), *script)
+    assert isinstance(parts[0], Refused)
+    assert parts[0].status == 503
+    assert parts[0].retry_after_ms > 0
+    idempotent = world.make_call()
+    mixed = ([ExchangeError("cut")], [NotRunError(503)], [NotRunError(503)])
+    parts, _ = world.serve(idempotent, *mixed)
+    assert parts[0].status == 502
+
+
+def test_a_misdirected_request_drops_what_was_believed(world):
+    world.serve(world.make_call(ONCE), [MisdirectedError(421)], ok())
+    first = world.sender.attempts[0].place.name
+    for _ in range(3):
+        world.serve(world.make_call(ONCE), ok())
+        assert world.sender.attempts[-1].place.name != first
+
+
+def test_a_route_allows_so_many_runs(world):
+    script = [[ExchangeError("cut")]] * 3
+    _, progress = world.serve(world.make_call(make_route(attempts=2)), *script)
+    assert progress.sends == 2
+
+
+def test_the_last_failure_of_a_target_is_passed_on(world):
+    failed = [FailedAnswerError(FAILURE)]
+    parts, progress = world.serve(world.make_call(), failed, failed)
+    assert parts == [FAILURE.start, FAILURE.body]
+    assert progress.sends == 2
+
+
+def test_a_failure_is_repeated_where_that_is_safe(world):
+    failed = [FailedAnswerError(FAILURE)]
+    parts, _ = world.serve(world.make_call(), failed, ok())
+    assert parts[0].status == 200
+    parts, _ = world.serve(world.make_call(ONCE), failed)
+    assert parts[0].status == 500
+
+
+def test_a_broken_stream_goes_on_after_the_last_event_delivered(world):
+    call = world.make_call(STREAM)
+    start = Start(200, (), "a", "west")
+    broken = [start, b"id: 1\n\n", 1, ExchangeError("cut")]
+    parts, progress = world.serve(call, broken, [start, b"id: 2\n\n", 2])
+    assert parts == [start, b"id: 1\n\n", b"id: 2\n\n"]
+    assert world.sender.attempts[1].resume_after == "1"
+    assert progress.runs == 1
+
+
+def test_a_stream_that_cannot_be_resumed_breaks(world):
+    call = world.make_call(make_route(Repeat.STREAM))
+    broken = [Start(200, (), "a", "west"), b"id: 1\n\n", 1, ExchangeError("cut")]
+    with pytest.raises(BrokenAnswerError):
+        world.serve(call, broken)
+
+
+def test_a_late_target_ends_in_a_timeout(world):
+    call = world.make_call(ONCE, wait_ms=100)
+    world.clock.advance(100)
+    parts, _ = world.serve(call, [LateAnswerError("late")])
+    assert parts[0].status == 504
+
+
+def test_no_target_is_refused_at_once_with_a_time_to_come_back(world):
+    call = world.make_call(make_route(service="engine"))
+    parts, progress = world.serve(call)
+    assert (parts[0].status, progress.sends) == (503, 0)
+    assert parts[0].retry_after_ms > 0
+
+
+def test_the_budget_bounds_further_attempts(world):
+    """Pattern: retry budget by a share of the requests, without a counter for all."""
+    sends = 0
+    for _ in range(100):
+        failed = [FailedAnswerError(FAILURE)]
+        _, progress = world.serve(world.make_call(), failed, failed)
+        sends += progress.sends
+        world.clock.advance(10)
+    assert 100 < sends <= 100 * 1.2 + 54
+
+
+def test_one_broken_answer_does_not_take_a_target_out(world):
+    """A region's only target may lose a few answers and must still be used."""
+    for name in ("b", "c"):
+        world.fleet.targets.leave(name, "c")
+    world.serve(world.make_call(ONCE), [ExchangeError("reset")])
+    assert world.choose(world.make_call()).target == "a"
+    for _ in range(2):
+        world.serve(world.make_call(ONCE), [ExchangeError("reset")])
+    assert world.choose(world.make_call()) is None
+    world.clock.advance(300)
+    assert world.choose(world.make_call()).target == "a"
+
+
+def test_a_refused_connection_takes_a_target_out_at_once(world):
+    world.serve(world.make_call(ONCE), [ConnectError("refused")], ok())
+    first = world.sender.attempts[0].place.name
+    options = world.situation.options(world.make_call(), set())
+    assert first not in {option.id for option in options.near}
+
+
+def test_a_hop_allows_one_run_in_the_other_region(world):
+    """The sender counts runs; a receiver that repeated too would double them."""
+    world.evacuate("west-a")
+    world.add_target("e", "east")
+    world.add_entry("east-1", "east")
+    world.serve(world.make_call(make_route(attempts=2)), ok())
+    place = world.sender.attempts[0].place
+    hop = decode_hop(dict(place.headers)[HOP_REQUEST])
+    assert place.name == "east-1"
+    assert hop.attempts == 1
--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -1,19 +1,41 @@
-"""Logs are JSON lines with the place of the node on each."""
+"""Log lines: JSON, bounded, never blocking."""
 
-import io
 import json
+import logging
+import os
 
 from pollenmount import log
 
+PIPE_BYTES = 1 << 20
+
+
+class Output:
+    """A pipe in the place of standard output."""
+
+    def __init__(self):
+        self.reader, self.writer = os.pipe()
+
+    def fileno(self):
+        return self.writer
+
+    def read(self):
+        return os.read(self.reader, PIPE_BYTES).decode()
+
 
 def test_lines_are_json_with_the_fixed_fields(monkeypatch):
-    stream = io.StringIO()
-    monkeypatch.setattr(log.sys, "stderr", stream)
-    log.configure("INFO", vm="a-1", region="a", failure_domain="a-a")
-    logger = log.get_logger("calls")
-    logger.info("call ended", extra={"request": "1", "class": 'x"\n'})
-    logger.debug("not shown")
-    lines = [json.loads(line) for line in stream.getvalue().splitlines()]
+    output = Output()
+    monkeypatch.setattr(log.sys, "stdout", output)
+    root = logging.getLogger("pollenmount")
+    before = root.handlers[:], root.level, root.propagate
+    try:
+        writer = log.configure("INFO", vm="a-1", region="a", failure_domain="a-a")
+        logger = log.get_logger("calls")
+        logger.info("call ended", extra={"request": "1", "class": 'x"\n'})
+        logger.debug("not shown")
+        assert writer.write_some()
+    finally:
+        root.handlers[:], root.level, root.propagate = before
+    lines = [json.loads(line) for line in output.read().splitlines()]
     assert len(lines) == 1
     assert (
         lines[0].items()
@@ -28,3 +50,28 @@
             "class": 'x"\n',
         }.items()
     )
+
+
+def test_a_reader_that_stops_neither_blocks_nor_fills_memory():
+    output = Output()
+    writer = log.LineWriter(output.fileno(), max_lines=10)
+    for number in range(30):
+        writer.put(f"{number:030000}")
+    assert not writer.write_some()
+    assert writer.dropped == 20
+    before = writer.rest
+    assert not writer.write_some()
+    assert writer.rest == before
+
+
+def test_a_line_that_was_written_in_part_goes_on_where_it_stopped():
+    output = Output()
+    writer = log.LineWriter(output.fileno())
+    lines = [f"{number:030000}" for number in range(10)]
+    for line in lines:
+        writer.put(line)
+    got = ""
+    while not writer.write_some():
+        got += output.read()
+    got += output.read()
+    assert got.splitlines() == lines
