Leave regions without a target alone for a while; notice dark targets sooner

A dark target cost each request the whole connect time-out. Ruled out: lost links between the regions that weren't cut.

--- a/pollenmount/gateway/callers.py
+++ b/pollenmount/gateway/callers.py
@@ -199,7 +199,7 @@
         headers = ()
         if not self.may_hop:
             not_run = refused.status == UNAVAILABLE
-            headers = refusal_headers(refused, not_run)
+            headers = refusal_headers(refused, not_run, self.progress.sends)
         return refused_reply(refused, headers)
 
     def end(self, outcome, head=None):
--- a/pollenmount/gateway/dispatch.py
+++ b/pollenmount/gateway/dispatch.py
@@ -18,9 +18,14 @@
 from pollenmount.gateway.choose import Candidate
 from pollenmount.gateway.hop import HopRefusedError, encode_hop
 from pollenmount.log import get_logger
-from pollenmount.wire.errors import ConnectError, ExchangeError, LateAnswerError
+from pollenmount.wire.errors import (
+    ConnectError,
+    DeadPathError,
+    ExchangeError,
+    LateAnswerError,
+)
 
-__all__ = ["BrokenAnswerError", "Dispatcher"]
+__all__ = ["BrokenAnswerError", "Dispatcher", "Progress", "arrived"]
 
 MAX_SENDS = 5
 MIN_LEFT_MS = 30
@@ -142,7 +147,14 @@
             tokens -= self.situation.cache.cached_tokens(place.target, prompt)
         sent = self.clock.now()
         with self.situation.loads.counted(place.name, tokens) as end_reading:
-            watch = AnswerWatch(self, progress, place, end_reading, sent + expected_ms)
+            watch = AnswerWatch(
+                self,
+                progress,
+                place,
+                call.service,
+                end_reading=end_reading,
+                expected_at=sent + expected_ms,
+            )
             if prompt and place.target:
                 self.situation.cache.note(place.target, prompt)
             resume_after = call.info.resume_after
@@ -158,8 +170,9 @@
                         yield part
         self.situation.health.succeeded(place.name)
 
-    def note_first_byte(self, place, late_ms):
+    def note_first_byte(self, place, service, late_ms):
         """Learn from the time to an answer's first byte."""
+        self.situation.health.succeeded((place.region, service))
         if place.target:
             self.situation.lags.note(place.target, late_ms)
         self.situation.health.succeeded(place.name)
@@ -173,11 +186,13 @@
         elif isinstance(error, FailedAnswerError):
             progress.answer = error.answer
         elif not isinstance(error, NotRunError | HopRefusedError | LateAnswerError):
-            health.failed(place.name, place.stamp, isinstance(error, ConnectError))
+            is_dead = isinstance(error, ConnectError | DeadPathError)
+            health.failed(place.name, place.stamp, is_dead)
         if not error.not_run:
             progress.runs += 1
         if isinstance(error, HopRefusedError):
             progress.retry_after_ms = error.retry_after_ms
+            health.failed((place.region, call.service), at_once=error.not_run)
         progress.failures.append(Failure(str(error), error.not_run))
         logger.info(
             "attempt failed",
@@ -202,8 +217,7 @@
             return "enough targets were tried"
         if call.limit - self.clock.now() < MIN_LEFT_MS:
             return "there is no time left"
-        is_arrival = not isinstance(error, ConnectError)
-        if is_arrival and not self.budget.take(call.service):
+        if arrived(error) and not self.budget.take(call.service):
             return "the retry budget is used up"
         return None
 
@@ -235,15 +249,23 @@
         return Refused(BAD_GATEWAY, problem)
 
 
+def arrived(error):
+    """Return whether a failed attempt may have reached a target."""
+    if isinstance(error, HopRefusedError):
+        return not error.not_run or error.sends > 0
+    return not isinstance(error, ConnectError)
+
+
 class AnswerWatch(Watch):
     """Notes when an answer begins, and how far a stream was delivered."""
 
-    def __init__(self, dispatcher, progress, place, end_reading, expected_at):
+    def __init__(self, dispatcher, progress, place, service, **marks):
         self.dispatcher = dispatcher
         self.progress = progress
         self.place = place
-        self.end_reading = end_reading
-        self.expected_at = expected_at
+        self.service = service
+        self.end_reading = marks["end_reading"]
+        self.expected_at = marks["expected_at"]
         self.begun = False
 
     def first_byte(self):
@@ -252,7 +274,7 @@
             self.begun = True
             self.end_reading()
             late_ms = self.dispatcher.clock.now() - self.expected_at
-            self.dispatcher.note_first_byte(self.place, late_ms)
+            self.dispatcher.note_first_byte(self.place, self.service, late_ms)
 
     def delivered(self, event_id):
         """Remember from where another target would go on."""
--- a/pollenmount/gateway/hop.py
+++ b/pollenmount/gateway/hop.py
@@ -13,6 +13,7 @@
 
 __all__ = [
     "HOP_REQUEST",
+    "HopRefusal",
     "HopRefusedError",
     "HopRequest",
     "decode_hop",
@@ -44,12 +45,16 @@
 
 
 class HopRefusal(NamedTuple):
-    """Why the other region ran nothing, or can't tell."""
+    """Why the other region ran nothing, or can't tell.
+
+    `sends` counts the attempts at targets that it made.
+    """
 
     status: int
     reason: str
     not_run: bool
     retry_after_ms: int
+    sends: int = 0
 
 
 class HopRefusedError(ExchangeError):
@@ -59,6 +64,7 @@
         super().__init__(f"the other region refused: {refusal.reason}")
         self.not_run = refusal.not_run
         self.retry_after_ms = refusal.retry_after_ms
+        self.sends = refusal.sends
 
 
 def encode_hop(call, left_ms, attempts):
@@ -102,10 +108,10 @@
     )
 
 
-def refusal_headers(refused, not_run):
+def refusal_headers(refused, not_run, sends=0):
     """Return the headers that tell another region's entry VM of a refusal."""
     refusal = HopRefusal(
-        refused.status, refused.reason, not_run, refused.retry_after_ms
+        refused.status, refused.reason, not_run, refused.retry_after_ms, sends
     )
     return [(HOP_REFUSED, msgspec.json.encode(refusal).decode())]
 
--- a/pollenmount/gateway/situation.py
+++ b/pollenmount/gateway/situation.py
@@ -7,6 +7,9 @@
 
 DEFAULT_SLOTS = 16
 CONNECTIONS_SHARE = 0.85
+# Well above the round trip within a region, and between regions.
+SLOW_CONNECT_MS = 80
+SLOW_HOP_CONNECT_MS = 300
 
 
 class Situation:
@@ -41,10 +44,11 @@
             ):
                 continue
             if region != self.settings.region:
-                far.append(self.option(target, region, call))
+                if not target.is_cold(self.clock.now()):
+                    far.append(self.option(target, region, call))
             elif self.may_send(target):
                 near.append(self.option(target, region, call))
-        return Options(tuple(near), self.reachable(far, tried))
+        return Options(tuple(near), self.reachable(far, call.service, tried))
 
     def region_of(self, failure_domain):
         """Return the region of a failure domain."""
@@ -55,6 +59,8 @@
         record = target.record
         if self.health.is_paused(record.id, record.born):
             return False
+        if self.pool.is_slow((record.id, record.address), SLOW_CONNECT_MS):
+            return False
         backend = self.store.plan.backends.get(record.service)
         if backend is None:
             return False
@@ -90,10 +96,17 @@
             target.vouched,
         )
 
-    def reachable(self, far, tried):
-        """Return the far options in whose regions an entry VM can be asked."""
-        regions = {option.region for option in far}
-        usable = {region for region in regions if self.hop_members(region, tried)}
+    def reachable(self, far, service, tried):
+        """Return the far options in whose regions an entry VM can be asked.
+
+        A region whose entry VM found no target lately is left out for a while.
+        """
+        usable = {
+            region
+            for region in {option.region for option in far}
+            if not self.health.is_paused((region, service))
+            and self.hop_members(region, tried)
+        }
         return tuple(option for option in far if option.region in usable)
 
     def entries_of(self, region):
@@ -115,6 +128,7 @@
             and not member.stopping
             and member.name not in tried
             and not self.health.is_paused(member.name, member.incarnation)
+            and not self.pool.is_slow((member.name, member.hops), SLOW_HOP_CONNECT_MS)
         ]
 
 
--- a/pollenmount/wire/connection.py
+++ b/pollenmount/wire/connection.py
@@ -12,6 +12,7 @@
 from pollenmount import task
 from pollenmount.wire.errors import (
     ConnectError,
+    DeadPathError,
     ExchangeError,
     LateAnswerError,
     MalformedAnswerError,
@@ -25,7 +26,7 @@
 MAX_CHUNK_LINE_BYTES = 256
 INLINE_BODY_BYTES = 8192
 # Unacknowledged bytes mean that the other VM or the path to it is gone.
-UNACKNOWLEDGED_MS = 1500
+UNACKNOWLEDGED_MS = 1000
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
@@ -138,7 +139,7 @@
     def classify_timeout(self, error):
         """Return the error for a wait that ended: ours, or TCP's own time-out."""
         if error.errno:
-            return ExchangeError(f"the connection broke: {error}")
+            return DeadPathError(f"the other end is silent: {error}")
         return LateAnswerError("no answer in time")
 
     def read_head(self, left_ms):
--- a/pollenmount/wire/errors.py
+++ b/pollenmount/wire/errors.py
@@ -1,6 +1,12 @@
 """What can go wrong while a request is sent and its answer is read."""
 
-__all__ = ["ConnectError", "ExchangeError", "LateAnswerError", "MalformedAnswerError"]
+__all__ = [
+    "ConnectError",
+    "DeadPathError",
+    "ExchangeError",
+    "LateAnswerError",
+    "MalformedAnswerError",
+]
 
 
 class ExchangeError(Exception):
@@ -15,6 +21,10 @@
     not_run = True
 
 
+class DeadPathError(ExchangeError):
+    """The other end acknowledges nothing any more; what was sent may have run."""
+
+
 class LateAnswerError(ExchangeError):
     """The answer, or its next part, didn't come before the limit."""
 
--- a/pollenmount/wire/pool.py
+++ b/pollenmount/wire/pool.py
@@ -26,7 +26,8 @@
 class Pool:
     """Connections by key, such as a target's name and address.
 
-    `open_counts` has the connections that are open, idle ones included.
+    `open_counts` has the connections that are open, idle ones included; `connecting`
+    when those that aren't open yet were begun, by key.
     """
 
     def __init__(self, clock, connect_timeout_ms=CONNECT_TIMEOUT_MS):
@@ -34,6 +35,7 @@
         self.connect_timeout_ms = connect_timeout_ms
         self.idle = {}
         self.open_counts = collections.Counter()
+        self.connecting = {}
 
     def take(self, key, address, max_idle_ms=MAX_IDLE_MS):
         """Return a connection: one idle for at most `max_idle_ms`, else a new one."""
@@ -45,12 +47,28 @@
             if is_fresh and kept.connection.is_quiet():
                 return kept.connection
             self.discard(key, kept.connection)
+        return self.connect(key, address)
+
+    def connect(self, key, address):
+        """Return a new connection."""
         self.open_counts[key] += 1
+        begun = self.connecting.setdefault(key, collections.deque())
+        begun.append(self.clock.now())
         try:
             return connect(address, self.connect_timeout_ms)
         except BaseException:
             self.forget_one(key)
             raise
+        finally:
+            # Whichever ends, as many are left; the oldest tells how long it takes.
+            begun.popleft()
+            if not begun:
+                self.connecting.pop(key, None)
+
+    def is_slow(self, key, limit_ms):
+        """Return whether a connection takes longer than `limit_ms` to come about."""
+        begun = self.connecting.get(key)
+        return bool(begun) and self.clock.now() - begun[0] > limit_ms
 
     def give_back(self, key, connection, head):
         """Keep a connection for the next request, or close it."""
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -33,6 +33,7 @@
     Split,
 )
 from pollenmount.routes.store import RoutesStore
+from pollenmount.wire.pool import Pool
 
 SETTLED_MS = 5000
 BOUNDS = Bounds(3000, 8, 3000, 5000, 0.2, 10, 54, 1.5, 3, 5)
@@ -120,7 +121,7 @@
             cache=PrefixBook(self.clock),
             health=Health(self.clock),
             cold=ColdGate(self.clock, self.settings.name),
-            pool=None,
+            pool=Pool(self.clock),
             lags=LagBook(self.clock),
             census=self.census,
         )
--- a/tests/stateful/test_raft_rules.py
+++ b/tests/stateful/test_raft_rules.py
@@ -127,3 +127,25 @@
             model.lose_disk_safely(name)
         model.finish()
     assert model.incarnation == 11
+
+
+def test_a_group_grows_to_its_size_by_one_spare_after_the_other():
+    """Two disks may be lost at once where there are five voters, not with three."""
+    spares = [D._replace(failure_domain="y"), D._replace(name="e")]
+    state = lead(first(ABC))
+    state = state._replace(timing=TIMING._replace(voters=5))
+    offers = [m.Offer(spare) for spare in spares]
+    state, _ = fold(state, ack(B, 2), *offers, m.Tick())
+    assert state.configuration == ABC._replace(learners=(spares[0],))
+    state, _ = fold(state, ack(B, 3), ack(spares[0], 3), m.Tick())
+    assert state.configuration == m.Configuration((A, B, C, spares[0]), (A, B, C))
+    state, _ = fold(state, ack(B, 4), ack(spares[0], 4), m.Tick())
+    state, _ = fold(state, ack(B, 5), ack(spares[0], 5), *offers, m.Tick())
+    assert state.configuration.learners == (spares[1],)
+
+
+def test_a_group_of_its_size_takes_no_further_voter():
+    state = lead(first(ABC))
+    state = state._replace(timing=TIMING._replace(voters=3))
+    state, _ = fold(state, ack(B, 2), m.Offer(D), m.Tick())
+    assert state.configuration == ABC
--- /dev/null
+++ b/tests/test_fleet_table.py
@@ -0,0 +1,174 @@
+"""What a VM believes of targets and members, from several sources."""
+
+from pollenmount.clock import ManualClock
+from pollenmount.fleet.census import Census
+from pollenmount.fleet.messages import (
+    ENTRY,
+    MemberDown,
+    MemberRecord,
+    MemberUp,
+    TargetGone,
+    TargetRecord,
+    TargetSeen,
+    TargetSilent,
+)
+from pollenmount.fleet.table import MemberTable, TargetTable
+
+RECORD = TargetRecord("t", 100, 5, "desk", "1:1", "west-a", "v", 6, False, 0)
+MEMBER = MemberRecord(
+    *("m", "i1", 1, 1, ENTRY, "west", "west-a", "a:1", "a:2", "", "", 1, True, False)
+)
+
+
+class Targets:
+    """A table of targets, and the changes that it told."""
+
+    def __init__(self):
+        self.clock = ManualClock(1000)
+        self.told = []
+        self.table = TargetTable(self.clock, lambda m, s: self.told.append(m))
+
+    def see(self, source="c", **changes):
+        return self.table.seen(TargetSeen(RECORD._replace(**changes), 0), source)
+
+    def get(self):
+        return self.table.by_id.get("t")
+
+
+def test_the_newest_record_wins_whichever_source_it_comes_from():
+    targets = Targets()
+    targets.see(sequence=9, draining=True)
+    assert not targets.see("d", sequence=8)
+    assert targets.get().record.draining
+
+
+def test_a_new_start_under_the_same_id_wins_by_its_birth():
+    targets = Targets()
+    targets.see(sequence=9, address="1:1")
+    assert targets.see(born=200, sequence=1, address="2:2")
+    assert not targets.see(sequence=10, address="1:1")
+    assert targets.get().record.address == "2:2"
+
+
+def test_a_late_heartbeat_does_not_revive_a_target_that_left():
+    targets = Targets()
+    targets.see()
+    targets.table.leave("t", "c")
+    assert not targets.see(sequence=6)
+    assert targets.get() is None
+    assert targets.see(born=200, sequence=1)
+
+
+def test_a_leave_of_an_unknown_target_holds_for_late_heartbeats():
+    targets = Targets()
+    targets.table.leave("t", "c")
+    assert not targets.see()
+    targets.clock.advance(11_000)
+    assert targets.see()
+
+
+def test_an_old_leave_does_not_end_a_new_start():
+    targets = Targets()
+    targets.see(born=200)
+    targets.table.gone(TargetGone("t", 100), "c")
+    assert targets.get() is not None
+
+
+def test_only_changes_are_told_and_each_heartbeat_is_news_to_control_vms():
+    targets = Targets()
+    assert targets.see(sequence=1)
+    assert targets.see(sequence=2)
+    assert len(targets.told) == 1
+    targets.see(sequence=3, draining=True)
+    targets.see(sequence=4, draining=True, cold_ms=3000)
+    assert len(targets.told) == 3
+
+
+def test_a_target_is_silent_once_no_source_hears_it():
+    targets = Targets()
+    targets.see("c")
+    targets.see("d")
+    targets.table.silent(TargetSilent("t"), "c")
+    assert targets.get().vouched
+    targets.table.silent(TargetSilent("t"), "d")
+    assert not targets.get().vouched
+    targets.see("d", sequence=6)
+    assert targets.get().vouched
+
+
+def test_control_vms_that_restart_take_no_target_away():
+    targets = Targets()
+    targets.see()
+    targets.table.forget_source("c")
+    targets.table.sweep(0)
+    targets.clock.advance(20_000)
+    targets.table.sweep(0)
+    assert targets.get() is not None
+    targets.clock.advance(60_000)
+    targets.table.sweep(0)
+    assert targets.get() is None
+
+
+def test_a_source_that_hears_nothing_says_so():
+    targets = Targets()
+    targets.see("direct")
+    targets.clock.advance(4300)
+    targets.table.sweep(4200, "direct")
+    assert targets.told[-1] == TargetSilent("t")
+
+
+class Members:
+    """A table of members, and the changes that it told."""
+
+    def __init__(self):
+        self.clock = ManualClock(1000)
+        self.told = []
+        self.table = MemberTable(self.clock, lambda m, s: self.told.append(m))
+
+    def up(self, source="c", **changes):
+        self.table.up(MemberUp(MEMBER._replace(**changes)), source)
+
+
+def test_a_member_is_live_while_one_source_lists_it():
+    members = Members()
+    members.up("c")
+    members.up("d")
+    members.table.down(MemberDown("m", "i1"), "c")
+    assert [member.name for member in members.table.live()] == ["m"]
+    members.table.down(MemberDown("m", "i1"), "d")
+    assert members.table.live() == ()
+    assert [member.name for member in members.table.known()] == ["m"]
+    members.clock.advance(3100)
+    members.table.sweep()
+    assert members.table.known() == ()
+
+
+def test_the_end_of_an_old_start_does_not_end_the_new_one():
+    members = Members()
+    members.up()
+    members.up(incarnation="i2", started=2)
+    members.table.down(MemberDown("m", "i1"), "c")
+    assert members.table.live()[0].incarnation == "i2"
+
+
+def test_one_source_is_enough_to_tell_that_a_member_stops():
+    members = Members()
+    members.up("c")
+    members.up("d", sequence=2, stopping=True, ready=False)
+    assert members.table.live()[0].stopping
+
+
+def test_the_census_never_assumes_too_few():
+    members = Members()
+    census = Census(members.clock, members.table)
+    assert census.entries() >= 24
+    for number in range(7):
+        members.up(name=f"m{number}")
+    members.clock.advance(3000)
+    assert census.entries() == 7
+    members.table.forget_source("c")
+    members.clock.advance(10_000)
+    members.table.sweep()
+    assert census.entries() == 7
+    members.clock.advance(60_000)
+    assert census.entries() == 1
--- a/tests/test_gateway_dispatch.py
+++ b/tests/test_gateway_dispatch.py
@@ -1,11 +1,18 @@
 """Attempts at a call: what is tried again, and what a caller is told."""
 
+import collections
+
 import pytest
 
 from pollenmount.gateway.attempt import FailedAnswerError, MisdirectedError, NotRunError
 from pollenmount.gateway.call import Answer, Refused, Start
-from pollenmount.gateway.dispatch import BrokenAnswerError
-from pollenmount.gateway.hop import HOP_REQUEST, decode_hop
+from pollenmount.gateway.dispatch import BrokenAnswerError, arrived
+from pollenmount.gateway.hop import (
+    HOP_REQUEST,
+    HopRefusal,
+    HopRefusedError,
+    decode_hop,
+)
 from pollenmount.routes.plan import Repeat
 from pollenmount.wire.errors import ConnectError, ExchangeError, LateAnswerError
 from tests.gateway_world import EntryWorld, make_route, ok
@@ -149,3 +156,35 @@
     hop = decode_hop(dict(place.headers)[HOP_REQUEST])
     assert place.name == "east-1"
     assert hop.attempts == 1
+
+
+def test_a_region_without_a_target_is_left_alone_for_a_while(world):
+    """Its targets are dark, cold or full, which its own VMs know first."""
+    world.evacuate("west-a")
+    world.add_target("e", "east")
+    for name in ("east-1", "east-2", "east-3"):
+        world.add_entry(name, "east")
+    refusal = HopRefusal(503, "no target can take it", True, 250)
+    parts, progress = world.serve(world.make_call(), [HopRefusedError(refusal)])
+    assert (parts[0].status, progress.sends) == (503, 1)
+    _, progress = world.serve(world.make_call())
+    assert progress.sends == 0
+    world.clock.advance(300)
+    parts, _ = world.serve(world.make_call(), ok())
+    assert parts[0].status == 200
+
+
+def test_a_refused_hop_that_reached_no_target_takes_no_budget(world):
+    refusal = HopRefusedError(HopRefusal(503, "no target", True, 250))
+    assert not arrived(refusal)
+    assert arrived(HopRefusedError(HopRefusal(503, "full", True, 250, sends=1)))
+
+
+def test_a_target_that_accepts_no_connection_gets_no_more_requests(world):
+    """It may be dark; the first connection that hangs tells before it times out."""
+    key = ("a", "a:1")
+    world.situation.pool.connecting[key] = collections.deque([world.clock.now()])
+    assert "a" in {o.id for o in world.situation.options(world.make_call(), ()).near}
+    world.clock.advance(100)
+    options = world.situation.options(world.make_call(), ())
+    assert {option.id for option in options.near} == {"b", "c"}
--- /dev/null
+++ b/tests/test_platform_adapter.py
@@ -0,0 +1,246 @@
+"""The adapter decodes the platform's names into our types, and back."""
+
+import json
+import sys
+from pathlib import Path
+
+import pytest
+
+from pollenmount.api.head import Head
+from pollenmount.errors import SheetError
+from pollenmount.gateway.dialect import AttemptInfo, Order, OrderKind
+from pollenmount.routes.check import find_faults
+from pollenmount.routes.plan import Repeat, get_route, index_routes
+from pollenmount.wire.connection import AnswerHead
+
+sys.path.insert(0, str(Path(__file__).parent.parent / "platform"))
+from fleetport.dialect import FleetDialect  # noqa: E402
+
+DIALECT = FleetDialect()
+ROUTE = {
+    "name": "r",
+    "host": "H.example",
+    "path_prefix": "/a/",
+    "kind": "streaming",
+    "timeout_ms": 15_000,
+    "slo_ms": 2000,
+    "prio": 1,
+    "backend": "s",
+    "attempts": 2,
+    "resumable": True,
+    "home_regions": ["west"],
+    "new_field": 1,
+}
+SERVICE = {
+    "name": "s",
+    "max_conns": 620,
+    "warmup_per_s": 2.6,
+    "engine": {"slots": 128, "kv_capacity": 179_025},
+}
+PLAN = {"version": 7, "routes": [ROUTE], "services": [SERVICE]}
+HEARTBEAT = {
+    "backend": "s",
+    "addr": "10.1.0.9:80",
+    "zone": "west-a",
+    "version": "v1",
+    "slots": 128,
+    "state": "ready",
+    "warmup_left_ms": 1200.5,
+    "seq": 4,
+    "born": 1_700_000_000_000,
+}
+
+
+def plan_with(**changes):
+    return DIALECT.read_plan(json.dumps(PLAN | changes).encode())
+
+
+def test_a_plan_is_decoded():
+    plan = plan_with()
+    route = plan.routes[0]
+    assert (plan.version, route.repeat, route.rank) == (7, Repeat.STREAM, 1)
+    assert (route.target_ms, route.attempts, route.homes) == (2000, 2, ("west",))
+    assert plan.backends["s"].engine.slots == 128
+    assert plan.limits.body_bytes == 4 << 20
+    assert not [*find_faults(plan)]
+
+
+@pytest.mark.parametrize(
+    "document",
+    [b"", b"{", b"[]", b"\xff", json.dumps(PLAN).encode()[:-20]],
+)
+def test_a_document_that_is_cut_short_is_no_plan(document):
+    with pytest.raises(SheetError):
+        DIALECT.read_plan(document)
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"version": "7"},
+        {"version": None},
+        {"routes": {}},
+        {"services": [1]},
+        {"routes": [ROUTE | {"kind": "other"}]},
+    ],
+)
+def test_a_field_of_another_type_is_no_plan(changes):
+    with pytest.raises(SheetError):
+        plan_with(**changes)
+
+
+@pytest.mark.parametrize(
+    "route",
+    [
+        {"backend": "unknown"},
+        {"backend": None, "split": [{"backend": "s", "weight": 0}]},
+        {"backend": None},
+        {"timeout_ms": 0},
+        {"path_prefix": "/a"},
+    ],
+)
+def test_each_fault_of_a_plan_is_found(route):
+    assert [*find_faults(plan_with(routes=[ROUTE | route]))]
+
+
+def test_two_routes_of_one_place_are_a_fault():
+    faults = [*find_faults(plan_with(routes=[ROUTE, ROUTE | {"name": "q"}]))]
+    assert "host and prefix" in str(faults[0])
+
+
+def test_the_longest_prefix_wins_and_hosts_ignore_case():
+    inner = ROUTE | {"name": "inner", "path_prefix": "/a/b/"}
+    by_host = index_routes(plan_with(routes=[ROUTE, inner]).routes)
+    assert get_route(by_host, "h.EXAMPLE", "/a/b/c").name == "inner"
+    assert get_route(by_host, "h.example", "/a/x").name == "r"
+    assert get_route(by_host, "h.example", "/b/") is None
+
+
+def test_a_heartbeat_is_decoded():
+    record = DIALECT.read_target("i-1", json.dumps(HEARTBEAT).encode())
+    assert record.stamp == (HEARTBEAT["born"], 4)
+    assert (record.service, record.address) == ("s", "10.1.0.9:80")
+    assert (record.draining, record.cold_ms) == (False, 1200)
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"state": "odd"},
+        {"addr": "nowhere"},
+        {"addr": 5},
+        {"seq": "4"},
+        {"born": None},
+        {"backend": ["s"]},
+    ],
+)
+def test_a_heartbeat_of_another_writer_names_no_target(changes):
+    document = json.dumps(HEARTBEAT | changes).encode()
+    assert DIALECT.read_target("i-1", document) is None
+
+
+@pytest.mark.parametrize("missing", ["backend", "addr", "zone", "state", "seq", "born"])
+def test_a_heartbeat_without_a_field_names_no_target(missing):
+    document = {k: v for k, v in HEARTBEAT.items() if k != missing}
+    assert DIALECT.read_target("i-1", json.dumps(document).encode()) is None
+
+
+@pytest.mark.parametrize(
+    ("method", "target", "order"),
+    [
+        ("PUT", "/-/config", Order(OrderKind.PUT_PLAN)),
+        ("GET", "/-/config", Order(OrderKind.GET_PLAN)),
+        ("POST", "/-/evacuate/west-a", Order(OrderKind.EVACUATE, "west-a")),
+        ("DELETE", "/-/evacuate/west-a", Order(OrderKind.TAKE_BACK, "west-a")),
+        ("PUT", "/-/instances/i-1", Order(OrderKind.HEARTBEAT, "i-1")),
+        ("DELETE", "/-/instances/i-1", Order(OrderKind.LEAVE, "i-1")),
+        (
+            "GET",
+            "/-/resolve?name=h&region=west&zone=west-a",
+            Order(OrderKind.ENTRIES, "west-a", "west", "h"),
+        ),
+        ("POST", "/-/config", None),
+        ("GET", "/other", None),
+    ],
+)
+def test_calls_are_decoded(method, target, order):
+    assert DIALECT.read_order(method, target) == order
+
+
+def caller_head(*headers):
+    return Head("POST", "/a/1", "HTTP/1.1", (("Host", "h.example:80"), *headers))
+
+
+def test_a_request_is_decoded():
+    info = DIALECT.read_caller(
+        caller_head(
+            ("X-Pollenmount-Attempt-Id", "id"),
+            ("X-Pollenmount-Deadline-Ms", "5000"),
+            ("X-Pollenmount-Model", "m"),
+            ("X-Pollenmount-Token-Count", "1460,80"),
+            ("X-Pollenmount-Prompt-Prefix", "5c:800,91:410,e4:250"),
+            ("Last-Event-Id", "12"),
+        )
+    )
+    assert (info.id, info.host, info.wait_ms) == ("id", "h.example", 5000)
+    assert info.resume_after == "12"
+    assert (info.prompt.tokens, info.prompt.output_tokens) == (1460, 80)
+    assert [part.tokens for part in info.prompt.parts] == [800, 410, 250]
+
+
+def test_what_only_the_system_may_set_is_not_passed_on():
+    """A caller that holds or pins an engine's memory itself takes it from others."""
+    info = DIALECT.read_caller(
+        caller_head(
+            ("X-Pollenmount-Attempt-Id", "id"),
+            ("X-Pollenmount-Hold", "h"),
+            ("X-Pollenmount-Pin-Ms", "4000"),
+            ("X-Pollenmount-Kv-Backup", "1:1"),
+            ("Kv-From", "1:1/2"),
+            ("Kv-Fetch", "1:1"),
+            ("X-Pollenmount-Expect-Instance", "i"),
+            ("X-Pollenmount-Request-Priority", "0"),
+            ("Connection", "close, X-Own"),
+            ("X-Own", "1"),
+            ("Transfer-Encoding", "chunked"),
+            ("Accept", "x"),
+        )
+    )
+    names = [name for name, _ in info.headers]
+    assert names == ["Host", "X-Pollenmount-Attempt-Id", "Accept"]
+
+
+def test_an_attempt_says_who_may_run_it_and_how_long():
+    info = DIALECT.read_caller(caller_head(("X-Pollenmount-Deadline-Ms", "5000")))
+    headers = dict(DIALECT.attempt_headers(info, AttemptInfo("i-1", 1234, 2, "7")))
+    assert headers["X-Pollenmount-Expect-Instance"] == "i-1"
+    assert headers["X-Pollenmount-Deadline-Ms"] == "1234"
+    assert headers["Last-Event-Id"] == "7"
+
+
+def test_an_answer_is_decoded():
+    head = AnswerHead(
+        200,
+        (
+            ("X-Pollenmount-Attempt-Id", "id"),
+            ("X-Pollenmount-Response-Stamp", "3e"),
+            ("Content-Length", "5"),
+            ("Keep-Alive", "timeout=5"),
+        ),
+        False,
+    )
+    info = DIALECT.read_answer(head)
+    assert (info.id, info.stamped, info.not_run) == ("id", True, False)
+    assert [name for name, _ in info.headers] == [
+        "X-Pollenmount-Attempt-Id",
+        "X-Pollenmount-Response-Stamp",
+    ]
+
+
+def test_the_settings_template_has_the_settings_keys():
+    text = (Path(__file__).parent.parent / "deploy/settings.json.template").read_text()
+    from pollenmount.gateway.settings import Bounds, Document, Listen
+
+    for key in (*Document.__struct_fields__, *Listen._fields, *Bounds._fields):
+        if key != "metrics_port":
+            assert f'"{key}"' in text
