--- a/pollenmount/gateway/callers.py
+++ b/pollenmount/gateway/callers.py
@@ -210,7 +210,8 @@
         call, progress = self.call, self.progress
         elapsed = self.node.clock.now() - call.received
         status = head.status if head else 0
-        place = progress.place
+        place, prompt = progress.place, call.info.prompt
+        first_ms = progress.first_at - call.received if progress.first_at else None
         self.node.metrics.count_call(call, status, outcome, elapsed, self.may_hop)
         logger.info(
             "call ended",
@@ -222,6 +223,10 @@
                 "outcome": outcome,
                 "status": status,
                 "elapsed_ms": elapsed,
+                "first_ms": first_ms,
+                "prompt_tokens": prompt.tokens if prompt else 0,
+                "output_tokens": prompt.output_tokens if prompt else 0,
+                "longest_gap_ms": progress.longest_gap_ms,
                 "place": place.name if place else "",
                 "ran_in": place.region if place else "",
                 "sends": progress.sends,
--- a/pollenmount/gateway/dispatch.py
+++ b/pollenmount/gateway/dispatch.py
@@ -48,7 +48,8 @@
 
     `runs` counts attempts that may have run, `sends` all of them; `tried` names the
     targets and VMs; `answer` is the last failure that a target answered; `last_id` the
-    number of the last event delivered.
+    number of the last event delivered. `first_at` and `last_at` are when the first and
+    the last part of the answer came, `longest_gap_ms` the longest time between two.
     """
 
     def __init__(self, call):
@@ -61,6 +62,17 @@
         self.last_id = call.resume_after
         self.retry_after_ms = 0
         self.place = None
+        self.first_at = None
+        self.last_at = None
+        self.longest_gap_ms = 0
+
+    def note_part(self, now):
+        """Note that a part of the answer came."""
+        if self.first_at is None:
+            self.first_at = now
+        else:
+            self.longest_gap_ms = max(self.longest_gap_ms, now - self.last_at)
+        self.last_at = now
 
 
 class Dispatcher:
@@ -164,6 +176,7 @@
             with contextlib.closing(parts):
                 for part in parts:
                     if not isinstance(part, Start):
+                        progress.note_part(self.clock.now())
                         yield part
                     elif progress.started is None:
                         progress.started = part
