--- a/pollenmount/fleet/messages.py
+++ b/pollenmount/fleet/messages.py
@@ -80,11 +80,15 @@
 
 
 class TargetLoad(NamedTuple):
-    """Work at a target: requests, and prompt tokens that are still to be read."""
+    """Work at a target: requests, and prompt tokens that are still to be read.
+
+    `streams` are those of the requests whose output takes longer than their prompt.
+    """
 
     id: str
     requests: int
     tokens: int
+    streams: int = 0
 
 
 class Message(msgspec.Struct, frozen=True, array_like=True, tag=True):
--- a/pollenmount/fleet/server.py
+++ b/pollenmount/fleet/server.py
@@ -120,6 +120,7 @@
                     load.id,
                     before.requests + load.requests,
                     before.tokens + load.tokens,
+                    before.streams + load.streams,
                 )
         return tuple(sums.values())
 
--- a/pollenmount/gateway/choose.py
+++ b/pollenmount/gateway/choose.py
@@ -4,18 +4,36 @@
 target's expected time is the reading that waits there plus what this prompt adds, which
 is less where its shared parts are in memory. Requests leave the region when that is
 sooner by more than the way costs.
+
+Pattern: long streams are packed onto few targets, in an order that all VMs share, and
+prompts that take long to read go to the others: each chunk of a prompt that an engine
+reads holds up all streams that run there.
 """
 
+import zlib
 from typing import NamedTuple
 
 from pollenmount.gateway.cache import preferred
 
-__all__ = ["Candidate", "Chooser", "Hop", "Options", "TargetOption"]
+__all__ = [
+    "Candidate",
+    "Chooser",
+    "Hop",
+    "Options",
+    "TargetOption",
+    "is_long_stream",
+]
 
 READ_TOKENS_PER_MS = 40.0
-# A running request lengthens each step of the engine, and each prompt that is read
-# holds up the streams that run.
-RUNNING_MS = 5.0
+# A running request lengthens each step of the engine.
+RUNNING_MS = 1.0
+CROWD_MS = 10.0
+STEP_MS = 8.0
+LONG_STREAM = 4.0
+# How much a millisecond of another request's stream counts beside one of its own.
+HELD_UP_SHARE = 0.05
+PACKED_SHARE = 0.7
+PACK_STEP_MS = 25.0
 HOLD_MS = 3000.0
 FIRST_TOKEN_MS = 30.0
 PREFERRED_SHARE = 0.75
@@ -30,8 +48,9 @@
 class TargetOption(NamedTuple):
     """A target that may run the request, with all that the choice looks at.
 
-    `requests` and `tokens` are the work of all VMs there, `cached` the tokens of the
-    prompt in its memory, `lag_ms` how much slower it was than expected lately.
+    `requests`, `tokens` and `streams` are the work of all VMs there, `cached` the
+    tokens of the prompt in its memory, `lag_ms` how much slower it was than expected
+    lately.
     """
 
     id: str
@@ -42,6 +61,7 @@
     cached: int
     lag_ms: float
     vouched: bool
+    streams: int = 0
 
 
 class Options(NamedTuple):
@@ -85,14 +105,51 @@
     usable = [option for option in options if has_room(option)]
     if not usable:
         return None
-    favourite = None
-    if prompt is not None:
-        favourite = preferred(prompt, [option.id for option in usable])
-    expected = {o.id: expected_ms(o, prompt, o.id == favourite) for o in usable}
+    if prompt is not None and is_long_stream(prompt):
+        expected = pack(usable, prompt)
+    else:
+        expected = spread(usable, prompt)
     id_ = min(expected, key=lambda key: (expected[key], key))
     return Candidate(id_, expected[id_])
 
 
+def is_long_stream(prompt):
+    """Return whether a generation's output takes much longer than its prompt."""
+    output_ms = prompt.expected_output * STEP_MS
+    return output_ms > LONG_STREAM * prompt.tokens / READ_TOKENS_PER_MS
+
+
+def pack(options, prompt):
+    """Return the costs in ms of a long stream by target, the first ones cheapest."""
+    ranked = sorted(options, key=lambda option: zlib.crc32(option.id.encode()))
+    costs = {}
+    for rank, option in enumerate(ranked):
+        crowd = max(0, option.requests - PACKED_SHARE * option.slots)
+        cost = PACK_STEP_MS * rank + CROWD_MS * crowd
+        costs[option.id] = cost + expected_ms(option, prompt, False)
+    return costs
+
+
+def spread(options, prompt):
+    """Return the costs in ms of a plain call or a long prompt by target."""
+    favourite = None
+    if prompt is not None:
+        favourite = preferred(prompt, [option.id for option in options])
+    return {
+        option.id: expected_ms(option, prompt, option.id == favourite)
+        + held_up_ms(option, prompt, option.id == favourite)
+        for option in options
+    }
+
+
+def held_up_ms(option, prompt, is_favourite):
+    """Return what reading a prompt costs the streams that run at a target."""
+    if prompt is None:
+        return 0.0
+    unread = prompt.tokens - cached_tokens(option, prompt, is_favourite)
+    return HELD_UP_SHARE * option.streams * unread / READ_TOKENS_PER_MS
+
+
 def best_region(options, prompt, cost_ms):
     """Return the `Hop` to the region with the least expected time, or None."""
     regions = {option.region for option in options}
--- a/pollenmount/gateway/dialect.py
+++ b/pollenmount/gateway/dialect.py
@@ -21,6 +21,9 @@
 ]
 
 
+OUTPUT_LIMIT_PER_OUTPUT = 4
+
+
 class PromptPart(NamedTuple):
     """A part of a prompt that other prompts may share, with its length."""
 
@@ -29,12 +32,21 @@
 
 
 class Prompt(NamedTuple):
-    """What is known of a generation: prompt tokens, most output tokens, parts."""
+    """What is known of a generation: prompt tokens, most output tokens, parts.
+
+    `hint` is the caller's estimate of the output tokens, 0 for none.
+    """
 
     model: str
     tokens: int
     output_tokens: int
     parts: tuple[PromptPart, ...]
+    hint: int = 0
+
+    @property
+    def expected_output(self):
+        """Return how many output tokens are likely; most are far from the limit."""
+        return self.hint or self.output_tokens // OUTPUT_LIMIT_PER_OUTPUT
 
 
 class CallerInfo(NamedTuple):
--- a/pollenmount/gateway/dispatch.py
+++ b/pollenmount/gateway/dispatch.py
@@ -15,7 +15,7 @@
     Watch,
 )
 from pollenmount.gateway.call import Failure, Refused, Start
-from pollenmount.gateway.choose import Candidate
+from pollenmount.gateway.choose import Candidate, is_long_stream
 from pollenmount.gateway.hop import HopRefusedError, encode_hop
 from pollenmount.log import get_logger
 from pollenmount.wire.errors import (
@@ -158,7 +158,9 @@
         if prompt and place.target:
             tokens -= self.situation.cache.cached_tokens(place.target, prompt)
         sent = self.clock.now()
-        with self.situation.loads.counted(place.name, tokens) as end_reading:
+        is_stream = prompt is not None and is_long_stream(prompt)
+        counted = self.situation.loads.counted(place.name, tokens, is_stream)
+        with counted as end_reading:
             watch = AnswerWatch(
                 self,
                 progress,
--- a/pollenmount/gateway/load.py
+++ b/pollenmount/gateway/load.py
@@ -8,11 +8,12 @@
 
 
 class Own:
-    """This VM's work at one target: requests, and prompt tokens still to be read."""
+    """This VM's work at one target, as in `TargetLoad`."""
 
     def __init__(self):
         self.requests = 0
         self.tokens = 0
+        self.streams = 0
 
 
 class LoadBook:
@@ -27,11 +28,12 @@
         self.sent = {}
 
     @contextlib.contextmanager
-    def counted(self, id_, tokens):
+    def counted(self, id_, tokens, is_stream=False):
         """Count a request at a target; yields a function that ends its reading."""
         own = self.own.setdefault(id_, Own())
         own.requests += 1
         own.tokens += tokens
+        own.streams += is_stream
         reading = [tokens]
 
         def first_byte():
@@ -42,26 +44,30 @@
         finally:
             first_byte()
             own.requests -= 1
+            own.streams -= is_stream
             if not own.requests:
                 del self.own[id_]
 
     def report(self):
         """Return this VM's work for the other VMs."""
         loads = tuple(
-            TargetLoad(id_, own.requests, own.tokens) for id_, own in self.own.items()
+            TargetLoad(id_, own.requests, own.tokens, own.streams)
+            for id_, own in self.own.items()
         )
         self.sent = {load.id: load for load in loads}
         return loads
 
     def at(self, id_):
         """Return the `TargetLoad` of all VMs together at a target."""
-        own = self.own.get(id_)
-        requests = own.requests if own else 0
-        tokens = own.tokens if own else 0
+        own = self.own.get(id_) or Own()
+        mine = TargetLoad(id_, own.requests, own.tokens, own.streams)
         all_ = self.reported().get(id_)
         if all_ is None:
-            return TargetLoad(id_, requests, tokens)
+            return mine
         sent = self.sent.get(id_) or TargetLoad(id_, 0, 0)
-        others = max(0, all_.requests - sent.requests)
-        others_tokens = max(0, all_.tokens - sent.tokens)
-        return TargetLoad(id_, requests + others, tokens + others_tokens)
+        return TargetLoad(
+            id_,
+            mine.requests + max(0, all_.requests - sent.requests),
+            mine.tokens + max(0, all_.tokens - sent.tokens),
+            mine.streams + max(0, all_.streams - sent.streams),
+        )
--- a/pollenmount/gateway/situation.py
+++ b/pollenmount/gateway/situation.py
@@ -94,6 +94,7 @@
             cached,
             self.lags.get(record.id),
             target.vouched,
+            load.streams,
         )
 
     def reachable(self, far, service, tried):
