--- a/pollenmount/gateway/cache.py
+++ b/pollenmount/gateway/cache.py
@@ -50,12 +50,15 @@
 
 
 def preferred(prompt, ids):
-    """Return the target that every VM picks for the shared parts (rendezvous hash)."""
+    """Return the targets that every VM picks for the shared parts, best first.
+
+    The order is that of a rendezvous hash, so that it needs no agreement.
+    """
     shared = shared_parts(prompt)
-    if not shared or not ids:
-        return None
+    if not shared:
+        return []
     key = f"{prompt.model} {shared[-1].id}"
-    return max(ids, key=lambda id_: weight(key, id_))
+    return sorted(ids, key=lambda id_: weight(key, id_), reverse=True)
 
 
 def weight(key, id_):
--- a/pollenmount/gateway/choose.py
+++ b/pollenmount/gateway/choose.py
@@ -36,7 +36,10 @@
 PACK_STEP_MS = 25.0
 HOLD_MS = 3000.0
 FIRST_TOKEN_MS = 30.0
-PREFERRED_SHARE = 0.75
+# How much of the shared parts the targets that all VMs prefer are taken to hold.
+PREFERRED_SHARES = (0.9, 0.5)
+# Reading a part again also takes the time of the prompts behind it.
+UNREAD_WEIGHT = 2.0
 SERVICE_MS = 45.0
 QUEUE_PER_SLOT = 4
 SILENT_PENALTY_MS = 400.0
@@ -126,27 +129,28 @@
     for rank, option in enumerate(ranked):
         crowd = max(0, option.requests - PACKED_SHARE * option.slots)
         cost = PACK_STEP_MS * rank + CROWD_MS * crowd
-        costs[option.id] = cost + expected_ms(option, prompt, False)
+        costs[option.id] = cost + expected_ms(option, prompt, 0.0)
     return costs
 
 
 def spread(options, prompt):
     """Return the costs in ms of a plain call or a long prompt by target."""
-    favourite = None
+    shares = {}
     if prompt is not None:
-        favourite = preferred(prompt, [option.id for option in options])
+        order = preferred(prompt, [option.id for option in options])
+        shares = dict(zip(order, PREFERRED_SHARES, strict=False))
     return {
-        option.id: expected_ms(option, prompt, option.id == favourite)
-        + held_up_ms(option, prompt, option.id == favourite)
+        option.id: expected_ms(option, prompt, shares.get(option.id, 0.0))
+        + held_up_ms(option, prompt, shares.get(option.id, 0.0))
         for option in options
     }
 
 
-def held_up_ms(option, prompt, is_favourite):
+def held_up_ms(option, prompt, shared_share):
     """Return what reading a prompt costs the streams that run at a target."""
     if prompt is None:
         return 0.0
-    unread = prompt.tokens - cached_tokens(option, prompt, is_favourite)
+    unread = prompt.tokens - cached_tokens(option, prompt, shared_share)
     return HELD_UP_SHARE * option.streams * unread / READ_TOKENS_PER_MS
 
 
@@ -166,7 +170,7 @@
     return option.requests < option.slots * QUEUE_PER_SLOT
 
 
-def expected_ms(option, prompt, is_favourite):
+def expected_ms(option, prompt, shared_share):
     """Return the expected time to the first byte of an answer."""
     waiting = max(0, option.requests + 1 - option.slots)
     penalty = 0.0 if option.vouched else SILENT_PENALTY_MS
@@ -174,18 +178,17 @@
     if prompt is None:
         turns = option.requests / max(1, option.slots)
         return penalty + SERVICE_MS * (turns if waiting else 0.2 * turns)
-    unread = prompt.tokens - cached_tokens(option, prompt, is_favourite)
-    reading = (option.tokens + unread) / READ_TOKENS_PER_MS
+    unread = prompt.tokens - cached_tokens(option, prompt, shared_share)
+    reading = (option.tokens + UNREAD_WEIGHT * unread) / READ_TOKENS_PER_MS
     running = RUNNING_MS * min(option.requests, option.slots)
     for_slot = HOLD_MS * waiting / max(1, option.slots)
     return penalty + FIRST_TOKEN_MS + reading + running + for_slot
 
 
-def cached_tokens(option, prompt, is_favourite):
+def cached_tokens(option, prompt, shared_share):
     """Return how many tokens are taken to be in a target's memory.
 
-    Other VMs send the same shared parts to the favourite, unseen by this one.
+    Other VMs send the same shared parts to the preferred targets, unseen by this one.
     """
     shared = sum(part.tokens for part in prompt.parts[:-1])
-    guess = PREFERRED_SHARE * shared if is_favourite else 0
-    return min(prompt.tokens, max(option.cached, guess))
+    return min(prompt.tokens, max(option.cached, shared_share * shared))
