Tell slow senders 408; write log lines at once without blocking

Limits of a listener are looked up for each request, with the product's own as default. Log lines that waited 20 ms for a task would be lost with a killed process.

--- a/pollenmount/api/connection.py
+++ b/pollenmount/api/connection.py
@@ -26,7 +26,7 @@
 from pollenmount.api.reply import refusal_reply, status_line
 from pollenmount.errors import Refusal, RefusalKind
 
-__all__ = ["Connection", "ConnectionLimits"]
+__all__ = ["Connection", "ConnectionLimits", "default_limits"]
 
 IDLE_TIMEOUT_S = 75
 HEAD_TIMEOUT_S = 10
@@ -38,11 +38,19 @@
 
 
 class ConnectionLimits(NamedTuple):
-    """How long a connection may be idle and a head may take, and a head's bytes."""
+    """How long a connection may be idle and a head may take; a head's bytes."""
 
-    idle_s: float = IDLE_TIMEOUT_S
-    head_s: float = HEAD_TIMEOUT_S
-    head_bytes: int = MAX_HEAD_BYTES
+    idle_s: float
+    head_s: float
+    head_bytes: int
+    line_bytes: int
+
+
+def default_limits():
+    """Return the limits of listeners that have none of their own."""
+    return ConnectionLimits(
+        IDLE_TIMEOUT_S, HEAD_TIMEOUT_S, MAX_HEAD_BYTES, MAX_LINE_BYTES
+    )
 
 
 class Connection(eventlet.wsgi.HttpProtocol):
@@ -84,8 +92,10 @@
                 return None
             self.connection.settimeout(SOCKET_TIMEOUT_S)
             with task.Timeout(limits.head_s):
-                first = self.rfile.readline(MAX_LINE_BYTES + 1)
-                lines = read_lines(first, self.rfile.readline, limits.head_bytes)
+                first = self.rfile.readline(limits.line_bytes + 1)
+                lines = read_lines(
+                    first, self.rfile.readline, limits.head_bytes, limits.line_bytes
+                )
                 return lines.and_then(parse_head)
         except OSError:
             return None
--- a/pollenmount/api/head.py
+++ b/pollenmount/api/head.py
@@ -14,7 +14,7 @@
 
 __all__ = ["Head", "parse_head", "read_lines"]
 
-MAX_LINE_BYTES = 16_384
+MAX_LINE_BYTES = 8192
 MAX_HEAD_BYTES = 65_536
 MAX_HEADERS = 100
 
@@ -67,19 +67,21 @@
         return int(self.header("content-length") or 0)
 
 
-def read_lines(first, readline, max_bytes=MAX_HEAD_BYTES):
+def read_lines(
+    first, readline, max_bytes=MAX_HEAD_BYTES, max_line_bytes=MAX_LINE_BYTES
+):
     """Return Ok(lines of a head without the empty one) or Err(Refusal).
 
-    A head of more than `max_bytes` is refused.
+    A head of more than `max_bytes`, or a longer line, is refused.
     """
     lines = [first]
     size = len(first)
     while True:
-        line = readline(MAX_LINE_BYTES + 1)
+        line = readline(max_line_bytes + 1)
         if line == b"\r\n":
             return Ok(lines)
         size += len(line)
-        if len(line) > MAX_LINE_BYTES or size > max_bytes:
+        if len(line) > max_line_bytes or size > max_bytes:
             message = f"send at most {max_bytes} bytes of headers"
             return Err(Refusal(RefusalKind.HEADERS_TOO_LARGE, message))
         if not line.endswith(b"\n"):
--- a/pollenmount/api/web.py
+++ b/pollenmount/api/web.py
@@ -13,7 +13,7 @@
 from pollenmount.api.connection import (
     SOCKET_TIMEOUT_S,
     Connection,
-    ConnectionLimits,
+    default_limits,
 )
 from pollenmount.api.reply import (
     Reply,
@@ -101,7 +101,7 @@
                 body = self.environ["wsgi.input"].read(limit)
         except task.Timeout:
             message = f"send the body within {BODY_TIMEOUT_S} s"
-            return Refusal(RefusalKind.BAD_REQUEST, message)
+            return Refusal(RefusalKind.SLOW_REQUEST, message)
         except BudgetError:
             message = "too many bodies at a time; come back or use another VM"
             return Refusal(RefusalKind.OVERLOADED, message, True, RETRY_AFTER_MS)
@@ -170,7 +170,7 @@
     `ConnectionLimits` for the next request.
     """
 
-    def __init__(self, address, app, limits=ConnectionLimits):
+    def __init__(self, address, app, limits=default_limits):
         host, _, port = address.rpartition(":")
         self.limits = limits
         self.connections = 0
--- a/pollenmount/gateway/roles/entry.py
+++ b/pollenmount/gateway/roles/entry.py
@@ -81,7 +81,10 @@
         """Return the `ConnectionLimits` that the plan sets for callers."""
         limits = self.node.store.limits
         return ConnectionLimits(
-            limits.idle_ms / MS_PER_S, limits.head_ms / MS_PER_S, limits.head_bytes
+            limits.idle_ms / MS_PER_S,
+            limits.head_ms / MS_PER_S,
+            limits.head_bytes,
+            limits.head_bytes,
         )
 
     def seed_links(self):
--- a/pollenmount/log.py
+++ b/pollenmount/log.py
@@ -25,9 +25,10 @@
 
 
 class LineWriter:
-    """Writes lines to a descriptor from a task of its own.
+    """Writes lines to a descriptor, which is made not to block.
 
-    `dropped` counts the lines that found the queue full.
+    What it can't take at once is written by later calls of `write_some`. `dropped`
+    counts the lines that found the queue full.
     """
 
     def __init__(self, descriptor, max_lines=MAX_WAITING_LINES):
@@ -44,6 +45,7 @@
             self.dropped += 1
             return
         self.lines.append(line)
+        self.write_some()
 
     def write_some(self):
         """Write what the descriptor takes now; return whether all was written."""
@@ -82,7 +84,7 @@
 def configure(level="INFO", **fixed):
     """Send logs to standard output, with the `fixed` fields on each line.
 
-    Return the `LineWriter`, whose `write_some` a task has to call regularly.
+    Return the `LineWriter`; a task has to call its `write_some` now and then.
     """
     writer = LineWriter(sys.stdout.fileno())
     handler = LineHandler(writer)
--- a/tests/faults/test_product_secrets.py
+++ b/tests/faults/test_product_secrets.py
@@ -73,7 +73,7 @@
     answer = call(address, "POST", CHAT, KEY, chat_body("drafting", "x"))
     refused = call(address, "POST", CHAT, KEY, chat_body("other", "x"))
     log = (small.cluster.folder / "kigali-1.log").read_text()
-    # Each line of standard error is JSON, warnings of libraries included.
+    # Each line of the output is JSON, warnings of libraries included.
     lines = [json.loads(line) for line in log.splitlines()]
     for reply, outcome in ((answer, "answered"), (refused, "unknown_model")):
         request = reply.headers["Pollenmount-Request-Id"]
