--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak: real VMs as processes, faults from outside, promises checked."""
--- /dev/null
+++ b/tests/soak/fleet.py
@@ -0,0 +1,186 @@
+"""The VMs of a small deployment as processes, and its replicas."""
+
+import contextlib
+import http.client
+import json
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+from tests.soak.replica import Replica
+
+ROOT = Path(__file__).parent.parent.parent
+REGIONS = ("west", "east", "south")
+ENTRIES = {"west": 2, "east": 1, "south": 1}
+PORTS = {"callers": 8001, "readiness": 8002, "operators": 8003, "directory": 8004}
+FIRST_PORT, LAST_PORT = 8100, 8115
+CALL_TIMEOUT_S = 2
+BOUNDS = {
+    "drain_ms": 3000,
+    "stop_grace_s": 4,
+    "plan_in_force_ms": 3000,
+    "contact_ms": 5000,
+    "retry_share": 0.2,
+    "retry_window_s": 10,
+    "retry_slack": 54,
+    "cold_excess": 1.5,
+    "cold_slack": 3,
+    "entries_ttl_s": 5,
+}
+ROUTES = {
+    "once": ("non_idempotent", 1, "desk"),
+    "read": ("idempotent", 2, "desk"),
+    "stream": ("streaming", 2, "model"),
+}
+
+
+class Fleet:
+    """Three control VMs, four entry VMs and two replicas a region on loopback.
+
+    `network` is the second number of all addresses; data and logs go to `folder`.
+    """
+
+    def __init__(self, folder, network):
+        self.folder = Path(folder)
+        self.network = network
+        self.stack = contextlib.ExitStack()
+        self.stack.callback(self.end_processes)
+        self.processes = {}
+        self.controls, self.entries = {}, {}
+        for number, region in enumerate(REGIONS, start=1):
+            self.controls[f"control-{region}"] = self.ip(number, 9)
+            for entry in range(ENTRIES[region]):
+                self.entries[f"entry-{region}-{entry}"] = self.ip(number, entry + 1)
+        self.operators = [f"{ip}:{PORTS['operators']}" for ip in self.controls.values()]
+        self.replicas = [
+            self.own(Replica(f"i-{s}-{r}", s, f"{r}-a", self.ip(n, d), self.operators))
+            for n, r in enumerate(REGIONS, start=1)
+            for d, s in ((101, "desk"), (102, "model"))
+        ]
+
+    def ip(self, region, host):
+        """Return a loopback address."""
+        return f"127.{self.network}.{region}.{host}"
+
+    def own(self, part):
+        """Close a part with the fleet."""
+        self.stack.callback(part.close)
+        return part
+
+    def start_all(self):
+        """Start every VM for the first time."""
+        for name in (*self.controls, *self.entries):
+            self.write_settings(name, True)
+            self.start(name)
+
+    def end_first_start(self):
+        """Let later starts know that the fleet has been there before."""
+        for name in self.processes:
+            self.write_settings(name, False)
+
+    def write_settings(self, name, first_start):
+        """Write the settings file of one VM."""
+        is_control = name in self.controls
+        ip = (self.controls if is_control else self.entries)[name]
+        region = name.split("-")[1]
+        listens = ("operators", "directory") if is_control else ("callers", "readiness")
+        document = {
+            "name": name,
+            "ip": ip,
+            "region": region,
+            "failure_domain": f"{region}-a",
+            "failure_domains": {f"{r}-a": r for r in REGIONS},
+            "listen": {key: f"{ip}:{PORTS[key]}" for key in listens},
+            "first_port": FIRST_PORT,
+            "last_port": LAST_PORT,
+            "seeds": self.operators,
+            "first_start": first_start,
+            "lost_disks": 1,
+            "heartbeat_ms": 400,
+            "memory_mb": 300,
+            "bounds": BOUNDS,
+            "data_folder": str(self.folder / f"data-{name}") if is_control else "",
+        }
+        (self.folder / f"{name}.json").write_text(json.dumps(document))
+
+    def start(self, name):
+        """Start one VM."""
+        path = self.folder / f"{name}.json"
+        with open(self.folder / f"{name}.log", "ab") as log:
+            self.processes[name] = subprocess.Popen(
+                [sys.executable, str(ROOT / "platform/start.py")],
+                stdout=log,
+                stderr=log,
+                stdin=subprocess.DEVNULL,
+                env={**os.environ, "POLLENMOUNT_SETTINGS": str(path)},
+            )
+
+    def send(self, name, number):
+        """Send a signal to a VM that runs."""
+        if self.processes[name].poll() is None:
+            self.processes[name].send_signal(number)
+
+    def restart_ended(self):
+        """Start VMs that have ended."""
+        for name, process in [*self.processes.items()]:
+            if process.poll() is not None:
+                self.start(name)
+
+    def put_plan(self, address, version):
+        """Offer a plan to one control VM; return the status, 0 for none."""
+        routes = [
+            {
+                "name": name,
+                "host": "soak.example",
+                "path_prefix": f"/{name}/",
+                "kind": kind,
+                "timeout_ms": 4000,
+                "slo_ms": 500,
+                "attempts": attempts,
+                "resumable": name == "stream",
+                "backend": service,
+            }
+            for name, (kind, attempts, service) in ROUTES.items()
+        ]
+        services = [{"name": "desk", "max_conns": 400}, {"name": "model"}]
+        document = {"version": version, "routes": routes, "services": services}
+        return call(address, "PUT", "/-/config", json.dumps(document))[0]
+
+    def read_version(self, address):
+        """Return the version that one control VM says is the newest, None for none."""
+        status, body = call(address, "GET", "/-/config")
+        return json.loads(body)["version"] if status == 200 else None
+
+    def resolve(self, region, control):
+        """Return the entry VMs that the directory names to callers of a region."""
+        address = f"{self.controls[control]}:{PORTS['directory']}"
+        path = f"/-/resolve?name=soak.example&region={region}&zone={region}-a"
+        status, body = call(address, "GET", path)
+        return json.loads(body)["addrs"] if status == 200 else []
+
+    def end_processes(self):
+        """End what this fleet started."""
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+            process.wait()
+
+    def close(self):
+        """End everything."""
+        self.stack.close()
+
+
+def call(address, method, path, body=None):
+    """Return (status, body) of a call, (0, b'') without an answer."""
+    host, _, port = address.rpartition(":")
+    connection = http.client.HTTPConnection(host, int(port), timeout=CALL_TIMEOUT_S)
+    with contextlib.closing(connection):
+        try:
+            connection.request(method, path, body)
+            answer = connection.getresponse()
+            return answer.status, answer.read()
+        except (OSError, http.client.HTTPException):
+            return 0, b""
--- /dev/null
+++ b/tests/soak/replica.py
@@ -0,0 +1,176 @@
+"""A replica of the users' platform: announces itself, runs requests, remembers them."""
+
+import collections
+import contextlib
+import hashlib
+import http.client
+import http.server
+import json
+import threading
+import time
+
+from standins.relay import Relay
+
+EVENTS = 6
+EVENT_S = 0.02
+HEARTBEAT_S = 0.3
+CALL_TIMEOUT_S = 1
+DARK_S = 3
+MODES = ("ok", "ok", "failing", "cut", "foreign", "full", "dark")
+
+
+def body_of(id_):
+    """Return the answer that belongs to a request."""
+    return hashlib.sha256(id_.encode()).hexdigest().encode()
+
+
+def event_of(id_, number):
+    """Return one event of the stream that belongs to a request."""
+    return b"id: %d\ndata: %s\n\n" % (number, body_of(f"{id_} {number}"))
+
+
+class Handler(http.server.BaseHTTPRequestHandler):
+    """Answers as the replica's mode says; `runs` counts what was run by id."""
+
+    protocol_version = "HTTP/1.1"
+
+    def log_message(self, *args):
+        """Say nothing."""
+
+    def do_GET(self):
+        """Run a request."""
+        length = int(self.headers.get("Content-Length") or 0)
+        self.rfile.read(length)
+        replica = self.server.replica
+        id_ = self.headers.get("X-Pollenmount-Attempt-Id", "")
+        expected = self.headers.get("X-Pollenmount-Expect-Instance")
+        if expected not in (None, replica.id):
+            self.answer(421, id_, b"", False)
+        elif replica.mode == "full":
+            self.answer(503, id_, b"", False)
+        else:
+            with replica.lock:
+                replica.runs[id_] += 1
+            self.run(replica.mode, id_)
+
+    do_POST = do_GET  # noqa: N815
+
+    def run(self, mode, id_):
+        """Answer a request that runs."""
+        if mode == "dark":
+            time.sleep(DARK_S)
+        if mode == "cut":
+            self.close_connection = True
+            self.wfile.write(b"HTTP/1.1 200 OK\r\nContent-Length: 64\r\n\r\nhalf")
+        elif mode == "foreign":
+            self.answer(200, "another-request", body_of("another"), True)
+        elif mode == "failing":
+            self.answer(500, id_, b"failed", True)
+        elif self.path.startswith("/stream/"):
+            self.stream(id_)
+        else:
+            self.answer(200, id_, body_of(id_), True)
+
+    def answer(self, status, id_, body, did_run):
+        """Send a whole answer."""
+        self.start(status, id_, did_run)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def start(self, status, id_, did_run):
+        """Send the head of an answer."""
+        self.send_response(status)
+        self.send_header("X-Pollenmount-Attempt-Id", id_)
+        if did_run:
+            self.send_header("X-Pollenmount-Response-Stamp", "stamp")
+        else:
+            self.send_header("X-Pollenmount-Not-Run", "1")
+
+    def stream(self, id_):
+        """Send events, after the last one that the caller has."""
+        self.start(200, id_, True)
+        self.send_header("Content-Type", "text/event-stream")
+        self.send_header("Transfer-Encoding", "chunked")
+        self.end_headers()
+        first = int(self.headers.get("Last-Event-Id") or 0) + 1
+        for number in range(first, EVENTS + 1):
+            event = event_of(id_, number)
+            self.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
+            time.sleep(EVENT_S)
+        self.wfile.write(b"0\r\n\r\n")
+
+
+class Server(http.server.ThreadingHTTPServer):
+    """Serves one replica; connections that break are nothing to report."""
+
+    daemon_threads = True
+
+    def handle_error(self, request, client_address):
+        """Say nothing."""
+
+
+class Replica:
+    """One replica behind a relay, at which its path can be cut, delayed or reset.
+
+    `controls` are the addresses that take its heartbeats.
+    """
+
+    def __init__(self, id_, service, zone, ip, controls):
+        self.id = id_
+        self.service = service
+        self.zone = zone
+        self.controls = controls
+        self.mode = "ok"
+        self.runs = collections.Counter()
+        self.lock = threading.Lock()
+        self.sequence = 0
+        self.born = int(time.time() * 1000)
+        self.closing = threading.Event()
+        self.server = Server((ip, 9001), Handler)
+        self.server.replica = self
+        self.relay = Relay(f"{ip}:9000", f"{ip}:9001")
+        self.threads = [
+            threading.Thread(target=self.server.serve_forever, daemon=True),
+            threading.Thread(target=self.beat, daemon=True),
+        ]
+        for thread in self.threads:
+            thread.start()
+
+    def beat(self):
+        """Send heartbeats, each to the next control VM that answers."""
+        while not self.closing.wait(HEARTBEAT_S):
+            self.sequence += 1
+            turn = self.sequence % len(self.controls)
+            for address in (*self.controls[turn:], *self.controls[:turn]):
+                if self.say(address):
+                    break
+
+    def say(self, address):
+        """Send one heartbeat; return whether it was acknowledged."""
+        document = {
+            "backend": self.service,
+            "addr": f"{self.server.server_address[0]}:9000",
+            "zone": self.zone,
+            "version": "v1",
+            "slots": 16,
+            "state": "ready",
+            "warmup_left_ms": 0,
+            "seq": self.sequence,
+            "born": self.born,
+        }
+        with contextlib.suppress(OSError, http.client.HTTPException):
+            host, _, port = address.rpartition(":")
+            connection = http.client.HTTPConnection(host, int(port), CALL_TIMEOUT_S)
+            with contextlib.closing(connection):
+                path = f"/-/instances/{self.id}"
+                connection.request("PUT", path, json.dumps(document))
+                return connection.getresponse().status == 200
+        return False
+
+    def close(self):
+        """End the replica."""
+        self.closing.set()
+        self.relay.close()
+        self.server.shutdown()
+        self.server.server_close()
--- /dev/null
+++ b/tests/soak/test_soak.py
@@ -0,0 +1,43 @@
+"""A short run of the soak, and its own check: it must fail when it should."""
+
+import collections
+
+import pytest
+
+from tests.soak.callers import Seen, find_faults
+from tests.soak.replica import body_of, event_of
+from tests.soak.run import soak
+
+SECONDS = 8
+
+
+def test_a_seeded_run_keeps_the_promises(tmp_path, network):
+    report = soak(tmp_path, network, 1, SECONDS)
+    assert report.wrong == []
+    assert report.statuses.get(200, 0) > 0
+
+
+@pytest.mark.parametrize(
+    ("seen", "count"),
+    [
+        (Seen("a", "once", 200, body_of("a"), True, True), 2),
+        (Seen("a", "once", 503, b"", True, False), 1),
+        (Seen("a", "read", 200, body_of("b"), True, True), 1),
+        (Seen("a", "read", 200, body_of("a"), True, False), 1),
+        (Seen("a", "stream", 200, event_of("a", 1), True, True), 1),
+        (Seen("a", "stream", 200, event_of("a", 2), False, True), 1),
+    ],
+)
+def test_the_soak_finds_what_is_wrong(seen, count):
+    assert [*find_faults(seen, collections.Counter({"a": count}))]
+
+
+def test_the_soak_finds_nothing_wrong_where_nothing_is():
+    whole = b"".join(event_of("a", number) for number in range(1, 7))
+    for seen in (
+        Seen("a", "once", 200, body_of("a"), True, True),
+        Seen("a", "stream", 200, whole, True, True),
+        Seen("a", "stream", 200, event_of("a", 1), False, True),
+        Seen("a", "once", 502, b"", True, False),
+    ):
+        assert not [*find_faults(seen, collections.Counter({"a": 1}))]
