Spread hops over the VMs of a region; look members up once a call; forget what is gone

Cause: with equal work every VM sent its hops to the first VM of a region by name; the list of members was made anew for each target of each call; what was learned of targets was never forgotten.

--- a/pollenmount/api/web.py
+++ b/pollenmount/api/web.py
@@ -22,7 +22,7 @@
     refusal_reply,
     status_line,
 )
-from pollenmount.errors import ListenError, Refusal, RefusalKind
+from pollenmount.errors import Refusal, RefusalKind
 from pollenmount.log import get_logger
 
 __all__ = [
@@ -171,16 +171,11 @@
     """
 
     def __init__(self, address, app, limits=default_limits):
-        host, _, port = address.rpartition(":")
         self.limits = limits
         self.connections = 0
         self.active = 0
         self.budget = ByteBudget(MAX_BODIES_BYTES)
-        place = (host.strip("[]"), int(port))
-        try:
-            self.socket = eventlet.listen(place, reuse_port=False, backlog=BACKLOG)
-        except OSError as error:
-            raise ListenError(address, error.strerror) from error
+        self.socket = task.listen(address, BACKLOG)
         # Accepted sockets inherit it: small parts of an answer aren't held back.
         self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.thread = task.spawn(self.run, app)
--- a/pollenmount/fleet/server.py
+++ b/pollenmount/fleet/server.py
@@ -1,11 +1,9 @@
 """The control VM's side of links: takes members in and tells them what changes."""
 
 import contextlib
-
-import eventlet
+from typing import NamedTuple
 
 from pollenmount import task
-from pollenmount.errors import ListenError
 from pollenmount.fleet.channel import Channel, ChannelError
 from pollenmount.fleet.messages import (
     CONTROL,
@@ -29,21 +27,29 @@
 logger = get_logger("links")
 
 
+class Lost(NamedTuple):
+    """When a member's link broke, and which start of the member had it."""
+
+    at: int
+    incarnation: str
+
+
 class LinkServer:
-    """Accepts links on `address` and keeps their members up to date."""
+    """Accepts links on `address` and keeps their members up to date.
+
+    `channels` and `roles` are those of the members linked now, `lost` the links that
+    broke a moment ago, `loads` the work that each member reported last.
+    """
 
     def __init__(self, address, fleet, clock):
-        host, _, port = address.rpartition(":")
         self.fleet = fleet
         self.clock = clock
         self.channels = {}
+        self.roles = {}
         self.lost = {}
         self.loads = {}
         fleet.listeners.append(self.pass_on)
-        try:
-            self.socket = eventlet.listen((host, int(port)), backlog=BACKLOG)
-        except OSError as error:
-            raise ListenError(address, error.strerror) from error
+        self.socket = task.listen(address, BACKLOG)
         self.thread = task.spawn(self.run)
         self.ticker = task.Task(self.tick, LOADS_MS)
 
@@ -70,8 +76,7 @@
         if before is not None:
             before.close()
         self.channels[name] = channel
-        channel.role = member.role
-        channel.incarnation = member.incarnation
+        self.roles[name] = member.role
         self.lost.pop(name, None)
         logger.info("link open", extra={"member": name, "role": member.role})
         for message in self.fleet.snapshot():
@@ -81,7 +86,7 @@
             while True:
                 self.take(name, channel.receive())
         except ChannelError as error:
-            self.end(name, channel, str(error))
+            self.end(member, channel, str(error))
 
     def take(self, name, message):
         """Take in one message of a member."""
@@ -91,21 +96,22 @@
             if known != message.member:
                 self.fleet.members.up(MemberUp(message.member), DIRECT)
 
-    def end(self, name, channel, problem):
+    def end(self, member, channel, problem):
         """Note that a member's link broke; it may come back in a moment."""
+        name = member.name
         logger.info("link lost", extra={"member": name, "problem": problem})
         if self.channels.get(name) is channel:
             del self.channels[name]
-            self.lost[name] = (self.clock.now(), channel.incarnation)
+            self.lost[name] = Lost(self.clock.now(), member.incarnation)
             self.loads.pop(name, None)
 
     def tick(self):
         """Drop members whose links stay broken; send the sums of all work."""
         now = self.clock.now()
-        for name, (lost, incarnation) in [*self.lost.items()]:
-            if now - lost >= RECONNECT_MS:
+        for name, lost in [*self.lost.items()]:
+            if now - lost.at >= RECONNECT_MS:
                 del self.lost[name]
-                self.fleet.members.down(MemberDown(name, incarnation), DIRECT)
+                self.fleet.members.down(MemberDown(name, lost.incarnation), DIRECT)
         loads = Loads(self.sum_loads())
         for channel in [*self.channels.values()]:
             channel.push(loads)
@@ -126,14 +132,14 @@
 
     def pass_on(self, message, source):
         """Tell all members of a change; other control VMs only what was heard here."""
-        for channel in [*self.channels.values()]:
-            if channel.role != CONTROL or source == DIRECT:
+        for name, channel in [*self.channels.items()]:
+            if self.roles[name] != CONTROL or source == DIRECT:
                 channel.push(message)
 
     def pass_heartbeat(self, message):
         """Tell other control VMs of a target's heartbeat."""
-        for channel in [*self.channels.values()]:
-            if channel.role == CONTROL:
+        for name, channel in [*self.channels.items()]:
+            if self.roles[name] == CONTROL:
                 channel.push(message)
 
     def heard(self, record):
--- a/pollenmount/fleet/table.py
+++ b/pollenmount/fleet/table.py
@@ -25,6 +25,8 @@
 TOMBSTONE_MS = 60_000
 ANY_START_MS = 10_000
 MAX_TOMBSTONES = 4096
+# Heartbeats tell the time that is left; less of a difference is their way.
+COLD_STEP_MS = 250
 ANY_START = -1
 
 
@@ -169,9 +171,6 @@
     return not same or turned_cold or not known.vouchers
 
 
-COLD_STEP_MS = 250
-
-
 class Heard(NamedTuple):
     """A member's record from one source; `lost` is when it was dropped there."""
 
@@ -187,6 +186,7 @@
         self.on_change = on_change
         self.by_name = {}
         self.version = 0
+        self.cached = (-1, ())
 
     def up(self, message, source):
         """Take in a member's record."""
@@ -233,7 +233,10 @@
 
     def live(self):
         """Return the members that some source lists, as a tuple."""
-        return tuple(self.get(name) for name in self.by_name if self.is_listed(name))
+        if self.cached[0] != self.version:
+            listed = [name for name in self.by_name if self.is_listed(name)]
+            self.cached = (self.version, tuple(self.get(name) for name in listed))
+        return self.cached[1]
 
     def known(self):
         """Return all members, those lost a short while ago included, as a tuple."""
--- a/pollenmount/gateway/budget.py
+++ b/pollenmount/gateway/budget.py
@@ -76,6 +76,10 @@
         """Count a request to a cold target."""
         self.sent[id_] = self.clock.now()
 
+    def forget(self, id_):
+        """Forget a cold target that has left."""
+        self.sent.pop(id_, None)
+
 
 def pick_sharers(id_, per_s, entries):
     """Return the VMs that may send to a cold target (rendezvous hash)."""
--- a/pollenmount/gateway/dispatch.py
+++ b/pollenmount/gateway/dispatch.py
@@ -5,6 +5,7 @@
 """
 
 import contextlib
+import zlib
 
 from pollenmount.gateway.attempt import (
     Attempt,
@@ -134,10 +135,14 @@
         """Return the place of the entry VM in another region with the least work."""
         members = self.situation.hop_members(region, progress.tried)
         loads = self.situation.loads.own
-        member = min(
-            members,
-            key=lambda m: (loads[m.name].requests if m.name in loads else 0, m.name),
-        )
+
+        def work(member):
+            # Calls are spread where several VMs have as little to do.
+            spread = zlib.crc32(f"{call.id} {member.name}".encode())
+            own = loads.get(member.name)
+            return (own.requests if own else 0), spread
+
+        member = min(members, key=work)
         self.situation.health.probe(member.name, member.incarnation)
         left_ms = max(1, call.limit - self.clock.now())
         header = encode_hop(call, left_ms, HOP_ATTEMPTS)
--- a/pollenmount/gateway/health.py
+++ b/pollenmount/gateway/health.py
@@ -68,3 +68,7 @@
         mark = self.marks.get(name)
         paused = mark is not None and mark.stamp == stamp
         return paused and self.clock.now() < mark.until
+
+    def forget(self, id_):
+        """Forget a target that has left."""
+        self.marks.pop(id_, None)
--- a/pollenmount/gateway/lag.py
+++ b/pollenmount/gateway/lag.py
@@ -37,3 +37,7 @@
             return 0.0
         age_ms = self.clock.now() - lag.at
         return lag.ms * 0.5 ** (age_ms / HALF_LIFE_MS)
+
+    def forget(self, id_):
+        """Forget a target that has left."""
+        self.lags.pop(id_, None)
--- a/pollenmount/gateway/roles/entry.py
+++ b/pollenmount/gateway/roles/entry.py
@@ -4,6 +4,7 @@
 from pollenmount.api.connection import ConnectionLimits
 from pollenmount.fleet.census import Census
 from pollenmount.fleet.client import LinkClient
+from pollenmount.fleet.messages import TargetGone
 from pollenmount.gateway.attempt import Sender
 from pollenmount.gateway.budget import ColdGate, RetryBudget
 from pollenmount.gateway.cache import PrefixBook
@@ -70,6 +71,7 @@
         node.own(task.Task(pool.sweep, SWEEP_MS))
         node.is_ready = self.is_ready
         self.plan_since = None
+        node.fleet.listeners.append(self.forget_gone)
         node.serve_metrics()
         node.serve(settings.listen.readiness, self.answer_readiness)
         self.hops = node.serve(settings.hops, HopsApi(node).handle)
@@ -77,6 +79,11 @@
             settings.listen.callers, CallersApi(node).handle, self.limits
         )
 
+    def forget_gone(self, message, source):
+        """Forget what was learned of a target that has left."""
+        if isinstance(message, TargetGone):
+            self.situation.forget(message.id)
+
     def limits(self):
         """Return the `ConnectionLimits` that the plan sets for callers."""
         limits = self.node.store.limits
--- a/pollenmount/gateway/situation.py
+++ b/pollenmount/gateway/situation.py
@@ -31,6 +31,7 @@
     def options(self, call, tried):
         """Return the `Options` of a call; `tried` names what it was sent to already."""
         near, far = [], []
+        entries = [member.name for member in self.entries_of(self.settings.region)]
         evacuated = self.fleet.evacuations.failure_domains
         for target in self.fleet.targets.by_id.values():
             record = target.record
@@ -46,16 +47,26 @@
             if region != self.settings.region:
                 if not target.is_cold(self.clock.now()):
                     far.append(self.option(target, region, call))
-            elif self.may_send(target):
+            elif self.may_send(target, entries):
                 near.append(self.option(target, region, call))
         return Options(tuple(near), self.reachable(far, call.service, tried))
 
+    def forget(self, id_):
+        """Forget what was learned of a target that has left."""
+        self.cache.forget(id_)
+        self.cold.forget(id_)
+        self.health.forget(id_)
+        self.lags.forget(id_)
+
     def region_of(self, failure_domain):
         """Return the region of a failure domain."""
         return self.settings.failure_domains.get(failure_domain, failure_domain)
 
-    def may_send(self, target):
-        """Return whether this VM may send a request to a target of its region now."""
+    def may_send(self, target, entries):
+        """Return whether this VM may send a request to a target of its region now.
+
+        `entries` are the names of the region's entry VMs.
+        """
         record = target.record
         if self.health.is_paused(record.id, record.born):
             return False
@@ -64,18 +75,16 @@
         backend = self.store.plan.backends.get(record.service)
         if backend is None:
             return False
-        if target.is_cold(self.clock.now()) and backend.cold_per_s > 0:
-            entries = [m.name for m in self.entries_of(self.settings.region)]
-            if not self.cold.may_send(record.id, backend.cold_per_s, entries):
-                return False
-        return self.has_connection(record.id, backend)
+        is_cold = target.is_cold(self.clock.now()) and backend.cold_per_s > 0
+        if is_cold and not self.cold.may_send(record.id, backend.cold_per_s, entries):
+            return False
+        return self.has_connection(record.id, backend, len(entries))
 
-    def has_connection(self, id_, backend):
+    def has_connection(self, id_, backend, sharers):
         """Return whether this VM's part of a target's connections leaves one."""
         if backend.max_connections <= 0:
             return True
-        sharers = max(1, len(self.entries_of(self.settings.region)))
-        limit = max(1, CONNECTIONS_SHARE * backend.max_connections / sharers)
+        limit = max(1, CONNECTIONS_SHARE * backend.max_connections / max(1, sharers))
         own = self.loads.own.get(id_)
         return (own.requests if own else 0) < limit
 
--- a/pollenmount/task.py
+++ b/pollenmount/task.py
@@ -13,6 +13,7 @@
 import greenlet
 from eventlet.green import socket
 
+from pollenmount.errors import ListenError
 from pollenmount.log import get_logger
 
 __all__ = [
@@ -21,6 +22,7 @@
     "Mailbox",
     "Task",
     "Timeout",
+    "listen",
     "patch",
     "receive",
     "sleep",
@@ -41,6 +43,16 @@
 logger = get_logger("task")
 
 
+def listen(address, backlog):
+    """Return a listening socket on `IP:port`, or raise `ListenError`."""
+    host, _, port = address.rpartition(":")
+    place = (host.strip("[]"), int(port))
+    try:
+        return eventlet.listen(place, reuse_port=False, backlog=backlog)
+    except OSError as error:
+        raise ListenError(address, error.strerror) from error
+
+
 def patch():
     """Make the standard library cooperative; native threads stay native for gRPC."""
     eventlet.monkey_patch(thread=False)
