Let Retry-After grow with an outage; watch the settings file; metrics on a port

A settings file that was torn at SIGHUP ended the process. The soak's test hung once for 10 minutes in a worker where another test had left green threads (its main thread waited in the hub); it runs in a process of its own now.

--- a/pollenmount/fleet/server.py
+++ b/pollenmount/fleet/server.py
@@ -23,6 +23,7 @@
 LOADS_MS = 250
 RECONNECT_MS = 800
 BACKLOG = 512
+ACCEPT_PAUSE_MS = 100
 
 logger = get_logger("links")
 
@@ -56,7 +57,12 @@
     def run(self):
         """Accept links for ever."""
         while True:
-            opened, _ = self.socket.accept()
+            try:
+                opened, _ = self.socket.accept()
+            except OSError as error:
+                logger.error("no link accepted", extra={"problem": str(error)})
+                task.sleep(ACCEPT_PAUSE_MS)
+                continue
             task.spawn(self.serve, Channel(opened))
 
     def serve(self, channel):
--- a/pollenmount/gateway/dispatch.py
+++ b/pollenmount/gateway/dispatch.py
@@ -33,6 +33,7 @@
 # The VM that sends a hop counts the runs; the one that takes it can't know of others.
 HOP_ATTEMPTS = 1
 RETRY_AFTER_MS = 250
+MAX_RETRY_AFTER_MS = 4000
 UNAVAILABLE = 503
 BAD_GATEWAY = 502
 GATEWAY_TIMEOUT = 504
@@ -80,8 +81,8 @@
     """Runs calls.
 
     `situation` tells the options, `chooser` picks one, `sender` runs attempts,
-    `budget` bounds the further ones. `books` are the loads, prefixes, marks and lags
-    that attempts leave behind.
+    `budget` bounds the further ones. `outages` is since when no target could be found
+    for the calls of a service with the same homes.
     """
 
     def __init__(self, situation, chooser, sender, budget, clock):
@@ -90,6 +91,7 @@
         self.sender = sender
         self.budget = budget
         self.clock = clock
+        self.outages = {}
 
     def serve(self, call, progress, may_hop=True):
         """Yield a `Start` and bytes, or one `Refused`; raise if the answer breaks."""
@@ -170,7 +172,7 @@
                 self,
                 progress,
                 place,
-                call.service,
+                call,
                 end_reading=end_reading,
                 expected_at=sent + expected_ms,
             )
@@ -190,9 +192,11 @@
                         yield part
         self.situation.health.succeeded(place.name)
 
-    def note_first_byte(self, place, service, late_ms):
+    def note_first_byte(self, place, call, late_ms):
         """Learn from the time to an answer's first byte."""
-        self.situation.health.succeeded((place.region, service))
+        self.outages.pop((call.service, call.route.homes), None)
+        self.situation.health.succeeded((place.region, call.service))
+        self.situation.health.succeeded(place.region)
         if place.target:
             self.situation.lags.note(place.target, late_ms)
         self.situation.health.succeeded(place.name)
@@ -208,6 +212,9 @@
         elif not isinstance(error, NotRunError | HopRefusedError | LateAnswerError):
             is_dead = isinstance(error, ConnectError | DeadPathError)
             health.failed(place.name, place.stamp, is_dead)
+            if is_dead and not place.target:
+                # Several in a row mean that the way to the region is gone.
+                health.failed(place.region)
         if not error.not_run:
             progress.runs += 1
         if isinstance(error, HopRefusedError):
@@ -262,12 +269,22 @@
     def refuse(self, call, progress, problem):
         """Return the `Refused` that is true of what happened."""
         if all(failure.not_run for failure in progress.failures):
-            wait_ms = max(RETRY_AFTER_MS, progress.retry_after_ms)
-            return Refused(UNAVAILABLE, problem, wait_ms)
+            return Refused(UNAVAILABLE, problem, self.pause_ms(call, progress))
         if self.clock.now() >= call.limit:
             return Refused(GATEWAY_TIMEOUT, "the time for an answer is over")
         return Refused(BAD_GATEWAY, problem)
 
+    def pause_ms(self, call, progress):
+        """Return when a refused caller may come back.
+
+        An outage is likely to last as long again as it has lasted. A caller waits at
+        most a third of the time that it has left.
+        """
+        now = self.clock.now()
+        since = self.outages.setdefault((call.service, call.route.homes), now)
+        wait_ms = max(RETRY_AFTER_MS, progress.retry_after_ms, now - since)
+        return max(1, min(wait_ms, MAX_RETRY_AFTER_MS, (call.limit - now) // 3))
+
 
 def arrived(error):
     """Return whether a failed attempt may have reached a target."""
@@ -279,11 +296,11 @@
 class AnswerWatch(Watch):
     """Notes when an answer begins, and how far a stream was delivered."""
 
-    def __init__(self, dispatcher, progress, place, service, **marks):
+    def __init__(self, dispatcher, progress, place, call, **marks):
         self.dispatcher = dispatcher
         self.progress = progress
         self.place = place
-        self.service = service
+        self.call = call
         self.end_reading = marks["end_reading"]
         self.expected_at = marks["expected_at"]
         self.begun = False
@@ -294,7 +311,7 @@
             self.begun = True
             self.end_reading()
             late_ms = self.dispatcher.clock.now() - self.expected_at
-            self.dispatcher.note_first_byte(self.place, self.service, late_ms)
+            self.dispatcher.note_first_byte(self.place, self.call, late_ms)
 
     def delivered(self, event_id):
         """Remember from where another target would go on."""
--- a/pollenmount/gateway/node.py
+++ b/pollenmount/gateway/node.py
@@ -9,9 +9,11 @@
 from pollenmount import task
 from pollenmount.api.web import Reply, WebServer, make_app
 from pollenmount.clock import Clock
+from pollenmount.errors import SettingsError
 from pollenmount.fleet.fleet import Fleet
 from pollenmount.fleet.messages import CONTROL, ENTRY, MemberRecord
 from pollenmount.gateway.metrics import GatewayMetrics
+from pollenmount.gateway.settings import load_settings
 from pollenmount.log import get_logger
 from pollenmount.plugin import get_plugin_by_name
 from pollenmount.routes.store import RoutesStore
@@ -20,6 +22,7 @@
 
 ROLES = "pollenmount.gateway.roles"
 POLL_MS = 20
+SETTINGS_MS = 1000
 
 logger = get_logger("node")
 
@@ -104,23 +107,23 @@
         self.stack.close()
 
 
-def run_gateway(settings, dialect, reload=lambda: None):
+def run_gateway(settings, dialect, path):
     """Run one VM until SIGTERM or SIGINT; return 0 after an orderly stop.
 
-    `reload` is called after SIGHUP and returns new settings, or None to keep the old.
+    The settings file at `path` is read again after SIGHUP, and when it has changed.
     """
     signals = []
     for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
         signal.signal(number, lambda number, frame: signals.append(number))
     role = "control" if settings.is_control else "entry"
     node = GatewayNode(settings, dialect)
+    watch = SettingsWatch(node, path)
     with contextlib.closing(node):
         part = get_plugin_by_name(ROLES, role)(node)
         logger.info("started", extra={"incarnation": node.incarnation, "role": role})
         while not {signal.SIGTERM, signal.SIGINT} & {*signals}:
-            if signal.SIGHUP in signals:
-                signals.remove(signal.SIGHUP)
-                apply_settings(node, reload)
+            watch.check(signal.SIGHUP in signals)
+            signals[:] = [number for number in signals if number != signal.SIGHUP]
             task.sleep(POLL_MS)
         logger.info("stopping")
         part.stop()
@@ -128,10 +131,34 @@
     return 0
 
 
-def apply_settings(node, reload):
-    """Take in changed settings: the seeds; the rest holds until the next start."""
-    settings = reload()
-    if settings is None:
-        return
-    node.settings = node.settings._replace(seeds=settings.seeds)
-    logger.info("settings reloaded", extra={"seeds": list(settings.seeds)})
+class SettingsWatch:
+    """Takes in settings that change while the VM runs: seeds and bounds.
+
+    All else holds until the next start.
+    """
+
+    def __init__(self, node, path):
+        self.node = node
+        self.path = path
+        self.checked = node.clock.now()
+
+    def check(self, asked):
+        """Read the file if that is asked for, or was not done for a while."""
+        now = self.node.clock.now()
+        if not asked and now - self.checked < SETTINGS_MS:
+            return
+        self.checked = now
+        try:
+            settings = load_settings(self.path)
+        except SettingsError as error:
+            logger.error("settings not readable", extra={"problem": str(error)})
+            return
+        self.take(settings)
+
+    def take(self, settings):
+        """Put new settings in force, if any differ."""
+        before = self.node.settings
+        changed = before._replace(seeds=settings.seeds, bounds=settings.bounds)
+        if changed != before:
+            self.node.settings = changed
+            logger.info("settings reloaded", extra={"seeds": list(changed.seeds)})
--- a/pollenmount/gateway/situation.py
+++ b/pollenmount/gateway/situation.py
@@ -115,6 +115,7 @@
             region
             for region in {option.region for option in far}
             if not self.health.is_paused((region, service))
+            and not self.health.is_paused(region)
             and self.hop_members(region, tried)
         }
         return tuple(option for option in far if option.region in usable)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -1,20 +1,32 @@
 """A short run of the soak, and its own check: it must fail when it should."""
 
 import collections
+import subprocess
+import sys
 
 import pytest
 
 from tests.soak.callers import Seen, find_faults
+from tests.soak.fleet import ROOT
 from tests.soak.replica import body_of, event_of
-from tests.soak.run import soak
 
 SECONDS = 8
+LIMIT_S = 150
 
 
 def test_a_seeded_run_keeps_the_promises(tmp_path, network):
-    report = soak(tmp_path, network, 1, SECONDS)
-    assert report.wrong == []
-    assert report.statuses.get(200, 0) > 0
+    """In a process of its own: others tests of this one leave green threads behind."""
+    words = ["--seed=1", f"--seconds={SECONDS}", f"--network={network}"]
+    ended = subprocess.run(
+        [sys.executable, "-m", "tests.soak.run", *words, f"--keep={tmp_path}"],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        check=False,
+        timeout=LIMIT_S,
+    )
+    assert ended.returncode == 0, ended.stdout + ended.stderr
+    assert "200:" in ended.stdout
 
 
 @pytest.mark.parametrize(
--- a/tests/test_gateway_dispatch.py
+++ b/tests/test_gateway_dispatch.py
@@ -188,3 +188,33 @@
     world.clock.advance(100)
     options = world.situation.options(world.make_call(), ())
     assert {option.id for option in options.near} == {"b", "c"}
+
+
+def test_callers_are_told_to_come_back_later_the_longer_an_outage_lasts(world):
+    """A caller with one retry left must not spend it a moment later."""
+    route = make_route(service="engine", timeout_ms=15_000)
+    first, _ = world.serve(world.make_call(route, wait_ms=15_000))
+    world.clock.advance(2000)
+    second, _ = world.serve(world.make_call(route, wait_ms=15_000))
+    assert first[0].retry_after_ms < second[0].retry_after_ms == 2000
+    short, _ = world.serve(world.make_call(route, wait_ms=900))
+    assert short[0].retry_after_ms == 300
+    world.add_target("e", service="engine")
+    call = world.make_call(route)
+    world.dispatcher.note_first_byte(world.dispatcher.target_place("e"), call, 0)
+    world.fleet.targets.leave("e", "c")
+    again, _ = world.serve(world.make_call(route, wait_ms=15_000))
+    assert again[0].retry_after_ms == first[0].retry_after_ms
+
+
+def test_a_region_whose_vms_all_time_out_is_out_of_reach(world):
+    """Each try of the next VM of a region that is cut off would cost a time-out."""
+    world.evacuate("west-a")
+    world.add_target("e", "east")
+    for number in range(8):
+        world.add_entry(f"east-{number}", "east")
+    script = [[ConnectError("timed out")]] * 3
+    parts, progress = world.serve(world.make_call(), *script)
+    assert (parts[0].status, progress.sends) == (503, 3)
+    _, progress = world.serve(world.make_call())
+    assert progress.sends == 0
--- /dev/null
+++ b/tests/test_gateway_settings.py
@@ -0,0 +1,74 @@
+"""Settings of the gateway: faults name their keys; changes take hold at once."""
+
+import json
+import types
+
+import pytest
+
+from pollenmount.clock import ManualClock
+from pollenmount.errors import SettingsError
+from pollenmount.gateway.node import SettingsWatch
+from pollenmount.gateway.settings import load_settings
+from tests.gateway_world import BOUNDS
+
+DOCUMENT = {
+    "name": "west-1",
+    "ip": "10.1.0.1",
+    "region": "west",
+    "failure_domain": "west-a",
+    "failure_domains": {"west-a": "west"},
+    "listen": {"callers": "10.1.0.1:80", "readiness": "10.1.0.1:81", "operators": ""},
+    "first_port": 7000,
+    "last_port": 7015,
+    "seeds": ["10.1.0.9:90"],
+    "first_start": False,
+    "lost_disks": 1,
+    "heartbeat_ms": 1200,
+    "memory_mb": 300,
+    "bounds": BOUNDS._asdict(),
+    "new_field": 1,
+}
+
+
+@pytest.fixture
+def path(tmp_path):
+    path = tmp_path / "settings.json"
+    path.write_text(json.dumps(DOCUMENT))
+    return path
+
+
+def test_settings_are_read_and_new_fields_ignored(path):
+    settings = load_settings(path)
+    assert not settings.is_control
+    assert settings.links == "10.1.0.1:7015"
+    assert settings.bounds == BOUNDS
+
+
+@pytest.mark.parametrize(
+    ("changes", "named"),
+    [
+        ({"lost_disks": "one"}, "lost_disks"),
+        ({"seeds": [1]}, "seeds"),
+        ({"bounds": {}}, "bounds.drain_ms"),
+        ({"name": None}, "name"),
+    ],
+)
+def test_a_fault_names_its_key(path, changes, named):
+    path.write_text(json.dumps(DOCUMENT | changes))
+    with pytest.raises(SettingsError, match=named):
+        load_settings(path)
+
+
+def test_a_file_that_changes_takes_hold_and_a_torn_one_does_not(path):
+    clock = ManualClock(1000)
+    node = types.SimpleNamespace(settings=load_settings(path), clock=clock)
+    watch = SettingsWatch(node, path)
+    path.write_text(json.dumps(DOCUMENT | {"seeds": ["10.2.0.9:90"]}))
+    watch.check(False)
+    assert node.settings.seeds == ("10.1.0.9:90",)
+    clock.advance(1000)
+    watch.check(False)
+    assert node.settings.seeds == ("10.2.0.9:90",)
+    path.write_text(json.dumps(DOCUMENT)[:50])
+    watch.check(True)
+    assert node.settings.seeds == ("10.2.0.9:90",)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -242,5 +242,4 @@
     from pollenmount.gateway.settings import Bounds, Document, Listen
 
     for key in (*Document.__struct_fields__, *Listen._fields, *Bounds._fields):
-        if key != "metrics_port":
-            assert f'"{key}"' in text
+        assert f'"{key}"' in text
