Say in one line that a region is lost or regained; write the incident up

Cause: incident inc-b04e was a region cut off from both others; its log lines told it only link by link.

--- a/pollenmount/gateway/dispatch.py
+++ b/pollenmount/gateway/dispatch.py
@@ -196,7 +196,8 @@
         """Learn from the time to an answer's first byte."""
         self.outages.pop((call.service, call.route.homes), None)
         self.situation.health.succeeded((place.region, call.service))
-        self.situation.health.succeeded(place.region)
+        if self.situation.health.succeeded(place.region):
+            logger.info("region regained", extra={"ran_in": place.region})
         if place.target:
             self.situation.lags.note(place.target, late_ms)
         self.situation.health.succeeded(place.name)
@@ -214,7 +215,8 @@
             health.failed(place.name, place.stamp, is_dead)
             if is_dead and not place.target:
                 # Several in a row mean that the way to the region is gone.
-                health.failed(place.region)
+                if health.failed(place.region):
+                    logger.warning("region lost", extra={"ran_in": place.region})
         if not error.not_run:
             progress.runs += 1
         if isinstance(error, HopRefusedError):
--- a/pollenmount/gateway/health.py
+++ b/pollenmount/gateway/health.py
@@ -30,7 +30,7 @@
         """Note that a request failed in a way that says something of the target.
 
         Nothing is sent for a while after some failures in a row; `at_once` after one,
-        since no connection came about.
+        since no connection came about. Return whether it was in use until now.
         """
         known = self.marks.get(name)
         failures = known.failures + 1 if known and known.stamp == stamp else 1
@@ -42,14 +42,16 @@
             pause = min(MAX_PAUSE_MS, FIRST_PAUSE_MS << min(exponent, MAX_EXPONENT))
             until = self.clock.now() + pause
         self.marks[name] = Mark(failures, until, stamp)
+        return failures == FAILURES_TO_PAUSE
 
     def gone(self, name, stamp=None):
         """Note that something else answers at the target's address."""
         self.marks[name] = Mark(1, self.clock.now() + GONE_MS, stamp)
 
     def succeeded(self, name):
-        """Note that a request was answered."""
-        self.marks.pop(name, None)
+        """Note that a request was answered; return whether nothing was sent before."""
+        mark = self.marks.pop(name, None)
+        return mark is not None and mark.failures >= FAILURES_TO_PAUSE
 
     def probe(self, name, stamp=None):
         """Note that a request finds out whether it works again; others wait for it."""
--- a/tests/test_gateway_dispatch.py
+++ b/tests/test_gateway_dispatch.py
@@ -207,8 +207,9 @@
     assert again[0].retry_after_ms == first[0].retry_after_ms
 
 
-def test_a_region_whose_vms_all_time_out_is_out_of_reach(world):
+def test_a_region_whose_vms_all_time_out_is_out_of_reach(world, caplog):
     """Each try of the next VM of a region that is cut off would cost a time-out."""
+    caplog.set_level("INFO", "pollenmount")
     world.evacuate("west-a")
     world.add_target("e", "east")
     for number in range(8):
@@ -218,3 +219,5 @@
     assert (parts[0].status, progress.sends) == (503, 3)
     _, progress = world.serve(world.make_call())
     assert progress.sends == 0
+    lost = [record.ran_in for record in caplog.records if record.msg == "region lost"]
+    assert lost == ["east"]
