--- a/pollenmount/gateway/callers.py
+++ b/pollenmount/gateway/callers.py
@@ -212,7 +212,9 @@
         status = head.status if head else 0
         place, prompt = progress.place, call.info.prompt
         first_ms = progress.first_at - call.received if progress.first_at else None
-        self.node.metrics.count_call(call, status, outcome, elapsed, self.may_hop)
+        metrics = self.node.metrics
+        metrics.count_call(call, status, outcome, elapsed, self.may_hop)
+        metrics.sends.labels(call.service).inc(progress.sends)
         logger.info(
             "call ended",
             extra={
--- a/pollenmount/gateway/dialect.py
+++ b/pollenmount/gateway/dialect.py
@@ -4,6 +4,7 @@
 once. Nothing else in the gateway knows a header or a key of a document by its name.
 """
 
+from enum import StrEnum
 from typing import NamedTuple
 
 from pollenmount.fleet.messages import TargetRecord
@@ -92,7 +93,7 @@
     headers: tuple[tuple[str, str], ...]
 
 
-class OrderKind:
+class OrderKind(StrEnum):
     """Kinds of calls at the operators' interface."""
 
     PUT_PLAN = "put_plan"
@@ -111,7 +112,7 @@
     `region` the caller's region, `host` the host that it wants to reach.
     """
 
-    kind: str
+    kind: OrderKind
     name: str = ""
     region: str = ""
     host: str = ""
--- a/pollenmount/gateway/dispatch.py
+++ b/pollenmount/gateway/dispatch.py
@@ -213,10 +213,9 @@
         elif not isinstance(error, NotRunError | HopRefusedError | LateAnswerError):
             is_dead = isinstance(error, ConnectError | DeadPathError)
             health.failed(place.name, place.stamp, is_dead)
-            if is_dead and not place.target:
-                # Several in a row mean that the way to the region is gone.
-                if health.failed(place.region):
-                    logger.warning("region lost", extra={"ran_in": place.region})
+            # Several in a row mean that the way to the region is gone.
+            if is_dead and not place.target and health.failed(place.region):
+                logger.warning("region lost", extra={"ran_in": place.region})
         if not error.not_run:
             progress.runs += 1
         if isinstance(error, HopRefusedError):
--- a/pollenmount/gateway/node.py
+++ b/pollenmount/gateway/node.py
@@ -107,16 +107,18 @@
         self.stack.close()
 
 
-def run_gateway(settings, dialect, path):
+def run_gateway(settings, dialect, path, writer):
     """Run one VM until SIGTERM or SIGINT; return 0 after an orderly stop.
 
     The settings file at `path` is read again after SIGHUP, and when it has changed.
+    `writer` is the `LineWriter` of the logs.
     """
     signals = []
     for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
         signal.signal(number, lambda number, frame: signals.append(number))
     role = "control" if settings.is_control else "entry"
     node = GatewayNode(settings, dialect)
+    node.metrics.dropped_lines.set_function(lambda: writer.dropped)
     watch = SettingsWatch(node, path)
     with contextlib.closing(node):
         part = get_plugin_by_name(ROLES, role)(node)
--- a/pollenmount/gateway/settings.py
+++ b/pollenmount/gateway/settings.py
@@ -23,17 +23,17 @@
 
 
 class Bounds(NamedTuple):
-    """What the platform promises or demands; durations in ms unless named `_s`."""
+    """What the platform promises or demands.
+
+    A planned stop may take `stop_grace_s`. In any `retry_window_s` the arrivals at a
+    service beyond the first of each request stay below `retry_share` of its requests
+    and `retry_slack` more. Callers keep a directory entry for `entries_ttl_s` at most.
+    """
 
-    drain_ms: int
     stop_grace_s: float
-    plan_in_force_ms: int
-    contact_ms: int
     retry_share: float
     retry_window_s: float
-    retry_slack: int
-    cold_excess: float
-    cold_slack: float
+    retry_slack: float
     entries_ttl_s: float
 
 
@@ -58,7 +58,6 @@
     first_start: bool
     lost_disks: int
     heartbeat_ms: int
-    memory_mb: int
     bounds: Bounds
     data_folder: str = ""
     metrics_port: int = 0
@@ -103,7 +102,6 @@
     first_start: bool
     lost_disks: int
     heartbeat_ms: int
-    memory_mb: int
     bounds: dict[str, float]
     data_folder: str = ""
     metrics_port: int = 0
@@ -130,8 +128,6 @@
     missing = [name for name, value in bounds.items() if value is None]
     if missing:
         raise TypeError(f"bounds.{missing[0]} is missing")
-    for name in ("drain_ms", "plan_in_force_ms", "contact_ms", "retry_slack"):
-        bounds[name] = int(bounds[name])
     values["bounds"] = Bounds(**bounds)
     values["seeds"] = tuple(document.seeds)
     return GatewaySettings(**values)
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -36,7 +36,7 @@
 from pollenmount.wire.pool import Pool
 
 SETTLED_MS = 5000
-BOUNDS = Bounds(3000, 8, 3000, 5000, 0.2, 10, 54, 1.5, 3, 5)
+BOUNDS = Bounds(8, 0.2, 10, 54, 5)
 ENGINE = Backend("engine", 620, 2.7, EngineLimits(128, 247_053))
 DESK = Backend("desk", 100, 0.0, None)
 
@@ -56,7 +56,6 @@
         True,
         1,
         1200,
-        300,
         BOUNDS,
     )
     return settings._replace(**changes)
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -18,15 +18,10 @@
 FIRST_PORT, LAST_PORT = 8100, 8115
 CALL_TIMEOUT_S = 2
 BOUNDS = {
-    "drain_ms": 3000,
     "stop_grace_s": 4,
-    "plan_in_force_ms": 3000,
-    "contact_ms": 5000,
     "retry_share": 0.2,
     "retry_window_s": 10,
     "retry_slack": 54,
-    "cold_excess": 1.5,
-    "cold_slack": 3,
     "entries_ttl_s": 5,
 }
 ROUTES = {
@@ -99,7 +94,6 @@
             "first_start": first_start,
             "lost_disks": 1,
             "heartbeat_ms": 400,
-            "memory_mb": 300,
             "bounds": BOUNDS,
             "data_folder": str(self.folder / f"data-{name}") if is_control else "",
         }
--- a/tests/test_gateway_settings.py
+++ b/tests/test_gateway_settings.py
@@ -24,7 +24,6 @@
     "first_start": False,
     "lost_disks": 1,
     "heartbeat_ms": 1200,
-    "memory_mb": 300,
     "bounds": BOUNDS._asdict(),
     "new_field": 1,
 }
@@ -49,7 +48,7 @@
     [
         ({"lost_disks": "one"}, "lost_disks"),
         ({"seeds": [1]}, "seeds"),
-        ({"bounds": {}}, "bounds.drain_ms"),
+        ({"bounds": {}}, "bounds.stop_grace_s"),
         ({"name": None}, "name"),
     ],
 )
