Start the log's group although its starter restarted during the first start

Cause of the rest, in the code: a restarted first voter is told that the fleet has been there before, and nobody else may start the group. Now one voter up since the first start is enough. Test fails before.

--- a/pollenmount/consensus/calls.py
+++ b/pollenmount/consensus/calls.py
@@ -89,12 +89,14 @@
 class HelloReply(NamedTuple):
     """The replica of the VM asked, if it has one; `blank` if it knows of no group.
 
-    `leader` is the address of the leader that it follows, '' for none.
+    `leader` is the address of the leader that it follows, '' for none; `may_start`
+    whether it has been up since the fleet started for the first time.
     """
 
     replica: Replica | None
     blank: bool
     leader: str = ""
+    may_start: bool = False
 
 
 register_call(Propose, ProposeReply)
--- a/pollenmount/consensus/joining.py
+++ b/pollenmount/consensus/joining.py
@@ -1,7 +1,7 @@
 """How a replica gets into its group: as one of the first voters, or by an offer.
 
 The first voter by name starts the group, once every first voter has answered that it
-knows of none. A replica on an empty disk thus never starts a group a second time while
+knows of none, and one of them has been up since the fleet's first start. A replica on an empty disk thus never starts a group a second time while
 another voter has its disk.
 """
 
@@ -64,11 +64,20 @@
         me = self.group.me
         others = {n: a for n, a in self.voters.items() if n != me.name}
         replies = self.call_all(others)
-        if self.may_start and me.name == min(self.voters) and self.group.state.is_blank:
+        if me.name == min(self.voters) and self.may_start_with(replies):
             self.start(others, replies)
         else:
             self.reach_leader(replies, {*others.values(), me.address})
 
+    def may_start_with(self, replies):
+        """Return whether the group may be a new one.
+
+        One voter up since the first start is enough: others may have restarted since,
+        and are told that the fleet has been there before.
+        """
+        told = any(reply.may_start for reply in replies.values())
+        return self.group.state.is_blank and (self.may_start or told)
+
     def call_all(self, addresses):
         """Say hello to nodes by name, all at a time; return the replies that came."""
         request = Hello(self.group.name, self.group.me)
@@ -110,7 +119,7 @@
         self.group.offer(hello.replica)
         state = self.group.state
         leader = state.leader.address if state.leader else ""
-        return HelloReply(self.group.me, state.is_blank, leader)
+        return HelloReply(self.group.me, state.is_blank, leader, self.may_start)
 
     def close(self):
         """Stop."""
--- a/tests/faults/test_groups_client.py
+++ b/tests/faults/test_groups_client.py
@@ -91,3 +91,26 @@
     joiner.say_hello()
     joiner.close()
     assert started == ([(A, B, C)] if starts else [])
+
+
+@pytest.mark.parametrize(("others_start", "starts"), [(True, True), (False, False)])
+def test_first_voter_restarted_during_the_first_start_still_starts_the_group(
+    others_start, starts
+):
+    """It is told that the fleet has been there; a voter up since then knows better."""
+    started = []
+    group = SimpleNamespace(
+        name="plans",
+        me=A,
+        state=SimpleNamespace(is_blank=True),
+        bootstrap=started.append,
+    )
+    replies = {
+        "b": Ok(HelloReply(B, True, "", others_start)),
+        "c": Ok(HelloReply(C, True)),
+    }
+    control = SimpleNamespace(call=lambda address, *_: replies[address])
+    joiner = Joiner(group, control, {name: name for name in "abc"}, may_start=False)
+    joiner.say_hello()
+    joiner.close()
+    assert started == ([(A, B, C)] if starts else [])
