--- a/pollenmount/consensus/joining.py
+++ b/pollenmount/consensus/joining.py
@@ -1,8 +1,8 @@
 """How a replica gets into its group: as one of the first voters, or by an offer.
 
 The first voter by name starts the group, once every first voter has answered that it
-knows of none, and one of them has been up since the fleet's first start. A replica on an empty disk thus never starts a group a second time while
-another voter has its disk.
+knows of none, and one of them has been up since the fleet's first start. A replica on
+an empty disk thus never starts a group a second time while another voter has its disk.
 """
 
 from result import Ok
