--- a/pollenmount/gateway/control.py
+++ b/pollenmount/gateway/control.py
@@ -180,19 +180,18 @@
         Outside the caller's region those in the homes of the host's routes go first:
         data may be sent there.
         """
-        ready = [
-            member
-            for member in self.node.fleet.members.live()
-            if member.role == ENTRY and member.ready and not member.stopping
-        ]
+        entries = [m for m in self.node.fleet.members.live() if m.role == ENTRY]
+        ready = [m for m in entries if m.ready and not m.stopping]
         homes = self.homes_of(host)
-        for is_near in (
-            lambda member: member.failure_domain == failure_domain,
-            lambda member: member.region == region,
-            lambda member: member.region in homes,
-            lambda member: True,
+        for members, is_near in (
+            (ready, lambda member: member.failure_domain == failure_domain),
+            (ready, lambda member: member.region == region),
+            (ready, lambda member: member.region in homes),
+            # A VM that stops still refuses or serves bound data where it may be.
+            (entries, lambda member: bool(homes) and member.region == region),
+            (ready, lambda member: True),
         ):
-            near = sorted(member.callers for member in ready if is_near(member))
+            near = sorted(member.callers for member in members if is_near(member))
             if near:
                 return near[:MAX_ENTRIES]
         return []
--- a/tests/test_gateway_control.py
+++ b/tests/test_gateway_control.py
@@ -54,3 +54,14 @@
     world.store.by_host = {"h": routes}
     assert directory(world).choose("west", "west-a", "H") == ["east-9:80"]
     assert len(directory(world).choose("west", "west-a", "other")) == 2
+
+
+def test_bound_callers_are_not_led_out_of_their_homes_while_all_vms_there_stop(world):
+    """All VMs of two regions may be stopping at the same moment of a rolling restart."""
+    add_region(world, "south")
+    world.add_entry("west-1", "west", sequence=2, ready=False, stopping=True)
+    world.add_entry("east-1", "east", ready=False, stopping=True)
+    world.store.by_host = {"h": [make_route(homes=("west", "east")), make_route()]}
+    assert directory(world).choose("west", "west-a", "h") == ["west-1:80"]
+    world.store.by_host = {"h": [make_route()]}
+    assert directory(world).choose("west", "west-a", "h") == ["south-9:80"]
