--- a/tests/test_gateway_control.py
+++ b/tests/test_gateway_control.py
@@ -57,7 +57,7 @@
 
 
 def test_bound_callers_stay_in_their_homes_while_all_vms_there_stop(world):
-    """All VMs of two regions may be stopping at the same moment of a rolling restart."""
+    """All VMs of two regions may be stopping at one moment of a rolling restart."""
     add_region(world, "south")
     world.add_entry("west-1", "west", sequence=2, ready=False, stopping=True)
     world.add_entry("east-1", "east", ready=False, stopping=True)
