--- /dev/null
+++ b/pollenmount/commands/gateway.py
@@ -0,0 +1,109 @@
+"""Client and tables for a VM of the gateway of routes."""
+
+import json
+
+import urllib3
+from absl import flags
+
+from pollenmount.commands.base import TIMEOUT_S, NodeError, format_table
+from pollenmount.gateway.state import STATE_PATH
+
+__all__ = ["ask_state", "define_gateway_flag", "render_routes", "render_state"]
+
+
+def define_gateway_flag(values):
+    """Define the flag that names a VM of the gateway of routes."""
+    flags.DEFINE_string(
+        "gateway",
+        "",
+        "metrics address of a VM of the gateway of routes",
+        flag_values=values,
+    )
+
+
+def ask_state(address):
+    """Return the state document of a VM, or raise `NodeError`."""
+    url = f"http://{address}{STATE_PATH}"
+    pool = urllib3.PoolManager(retries=False, timeout=TIMEOUT_S)
+    try:
+        return json.loads(pool.request("GET", url).data)
+    except urllib3.exceptions.HTTPError as error:
+        problem = f"{url} gives no answer ({type(error).__name__})"
+        raise NodeError(f"{problem}; name another VM with --gateway") from error
+    except ValueError as error:
+        problem = f"{url} is no state of a VM"
+        raise NodeError(f"{problem}; give its metrics address") from error
+
+
+def render_routes(document):
+    """Return the routes in force as a table."""
+    header = ("route", "host", "prefix", "repeat", "timeout", "services", "homes")
+    rows = [
+        (
+            route["name"],
+            route["host"],
+            route["prefix"],
+            route["repeat"],
+            f"{route['timeout_ms']} ms",
+            " ".join(f"{k}:{weight}" for k, weight in route["services"].items()),
+            " ".join(route["homes"]) or "any",
+        )
+        for route in document["routes"]
+    ]
+    return format_table(header, rows)
+
+
+def render_state(document):
+    """Return the VM, its members, targets and evacuations as tables."""
+    vm = document["vm"]
+    evacuated = ", ".join(document["evacuations"]["failure_domains"]) or "none"
+    head = f"{vm['name']}: plan {vm['plan']}, {describe(vm)}; evacuated: {evacuated}"
+    members = [
+        (
+            member["name"],
+            member["role"],
+            member["failure_domain"],
+            str(member["plan"]),
+            describe(member),
+        )
+        for member in document["members"]
+    ]
+    targets = [
+        (
+            target["name"],
+            target["service"],
+            target["address"],
+            target["failure_domain"],
+            describe_target(target),
+            f"{target['age_ms']} ms",
+        )
+        for target in document["targets"]
+    ]
+    member_header = ("vm", "role", "failure domain", "plan", "state")
+    target_header = (
+        *("target", "service", "address", "failure domain"),
+        *("state", "last heartbeat"),
+    )
+    tables = (
+        format_table(member_header, members),
+        format_table(target_header, targets),
+    )
+    return "\n\n".join((head, *tables))
+
+
+def describe(vm):
+    """Return the state of a VM in a word or two."""
+    if vm["stopping"]:
+        return "stopping"
+    return "ready" if vm["ready"] else "not ready"
+
+
+def describe_target(target):
+    """Return the state of a target in a word or two."""
+    if target["draining"]:
+        return "draining"
+    if not target["vouched"]:
+        return "silent"
+    if target["cold_ms"]:
+        return f"cold for {target['cold_ms']} ms"
+    return "ready"
--- a/pollenmount/commands/plan.py
+++ b/pollenmount/commands/plan.py
@@ -4,24 +4,32 @@
 import sys
 
 from pollenmount.commands.base import Command, OperatorClient, define_client_flags
+from pollenmount.commands.gateway import (
+    ask_state,
+    define_gateway_flag,
+    render_routes,
+)
 from pollenmount.errors import PollenmountError
 from pollenmount.plans.sheet import parse_sheet
 from pollenmount.plugin import register
 
-USAGE = "use: pollenmount plan check FILE | apply FILE | show | status"
+USAGE = "use: pollenmount plan check FILE | apply FILE | show | status | routes"
 
 
 @register("pollenmount.commands", "plan")
 class PlanCommand(Command):
-    """Serving plans: plan check FILE, apply FILE, show or status.
+    """Serving plans: plan check FILE, apply FILE, show, status or routes.
 
     `node`
         Operators' address of any node (default 127.0.0.1:8082).
+    `gateway`
+        Metrics address of a VM of the gateway of routes, for `routes`.
     """
 
     def define_flags(self, values):
         """Define the flags of this command in `values`."""
         define_client_flags(values)
+        define_gateway_flag(values)
 
     def run(self, values, words):
         """Run the verb in `words`; return 0 when it was done."""
@@ -33,6 +41,9 @@
             return self.show_reply(values, "GET", "/v1/plan")
         if words == ["status"]:
             return self.show_reply(values, "GET", "/v1/plan/status")
+        if words == ["routes"] and values.gateway:
+            print(render_routes(ask_state(values.gateway)))
+            return 0
         raise PollenmountError(f"unknown words {' '.join(words)!r}; {USAGE}")
 
     def check(self, path):
--- a/pollenmount/commands/status.py
+++ b/pollenmount/commands/status.py
@@ -11,6 +11,11 @@
     define_client_flags,
     format_table,
 )
+from pollenmount.commands.gateway import (
+    ask_state,
+    define_gateway_flag,
+    render_state,
+)
 from pollenmount.errors import UsageError
 from pollenmount.plugin import register
 
@@ -38,8 +43,7 @@
         if status >= BAD_STATUS:
             print(json.dumps(document, indent=2), file=sys.stderr)
             return 1
-        as_json = json.dumps(document, indent=2, sort_keys=True)
-        print(as_json if values.json else self.render(document))
+        show(document, values.json, self.render)
         return 0
 
     def render(self, document):
@@ -47,18 +51,38 @@
         raise NotImplementedError
 
 
+def show(document, as_json, render):
+    """Print a document as JSON or as `render` returns it."""
+    text = json.dumps(document, indent=2, sort_keys=True)
+    print(text if as_json else render(document))
+
+
 @register("pollenmount.commands", "status")
 class StatusCommand(AskCommand):
     """Show members and targets as one node sees them.
 
     `node`
         Operators' address of any node (default 127.0.0.1:8082).
+    `gateway`
+        Metrics address of a VM of the gateway of routes, asked instead.
     `json`
         Print the document as JSON (default no).
     """
 
     path = "/v1/status"
 
+    def define_flags(self, values):
+        """Define the flags of this command in `values`."""
+        super().define_flags(values)
+        define_gateway_flag(values)
+
+    def run(self, values, words):
+        """Print the state of the VM asked."""
+        if not values.gateway or words:
+            return super().run(values, words)
+        show(ask_state(values.gateway), values.json, render_state)
+        return 0
+
     def render(self, document):
         """Return a table of members and one of targets."""
         members = [
--- a/pollenmount/gateway/node.py
+++ b/pollenmount/gateway/node.py
@@ -13,7 +13,9 @@
 from pollenmount.fleet.fleet import Fleet
 from pollenmount.fleet.messages import CONTROL, ENTRY, MemberRecord
 from pollenmount.gateway.metrics import GatewayMetrics
+from pollenmount.gateway.replies import document_reply
 from pollenmount.gateway.settings import load_settings
+from pollenmount.gateway.state import STATE_PATH, state_document
 from pollenmount.log import get_logger
 from pollenmount.plugin import get_plugin_by_name
 from pollenmount.routes.store import RoutesStore
@@ -67,7 +69,9 @@
             self.serve(address, self.show_metrics)
 
     def show_metrics(self, request):
-        """Answer a request for the metrics."""
+        """Answer a request for the metrics, or for what this VM knows."""
+        if request.path == STATE_PATH:
+            return document_reply(state_document(self))
         self.metrics.plan_version.set(self.store.version)
         kind = ("Content-Type", "text/plain; version=0.0.4")
         return Reply(200, (kind,), [generate_latest(self.metrics.registry)])
--- /dev/null
+++ b/pollenmount/gateway/state.py
@@ -0,0 +1,89 @@
+"""What one VM of the gateway knows, as a JSON document for the one on call.
+
+It is served beside the metrics; nothing in it comes from requests.
+"""
+
+import json
+
+__all__ = ["STATE_PATH", "state_document"]
+
+STATE_PATH = "/v1/state"
+
+
+def state_document(node):
+    """Return the bytes of the document on a `GatewayNode`."""
+    document = {
+        "vm": show_vm(node),
+        "routes": [show_route(route) for route in show_plan(node)],
+        "evacuations": {
+            "revision": node.fleet.evacuations.revision,
+            "failure_domains": list(node.fleet.evacuations.failure_domains),
+        },
+        "members": [show_member(member) for member in node.fleet.members.live()],
+        "targets": [
+            show_target(target, node.clock.now())
+            for _, target in sorted(node.fleet.targets.by_id.items())
+        ],
+    }
+    return json.dumps(document).encode()
+
+
+def show_vm(node):
+    """Return what the VM is, and how far it has come."""
+    return {
+        "name": node.settings.name,
+        "region": node.settings.region,
+        "failure_domain": node.settings.failure_domain,
+        "incarnation": node.incarnation,
+        "plan": node.store.version,
+        "ready": node.is_ready(),
+        "stopping": node.stopping,
+    }
+
+
+def show_plan(node):
+    """Return the routes in force."""
+    return node.store.plan.routes if node.store.plan else ()
+
+
+def show_route(route):
+    """Return one route; times in milliseconds."""
+    return {
+        "name": route.name,
+        "host": route.host,
+        "prefix": route.prefix,
+        "repeat": str(route.repeat),
+        "timeout_ms": route.timeout_ms,
+        "target_ms": route.target_ms,
+        "attempts": route.attempts,
+        "homes": list(route.homes),
+        "services": {split.backend: split.weight for split in route.splits},
+    }
+
+
+def show_member(member):
+    """Return one member."""
+    return {
+        "name": member.name,
+        "role": member.role,
+        "failure_domain": member.failure_domain,
+        "plan": member.plan,
+        "ready": member.ready,
+        "stopping": member.stopping,
+    }
+
+
+def show_target(target, now):
+    """Return one target; `age_ms` is the age of its newest heartbeat."""
+    record = target.record
+    return {
+        "name": target.id,
+        "service": record.service,
+        "address": record.address,
+        "failure_domain": record.failure_domain,
+        "slots": record.slots,
+        "draining": record.draining,
+        "cold_ms": max(0, target.cold_until - now),
+        "age_ms": now - target.heard,
+        "vouched": target.vouched,
+    }
--- a/tests/test_cmdline.py
+++ b/tests/test_cmdline.py
@@ -7,7 +7,7 @@
 
 from pollenmount.cmdline import main
 
-COMMANDS = ("config", "entries", "node", "plan", "status")
+COMMANDS = ("config", "entries", "explain", "node", "plan", "status")
 KEY = "POLLENMOUNT_OPERATOR_KEY"
 
 
