--- a/pollenmount/gateway/roles/entry.py
+++ b/pollenmount/gateway/roles/entry.py
@@ -9,7 +9,7 @@
 from pollenmount.gateway.budget import ColdGate, RetryBudget
 from pollenmount.gateway.cache import PrefixBook
 from pollenmount.gateway.callers import CallersApi, HopsApi
-from pollenmount.gateway.choose import Chooser
+from pollenmount.gateway.choose import make_chooser
 from pollenmount.gateway.dispatch import Dispatcher
 from pollenmount.gateway.health import Health
 from pollenmount.gateway.lag import LagBook
@@ -60,8 +60,9 @@
         )
         node.budget = RetryBudget(clock, settings.bounds, lambda: 1 / census.entries())
         sender = Sender(pool, node.dialect, clock)
+        chooser = make_chooser(settings.chooser)
         node.dispatcher = Dispatcher(
-            self.situation, Chooser(), sender, node.budget, clock
+            self.situation, chooser, sender, node.budget, clock
         )
         self.links = node.own(
             LinkClient(
--- a/pollenmount/gateway/settings.py
+++ b/pollenmount/gateway/settings.py
@@ -9,6 +9,8 @@
 import msgspec
 
 from pollenmount.errors import Fault, SettingsError
+from pollenmount.gateway.choose import FAMILY
+from pollenmount.plugin import load_family
 
 __all__ = ["Bounds", "GatewaySettings", "Listen", "load_settings"]
 
@@ -43,7 +45,8 @@
     `seeds` are operators' addresses of some control VMs. `first_port` and `last_port`
     are free for traffic between VMs, alike on all of them. `first_start` is true only
     when the whole fleet starts for the first time. `lost_disks` is how many disks may
-    be lost at once. `failure_domains` maps each to its region.
+    be lost at once. `failure_domains` maps each to its region. `chooser` names the way
+    in which targets are chosen.
     """
 
     name: str
@@ -61,6 +64,7 @@
     bounds: Bounds
     data_folder: str = ""
     metrics_port: int = 0
+    chooser: str = "expected_time"
 
     @property
     def is_control(self):
@@ -105,6 +109,7 @@
     bounds: dict[str, float]
     data_folder: str = ""
     metrics_port: int = 0
+    chooser: str = "expected_time"
 
 
 def load_settings(path):
@@ -130,4 +135,7 @@
         raise TypeError(f"bounds.{missing[0]} is missing")
     values["bounds"] = Bounds(**bounds)
     values["seeds"] = tuple(document.seeds)
+    choosers = load_family(FAMILY)
+    if document.chooser not in choosers:
+        raise TypeError(f"chooser must be one of {', '.join(sorted(choosers))}")
     return GatewaySettings(**values)
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -15,7 +15,7 @@
 from pollenmount.gateway.budget import ColdGate, RetryBudget
 from pollenmount.gateway.cache import PrefixBook
 from pollenmount.gateway.call import Call, Start
-from pollenmount.gateway.choose import Chooser
+from pollenmount.gateway.choose import make_chooser
 from pollenmount.gateway.dialect import CallerInfo, Prompt, PromptPart
 from pollenmount.gateway.dispatch import Dispatcher, Progress
 from pollenmount.gateway.health import Health
@@ -127,7 +127,11 @@
         self.budget = RetryBudget(self.clock, BOUNDS, lambda: 1 / self.census.entries())
         self.sender = ScriptedSender()
         self.dispatcher = Dispatcher(
-            self.situation, Chooser(), self.sender, self.budget, self.clock
+            self.situation,
+            make_chooser(self.settings.chooser),
+            self.sender,
+            self.budget,
+            self.clock,
         )
         self.add_entry("west-1", "west")
         self.clock.advance(SETTLED_MS)
--- a/tests/test_gateway_choose.py
+++ b/tests/test_gateway_choose.py
@@ -1,6 +1,9 @@
 """Where requests go under load, one pattern a test, without network."""
 
 import collections
+import random
+
+import pytest
 
 from pollenmount.fleet.messages import TargetLoad
 from pollenmount.gateway.choose import Candidate, Hop
@@ -110,3 +113,34 @@
                 sent += 1
             world.clock.advance(1)
     assert 1 <= sent <= 2.7 * 1.5 + 3
+
+
+@pytest.mark.parametrize(
+    ("chooser", "expected"),
+    [
+        ("round_robin", {"a": 20, "b": 20, "c": 20}),
+        ("least_in_flight", {"c": 60}),
+        ("two_choices", {"b": 20, "c": 40}),
+        ("random", {"a": 20, "b": 20, "c": 20}),
+    ],
+)
+def test_baselines_look_at_requests_only(chooser, expected):
+    """Baselines for comparison; those that draw lots come close to their shares."""
+    random.seed(1)
+    world = EntryWorld(chooser=chooser)
+    engines(world, "a", "b", "c")
+    world.reported = {"a": TargetLoad("a", 9, 0), "b": TargetLoad("b", 5, 0)}
+    picks = collections.Counter(place(world, make_prompt()) for _ in range(60))
+    for name in "abc":
+        assert abs(picks[name] - expected.get(name, 0)) <= 12
+
+
+@pytest.mark.parametrize("chooser", ["round_robin", "least_in_flight"])
+def test_baselines_leave_a_full_region(chooser):
+    world = EntryWorld(chooser=chooser)
+    engines(world, "a")
+    engines(world, "e", region="east")
+    world.add_entry("east-1", "east")
+    assert place(world, make_prompt()) == "a"
+    world.reported = {"a": TargetLoad("a", 4 * 128, 0)}
+    assert place(world, make_prompt()).region == "east"
--- a/tests/test_gateway_settings.py
+++ b/tests/test_gateway_settings.py
@@ -50,6 +50,7 @@
         ({"seeds": [1]}, "seeds"),
         ({"bounds": {}}, "bounds.stop_grace_s"),
         ({"name": None}, "name"),
+        ({"chooser": "best"}, "chooser must be one of .*two_choices"),
     ],
 )
 def test_a_fault_names_its_key(path, changes, named):
