Look up targets by service and other regions only when a call may leave

Cause: each call built an option for every target of every region and went through all members twice; at 730 targets that is most of a call's processor time. Ruled out: fewer targets compared, which would change where calls go. The choice is unchanged; a test counts what a calm call looks at.

--- a/pollenmount/fleet/table.py
+++ b/pollenmount/fleet/table.py
@@ -66,6 +66,16 @@
         self.by_id = {}
         self.tombstones = {}
         self.version = 0
+        self.index = (-1, {})
+
+    def of_service(self, service):
+        """Return the targets of a service, as a list."""
+        if self.index[0] != self.version:
+            ids = {}
+            for id_, target in self.by_id.items():
+                ids.setdefault(target.record.service, []).append(id_)
+            self.index = (self.version, ids)
+        return [self.by_id[id_] for id_ in self.index[1].get(service, ())]
 
     def seen(self, message, source):
         """Take in a heartbeat; return whether it is news of any kind."""
@@ -142,6 +152,7 @@
                 self.silent(TargetSilent(id_), source)
             elif not known.vouchers and silent_ms > TARGET_KEPT_MS:
                 del self.by_id[id_]
+                self.version += 1
         for id_, (_, left) in [*self.tombstones.items()]:
             if now - left > TOMBSTONE_MS:
                 del self.tombstones[id_]
@@ -186,7 +197,8 @@
         self.on_change = on_change
         self.by_name = {}
         self.version = 0
-        self.cached = (-1, ())
+        self.cached_version = -1
+        self.cached = {}
 
     def up(self, message, source):
         """Take in a member's record."""
@@ -233,13 +245,39 @@
 
     def live(self):
         """Return the members that some source lists, as a tuple."""
-        if self.cached[0] != self.version:
-            listed = [name for name in self.by_name if self.is_listed(name)]
-            self.cached = (self.version, tuple(self.get(name) for name in listed))
-        return self.cached[1]
+        return self.look_up("live", self.find_live)
 
     def known(self):
         """Return all members, those lost a short while ago included, as a tuple."""
+        return self.look_up("known", self.find_known)
+
+    def live_in(self, role, region):
+        """Return the live members of a role in a region, as a tuple."""
+        return self.look_up(
+            ("live", role, region), lambda: pick(self.live(), role, region)
+        )
+
+    def known_in(self, role, region):
+        """Return the known members of a role in a region, as a tuple."""
+        return self.look_up(
+            ("known", role, region), lambda: pick(self.known(), role, region)
+        )
+
+    def look_up(self, key, find):
+        """Return what `find` returned when the table last changed."""
+        if self.cached_version != self.version:
+            self.cached = {}
+            self.cached_version = self.version
+        if key not in self.cached:
+            self.cached[key] = find()
+        return self.cached[key]
+
+    def find_live(self):
+        """Return the members that some source lists."""
+        return tuple(self.get(name) for name in self.by_name if self.is_listed(name))
+
+    def find_known(self):
+        """Return all members."""
         return tuple(self.get(name) for name in self.by_name)
 
     def sweep(self):
@@ -249,6 +287,7 @@
             for source, heard in [*sources.items()]:
                 if heard.lost is not None and now - heard.lost > MEMBER_KEPT_MS:
                     del sources[source]
+                    self.version += 1
             if not sources:
                 del self.by_name[name]
                 self.version += 1
@@ -257,3 +296,8 @@
         """Yield the messages that tell everything here."""
         for record in self.live():
             yield MemberUp(record)
+
+
+def pick(members, role, region):
+    """Return the members of a role in a region, as a tuple."""
+    return tuple(m for m in members if (m.role, m.region) == (role, region))
--- a/pollenmount/gateway/choose.py
+++ b/pollenmount/gateway/choose.py
@@ -3,6 +3,7 @@
 The ways to choose are in `pollenmount.gateway.choosers`, one a module.
 """
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 from pollenmount.plugin import get_plugin_by_name
@@ -17,6 +18,7 @@
     "has_room",
     "is_long_stream",
     "make_chooser",
+    "nowhere",
 ]
 
 FAMILY = "pollenmount.gateway.choosers"
@@ -45,11 +47,19 @@
     streams: int = 0
 
 
+def nowhere():
+    """Return the options in other regions for a call that may not leave this one."""
+    return ()
+
+
 class Options(NamedTuple):
-    """Targets by place: those of this region, and those of others."""
+    """Targets of this region, and a function that returns those of others.
+
+    Most calls stay, so that the others are looked up only when they matter.
+    """
 
     near: tuple[TargetOption, ...]
-    far: tuple[TargetOption, ...]
+    far: Callable[[], tuple[TargetOption, ...]] = nowhere
 
 
 class Candidate(NamedTuple):
--- a/pollenmount/gateway/choosers/base.py
+++ b/pollenmount/gateway/choosers/base.py
@@ -15,7 +15,7 @@
         near = [option for option in options.near if has_room(option)]
         if near:
             return Candidate(self.pick(near).id, 0.0)
-        far = [option for option in options.far if has_room(option)]
+        far = [option for option in options.far() if has_room(option)]
         return Hop(self.pick(far).region, HOP_MS) if far else None
 
     def pick(self, options):
--- a/pollenmount/gateway/choosers/expected_time.py
+++ b/pollenmount/gateway/choosers/expected_time.py
@@ -53,11 +53,12 @@
     def choose(self, options, prompt, target_ms, cost_ms=HOP_MS):
         """Return a `Candidate`, a `Hop` or None."""
         near = best(options.near, prompt)
-        far = best_region(options.far, prompt, cost_ms)
+        if near is not None and near.expected_ms <= HOME_SHARE_OF_TARGET * target_ms:
+            return near
+        far = best_region(options.far(), prompt, cost_ms)
         if near is None or far is None:
             return near or far
-        stays = near.expected_ms <= HOME_SHARE_OF_TARGET * target_ms
-        if stays or near.expected_ms <= far.expected_ms + HOP_GAIN_MS:
+        if near.expected_ms <= far.expected_ms + HOP_GAIN_MS:
             return near
         return far
 
--- a/pollenmount/gateway/dispatch.py
+++ b/pollenmount/gateway/dispatch.py
@@ -16,7 +16,7 @@
     Watch,
 )
 from pollenmount.gateway.call import Failure, Refused, Start
-from pollenmount.gateway.choose import Candidate, is_long_stream
+from pollenmount.gateway.choose import Candidate, is_long_stream, nowhere
 from pollenmount.gateway.hop import HopRefusedError, encode_hop
 from pollenmount.log import get_logger
 from pollenmount.wire.errors import (
@@ -114,7 +114,7 @@
         """Return (place, expected ms to the first byte), (None, 0) if there is none."""
         options = self.situation.options(call, progress.tried)
         if not may_hop:
-            options = options._replace(far=())
+            options = options._replace(far=nowhere)
         prompt = call.info.prompt
         chosen = self.chooser.choose(options, prompt, call.route.target_ms)
         if chosen is None:
--- a/pollenmount/gateway/situation.py
+++ b/pollenmount/gateway/situation.py
@@ -30,26 +30,38 @@
 
     def options(self, call, tried):
         """Return the `Options` of a call; `tried` names what it was sent to already."""
-        near, far = [], []
-        entries = [member.name for member in self.entries_of(self.settings.region)]
+        own = self.settings.region
+        entries = [member.name for member in self.entries_of(own)]
+        near = [
+            self.option(target, own, call)
+            for target, region in self.usable(call, tried)
+            if region == own and self.may_send(target, entries)
+        ]
+        return Options(tuple(near), lambda: self.far(call, tried))
+
+    def usable(self, call, tried):
+        """Yield (target, region) of those that the plan lets the call go to."""
         evacuated = self.fleet.evacuations.failure_domains
-        for target in self.fleet.targets.by_id.values():
+        for target in self.fleet.targets.of_service(call.service):
             record = target.record
             region = self.region_of(record.failure_domain)
-            if (
-                record.service != call.service
-                or record.draining
+            if not (
+                record.draining
                 or record.failure_domain in evacuated
                 or record.id in tried
                 or not allows(call.route, region)
             ):
-                continue
-            if region != self.settings.region:
-                if not target.is_cold(self.clock.now()):
-                    far.append(self.option(target, region, call))
-            elif self.may_send(target, entries):
-                near.append(self.option(target, region, call))
-        return Options(tuple(near), self.reachable(far, call.service, tried))
+                yield target, region
+
+    def far(self, call, tried):
+        """Return the options in other regions, as a tuple."""
+        now = self.clock.now()
+        far = [
+            self.option(target, region, call)
+            for target, region in self.usable(call, tried)
+            if region != self.settings.region and not target.is_cold(now)
+        ]
+        return self.reachable(far, call.service, tried)
 
     def forget(self, id_):
         """Forget what was learned of a target that has left."""
@@ -122,20 +134,14 @@
 
     def entries_of(self, region):
         """Return the entry VMs of a region, as members."""
-        return [
-            member
-            for member in self.fleet.members.live()
-            if member.role == ENTRY and member.region == region
-        ]
+        return self.fleet.members.live_in(ENTRY, region)
 
     def hop_members(self, region, tried):
         """Return the entry VMs of a region that can take a hop."""
         return [
             member
-            for member in self.fleet.members.known()
-            if member.role == ENTRY
-            and member.region == region
-            and member.plan
+            for member in self.fleet.members.known_in(ENTRY, region)
+            if member.plan
             and not member.stopping
             and member.name not in tried
             and not self.health.is_paused(member.name, member.incarnation)
--- a/tests/test_fleet_table.py
+++ b/tests/test_fleet_table.py
@@ -13,6 +13,7 @@
     TargetSilent,
 )
 from pollenmount.fleet.table import MemberTable, TargetTable
+from tests.gateway_world import EntryWorld
 
 RECORD = TargetRecord("t", 100, 5, "desk", "1:1", "west-a", "v", 6, False, 0)
 MEMBER = MemberRecord(
@@ -172,3 +173,26 @@
     assert census.entries() == 7
     members.clock.advance(60_000)
     assert census.entries() == 1
+
+
+def test_targets_are_found_by_the_service_they_have_now():
+    """An address, and an id too, may serve another service after a new start."""
+    world = EntryWorld()
+    world.add_target("t", service="desk")
+    assert [target.id for target in world.fleet.targets.of_service("desk")] == ["t"]
+    world.add_target("t", service="engine", born=2)
+    assert world.fleet.targets.of_service("desk") == []
+    assert [target.id for target in world.fleet.targets.of_service("engine")] == ["t"]
+    world.fleet.targets.leave("t", "c")
+    assert world.fleet.targets.of_service("engine") == []
+
+
+def test_members_by_region_follow_each_change():
+    world = EntryWorld()
+    members = world.fleet.members
+    assert members.live_in(ENTRY, "east") == ()
+    world.add_entry("east-1", "east")
+    assert [member.name for member in members.live_in(ENTRY, "east")] == ["east-1"]
+    world.add_entry("east-1", "south", sequence=2)
+    assert members.live_in(ENTRY, "east") == ()
+    assert [member.name for member in members.known_in(ENTRY, "south")] == ["east-1"]
--- a/tests/test_gateway_choose.py
+++ b/tests/test_gateway_choose.py
@@ -144,3 +144,19 @@
     assert place(world, make_prompt()) == "a"
     world.reported = {"a": TargetLoad("a", 4 * 128, 0)}
     assert place(world, make_prompt()).region == "east"
+
+
+def test_a_calm_call_looks_at_the_targets_of_its_region_only():
+    """Pattern: other regions are looked up only when the own one may be left."""
+    world = EntryWorld()
+    engines(world, *(f"e{n}" for n in range(300)), region="east")
+    engines(world, "a", "b")
+    for number in range(300):
+        world.add_target(f"d{number}")
+    looked_at = []
+    option = world.situation.option
+    world.situation.option = lambda target, *rest: (
+        looked_at.append(target.id) or option(target, *rest)
+    )
+    assert place(world, make_prompt()) in "ab"
+    assert sorted(looked_at) == ["a", "b"]
