--- a/pollenmount/members/heartbeat.py
+++ b/pollenmount/members/heartbeat.py
@@ -70,6 +70,7 @@
 
     def join_step(self):
         """Start the next round; rounds in which no peer answered don't count."""
+        self.sweep()
         self.join_rounds += self.answered
         self.answered = False
         if self.join_rounds < JOIN_ROUNDS:
@@ -92,14 +93,18 @@
         self.rounds += 1
         self.served = 0
         self.near.beat += 1
-        self.near.sweep()
-        self.far.sweep()
+        self.sweep()
         for address in self.near_addresses():
             self.spawn(self.exchange, address)
         for address, domain in self.far_addresses():
             self.spawn(self.pull, address, domain)
         self.spread.mend()
 
+    def sweep(self):
+        """Forget members and reports that were silent for long."""
+        self.near.sweep()
+        self.far.sweep()
+
     def near_addresses(self):
         """Return the addresses of this round inside the failure domain."""
         alive = [row.member.control for row in self.near.alive().values()]
@@ -129,15 +134,23 @@
             yield address, ""
 
     def seeds_to_ask(self):
-        """Return seeds that no member in reach answers for, one now and then."""
+        """Return the seeds of this round, one now and then.
+
+        Those are asked that no member in reach answers for; and any of them by a node
+        that is alone in its failure domain, as another one may be alone there too, and
+        only a seed that both ask can introduce them.
+        """
         own = self.near.own().control
+        seeds = {*self.seeds} - {own}
         reached = {member.control for member in self.near.live()}
         reached.update(member.control for member in self.far.live())
-        lost = sorted({*self.seeds} - reached - {own})
-        if not self.near.alive() and not self.far.held:
+        is_alone = not self.near.alive()
+        lost = sorted(seeds - reached)
+        if is_alone and not self.far.held:
             return lost
         due = not self.far.held or self.rounds % SEED_ROUNDS == 0
-        return self.seed_turns.take(lost, 1) if due else []
+        wanted = sorted(seeds) if is_alone else lost
+        return self.seed_turns.take(wanted, 1) if due else []
 
     def is_relay(self):
         """Return whether this node is a relay of its failure domain."""
--- a/tests/stateful/test_members.py
+++ b/tests/stateful/test_members.py
@@ -92,6 +92,8 @@
     @rule()
     def long_silence(self):
         self.net.clock.advance(max(near.FORGET_MS, far.FORGET_MS))
+        # A call ends after seconds: no message is as old as what is forgotten.
+        self.net.old.clear()
 
     @rule(index=st.sampled_from([0, 6]), unreadable=st.booleans())
     def accept_plan(self, index, unreadable):
@@ -167,3 +169,34 @@
     # Shrinking a failure takes longer than a whole run of the checks may.
     phases=[Phase.explicit, Phase.generate],
 )
+
+
+def test_two_that_are_alone_in_a_failure_domain_find_each_other():
+    """An example of the machine: after a long silence and losses each knew seeds only.
+
+    Both were reached by seeds, which they no longer asked, and so were never introduced
+    to each other.
+    """
+    machine = MembersMachine()
+    machine.stop(index=3)
+    machine.crash(index=3)
+    machine.crash(index=7)
+    machine.disturb(again=0, loss=0.4)
+    machine.long_silence()
+    machine.disturb(again=0, loss=0.4)
+    machine.tick(count=7)
+    machine.restart(index=6)
+    machine.accept_plan(index=6, unreadable=False)
+    machine.crash(index=6)
+    machine.accept_plan(index=6, unreadable=False)
+    machine.restart(index=6)
+    machine.tick(count=6)
+    machine.cut_domains(one="r1-b", other="r2-a")
+    machine.heal()
+    machine.tick(count=5)
+    machine.cut_domains(one="r2-a", other="r1-b")
+    machine.cut_domains(one="r1-a", other="r2-a")
+    machine.heal()
+    machine.accept_plan(index=6, unreadable=True)
+    machine.tick(count=6)
+    machine.teardown()
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -6,6 +6,7 @@
 
 from bench.network import BEAT_MS, UNREADABLE, FakeNetwork, accept
 from pollenmount.clock import ManualClock
+from pollenmount.members import near
 from pollenmount.members.delta import apply_update, make_update
 from pollenmount.members.far import FRESH_HEARTBEATS, FarTable, Report, domain_key
 from pollenmount.plans.machine import AcceptedPlan
@@ -96,3 +97,20 @@
     nodes[2].start()
     network.tick(12)
     assert nodes[2].store.numbers == [0, 2]
+
+
+def test_a_node_that_is_still_joining_forgets_members_that_are_gone():
+    """Its peers may end while it joins; without them it goes on joining for long."""
+    net = FakeNetwork()
+    nodes = [net.add(f"r-a-{n}", "r-a", ("r-a-0:1",)) for n in range(3)]
+    net.tick(12)
+    last = nodes.pop()
+    last.start()
+    net.tick(2)
+    assert last.members.near.rows
+    assert not last.heartbeater.joined
+    for node in nodes:
+        node.alive = False
+    net.clock.advance(near.FORGET_MS)
+    net.tick(2)
+    assert not last.members.near.rows
