Start a replica of the log of routes again inside the VM when its disk failed

Cause: a sync that failed ended the replica for good; the VM went on without a vote. Ruled out: ending the process, which costs a restart; trusting what is read back after a failed sync: all is written and synced anew first. The test with one failing sync failed before (no plan was accepted any more).

--- a/pollenmount/gateway/routes_log.py
+++ b/pollenmount/gateway/routes_log.py
@@ -1,11 +1,13 @@
 """The replicated log of routes on a control VM, and linearizable reads of it."""
 
+import contextlib
 import zlib
 from pathlib import Path
 from typing import NamedTuple
 
 from result import Err, Ok
 
+from pollenmount import task
 from pollenmount.bridge.control import ControlClient, ControlServer, register_call
 from pollenmount.bridge.hub import Hub
 from pollenmount.bridge.worker import NativeWorker
@@ -17,7 +19,9 @@
 from pollenmount.consensus.journal import Journal
 from pollenmount.consensus.messages import Replica
 from pollenmount.consensus.state import Timing
+from pollenmount.errors import PollenmountError
 from pollenmount.fleet.messages import CONTROL, EvacuationsChanged, RoutesChanged
+from pollenmount.log import get_logger
 from pollenmount.routes.machine import (
     GROUP,
     AcceptRoutes,
@@ -36,6 +40,9 @@
 HELLO_INTERVAL_MS = 500
 READ_TIMEOUT_MS = 900
 MIN_VOTERS = 3
+MEND_MS = 1000
+
+logger = get_logger("routes")
 
 
 class ReadRoutes(NamedTuple):
@@ -54,46 +61,75 @@
 
 
 class RoutesLog:
-    """This control VM's replica of the log of routes."""
+    """This control VM's replica of the log of routes.
+
+    A replica that fails on its disk is closed and started again from what the disk
+    holds; the VM goes on meanwhile.
+    """
 
     def __init__(self, node):
         self.node = node
         settings = node.settings
         self.hub = node.own(Hub())
+        self.worker = node.own(NativeWorker(self.hub))
         self.control = node.own(ControlClient(self.hub, PEER_KEY))
-        self.machine = RoutesMachine()
-        self.group = node.own(self.make_group())
         port = settings.first_port
         self.voters = {ip: f"{ip}:{port}" for ip in settings.peer_ips()}
-        self.joiner = node.own(
-            Joiner(
-                self.group,
-                self.control,
-                self.voters,
-                may_start=settings.first_start,
-                interval_ms=HELLO_INTERVAL_MS,
-                more_addresses=self.known_addresses,
-            )
+        self.stack = node.own(contextlib.ExitStack())
+        self.start(Journal(self.disk()))
+        handlers = {
+            Propose: self.answer_proposal,
+            Exchange: self.exchange,
+            Hello: self.answer_hello,
+            ReadRoutes: self.answer_read,
+        }
+        node.own(ControlServer(self.hub, settings.consensus, PEER_KEY, handlers))
+        node.own(task.Task(self.mend, MEND_MS))
+
+    def disk(self):
+        """Return the files of the replica."""
+        return Disk(Path(self.node.settings.data_folder) / GROUP)
+
+    def start(self, journal):
+        """Start the replica from its journal."""
+        settings = self.node.settings
+        self.machine = RoutesMachine()
+        self.group = self.stack.enter_context(
+            contextlib.closing(self.make_group(journal))
+        )
+        joiner = Joiner(
+            self.group,
+            self.control,
+            self.voters,
+            may_start=settings.first_start,
+            interval_ms=HELLO_INTERVAL_MS,
+            more_addresses=self.known_addresses,
         )
+        self.joiner = self.stack.enter_context(contextlib.closing(joiner))
         self.client = GroupClient(
             self.control,
             {GROUP: self.voters},
-            node.clock,
+            self.node.clock,
             {GROUP: self.group},
             settings.consensus,
         )
-        handlers = {
-            Propose: self.group.propose,
-            Exchange: self.group.exchange,
-            Hello: self.joiner.answer,
-            ReadRoutes: self.answer_read,
-        }
-        node.own(ControlServer(self.hub, settings.consensus, PEER_KEY, handlers))
 
-    def make_group(self):
-        """Return the replica, from what the data folder holds."""
+    def mend(self):
+        """Start the replica again if it has failed."""
+        if not self.group.failure:
+            return
+        self.stack.close()
+        try:
+            journal = self.worker.run(reopen, self.disk)
+        except (PollenmountError, OSError) as error:
+            logger.error("replica can't start", extra={"problem": str(error)})
+            return
+        logger.warning("replica starts again", extra={"failed": self.group.failure})
+        self.start(journal)
+
+    def make_group(self, journal):
+        """Return the replica, from what its journal holds."""
         settings = self.node.settings
-        journal = Journal(Disk(Path(settings.data_folder) / GROUP))
         me = Replica(
             settings.ip,
             journal.saved.incarnation,
@@ -111,7 +147,7 @@
             me,
             self.machine,
             journal,
-            self.node.own(NativeWorker(self.hub)),
+            self.worker,
             self.control,
             self.node.clock,
             on_apply=self.publish,
@@ -154,6 +190,18 @@
             self.voters.setdefault(address.rpartition(":")[0], address)
         return self.client.propose(GROUP, command, RoutesAnswer)
 
+    def answer_proposal(self, request):
+        """Answer a proposal of another control VM."""
+        return self.group.propose(request)
+
+    def exchange(self, request):
+        """Exchange messages with another replica."""
+        return self.group.exchange(request)
+
+    def answer_hello(self, request):
+        """Answer a replica that looks for its group."""
+        return self.joiner.answer(request)
+
     def answer_read(self, request):
         """Answer a read if this replica leads."""
         if not self.group.confirm():
@@ -174,3 +222,16 @@
         if reply is None or not reply.confirmed:
             return Err(no_quorum(GROUP, False))
         return Ok(zlib.decompress(reply.document) if reply.document else b"")
+
+
+def reopen(disk):
+    """Return the journal on a disk that failed, with all that it holds synced again.
+
+    After a sync that failed, what is read back need not be on the disk yet.
+    """
+    journal = Journal(disk())
+    saved = journal.saved
+    journal.rewrite(
+        saved.snapshot, saved.term, saved.voted_for, saved.log, saved.commit
+    )
+    return journal
--- /dev/null
+++ b/tests/test_gateway_routes_log.py
@@ -0,0 +1,80 @@
+"""The log of routes on one control VM: a disk that fails once ends nothing."""
+
+import types
+
+import pytest
+from result import Err, Ok
+
+from pollenmount import task
+from pollenmount.clock import Clock
+from pollenmount.consensus.disk import Disk
+from pollenmount.fleet.fleet import Fleet
+from pollenmount.gateway.routes_log import RoutesLog
+from pollenmount.routes.store import RoutesStore
+from tests.gateway_world import make_settings
+
+TRIES = 20
+STEP_MS = 50
+
+
+class Node:
+    """What a `RoutesLog` uses of its VM."""
+
+    def __init__(self, settings):
+        self.settings = settings
+        self.clock = Clock()
+        self.stopping = False
+        self.parts = []
+        self.fleet = Fleet(self.clock, RoutesStore(lambda document: None))
+        self.fleet.store.offer = lambda version, document: True
+
+    def own(self, part):
+        self.parts.append(part)
+        return part
+
+    def close(self):
+        for part in reversed(self.parts):
+            part.close()
+
+
+@pytest.fixture
+def node(network, tmp_path):
+    ip = f"127.{network}.8.1"
+    made = Node(
+        make_settings("control-1", ip=ip, seeds=(f"{ip}:90",))._replace(
+            data_folder=str(tmp_path), first_port=7410
+        )
+    )
+    yield made
+    made.close()
+
+
+def try_until(ask, is_enough):
+    """Return the first answer that is enough; answers come within many tries."""
+    answer = None
+    for _ in range(TRIES):
+        answer = ask()
+        if is_enough(answer):
+            return answer
+        task.sleep(STEP_MS)
+    raise AssertionError(f"not in {TRIES} tries; the last answer was {answer}")
+
+
+def test_a_replica_whose_disk_failed_once_starts_again_inside(node, monkeypatch):
+    log = RoutesLog(node)
+    is_ok = lambda answer: isinstance(answer, Ok)  # noqa: E731
+    try_until(lambda: log.accept(1, b"first"), is_ok)
+    broken = types.SimpleNamespace(left=1)
+    sync = Disk.sync
+
+    def fail_once(disk, name):
+        if broken.left:
+            broken.left -= 1
+            raise OSError(5, "the disk doesn't answer")
+        sync(disk, name)
+
+    monkeypatch.setattr(Disk, "sync", fail_once)
+    assert isinstance(log.accept(2, b"second"), Err)
+    try_until(lambda: log.accept(3, b"third"), is_ok)
+    assert try_until(log.read, is_ok).ok_value == b"third"
+    assert not broken.left
