Bind long prompts late; speak less on links that matter less

A prompt that would make it read more than some chunks now waits, for 0.3 of its target at most, and goes to whichever target is free.

--- a/pollenmount/fleet/channel.py
+++ b/pollenmount/fleet/channel.py
@@ -24,7 +24,10 @@
 
 
 class Channel:
-    """One connection that carries messages both ways, given up after a silence."""
+    """One connection that carries messages both ways, given up after a silence.
+
+    `said` is the record sent last in a `Beat`, `sent_at` when.
+    """
 
     def __init__(self, opened, silence_ms=SILENCE_MS):
         self.socket = opened
@@ -33,6 +36,8 @@
         self.buffer = bytearray()
         self.sending = False
         self.closed = False
+        self.said = None
+        self.sent_at = 0
 
     def push(self, message):
         """Queue a message; it leaves at once unless others wait before it."""
--- a/pollenmount/fleet/client.py
+++ b/pollenmount/fleet/client.py
@@ -14,6 +14,8 @@
 CONNECT_TIMEOUT_S = 0.5
 ROUND_MS = 250
 BEAT_MS = 250
+# Well within the silence after which a link is given up.
+SLOW_BEAT_MS = 700
 RETRY_MS = 700
 LINKS_OF_AN_ENTRY = 3
 
@@ -58,6 +60,13 @@
 
     def wanted(self):
         """Return the link addresses of control VMs, nearest first, without our own."""
+        seeds = tuple(self.seeds())
+        return self.fleet.members.look_up(
+            ("wanted", seeds), lambda: self.rank_control(seeds)
+        )
+
+    def rank_control(self, seeds):
+        """Return the link addresses of known control VMs and seeds, nearest first."""
         me = self.describe()
         ranks = {}
         for member in self.fleet.members.known():
@@ -66,7 +75,7 @@
                     member.failure_domain != me.failure_domain,
                     member.region != me.region,
                 )
-        for address in self.seeds():
+        for address in seeds:
             ranks.setdefault(address, (True, True))
         ranks.pop(me.links, None)
 
@@ -93,7 +102,7 @@
         """Introduce this VM and take in messages until the link breaks."""
         self.open[address] = channel
         channel.push(Link(self.describe()))
-        beats = task.Task(lambda: self.beat(channel), BEAT_MS)
+        beats = task.Task(lambda: self.beat(address, channel), BEAT_MS)
         try:
             with contextlib.closing(beats):
                 while True:
@@ -104,15 +113,26 @@
             logger.info("link lost", extra={"address": address, "problem": str(error)})
         self.fleet.forget_source(address)
 
-    def beat(self, channel):
-        """Send this VM's record and work."""
-        channel.push(Beat(self.describe(), self.loads()))
+    def beat(self, address, channel):
+        """Send this VM's record and work, less often on links that matter less."""
+        record = self.describe()
+        is_due = self.clock.now() - channel.sent_at >= SLOW_BEAT_MS
+        is_nearest = address == self.nearest()
+        if is_nearest or is_due or record != channel.said:
+            channel.said = record
+            channel.sent_at = self.clock.now()
+            channel.push(Beat(record, self.loads(), is_nearest))
+
+    def nearest(self):
+        """Return the address of the nearest control VM that is linked, or ''."""
+        linked = (address for address in self.wanted() if self.open.get(address))
+        return next(linked, "")
 
     def announce(self):
         """Send this VM's record at once on all links."""
-        for channel in self.open.values():
+        for address, channel in [*self.open.items()]:
             if channel is not None:
-                self.beat(channel)
+                self.beat(address, channel)
 
     def close(self):
         """Close all links."""
--- a/pollenmount/fleet/messages.py
+++ b/pollenmount/fleet/messages.py
@@ -102,10 +102,14 @@
 
 
 class Beat(Message, frozen=True, array_like=True, tag=True):
-    """A member's record, repeated, with its work at each target."""
+    """A member's record, repeated, with its work at each target.
+
+    `wants_loads` asks for `Loads` at short intervals on this link.
+    """
 
     member: MemberRecord
     loads: tuple[TargetLoad, ...] = ()
+    wants_loads: bool = True
 
 
 class MemberUp(Message, frozen=True, array_like=True, tag=True):
--- a/pollenmount/fleet/server.py
+++ b/pollenmount/fleet/server.py
@@ -21,6 +21,8 @@
 
 DIRECT = "direct"
 LOADS_MS = 250
+# Members that use another control VM's sums only need to hear that this one is there.
+SLOW_TICKS = 3
 RECONNECT_MS = 800
 BACKLOG = 512
 ACCEPT_PAUSE_MS = 100
@@ -39,7 +41,8 @@
     """Accepts links on `address` and keeps their members up to date.
 
     `channels` and `roles` are those of the members linked now, `lost` the links that
-    broke a moment ago, `loads` the work that each member reported last.
+    broke a moment ago, `loads` the work that each member reported last, `wanting` the
+    members that use the sums of this VM.
     """
 
     def __init__(self, address, fleet, clock):
@@ -49,6 +52,8 @@
         self.roles = {}
         self.lost = {}
         self.loads = {}
+        self.wanting = set()
+        self.ticks = 0
         fleet.listeners.append(self.pass_on)
         self.socket = task.listen(address, BACKLOG)
         self.thread = task.spawn(self.run)
@@ -98,10 +103,18 @@
         """Take in one message of a member."""
         if isinstance(message, Beat):
             self.loads[name] = message.loads
+            self.note_wish(name, message.wants_loads)
             known = self.fleet.members.get(name)
             if known != message.member:
                 self.fleet.members.up(MemberUp(message.member), DIRECT)
 
+    def note_wish(self, name, wants_loads):
+        """Note whether a member uses the sums of this VM."""
+        if wants_loads:
+            self.wanting.add(name)
+        else:
+            self.wanting.discard(name)
+
     def end(self, member, channel, problem):
         """Note that a member's link broke; it may come back in a moment."""
         name = member.name
@@ -110,6 +123,7 @@
             del self.channels[name]
             self.lost[name] = Lost(self.clock.now(), member.incarnation)
             self.loads.pop(name, None)
+            self.wanting.discard(name)
 
     def tick(self):
         """Drop members whose links stay broken; send the sums of all work."""
@@ -119,8 +133,11 @@
                 del self.lost[name]
                 self.fleet.members.down(MemberDown(name, lost.incarnation), DIRECT)
         loads = Loads(self.sum_loads())
-        for channel in [*self.channels.values()]:
-            channel.push(loads)
+        self.ticks += 1
+        is_slow_tick = self.ticks % SLOW_TICKS == 0
+        for name, channel in [*self.channels.items()]:
+            if is_slow_tick or name in self.wanting:
+                channel.push(loads)
 
     def sum_loads(self):
         """Return the work of all members at each target."""
--- a/pollenmount/gateway/choose.py
+++ b/pollenmount/gateway/choose.py
@@ -63,10 +63,14 @@
 
 
 class Candidate(NamedTuple):
-    """Send it to this target; `expected_ms` is the time to its first byte."""
+    """Send it to this target; `expected_ms` is the time to its first byte.
+
+    `is_early` tells that it is better sent a moment later.
+    """
 
     target: str
     expected_ms: float
+    is_early: bool = False
 
 
 class Hop(NamedTuple):
--- a/pollenmount/gateway/choosers/expected_time.py
+++ b/pollenmount/gateway/choosers/expected_time.py
@@ -8,6 +8,10 @@
 Pattern: long streams are packed onto few targets, in an order that all VMs share, and
 prompts that take long to read go to the others: each chunk of a prompt that an engine
 reads holds up all streams that run there.
+
+Pattern: late binding of long prompts. One that would make an engine read for longer
+without a pause than the streams there can stand is better sent a moment later, to
+whichever target is free then.
 """
 
 import zlib
@@ -31,6 +35,8 @@
 CROWD_MS = 10.0
 # How much a millisecond of another request's stream counts beside one of its own.
 HELD_UP_SHARE = 0.05
+# Some chunks of a prompt; a stream gets an event after a few of them.
+MAX_READ_TOKENS = 12_000
 PACKED_SHARE = 0.7
 PACK_STEP_MS = 25.0
 HOLD_MS = 3000.0
@@ -69,11 +75,26 @@
     if not usable:
         return None
     if prompt is not None and is_long_stream(prompt):
-        expected = pack(usable, prompt)
-    else:
-        expected = spread(usable, prompt)
-    id_ = min(expected, key=lambda key: (expected[key], key))
-    return Candidate(id_, expected[id_])
+        return cheapest(pack(usable, prompt))
+    shares = shared_by(usable, prompt)
+    chosen = cheapest(spread(usable, prompt, shares))
+    option = next(option for option in usable if option.id == chosen.target)
+    early = is_early(option, prompt, shares.get(option.id, 0.0))
+    return chosen._replace(is_early=early)
+
+
+def cheapest(costs):
+    """Return the `Candidate` with the least of the costs in ms by target."""
+    id_ = min(costs, key=lambda key: (costs[key], key))
+    return Candidate(id_, costs[id_])
+
+
+def is_early(option, prompt, shared_share):
+    """Return whether streams at a target would stall if it read one more prompt now."""
+    if prompt is None or not option.streams:
+        return False
+    unread = prompt.tokens - cached_tokens(option, prompt, shared_share)
+    return option.tokens > 0 and option.tokens + unread > MAX_READ_TOKENS
 
 
 def pack(options, prompt):
@@ -87,12 +108,16 @@
     return costs
 
 
-def spread(options, prompt):
+def shared_by(options, prompt):
+    """Return how much of the shared parts targets are taken to hold, by target."""
+    if prompt is None:
+        return {}
+    order = preferred(prompt, [option.id for option in options])
+    return dict(zip(order, PREFERRED_SHARES, strict=False))
+
+
+def spread(options, prompt, shares):
     """Return the costs in ms of a plain call or a long prompt by target."""
-    shares = {}
-    if prompt is not None:
-        order = preferred(prompt, [option.id for option in options])
-        shares = dict(zip(order, PREFERRED_SHARES, strict=False))
     return {
         option.id: expected_ms(option, prompt, shares.get(option.id, 0.0))
         + held_up_ms(option, prompt, shares.get(option.id, 0.0))
--- a/pollenmount/gateway/dispatch.py
+++ b/pollenmount/gateway/dispatch.py
@@ -7,6 +7,7 @@
 import contextlib
 import zlib
 
+from pollenmount import task
 from pollenmount.gateway.attempt import (
     Attempt,
     FailedAnswerError,
@@ -30,6 +31,9 @@
 
 MAX_SENDS = 5
 MIN_LEFT_MS = 30
+# Long enough for an engine to read what it has; short beside the time for an answer.
+HOLD_SHARE = 0.3
+HOLD_STEP_MS = 15
 # The VM that sends a hop counts the runs; the one that takes it can't know of others.
 HOP_ATTEMPTS = 1
 RETRY_AFTER_MS = 250
@@ -81,16 +85,17 @@
     """Runs calls.
 
     `situation` tells the options, `chooser` picks one, `sender` runs attempts,
-    `budget` bounds the further ones. `outages` is since when no target could be found
-    for the calls of a service with the same homes.
+    `budget` bounds the further ones, `wait` lets milliseconds pass. `outages` is since
+    when no target could be found for the calls of a service with the same homes.
     """
 
-    def __init__(self, situation, chooser, sender, budget, clock):
+    def __init__(self, situation, chooser, sender, budget, clock, wait=task.sleep):
         self.situation = situation
         self.chooser = chooser
         self.sender = sender
         self.budget = budget
         self.clock = clock
+        self.wait = wait
         self.outages = {}
 
     def serve(self, call, progress, may_hop=True):
@@ -110,13 +115,30 @@
                 yield from self.give_up(call, progress, problem)
                 return
 
-    def pick(self, call, progress, may_hop):
-        """Return (place, expected ms to the first byte), (None, 0) if there is none."""
+    def choose(self, call, progress, may_hop):
+        """Return what the chooser says at this moment."""
         options = self.situation.options(call, progress.tried)
         if not may_hop:
             options = options._replace(far=nowhere)
         prompt = call.info.prompt
-        chosen = self.chooser.choose(options, prompt, call.route.target_ms)
+        return self.chooser.choose(options, prompt, call.route.target_ms)
+
+    def choose_in_time(self, call, progress, may_hop):
+        """Return what the chooser says, after a wait if that is better a little later.
+
+        The wait is bounded by a share of the time in which the answer is on time.
+        """
+        limit = call.received + HOLD_SHARE * call.route.target_ms
+        while True:
+            chosen = self.choose(call, progress, may_hop)
+            is_early = isinstance(chosen, Candidate) and chosen.is_early
+            if not is_early or self.clock.now() >= limit:
+                return chosen
+            self.wait(HOLD_STEP_MS)
+
+    def pick(self, call, progress, may_hop):
+        """Return (place, expected ms to the first byte), (None, 0) if there is none."""
+        chosen = self.choose_in_time(call, progress, may_hop)
         if chosen is None:
             return None, 0
         if isinstance(chosen, Candidate):
--- a/pollenmount/task.py
+++ b/pollenmount/task.py
@@ -32,7 +32,7 @@
 ]
 
 MS_PER_S = 1000
-WRITE_MS = 20
+WRITE_MS = 100
 
 Event = eventlet.event.Event
 Mailbox = eventlet.queue.LightQueue
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -132,6 +132,7 @@
             self.sender,
             self.budget,
             self.clock,
+            self.clock.advance,
         )
         self.add_entry("west-1", "west")
         self.clock.advance(SETTLED_MS)
--- /dev/null
+++ b/tests/test_fleet_links.py
@@ -0,0 +1,75 @@
+"""How often members and control VMs speak on their links, without network."""
+
+import pytest
+
+from pollenmount.clock import ManualClock
+from pollenmount.fleet import client, server
+from pollenmount.fleet.client import LinkClient
+from pollenmount.fleet.messages import CONTROL, ENTRY, Beat, Loads
+from pollenmount.fleet.server import LinkServer
+from tests.gateway_world import EntryWorld
+
+SECOND_MS = 1000
+
+
+class FakeChannel:
+    """Keeps what is pushed."""
+
+    def __init__(self):
+        self.pushed = []
+        self.said = None
+        self.sent_at = 0
+
+    def push(self, message):
+        self.pushed.append(message)
+
+    def close(self):
+        """Do nothing."""
+
+
+@pytest.fixture
+def world(monkeypatch):
+    """Return an entry VM whose tasks run only when a test calls their steps."""
+    monkeypatch.setattr(client.task, "Task", lambda step, interval_ms: FakeChannel())
+    monkeypatch.setattr(server.task, "listen", lambda address, backlog: FakeChannel())
+    monkeypatch.setattr(server.task, "spawn", lambda run: None)
+    world = EntryWorld()
+    world.add_member("west-c", "west", CONTROL)
+    world.add_member("east-c", "east", CONTROL)
+    return world
+
+
+def test_the_nearest_control_vm_hears_most_and_a_change_goes_to_all(world):
+    members = world.fleet.members
+    me = [members.get("west-1")]
+    links = LinkClient(world.fleet, world.clock, lambda: me[0], tuple, list)
+    links.open = {address: FakeChannel() for address in links.wanted()}
+    near, far = (links.open[members.get(name).links] for name in ("west-c", "east-c"))
+    for _ in range(12):
+        world.clock.advance(client.BEAT_MS)
+        links.announce()
+    assert len(near.pushed) == 12
+    assert len(far.pushed) == 4
+    assert near.pushed[0].wants_loads
+    assert not far.pushed[0].wants_loads
+    me[0] = me[0]._replace(ready=False)
+    links.announce()
+    assert not far.pushed[-1].member.ready
+
+
+def test_sums_of_work_go_often_to_those_that_use_them(world):
+    links = LinkServer("", world.fleet, ManualClock(1))
+    record = world.fleet.members.get("west-1")
+    links.channels = {"west-1": FakeChannel(), "east-1": FakeChannel()}
+    links.roles = {"west-1": ENTRY, "east-1": ENTRY}
+    links.take("west-1", Beat(record))
+    links.take("east-1", Beat(record._replace(name="east-1"), (), False))
+    for channel in links.channels.values():
+        channel.pushed.clear()
+    for _ in range(12):
+        links.tick()
+    counts = [
+        sum(isinstance(message, Loads) for message in channel.pushed)
+        for channel in links.channels.values()
+    ]
+    assert counts == [12, 4]
--- a/tests/test_gateway_choose.py
+++ b/tests/test_gateway_choose.py
@@ -8,7 +8,7 @@
 from pollenmount.fleet.messages import TargetLoad
 from pollenmount.gateway.choose import Candidate, Hop
 from pollenmount.routes.plan import Repeat
-from tests.gateway_world import EntryWorld, make_prompt, make_route
+from tests.gateway_world import EntryWorld, make_prompt, make_route, ok
 
 STREAM = make_route(Repeat.STREAM, "engine", target_ms=1000)
 
@@ -160,3 +160,44 @@
     )
     assert place(world, make_prompt()) in "ab"
     assert sorted(looked_at) == ["a", "b"]
+
+
+def reading_world():
+    """Return a world whose only engine reads a lot, with streams running there."""
+    world = EntryWorld()
+    engines(world, "a")
+    world.reported = {"a": TargetLoad("a", 9, 9000, 8)}
+    return world
+
+
+def test_a_long_prompt_waits_while_streams_would_stall():
+    """Pattern: late binding; an engine gets more to read when it has read the rest."""
+    world = reading_world()
+    call = world.make_call(STREAM, make_prompt(own=6000))
+    began = world.clock.now()
+
+    def wait(ms):
+        world.clock.advance(ms)
+        if world.clock.now() - began >= 100:
+            world.reported = {"a": TargetLoad("a", 8, 0, 8)}
+
+    world.dispatcher.wait = wait
+    world.serve(call, ok())
+    assert 100 <= world.clock.now() - began < 130
+
+
+def test_a_long_prompt_waits_a_share_of_its_time_at_most():
+    world = reading_world()
+    began = world.clock.now()
+    world.serve(world.make_call(STREAM, make_prompt(own=6000)), ok())
+    assert 300 <= world.clock.now() - began < 330
+
+
+@pytest.mark.parametrize("load", [(9, 9000, 0), (9, 0, 8), (9, 2000, 8)])
+def test_a_long_prompt_goes_at_once_where_nothing_stalls(load):
+    """No streams there, nothing being read, or little."""
+    world = reading_world()
+    world.reported = {"a": TargetLoad("a", *load)}
+    began = world.clock.now()
+    world.serve(world.make_call(STREAM, make_prompt(own=6000)), ok())
+    assert world.clock.now() == began
