--- a/pollenmount/fleet/channel.py
+++ b/pollenmount/fleet/channel.py
@@ -31,6 +31,7 @@
 
     def __init__(self, opened, silence_ms=SILENCE_MS):
         self.socket = opened
+        self.reader = task.Reader(opened)
         self.silence_ms = silence_ms
         self.queue = collections.deque()
         self.buffer = bytearray()
@@ -79,8 +80,7 @@
         """Return `size` bytes."""
         while len(self.buffer) < size:
             try:
-                self.socket.settimeout(self.silence_ms / MS_PER_S)
-                data = self.socket.recv(READ_BYTES)
+                data = self.reader.receive(READ_BYTES, self.silence_ms)
             except OSError as error:
                 raise ChannelError(f"the link broke: {error}") from error
             if not data:
@@ -93,5 +93,6 @@
     def close(self):
         """Close the connection."""
         self.closed = True
+        self.reader.close()
         with contextlib.suppress(OSError):
             self.socket.close()
--- a/pollenmount/fleet/client.py
+++ b/pollenmount/fleet/client.py
@@ -13,7 +13,6 @@
 
 CONNECT_TIMEOUT_S = 0.5
 ROUND_MS = 250
-BEAT_MS = 250
 # Well within the silence after which a link is given up.
 SLOW_BEAT_MS = 700
 RETRY_MS = 700
@@ -41,7 +40,8 @@
         self.task = task.Task(self.round, ROUND_MS)
 
     def round(self):
-        """Open links that are missing; forget what is old."""
+        """Speak on the links, open those that are missing; forget what is old."""
+        self.announce()
         self.fleet.sweep()
         now = self.clock.now()
         wanted = self.wanted()
@@ -102,13 +102,11 @@
         """Introduce this VM and take in messages until the link breaks."""
         self.open[address] = channel
         channel.push(Link(self.describe()))
-        beats = task.Task(lambda: self.beat(address, channel), BEAT_MS)
         try:
-            with contextlib.closing(beats):
-                while True:
-                    message = channel.receive()
-                    self.contacts += 1
-                    self.fleet.take(message, address)
+            while True:
+                message = channel.receive()
+                self.contacts += 1
+                self.fleet.take(message, address)
         except ChannelError as error:
             logger.info("link lost", extra={"address": address, "problem": str(error)})
         self.fleet.forget_source(address)
--- a/pollenmount/gateway/node.py
+++ b/pollenmount/gateway/node.py
@@ -23,7 +23,7 @@
 __all__ = ["GatewayNode", "run_gateway"]
 
 ROLES = "pollenmount.gateway.roles"
-POLL_MS = 100
+POLL_MS = 150
 SETTINGS_MS = 1000
 
 logger = get_logger("node")
--- a/pollenmount/gateway/roles/entry.py
+++ b/pollenmount/gateway/roles/entry.py
@@ -22,7 +22,7 @@
 
 __all__ = ["EntryRole"]
 
-SWEEP_MS = 200
+SWEEP_MS = 500
 MS_PER_S = 1000
 STEP_MS = 20
 # Callers that kept an old directory entry still come for a while.
--- a/pollenmount/task.py
+++ b/pollenmount/task.py
@@ -20,11 +20,11 @@
     "Cancelled",
     "Event",
     "Mailbox",
+    "Reader",
     "Task",
     "Timeout",
     "listen",
     "patch",
-    "receive",
     "sleep",
     "socketpair",
     "spawn",
@@ -32,7 +32,7 @@
 ]
 
 MS_PER_S = 1000
-WRITE_MS = 100
+WRITE_MS = 250
 
 Event = eventlet.event.Event
 Mailbox = eventlet.queue.LightQueue
@@ -63,26 +63,80 @@
     eventlet.sleep(ms / MS_PER_S)
 
 
-def receive(opened, size, timeout_ms):
-    """Return bytes of a connection, b'' at its orderly end; wait `timeout_ms` at most.
+class Reader:
+    """Reads one connection; its registration with the event loop lasts.
 
-    A reset raises `ConnectionResetError`, which a green socket's own `recv` would
-    return as an orderly end; a wait that ends raises `TimeoutError`.
+    A stream comes in many small parts. Registering once, not for each of them, and
+    waiting first where the last read took all there was, saves most system calls.
     """
-    plain = getattr(opened, "fd", None)
-    if plain is None:
-        opened.settimeout(timeout_ms / MS_PER_S)
-        return opened.recv(size)
-    while True:
+
+    def __init__(self, opened):
+        self.opened = opened
+        self.plain = getattr(opened, "fd", None)
+        self.listener = None
+        self.waiter = None
+        self.drained = False
+
+    def receive(self, size, timeout_ms):
+        """Return bytes, b'' at the orderly end; wait `timeout_ms` at most.
+
+        A reset raises `ConnectionResetError`, which a green socket's own `recv` would
+        return as an orderly end; a wait that ends raises `TimeoutError`.
+        """
+        if self.plain is None:
+            self.opened.settimeout(timeout_ms / MS_PER_S)
+            return self.opened.recv(size)
+        while True:
+            if self.drained:
+                self.wait(timeout_ms)
+            try:
+                data = self.plain.recv(size)
+            except BlockingIOError:
+                self.drained = True
+            else:
+                self.drained = len(data) < size
+                return data
+
+    def wait(self, timeout_ms):
+        """Wait until there may be bytes to read."""
+        hub = eventlet.hubs.get_hub()
+        if self.listener is None:
+            number = self.plain.fileno()
+            self.listener = hub.add(hub.READ, number, self.wake, self.fail, None)
+        self.waiter = greenlet.getcurrent()
+        late = TimeoutError("timed out")
+        timer = hub.schedule_call_global(timeout_ms / MS_PER_S, self.waiter.throw, late)
         try:
-            return plain.recv(size)
-        except BlockingIOError:
-            eventlet.hubs.trampoline(
-                plain.fileno(),
-                read=True,
-                timeout=timeout_ms / MS_PER_S,
-                timeout_exc=TimeoutError,
-            )
+            hub.switch()
+        finally:
+            self.waiter = None
+            timer.cancel()
+
+    def wake(self, number):
+        """Let the waiting task go on; without one, nothing more is wanted for now."""
+        if self.waiter is None:
+            self.rest()
+        else:
+            self.waiter.switch()
+
+    def fail(self, *problem):
+        """Raise in the waiting task what the event loop found."""
+        if self.waiter is not None:
+            self.waiter.throw(*problem)
+
+    def rest(self):
+        """End the registration until the next wait."""
+        if self.listener is not None:
+            eventlet.hubs.get_hub().remove(self.listener)
+            self.listener = None
+
+    def close(self):
+        """End the registration, and a wait of another task, before the connection."""
+        self.rest()
+        if self.waiter is not None:
+            problem = ConnectionAbortedError("closed on this side")
+            hub = eventlet.hubs.get_hub()
+            hub.schedule_call_global(0, self.waiter.throw, problem)
 
 
 def spawn(function, *args):
--- a/pollenmount/wire/connection.py
+++ b/pollenmount/wire/connection.py
@@ -92,6 +92,7 @@
 
     def __init__(self, opened):
         self.socket = opened
+        self.reader = task.Reader(opened)
         self.buffer = bytearray()
         self.reusable = True
         self.ended = False
@@ -127,7 +128,7 @@
         if left_ms <= 0:
             raise LateAnswerError("no answer in time")
         try:
-            data = task.receive(self.socket, READ_BYTES, left_ms)
+            data = self.reader.receive(READ_BYTES, left_ms)
         except TimeoutError as error:
             raise self.classify_timeout(error) from error
         except OSError as error:
@@ -248,6 +249,7 @@
         if self.sender is not None:
             self.sender.kill()
             self.sender = None
+        self.reader.close()
         with contextlib.suppress(OSError):
             self.socket.close()
 
--- a/tests/test_fleet_links.py
+++ b/tests/test_fleet_links.py
@@ -46,7 +46,7 @@
     links.open = {address: FakeChannel() for address in links.wanted()}
     near, far = (links.open[members.get(name).links] for name in ("west-c", "east-c"))
     for _ in range(12):
-        world.clock.advance(client.BEAT_MS)
+        world.clock.advance(client.ROUND_MS)
         links.announce()
     assert len(near.pushed) == 12
     assert len(far.pushed) == 4
