--- a/pollenmount/fleet/fleet.py
+++ b/pollenmount/fleet/fleet.py
@@ -3,6 +3,7 @@
 import zlib
 from functools import singledispatchmethod
 
+from pollenmount.fleet.members import MemberTable
 from pollenmount.fleet.messages import (
     EvacuationsChanged,
     Loads,
@@ -13,7 +14,7 @@
     TargetSeen,
     TargetSilent,
 )
-from pollenmount.fleet.table import MemberTable, TargetTable
+from pollenmount.fleet.targets import TargetTable
 from pollenmount.log import get_logger
 
 __all__ = ["Fleet"]
--- a/pollenmount/gateway/callers.py
+++ b/pollenmount/gateway/callers.py
@@ -7,7 +7,7 @@
 from pollenmount.api.reply import Reply
 from pollenmount.errors import Refusal
 from pollenmount.gateway.call import Call, Refused
-from pollenmount.gateway.dispatch import BrokenAnswerError, Progress
+from pollenmount.gateway.dispatch import BrokenAnswerError
 from pollenmount.gateway.hop import (
     HOP_REQUEST,
     decode_hop,
@@ -15,6 +15,7 @@
     refusal_headers,
     to_route,
 )
+from pollenmount.gateway.progress import Progress
 from pollenmount.gateway.replies import refused_reply
 from pollenmount.log import get_logger
 from pollenmount.routes.plan import Repeat
--- a/pollenmount/gateway/dispatch.py
+++ b/pollenmount/gateway/dispatch.py
@@ -14,11 +14,11 @@
     MisdirectedError,
     NotRunError,
     Place,
-    Watch,
 )
 from pollenmount.gateway.call import Failure, Refused, Start
 from pollenmount.gateway.choose import Candidate, is_long_stream, nowhere
 from pollenmount.gateway.hop import HopRefusedError, encode_hop
+from pollenmount.gateway.progress import AnswerWatch
 from pollenmount.log import get_logger
 from pollenmount.wire.errors import (
     ConnectError,
@@ -27,7 +27,7 @@
     LateAnswerError,
 )
 
-__all__ = ["BrokenAnswerError", "Dispatcher", "Progress", "arrived"]
+__all__ = ["BrokenAnswerError", "Dispatcher", "arrived"]
 
 MAX_SENDS = 5
 MIN_LEFT_MS = 30
@@ -49,38 +49,6 @@
     """An answer broke off after parts of it were delivered."""
 
 
-class Progress:
-    """What happened to one call so far.
-
-    `runs` counts attempts that may have run, `sends` all of them; `tried` names the
-    targets and VMs; `answer` is the last failure that a target answered; `last_id` the
-    number of the last event delivered. `first_at` and `last_at` are when the first and
-    the last part of the answer came, `longest_gap_ms` the longest time between two.
-    """
-
-    def __init__(self, call):
-        self.runs = 0
-        self.sends = 0
-        self.tried = set()
-        self.failures = []
-        self.answer = None
-        self.started = None
-        self.last_id = call.resume_after
-        self.retry_after_ms = 0
-        self.place = None
-        self.first_at = None
-        self.last_at = None
-        self.longest_gap_ms = 0
-
-    def note_part(self, now):
-        """Note that a part of the answer came."""
-        if self.first_at is None:
-            self.first_at = now
-        else:
-            self.longest_gap_ms = max(self.longest_gap_ms, now - self.last_at)
-        self.last_at = now
-
-
 class Dispatcher:
     """Runs calls.
 
@@ -314,28 +282,3 @@
     if isinstance(error, HopRefusedError):
         return not error.not_run or error.sends > 0
     return not isinstance(error, ConnectError)
-
-
-class AnswerWatch(Watch):
-    """Notes when an answer begins, and how far a stream was delivered."""
-
-    def __init__(self, dispatcher, progress, place, call, **marks):
-        self.dispatcher = dispatcher
-        self.progress = progress
-        self.place = place
-        self.call = call
-        self.end_reading = marks["end_reading"]
-        self.expected_at = marks["expected_at"]
-        self.begun = False
-
-    def first_byte(self):
-        """Learn from the first byte; later ones tell nothing."""
-        if not self.begun:
-            self.begun = True
-            self.end_reading()
-            late_ms = self.dispatcher.clock.now() - self.expected_at
-            self.dispatcher.note_first_byte(self.place, self.call, late_ms)
-
-    def delivered(self, event_id):
-        """Remember from where another target would go on."""
-        self.progress.last_id = event_id
--- /dev/null
+++ b/pollenmount/gateway/progress.py
@@ -0,0 +1,62 @@
+"""What happened to one call so far, and the watch on the answer that comes."""
+
+from pollenmount.gateway.attempt import Watch
+
+__all__ = ["AnswerWatch", "Progress"]
+
+
+class Progress:
+    """What happened to one call so far.
+
+    `runs` counts attempts that may have run, `sends` all of them; `tried` names the
+    targets and VMs; `answer` is the last failure that a target answered; `last_id` the
+    number of the last event delivered. `first_at` and `last_at` are when the first and
+    the last part of the answer came, `longest_gap_ms` the longest time between two.
+    """
+
+    def __init__(self, call):
+        self.runs = 0
+        self.sends = 0
+        self.tried = set()
+        self.failures = []
+        self.answer = None
+        self.started = None
+        self.last_id = call.resume_after
+        self.retry_after_ms = 0
+        self.place = None
+        self.first_at = None
+        self.last_at = None
+        self.longest_gap_ms = 0
+
+    def note_part(self, now):
+        """Note that a part of the answer came."""
+        if self.first_at is None:
+            self.first_at = now
+        else:
+            self.longest_gap_ms = max(self.longest_gap_ms, now - self.last_at)
+        self.last_at = now
+
+
+class AnswerWatch(Watch):
+    """Notes when an answer begins, and how far a stream was delivered."""
+
+    def __init__(self, dispatcher, progress, place, call, **marks):
+        self.dispatcher = dispatcher
+        self.progress = progress
+        self.place = place
+        self.call = call
+        self.end_reading = marks["end_reading"]
+        self.expected_at = marks["expected_at"]
+        self.begun = False
+
+    def first_byte(self):
+        """Learn from the first byte; later ones tell nothing."""
+        if not self.begun:
+            self.begun = True
+            self.end_reading()
+            late_ms = self.dispatcher.clock.now() - self.expected_at
+            self.dispatcher.note_first_byte(self.place, self.call, late_ms)
+
+    def delivered(self, event_id):
+        """Remember from where another target would go on."""
+        self.progress.last_id = event_id
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -17,10 +17,11 @@
 from pollenmount.gateway.call import Call, Start
 from pollenmount.gateway.choose import make_chooser
 from pollenmount.gateway.dialect import CallerInfo, Prompt, PromptPart
-from pollenmount.gateway.dispatch import Dispatcher, Progress
+from pollenmount.gateway.dispatch import Dispatcher
 from pollenmount.gateway.health import Health
 from pollenmount.gateway.lag import LagBook
 from pollenmount.gateway.load import LoadBook
+from pollenmount.gateway.progress import Progress
 from pollenmount.gateway.settings import Bounds, GatewaySettings, Listen
 from pollenmount.gateway.situation import Situation
 from pollenmount.routes.plan import (
--- a/tests/test_fleet_table.py
+++ b/tests/test_fleet_table.py
@@ -2,6 +2,7 @@
 
 from pollenmount.clock import ManualClock
 from pollenmount.fleet.census import Census
+from pollenmount.fleet.members import MemberTable
 from pollenmount.fleet.messages import (
     ENTRY,
     MemberDown,
@@ -12,7 +13,7 @@
     TargetSeen,
     TargetSilent,
 )
-from pollenmount.fleet.table import MemberTable, TargetTable
+from pollenmount.fleet.targets import TargetTable
 from tests.gateway_world import EntryWorld
 
 RECORD = TargetRecord("t", 100, 5, "desk", "1:1", "west-a", "v", 6, False, 0)
