--- a/pollenmount/gateway/dispatch.py
+++ b/pollenmount/gateway/dispatch.py
@@ -103,6 +103,7 @@
             if not is_early or self.clock.now() >= limit:
                 return chosen
             self.wait(HOLD_STEP_MS)
+            progress.held_ms = self.clock.now() - call.received
 
     def pick(self, call, progress, may_hop):
         """Return (place, expected ms to the first byte), (None, 0) if there is none."""
--- a/pollenmount/gateway/progress.py
+++ b/pollenmount/gateway/progress.py
@@ -11,7 +11,8 @@
     `runs` counts attempts that may have run, `sends` all of them; `tried` names the
     targets and VMs; `answer` is the last failure that a target answered; `last_id` the
     number of the last event delivered. `first_at` and `last_at` are when the first and
-    the last part of the answer came, `longest_gap_ms` the longest time between two.
+    the last part of the answer came, `longest_gap_ms` the longest time between two;
+    `held_ms` how long the call waited to be sent.
     """
 
     def __init__(self, call):
@@ -27,6 +28,7 @@
         self.first_at = None
         self.last_at = None
         self.longest_gap_ms = 0
+        self.held_ms = 0
 
     def note_part(self, now):
         """Note that a part of the answer came."""
