Soak: loss of power and of a disk, and deliberate faults that it must find

Cause: acknowledged plans were checked under kills only, which keep what was never synced; and nothing showed that the soak fails when it should. A control VM notes what it has synced, and a loss of power takes the rest.

--- /dev/null
+++ b/tests/soak/start.py
@@ -0,0 +1,117 @@
+"""Starts one VM for the soak, with a deliberate fault if one is named.
+
+What a control VM has synced is noted beside its files, so that the soak can take the
+rest away as a loss of power would.
+"""
+
+import os
+import sys
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent.parent
+SYNCED = ".synced"
+
+
+def note_syncs():
+    """Note the size of each file when it was synced last."""
+    from pollenmount.consensus.disk import Disk
+
+    sync, rename = Disk.sync, Disk.rename
+
+    def noting_sync(disk, name):
+        sync(disk, name)
+        path = disk.folder / name
+        (disk.folder / f"{name}{SYNCED}").write_text(str(path.stat().st_size))
+
+    def noting_rename(disk, old, new):
+        rename(disk, old, new)
+        os.replace(disk.folder / f"{old}{SYNCED}", disk.folder / f"{new}{SYNCED}")
+
+    Disk.sync, Disk.rename = noting_sync, noting_rename
+
+
+def leave_out_syncs():
+    """Acknowledge what isn't on the disk."""
+    from pollenmount.consensus.disk import Disk
+
+    Disk.sync = lambda disk, name: None
+    Disk.sync_folder = lambda disk: None
+
+
+def repeat_anything():
+    """Repeat what may have run, whatever its route says."""
+    from pollenmount.gateway.dispatch import Dispatcher
+
+    Dispatcher.find_danger = lambda self, call, progress, error: None
+
+
+def promise_always():
+    """Say of every failure that nothing ran."""
+    from pollenmount.gateway.call import Refused
+    from pollenmount.gateway.dispatch import Dispatcher
+
+    Dispatcher.refuse = lambda self, call, progress, problem: Refused(503, problem)
+
+
+def take_any_answer():
+    """Take whatever answer comes first on a connection."""
+    from pollenmount.gateway.attempt import Sender
+
+    def read_head(self, connection, attempt):
+        head = connection.read_head(self.left_ms(attempt.call))
+        return head, self.dialect.read_answer(head)
+
+    Sender.read_head = read_head
+
+
+def read_what_is_here():
+    """Answer reads of the plan from this VM's own copy."""
+    import zlib
+
+    from result import Ok
+
+    from pollenmount.gateway.routes_log import RoutesLog
+
+    def read(self):
+        document = self.machine.state.document
+        return Ok(zlib.decompress(document) if document else b"")
+
+    RoutesLog.read = read
+
+
+def resume_from_the_start():
+    """Let a stream that broke begin again."""
+    from pollenmount.gateway.attempt import Sender
+
+    run = Sender.run
+    Sender.run = lambda self, attempt: run(self, attempt._replace(resume_after=""))
+
+
+FAULTS = {
+    "sync": leave_out_syncs,
+    "twice": repeat_anything,
+    "promise": promise_always,
+    "answer": take_any_answer,
+    "stale": read_what_is_here,
+    "resume": resume_from_the_start,
+}
+
+
+def main():
+    """Run the VM as `platform/start.py` does."""
+    sys.path.insert(0, str(ROOT))
+    sys.path.insert(0, str(ROOT / "platform"))
+    import start
+
+    from pollenmount import task
+
+    task.patch()
+    note_syncs()
+    for name in sys.argv[1:]:
+        FAULTS[name]()
+    return start.main()
+
+
+if __name__ == "__main__":
+    sys.path.pop(0)
+    sys.exit(main())
