--- a/tests/soak/replica.py
+++ b/tests/soak/replica.py
@@ -11,8 +11,8 @@
 
 from standins.relay import Relay
 
-EVENTS = 6
-EVENT_S = 0.02
+EVENTS = 25
+EVENT_S = 0.03
 HEARTBEAT_S = 0.3
 CALL_TIMEOUT_S = 1
 DARK_S = 3
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -8,7 +8,7 @@
 
 from tests.soak.callers import Seen, find_faults
 from tests.soak.fleet import ROOT
-from tests.soak.replica import body_of, event_of
+from tests.soak.replica import EVENTS, body_of, event_of
 
 SECONDS = 8
 LIMIT_S = 150
@@ -45,7 +45,7 @@
 
 
 def test_the_soak_finds_nothing_wrong_where_nothing_is():
-    whole = b"".join(event_of("a", number) for number in range(1, 7))
+    whole = b"".join(event_of("a", number) for number in range(1, EVENTS + 1))
     for seen in (
         Seen("a", "once", 200, body_of("a"), True, True),
         Seen("a", "stream", 200, whole, True, True),
