--- a/pollenmount/gateway/node.py
+++ b/pollenmount/gateway/node.py
@@ -117,26 +117,51 @@
     The settings file at `path` is read again after SIGHUP, and when it has changed.
     `writer` is the `LineWriter` of the logs.
     """
-    signals = []
-    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
-        signal.signal(number, lambda number, frame: signals.append(number))
+    clock = Clock()
+    signals = Signals(clock)
     role = "control" if settings.is_control else "entry"
-    node = GatewayNode(settings, dialect)
+    node = GatewayNode(settings, dialect, clock)
     node.metrics.dropped_lines.set_function(lambda: writer.dropped)
     watch = SettingsWatch(node, path)
     with contextlib.closing(node):
         part = get_plugin_by_name(ROLES, role)(node)
         logger.info("started", extra={"incarnation": node.incarnation, "role": role})
-        while not {signal.SIGTERM, signal.SIGINT} & {*signals}:
-            watch.check(signal.SIGHUP in signals)
-            signals[:] = [number for number in signals if number != signal.SIGHUP]
+        while signals.stop_at is None:
+            watch.check(signals.take_reload())
             task.sleep(POLL_MS)
         logger.info("stopping")
-        part.stop()
+        part.stop(signals.stop_at)
         logger.info("stopped")
     return 0
 
 
+class Signals:
+    """Signals that came to this process.
+
+    `stop_at` is when the first one asked it to stop, by `clock`: what the platform
+    allows for a stop counts from there, not from when the signal was looked at.
+    """
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.stop_at = None
+        self.reload = False
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            signal.signal(number, self.note)
+
+    def note(self, number, frame):
+        """Note a signal."""
+        if number == signal.SIGHUP:
+            self.reload = True
+        elif self.stop_at is None:
+            self.stop_at = self.clock.now()
+
+    def take_reload(self):
+        """Return whether a reload was asked for since the last look."""
+        asked, self.reload = self.reload, False
+        return asked
+
+
 class SettingsWatch:
     """Takes in settings that change while the VM runs: seeds and bounds.
 
--- a/pollenmount/gateway/roles/control.py
+++ b/pollenmount/gateway/roles/control.py
@@ -44,7 +44,7 @@
         silence_ms = MISSED_HEARTBEATS * self.node.settings.heartbeat_ms
         self.node.fleet.targets.sweep(silence_ms, DIRECT)
 
-    def stop(self):
+    def stop(self, asked_at):
         """Hand over leadership, finish calls that run."""
         self.node.stopping = True
         limit = self.node.clock.now() + STOP_MS
--- a/pollenmount/gateway/roles/entry.py
+++ b/pollenmount/gateway/roles/entry.py
@@ -25,8 +25,9 @@
 SWEEP_MS = 500
 MS_PER_S = 1000
 STEP_MS = 20
-# Callers that kept an old directory entry still come for a while.
-REFUSE_SHARE = 0.375
+# Callers that kept an old directory entry still come for a while; what is taken later
+# than three eighths of the grace time may not be cut off at its end.
+REFUSE_SHARE = 0.36
 END_SHARE = 0.93
 LAST_CONNECTIONS_MS = 200
 READY_AFTER_MS = 300
@@ -122,17 +123,19 @@
             return empty_reply(404)
         return empty_reply(200 if self.is_ready() else NOT_READY)
 
-    def stop(self):
-        """Leave the directory, then refuse, then finish what runs."""
+    def stop(self, asked_at):
+        """Leave the directory, then refuse, then finish what runs.
+
+        `asked_at` is when the stop was asked for.
+        """
         node = self.node
         node.stopping = True
         self.links.announce()
         grace_ms = node.settings.bounds.stop_grace_s * MS_PER_S
-        began = node.clock.now()
-        self.wait_until(began + REFUSE_SHARE * grace_ms, lambda: True)
+        self.wait_until(asked_at + REFUSE_SHARE * grace_ms, lambda: True)
         node.refusing = True
         logger.info("refusing")
-        self.wait_until(began + END_SHARE * grace_ms, self.is_busy)
+        self.wait_until(asked_at + END_SHARE * grace_ms, self.is_busy)
         task.sleep(LAST_CONNECTIONS_MS)
 
     def is_busy(self):
--- /dev/null
+++ b/tests/test_gateway_stop.py
@@ -0,0 +1,54 @@
+"""A planned stop of an entry VM: times count from the signal."""
+
+import os
+import signal
+import types
+
+from pollenmount.clock import ManualClock
+from pollenmount.gateway.node import Signals
+from pollenmount.gateway.roles import entry
+from tests.gateway_world import make_settings
+
+LATE_MS = 150
+# What is taken later than this after the signal must not be cut off.
+LAST_TAKEN_MS = 3000
+
+
+def test_a_stop_that_is_noticed_late_refuses_in_time(monkeypatch):
+    """The signal came while the loop slept; requests were taken for 3.04 s after it."""
+    clock = ManualClock(1_000_000)
+    asked_at = clock.now()
+    clock.advance(LATE_MS)
+    monkeypatch.setattr(entry.task, "sleep", clock.advance)
+    role = entry.EntryRole.__new__(entry.EntryRole)
+    refused_at = []
+    role.node = types.SimpleNamespace(
+        clock=clock, settings=make_settings(), stopping=False, refusing=False
+    )
+    role.links = types.SimpleNamespace(announce=lambda: None)
+    role.is_busy = lambda: refused_at.append(clock.now()) or False
+    role.stop(asked_at)
+    assert role.node.stopping
+    assert role.node.refusing
+    assert refused_at[0] - asked_at < LAST_TAKEN_MS
+
+
+def test_signals_are_noted_when_they_come():
+    before = {
+        number: signal.getsignal(number)
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+    }
+    clock = ManualClock(1000)
+    try:
+        signals = Signals(clock)
+        os.kill(os.getpid(), signal.SIGHUP)
+        assert signals.take_reload()
+        assert not signals.take_reload()
+        assert signals.stop_at is None
+        os.kill(os.getpid(), signal.SIGTERM)
+        clock.advance(50)
+        os.kill(os.getpid(), signal.SIGTERM)
+        assert signals.stop_at == 1000
+    finally:
+        for number, handler in before.items():
+            signal.signal(number, handler)
