--- a/pollenmount/fleet/client.py
+++ b/pollenmount/fleet/client.py
@@ -45,7 +45,6 @@
         self.open = {}
         self.said = {}
         self.tried = {}
-        self.contacts = 0
         self.task = task.Task(self.round, ROUND_MS)
 
     def round(self):
@@ -114,9 +113,7 @@
         channel.push(Link(self.describe()))
         try:
             while True:
-                message = channel.receive()
-                self.contacts += 1
-                self.fleet.take(message, address)
+                self.fleet.take(channel.receive(), address)
         except ChannelError as error:
             logger.info("link lost", extra={"address": address, "problem": str(error)})
         self.fleet.forget_source(address)
