Keep the fields of a log line apart from the record's own

Cause: the fields of a log line became attributes of its record, and the standard logger raises KeyError for a name that the record uses. MemberDown.name is one, so each loss of a VM ended the task that noticed it: on a control VM the tick that reports losses, on an entry VM the link, and no listener was told. Ruled out: renaming that one field only, since any message or adapter may bring the next; a logger class set for the whole process, which would change other libraries' loggers. Change: get_logger returns an adapter that keeps fields in one attribute; the formatter adds them after the record's own keys, and a field whose key is taken gets the prefix field_. A line that can't be formatted is replaced by a line that says so; a failed output counts its lines as dropped. The loss of a member is logged under member. Result: tests of 10 such names, of a value without text, of a closed output and of each change of the fleet failed before and pass.

--- a/pollenmount/fleet/fleet.py
+++ b/pollenmount/fleet/fleet.py
@@ -128,6 +128,8 @@
             "stopping": member.stopping,
             "plan": member.plan,
         }
+    if isinstance(message, MemberDown):
+        return {"member": message.name, "incarnation": message.incarnation}
     if isinstance(message, TargetSeen):
         target = message.target
         return {
--- a/pollenmount/log.py
+++ b/pollenmount/log.py
@@ -2,16 +2,18 @@
 
 Prompts, responses and keys are never passed to a logger. Lines that standard output
 cannot accept yet wait in a bounded queue; lines beyond it are dropped and counted.
+A line that cannot be formatted or written never raises in the code that logs it.
 """
 
 import collections
+import json
 import logging
 import os
 import sys
 
 from pythonjsonlogger.json import JsonFormatter
 
-__all__ = ["LineWriter", "configure", "get_logger"]
+__all__ = ["FieldLogger", "LineWriter", "configure", "get_logger"]
 
 LINE_FORMAT = "%(asctime)s %(levelname)s %(name)s %(message)s"
 ROOT_LOGGER = "pollenmount"
@@ -21,7 +23,34 @@
 
 def get_logger(name):
     """Return the logger of one module."""
-    return logging.getLogger(f"{ROOT_LOGGER}.{name}")
+    return FieldLogger(logging.getLogger(f"{ROOT_LOGGER}.{name}"))
+
+
+class FieldLogger(logging.LoggerAdapter):
+    """Logger that keeps the fields of a line apart from the attributes of its record.
+
+    The standard logger raises `KeyError` for a field that is named like an attribute.
+    Here the record has all fields, whatever their names, in its attribute `fields`.
+    """
+
+    def process(self, msg, kwargs):
+        """Return the message, and the arguments with the fields moved."""
+        fields = kwargs.get("extra") or {}
+        return msg, {**kwargs, "extra": {"fields": fields}}
+
+
+class FieldFormatter(JsonFormatter):
+    """Formats a record and its fields as one JSON object.
+
+    A field whose key the record itself uses gets the prefix `field_`.
+    """
+
+    def add_fields(self, log_data, record, message_dict):
+        """Add the record's own keys to `log_data`, then its fields."""
+        fields = record.__dict__.pop("fields", {})
+        super().add_fields(log_data, record, message_dict)
+        for key, value in fields.items():
+            log_data[f"field_{key}" if key in log_data else key] = value
 
 
 class LineWriter:
@@ -61,9 +90,18 @@
                 written = os.write(self.descriptor, self.unwritten)
             except BlockingIOError:
                 return False
+            except OSError:
+                self.drop_unwritten()
+                return False
             self.unwritten = self.unwritten[written:]
         return True
 
+    def drop_unwritten(self):
+        """Drop all lines that wait, because the descriptor has failed."""
+        self.dropped += len(self.lines) + self.unwritten.count(b"\n")
+        self.unwritten = b""
+        self.lines.clear()
+
     def close(self):
         """Write the remaining lines as far as the descriptor accepts them."""
         self.write_available()
@@ -77,8 +115,24 @@
         self.writer = writer
 
     def emit(self, record):
-        """Format and queue one record."""
-        self.writer.put(self.format(record))
+        """Format and queue one record, or a line about the failure to format it."""
+        try:
+            line = self.format(record)
+        except Exception as error:
+            line = format_failure(record, error)
+        self.writer.put(line)
+
+
+def format_failure(record, error):
+    """Return the line that replaces one whose fields cannot be formatted."""
+    document = {
+        "levelname": "ERROR",
+        "name": record.name,
+        "message": "log line failed",
+        "line": str(record.msg),
+        "problem": f"{type(error).__name__}: {error}",
+    }
+    return json.dumps(document)
 
 
 def configure(level="INFO", **fixed_fields):
@@ -88,7 +142,7 @@
     """
     writer = LineWriter(sys.stdout.fileno())
     handler = LineHandler(writer)
-    handler.setFormatter(JsonFormatter(LINE_FORMAT, static_fields=fixed_fields))
+    handler.setFormatter(FieldFormatter(LINE_FORMAT, static_fields=fixed_fields))
     root = logging.getLogger(ROOT_LOGGER)
     root.handlers[:] = [handler]
     root.setLevel(level)
--- a/tests/test_fleet_table.py
+++ b/tests/test_fleet_table.py
@@ -5,6 +5,7 @@
 from pollenmount.fleet.members import MemberTable
 from pollenmount.fleet.messages import (
     ENTRY,
+    EvacuationsChanged,
     MemberDown,
     MemberRecord,
     MemberUp,
@@ -153,6 +154,27 @@
     assert members.table.live()[0].incarnation == "i2"
 
 
+def test_each_change_is_heard_by_all_listeners(caplog):
+    """A log field named like an attribute of the record once hid losses of members."""
+    caplog.set_level("INFO", "pollenmount")
+    world = EntryHarness()
+    heard = []
+    world.fleet.listeners.append(lambda message, source: heard.append(message))
+    down = MemberDown("m", "i1")
+    for message in (
+        MemberUp(MEMBER),
+        down,
+        TargetSeen(RECORD, 0),
+        TargetSilent("t"),
+        TargetGone("t", 100),
+        EvacuationsChanged(1, ("west-a",)),
+    ):
+        world.fleet.handle(message, "c")
+        assert heard[-1] == message
+    changes = {r.fields["change"]: r.fields for r in caplog.records}
+    assert (changes["MemberDown"]["member"], down.incarnation) == ("m", "i1")
+
+
 def test_one_source_is_enough_to_report_that_a_member_stops():
     members = Members()
     members.up("c")
--- a/tests/test_gateway_dispatch.py
+++ b/tests/test_gateway_dispatch.py
@@ -229,5 +229,5 @@
     assert (parts[0].status, progress.sends) == (503, 3)
     _, progress = harness.serve(harness.make_call())
     assert progress.sends == 0
-    lost = [record.ran_in for record in caplog.records if record.msg == "region lost"]
+    lost = [r.fields["ran_in"] for r in caplog.records if r.msg == "region lost"]
     assert lost == ["east"]
--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -4,6 +4,8 @@
 import logging
 import os
 
+import pytest
+
 from pollenmount import log
 
 PIPE_BYTES = 1 << 20
@@ -22,20 +24,34 @@
         return os.read(self.reader, PIPE_BYTES).decode()
 
 
-def test_lines_are_json_with_the_fixed_fields(monkeypatch):
-    output = PipeOutput()
-    monkeypatch.setattr(log.sys, "stdout", output)
+class Output:
+    """The loggers, configured for a pipe that replaces standard output."""
+
+    def __init__(self, pipe):
+        self.pipe = pipe
+        self.writer = log.configure("INFO", vm="a-1", region="a", failure_domain="a-a")
+        self.logger = log.get_logger("calls")
+
+    def lines(self):
+        assert self.writer.write_available()
+        return [json.loads(line) for line in self.pipe.read().splitlines()]
+
+
+@pytest.fixture
+def output(monkeypatch):
+    """Yield an `Output`; restore the loggers afterwards."""
+    pipe = PipeOutput()
+    monkeypatch.setattr(log.sys, "stdout", pipe)
     root = logging.getLogger("pollenmount")
     saved_config = root.handlers[:], root.level, root.propagate
-    try:
-        writer = log.configure("INFO", vm="a-1", region="a", failure_domain="a-a")
-        logger = log.get_logger("calls")
-        logger.info("call ended", extra={"request": "1", "class": 'x"\n'})
-        logger.debug("not shown")
-        assert writer.write_available()
-    finally:
-        root.handlers[:], root.level, root.propagate = saved_config
-    lines = [json.loads(line) for line in output.read().splitlines()]
+    yield Output(pipe)
+    root.handlers[:], root.level, root.propagate = saved_config
+
+
+def test_lines_are_json_with_the_fixed_fields(output):
+    output.logger.info("call ended", extra={"request": "1", "class": 'x"\n'})
+    output.logger.debug("not shown")
+    lines = output.lines()
     assert len(lines) == 1
     assert (
         lines[0].items()
@@ -52,6 +68,36 @@
     )
 
 
+RECORD_NAMES = ("name", "msg", "args", "message", "asctime", "created", "levelname")
+
+
+@pytest.mark.parametrize("field", [*RECORD_NAMES, "vm", "fields", "taskName"])
+def test_a_field_may_be_named_like_an_attribute_of_the_record(output, field):
+    """`MemberDown.name` once raised `KeyError` in the task that noticed the loss."""
+    output.logger.info("fleet changed", extra={field: "value", "other": 1})
+    line = output.lines()[0]
+    assert line["message"] == "fleet changed"
+    assert line["name"] == "pollenmount.calls"
+    assert (line["vm"], line["other"]) == ("a-1", 1)
+    assert line.get(field) == "value" or line[f"field_{field}"] == "value"
+
+
+def test_a_line_that_cannot_be_formatted_does_not_end_the_work(output):
+    output.logger.info("call ended", extra={"request": {("not", "a key"): 1}})
+    output.logger.info("call ended", extra={"request": "2"})
+    failed, logged = output.lines()
+    assert failed["message"] == "log line failed"
+    assert failed["line"] == "call ended"
+    assert logged["request"] == "2"
+
+
+def test_a_closed_output_does_not_end_the_work(output):
+    os.close(output.pipe.reader)
+    output.logger.info("call ended", extra={"request": "1"})
+    output.logger.info("call ended", extra={"request": "2"})
+    assert output.writer.dropped == 2
+
+
 def test_stalled_reader_neither_blocks_nor_fills_memory():
     output = PipeOutput()
     writer = log.LineWriter(output.fileno(), max_lines=10)
