Load only the modules that a VM runs

Cause: an entry VM loaded the control role with gRPC and the consensus, since asking for one plug-in imported its whole family, and eventlet's resolver brought dnspython. Each of 194 VMs paid for that at each start. Ruled out: asyncio, which eventlet's own patcher imports. Change: a plug-in is looked up in the module of its name first; eventlet starts without its resolver, as all addresses are numeric.

--- a/pollenmount/plugin.py
+++ b/pollenmount/plugin.py
@@ -5,6 +5,7 @@
 """
 
 import importlib
+import importlib.util
 import pkgutil
 
 from pollenmount.errors import UnknownPluginError
@@ -33,9 +34,23 @@
 
 
 def get_plugin_by_name(family, name):
-    """Return the member registered as `name`, or raise `UnknownPluginError`."""
-    members = load_family(family)
+    """Return the member registered as `name`, or raise `UnknownPluginError`.
+
+    Imports only the module of that name if there is one, so that a process does not
+    load the dependencies of members that it does not use.
+    """
+    import_module_of(family, name)
+    members = FAMILIES.get(family, {})
+    if name not in members:
+        members = load_family(family)
     if name not in members:
         known = ", ".join(sorted(members))
         raise UnknownPluginError(f"no {name!r} in {family}; use one of: {known}")
     return members[name]
+
+
+def import_module_of(family, name):
+    """Import the module of a family that is called `name`, if there is one."""
+    path = f"{family}.{name}"
+    if name.isidentifier() and importlib.util.find_spec(path):
+        importlib.import_module(path)
--- a/pollenmount/task.py
+++ b/pollenmount/task.py
@@ -5,6 +5,10 @@
 """
 
 import contextlib
+import os
+
+# All addresses are numeric, and eventlet's own resolver is slow to import.
+os.environ.setdefault("EVENTLET_NO_GREENDNS", "yes")
 
 import eventlet
 import eventlet.event
