--- /dev/null
+++ b/pollenmount/fleet/capacity.py
@@ -0,0 +1,62 @@
+"""Capacity of the services in each region, summed up for the other regions."""
+
+import collections
+
+from pollenmount.fleet.messages import ServiceCapacity
+from pollenmount.fleet.targets import DEFAULT_SLOTS
+
+__all__ = ["merge_capacities", "summarize_capacities"]
+
+
+def summarize_capacities(fleet, totals, reporters):
+    """Yield a `ServiceCapacity` for each region and service with known targets.
+
+    `totals` has the load by target, and `reporters` the number of entry VMs by region
+    whose load is in it.
+    """
+    now = fleet.clock.now()
+    groups = collections.defaultdict(list)
+    for target in fleet.targets.by_id.values():
+        record = target.record
+        usable = is_usable(target, fleet.evacuations.failure_domains, now)
+        group = groups[fleet.region_of(record.failure_domain), record.service]
+        if usable:
+            group.append((record, totals.get(record.id)))
+    for (region, service), members in groups.items():
+        loads = [load for _, load in members if load is not None]
+        yield ServiceCapacity(
+            region,
+            service,
+            len(members),
+            sum(record.slots or DEFAULT_SLOTS for record, _ in members),
+            sum(load.requests for load in loads),
+            sum(load.tokens for load in loads),
+            sum(load.streams for load in loads),
+            reporters.get(region, 0),
+        )
+
+
+def is_usable(target, evacuated, now):
+    """Return whether a target accepts requests from other regions now."""
+    record = target.record
+    return (
+        target.is_heard
+        and not record.draining
+        and not target.is_cold(now)
+        and record.failure_domain not in evacuated
+    )
+
+
+def merge_capacities(reports):
+    """Return the best known row of each region and service, as a tuple.
+
+    `reports` are the rows of several control VMs; the one to which the most entry VMs
+    of a region report knows its load best.
+    """
+    best = {}
+    for rows in reports:
+        for row in rows:
+            key = (row.region, row.service)
+            if key not in best or row.reporters > best[key].reporters:
+                best[key] = row
+    return tuple(best.values())
--- a/pollenmount/fleet/channel.py
+++ b/pollenmount/fleet/channel.py
@@ -37,13 +37,17 @@
 
     def push(self, message):
         """Queue a message and start sending if no sender is running."""
+        self.push_encoded(encode(message))
+
+    def push_encoded(self, data):
+        """Queue a message that is encoded already, for several receivers."""
         if self.closed:
             return
         if len(self.queue) >= MAX_QUEUED_MESSAGES:
             # A peer this far behind must reconnect and start over.
             self.close()
             return
-        self.queue.append(encode(message))
+        self.queue.append(data)
         if not self.sending:
             self.sending = True
             task.spawn(self.send_queued)
--- a/pollenmount/fleet/client.py
+++ b/pollenmount/fleet/client.py
@@ -7,7 +7,13 @@
 
 from pollenmount import task
 from pollenmount.fleet.channel import Channel, ChannelError
-from pollenmount.fleet.messages import CONTROL, LinkHello, MemberHeartbeat, MemberRecord
+from pollenmount.fleet.messages import (
+    CONTROL,
+    LINK_PROTOCOL,
+    LinkHello,
+    MemberHeartbeat,
+    MemberRecord,
+)
 from pollenmount.log import get_logger
 
 __all__ = ["LinkClient"]
@@ -17,72 +23,139 @@
 # Well below the time-out of a link.
 SLOW_HEARTBEAT_INTERVAL_MS = 700
 RECONNECT_INTERVAL_MS = 700
-MAX_ENTRY_LINKS = 3
+MAX_RECONNECT_INTERVAL_MS = 5600
+ENTRY_LINKS = 2
+# Further links while none of the nearest ones leads to the leader of the log.
+EXTRA_LINKS = 2
+QUORUM_GRACE_MS = 2500
+# Control VMs that no link lists any more may be all that this VM can still reach.
+CONTROL_RETENTION_MS = 60_000
 
 logger = get_logger("links")
 
 
 class LastHeartbeat(NamedTuple):
-    """The record last sent on a link, and when it was sent."""
+    """The record last sent on a link, and when a heartbeat was sent."""
 
     record: MemberRecord
     sent_at: int
 
 
-class LinkClient:
-    """Links from this VM to control VMs.
+class KnownControlVm(NamedTuple):
+    """The record of a control VM, and when some link listed it last."""
+
+    record: MemberRecord
+    seen_at: int
+
+
+class FailedAttempts(NamedTuple):
+    """Attempts in a row to open a link that failed, and the time of the last one."""
+
+    count: int
+    last_at: int
 
-    `channels` maps addresses to channels, None while connecting. `describe` returns
-    this VM's `MemberRecord`, `get_loads` its load on the targets, `get_seeds` the link
-    addresses of the control VMs named in the settings.
+    def next_at(self):
+        """Return when the next attempt is due."""
+        interval_ms = RECONNECT_INTERVAL_MS << min(self.count, 8)
+        return self.last_at + min(interval_ms, MAX_RECONNECT_INTERVAL_MS)
+
+
+class LinkClient:
+    """Links from this VM to control VMs: all of them, or the nearest ones.
+
+    `addresses` are the link addresses of other control VMs, nearest first. `channels`
+    maps addresses to channels, None while connecting; `established` are the addresses
+    of links on which something was received. `describe` returns this VM's
+    `MemberRecord`, `get_loads` its load on the targets, `get_seeds` the link addresses
+    of the control VMs named in the settings, and `get_capacities` what a control VM
+    knows of the regions' capacity.
     """
 
-    def __init__(self, fleet, clock, describe, get_loads, get_seeds):
+    def __init__(
+        self, fleet, clock, describe, get_loads, get_seeds, get_capacities=tuple
+    ):
         self.fleet = fleet
         self.clock = clock
         self.describe = describe
         self.get_loads = get_loads
         self.get_seeds = get_seeds
+        self.get_capacities = get_capacities
+        self.addresses = []
         self.channels = {}
+        self.established = set()
         self.last_heartbeats = {}
-        self.last_attempts = {}
+        self.failed_attempts = {}
+        self.known_control_vms = {}
+        self.quorum_seen_at = clock.now()
         self.task = task.PeriodicTask(self.run_round, ROUND_INTERVAL_MS)
 
     def run_round(self):
-        """Send heartbeats, expire old state and open missing links."""
+        """Send heartbeats, expire old state, and open and close links."""
         self.send_heartbeats()
         self.fleet.sweep()
+        self.update_addresses()
+        limit = self.max_links()
+        for address in self.missing_links(limit):
+            self.channels[address] = None
+            task.spawn(self.run_link, address)
+        self.close_surplus_links(limit)
+
+    def max_links(self):
+        """Return how many links this VM wants."""
+        if self.describe().role == CONTROL:
+            return len(self.addresses)
         now = self.clock.now()
-        addresses = self.control_addresses()
-        for address in addresses:
-            is_due = (
-                now - self.last_attempts.get(address, -RECONNECT_INTERVAL_MS)
-                >= RECONNECT_INTERVAL_MS
-            )
-            if address not in self.channels and is_due and self.needs_link(addresses):
-                self.last_attempts[address] = now
-                self.channels[address] = None
-                task.spawn(self.run_link, address)
+        nearest = [a for a in self.addresses if a in self.established][:ENTRY_LINKS]
+        if not nearest or any(self.fleet.quorums.get(a) for a in nearest):
+            self.quorum_seen_at = now
+        is_isolated = now - self.quorum_seen_at >= QUORUM_GRACE_MS
+        return ENTRY_LINKS + (EXTRA_LINKS if is_isolated else 0)
 
-    def needs_link(self, addresses):
-        """Return whether fewer links are open than wanted."""
-        own = self.describe()
-        limit = len(addresses) if own.role == CONTROL else MAX_ENTRY_LINKS
-        return len(self.channels) < limit
-
-    def control_addresses(self):
-        """Return the link addresses of other control VMs, nearest first."""
-        seeds = tuple(self.get_seeds())
-        return self.fleet.members.cache.get(
-            ("control", seeds), lambda: self.rank_addresses(seeds)
+    def missing_links(self, limit):
+        """Yield the addresses of links to open: the nearest ones that are not open.
+
+        A link that was lost before is not counted until it is established again.
+        """
+        now, count = self.clock.now(), 0
+        for address in self.addresses:
+            if count >= limit:
+                return
+            failed = self.failed_attempts.get(address)
+            if address in self.channels:
+                count += address in self.established or failed is None
+            elif failed is None or now >= failed.next_at():
+                count += failed is None
+                yield address
+
+    def close_surplus_links(self, limit):
+        """Close the farthest links if more are established than wanted."""
+        ranks = {address: rank for rank, address in enumerate(self.addresses)}
+        nearest_first = sorted(
+            self.established, key=lambda address: ranks.get(address, len(ranks))
         )
+        for address in nearest_first[limit:]:
+            logger.info("link closed", extra={"address": address, "wanted": limit})
+            self.established.discard(address)
+            self.channels[address].close()
 
-    def rank_addresses(self, seeds):
-        """Return the link addresses of known control VMs and seeds, nearest first."""
+    def update_addresses(self):
+        """Find the control VMs, including those that were lost a short while ago."""
+        now = self.clock.now()
+        for member in self.fleet.members.known():
+            if member.role == CONTROL:
+                self.known_control_vms[member.name] = KnownControlVm(member, now)
+        for name, known in [*self.known_control_vms.items()]:
+            if now - known.seen_at >= CONTROL_RETENTION_MS:
+                del self.known_control_vms[name]
+        records = (known.record for known in self.known_control_vms.values())
+        self.addresses = self.rank_addresses(tuple(self.get_seeds()), records)
+
+    def rank_addresses(self, seeds, records):
+        """Return the link addresses of control VMs and seeds, nearest first."""
         own = self.describe()
         ranks = {}
-        for member in self.fleet.members.known():
-            if member.role == CONTROL and not member.stopping:
+        for member in records:
+            if not member.stopping:
                 ranks[member.link_address] = (
                     member.failure_domain != own.failure_domain,
                     member.region != own.region,
@@ -108,18 +181,35 @@
         except OSError as error:
             logger.info("no link", extra={"address": address, "problem": str(error)})
         finally:
-            del self.channels[address]
-            self.last_heartbeats.pop(address, None)
+            self.forget_link(address)
 
     def receive_messages(self, address, channel):
         """Send this VM's record, then handle messages until the link fails."""
-        self.channels[address] = channel
-        channel.push(LinkHello(self.describe()))
+        self.open_link(address, channel)
         try:
             while True:
-                self.fleet.handle(channel.receive(), address)
+                message = channel.receive()
+                self.established.add(address)
+                self.failed_attempts.pop(address, None)
+                self.fleet.handle(message, address)
         except ChannelError as error:
             logger.info("link lost", extra={"address": address, "problem": str(error)})
+
+    def open_link(self, address, channel):
+        """Introduce this VM on a new link."""
+        self.channels[address] = channel
+        record = self.describe()
+        self.last_heartbeats[address] = LastHeartbeat(record, 0)
+        channel.push(LinkHello(record, LINK_PROTOCOL))
+
+    def forget_link(self, address):
+        """Drop the state of a link that has ended."""
+        del self.channels[address]
+        self.last_heartbeats.pop(address, None)
+        failed = self.failed_attempts.get(address)
+        count = failed.count + 1 if failed else 0
+        self.failed_attempts[address] = FailedAttempts(count, self.clock.now())
+        self.established.discard(address)
         self.fleet.forget_source(address)
 
     def send_heartbeat(self, address, channel):
@@ -129,24 +219,23 @@
         after `SLOW_HEARTBEAT_INTERVAL_MS`.
         """
         now, record = self.clock.now(), self.describe()
-        last_heartbeat = self.last_heartbeats.get(address)
-        has_changed = last_heartbeat is None or last_heartbeat.record != record
-        is_nearest = address == self.nearest_linked()
-        if (
-            has_changed
-            or is_nearest
-            or now - last_heartbeat.sent_at >= SLOW_HEARTBEAT_INTERVAL_MS
-        ):
+        last = self.last_heartbeats[address]
+        has_changed = last.record != record
+        is_primary = address == self.nearest_linked()
+        is_due = now - last.sent_at >= SLOW_HEARTBEAT_INTERVAL_MS
+        if has_changed or is_primary or is_due:
             self.last_heartbeats[address] = LastHeartbeat(record, now)
-            channel.push(MemberHeartbeat(record, self.get_loads(), is_nearest))
+            message = MemberHeartbeat(
+                record if has_changed else None,
+                self.get_loads(),
+                is_primary,
+                self.get_capacities(),
+            )
+            channel.push(message)
 
     def nearest_linked(self):
-        """Return the address of the nearest linked control VM, or ''."""
-        linked = (
-            address
-            for address in self.control_addresses()
-            if self.channels.get(address)
-        )
+        """Return the address of the nearest control VM with a working link, or ''."""
+        linked = (address for address in self.addresses if address in self.established)
         return next(linked, "")
 
     def send_heartbeats(self):
--- a/pollenmount/fleet/fleet.py
+++ b/pollenmount/fleet/fleet.py
@@ -3,8 +3,11 @@
 import zlib
 from functools import singledispatchmethod
 
+from pollenmount.fleet.entry_counter import EntryCounter
 from pollenmount.fleet.members import MemberTable
 from pollenmount.fleet.messages import (
+    Capacities,
+    EntryCounts,
     EvacuationsChanged,
     Loads,
     MemberDown,
@@ -26,18 +29,25 @@
     """Members, targets, routes and evacuations known to this VM.
 
     `store` receives new plans of routes. `listeners` are called with (message, source)
-    for each message that changed the state.
+    for each message that changed the state. An entry VM also has the load of its
+    region's targets by source, the `capacities` of other regions by (region, service),
+    and `quorums`, whether each linked control VM is in touch with the log's leader.
+    `regions` maps failure domains to regions.
     """
 
-    def __init__(self, clock, store):
+    def __init__(self, clock, store, regions):
         self.clock = clock
         self.store = store
+        self.regions = regions
         self.listeners = []
         self.targets = TargetTable(clock, self.notify)
         self.members = MemberTable(clock, self.notify)
         self.evacuations = EvacuationsChanged(0, ())
         self.routes = RoutesChanged(0, 0, b"")
         self.loads = {}
+        self.capacities = {}
+        self.quorums = {}
+        self.entry_counter = EntryCounter(clock)
 
     def notify(self, message, source):
         """Log a change and call the listeners."""
@@ -79,7 +89,23 @@
 
     @handle.register
     def _(self, message: Loads, source):
-        self.loads[source] = {load.id: load for load in message.loads}
+        if message.complete:
+            self.loads[source] = {}
+        loads = self.loads.setdefault(source, {})
+        for load in message.loads:
+            if load.requests or load.tokens:
+                loads[load.id] = load
+            else:
+                loads.pop(load.id, None)
+
+    @handle.register
+    def _(self, message: Capacities, source):
+        self.capacities = {(row.region, row.service): row for row in message.rows}
+
+    @handle.register
+    def _(self, message: EntryCounts, source):
+        self.entry_counter.record(message)
+        self.quorums[source] = message.has_quorum
 
     @handle.register
     def _(self, message: RoutesChanged, source):
@@ -95,26 +121,27 @@
             self.evacuations = message
             self.notify(message, source)
 
+    def region_of(self, failure_domain):
+        """Return the region of a failure domain."""
+        return self.regions.get(failure_domain, failure_domain)
+
+    def region_of_target(self, id_):
+        """Return the region of a target, which may have left; None if it is unknown."""
+        failure_domain = self.targets.failure_domain_of(id_)
+        return self.region_of(failure_domain) if failure_domain else None
+
     def forget_source(self, source):
         """Remove a source that is gone; what it alone reported expires later."""
         self.targets.forget_source(source)
         self.members.forget_source(source)
         self.loads.pop(source, None)
+        self.quorums.pop(source, None)
 
     def sweep(self):
         """Remove expired members, targets and tombstones."""
         self.members.sweep()
         self.targets.sweep(0)
 
-    def snapshot(self):
-        """Yield the messages that bring another VM up to date."""
-        if self.routes.revision:
-            yield self.routes
-        if self.evacuations.revision:
-            yield self.evacuations
-        yield from self.members.snapshot()
-        yield from self.targets.snapshot()
-
 
 def log_fields(message):
     """Return the log fields of a message, without plan documents."""
--- a/pollenmount/fleet/members.py
+++ b/pollenmount/fleet/members.py
@@ -9,7 +9,7 @@
 from pollenmount.fleet.messages import MemberDown, MemberRecord, MemberUp
 from pollenmount.fleet.versioned_cache import VersionedCache
 
-__all__ = ["MemberTable"]
+__all__ = ["MemberTable", "is_news"]
 
 MEMBER_RETENTION_MS = 3000
 
@@ -36,12 +36,17 @@
         record = message.member
         sources = self.by_name.setdefault(record.name, {})
         before = self.get(record.name)
+        was_listed = self.is_listed(record.name)
+        if sources.get(source) == SourceEntry(record):
+            return
         sources[source] = SourceEntry(record)
         for other, entry in [*sources.items()]:
             if other != source and entry.record.started < record.started:
                 sources[other] = entry._replace(record=record)
-        self.version += 1
-        if before != self.get(record.name):
+        after = self.get(record.name)
+        if before != after or not was_listed:
+            self.version += 1
+        if is_news(before, after) or not was_listed:
             self.on_change(message, source)
 
     def handle_down(self, message, source):
@@ -76,6 +81,11 @@
         records = (entry.record for entry in sources.values())
         return max(records, key=lambda record: (record.started, record.sequence))
 
+    def record_from(self, name, source):
+        """Return the record of a member that a source lists, or None."""
+        entry = self.by_name.get(name, {}).get(source)
+        return entry.record if entry and entry.lost_at is None else None
+
     def live(self):
         """Return the members that at least one source lists, as a tuple."""
         return self.cache.get("live", self.find_live)
@@ -119,10 +129,23 @@
                 del self.by_name[name]
                 self.version += 1
 
-    def snapshot(self):
-        """Yield a `MemberUp` for each live member."""
+    def snapshot(self, source=None):
+        """Yield a `MemberUp` for each live member, or each one that `source` lists."""
         for record in self.live():
-            yield MemberUp(record)
+            if source is None or self.record_from(record.name, source):
+                yield MemberUp(record)
+
+
+def is_news(before, after):
+    """Return whether other VMs must hear of a change of a member's record.
+
+    Which plan a VM has is no news once it has one: each plan would otherwise make as
+    many changes as there are VMs.
+    """
+    if before is None:
+        return True
+    plan = after.plan if before.plan and after.plan else before.plan
+    return after != before._replace(sequence=after.sequence, plan=plan)
 
 
 def filter_members(members, role, region):
--- a/pollenmount/fleet/messages.py
+++ b/pollenmount/fleet/messages.py
@@ -1,6 +1,8 @@
 """Messages on the links between VMs, and the records they carry.
 
-Ages and remaining times are durations, since the clocks of two VMs aren't synchronised.
+An entry VM gets what it needs for its own region's targets, and a bounded amount about
+the rest of the fleet; `docs/design/fleet.md` lists who is sent what. Ages and remaining
+times are durations, since the clocks of two VMs aren't synchronised.
 """
 
 from typing import NamedTuple
@@ -10,14 +12,18 @@
 __all__ = [
     "CONTROL",
     "ENTRY",
-    "MemberHeartbeat",
+    "LINK_PROTOCOL",
+    "Capacities",
+    "EntryCounts",
     "EvacuationsChanged",
     "LinkHello",
     "Loads",
     "MemberDown",
+    "MemberHeartbeat",
     "MemberRecord",
     "MemberUp",
     "RoutesChanged",
+    "ServiceCapacity",
     "TargetGone",
     "TargetLoad",
     "TargetRecord",
@@ -29,6 +35,8 @@
 
 ENTRY = "entry"
 CONTROL = "control"
+# Incremented when VMs of two builds would misunderstand each other.
+LINK_PROTOCOL = 2
 
 
 class MemberRecord(NamedTuple):
@@ -91,6 +99,23 @@
     streams: int = 0
 
 
+class ServiceCapacity(NamedTuple):
+    """Usable targets of a service in a region, and their total load.
+
+    `targets` counts those that accept new work now, `slots` is their total. `reporters`
+    is the number of entry VMs whose load is included.
+    """
+
+    region: str
+    service: str
+    targets: int
+    slots: int
+    requests: int
+    tokens: int
+    streams: int
+    reporters: int
+
+
 class Message(msgspec.Struct, frozen=True, array_like=True, tag=True):
     """Base class of the messages on a link."""
 
@@ -99,17 +124,20 @@
     """First message of a client on a link."""
 
     member: MemberRecord
+    protocol: int = 1
 
 
 class MemberHeartbeat(Message, frozen=True, array_like=True, tag="Beat"):
-    """Periodic message of a member: its record and its load on each target.
+    """Periodic message of a member: its record if it changed, its load on each target.
 
-    `wants_loads` requests `Loads` at short intervals on this link.
+    `is_primary` marks the one link of the member on which it needs the load of targets
+    and the VMs for hops. `capacities` is what a control VM knows by its own links.
     """
 
-    member: MemberRecord
+    member: MemberRecord | None
     loads: tuple[TargetLoad, ...] = ()
-    wants_loads: bool = True
+    is_primary: bool = True
+    capacities: tuple[ServiceCapacity, ...] = ()
 
 
 class MemberUp(Message, frozen=True, array_like=True, tag=True):
@@ -126,10 +154,14 @@
 
 
 class TargetSeen(Message, frozen=True, array_like=True, tag=True):
-    """A heartbeat of a target arrived `age_ms` ago."""
+    """A heartbeat of a target arrived `age_ms` ago.
+
+    While the target is cold, only the entry VMs named in `cold_senders` may send to it.
+    """
 
     target: TargetRecord
     age_ms: int
+    cold_senders: tuple[str, ...] = ()
 
 
 class TargetSilent(Message, frozen=True, array_like=True, tag=True):
@@ -161,9 +193,32 @@
 
 
 class Loads(Message, frozen=True, array_like=True, tag=True):
-    """Total load of all members on each target; also the server's heartbeat."""
+    """Total load of all members on targets; also the server's heartbeat.
+
+    Targets that are missing have no load if `complete` is true, else the same as
+    before.
+    """
 
     loads: tuple[TargetLoad, ...]
+    complete: bool = True
+
+
+class EntryCounts(Message, frozen=True, array_like=True, tag=True):
+    """Number of entry VMs by region, as a control VM knows them.
+
+    `has_quorum` is whether the control VM is in touch with the leader of the log.
+    `settled` is true if, in addition, it has run for long enough to know all VMs.
+    """
+
+    counts: dict[str, int]
+    has_quorum: bool
+    settled: bool
+
+
+class Capacities(Message, frozen=True, array_like=True, tag=True):
+    """The capacity of the services in all other regions."""
+
+    rows: tuple[ServiceCapacity, ...]
 
 
 AnyMessage = (
@@ -177,6 +232,8 @@
     | RoutesChanged
     | EvacuationsChanged
     | Loads
+    | EntryCounts
+    | Capacities
 )
 ENCODER = msgspec.msgpack.Encoder()
 DECODER = msgspec.msgpack.Decoder(AnyMessage)
--- /dev/null
+++ b/pollenmount/fleet/selection.py
@@ -0,0 +1,45 @@
+"""Selection of a few entry VMs by rendezvous hashing, alike on all control VMs."""
+
+import zlib
+
+from pollenmount.fleet.messages import ENTRY
+
+__all__ = ["is_available", "select_cold_senders", "select_hop_peers"]
+
+MAX_SENDERS_PER_TARGET = 3
+HOP_PEERS_PER_REGION = 4
+
+
+def is_available(member):
+    """Return whether an entry VM takes new requests."""
+    return (
+        member.role == ENTRY
+        and member.ready
+        and member.plan > 0
+        and not member.stopping
+    )
+
+
+def select_cold_senders(id_, rate_per_s, names):
+    """Return the names of the entry VMs that may send to a cold target, as a tuple.
+
+    If each of many VMs had a small share of the target's rate, their requests could
+    coincide and exceed it.
+    """
+    count = max(1, min(MAX_SENDERS_PER_TARGET, int(rate_per_s)))
+    return tuple(rank_names(id_, names)[:count])
+
+
+def select_hop_peers(name, members):
+    """Return the entry VMs of a region to which the VM `name` may send hops.
+
+    Each VM has a different selection, so that hops are spread over the region.
+    """
+    by_name = {member.name: member for member in members}
+    chosen = rank_names(name, by_name)[:HOP_PEERS_PER_REGION]
+    return [by_name[other] for other in chosen]
+
+
+def rank_names(key, names):
+    """Return names in the order of their rendezvous weight for a key."""
+    return sorted(names, key=lambda name: (zlib.crc32(f"{key} {name}".encode()), name))
--- a/pollenmount/fleet/server.py
+++ b/pollenmount/fleet/server.py
@@ -1,37 +1,62 @@
-"""Server side of links on a control VM: registers members and sends them changes."""
+"""Server side of links on a control VM: registers members and sends them changes.
 
+Other control VMs hear of what this VM observes itself, never of what it was told: so no
+two of them can vouch to each other for a VM that is gone. Entry VMs hear of what
+`fleet.session` selects for them.
+"""
+
+import collections
 import contextlib
 from typing import NamedTuple
 
 from pollenmount import task
+from pollenmount.fleet.capacity import merge_capacities, summarize_capacities
 from pollenmount.fleet.channel import Channel, ChannelError
+from pollenmount.fleet.members import is_news
 from pollenmount.fleet.messages import (
     CONTROL,
+    ENTRY,
+    LINK_PROTOCOL,
+    EntryCounts,
     LinkHello,
     Loads,
     MemberDown,
     MemberHeartbeat,
     MemberUp,
-    TargetLoad,
+    RoutesChanged,
     TargetSeen,
+    encode,
+)
+from pollenmount.fleet.selection import (
+    is_available,
+    select_cold_senders,
+    select_hop_peers,
 )
+from pollenmount.fleet.session import Session, concerns
+from pollenmount.fleet.totals import LoadTotals
 from pollenmount.log import get_logger
 
 __all__ = ["DIRECT", "LinkServer"]
 
 DIRECT = "direct"
-LOADS_INTERVAL_MS = 250
-# Members that use another control VM's totals need `Loads` only as a heartbeat.
-SLOW_LOADS_TICKS = 3
+TICK_INTERVAL_MS = 250
+# Every this many ticks, all links get a heartbeat, and what may be a little older.
+SLOW_TICKS = 3
+HOP_PEERS_INTERVAL_MS = 1000
+# Time in which a member has reported that it got a plan over its primary link.
+MISSING_PLAN_DELAY_MS = 1000
 RECONNECT_GRACE_MS = 800
+# Time in which all running VMs have linked to a control VM that started.
+SETTLE_MS = 3000
 LISTEN_BACKLOG = 512
 ACCEPT_PAUSE_MS = 100
+LINK_HEARTBEAT = encode(Loads((), complete=False))
 
 logger = get_logger("links")
 
 
 class LostLink(NamedTuple):
-    """When a member's link was lost, and the incarnation that had it."""
+    """When a member's link was lost, and the record it had."""
 
     lost_at: int
     incarnation: str
@@ -40,25 +65,31 @@
 class LinkServer:
     """Accepts links on `address` and sends changes of the fleet to linked members.
 
-    `channels` and `roles` are those of the currently linked members. `lost_links` holds
-    links lost less than `RECONNECT_GRACE_MS` ago, `loads` the load that each member
-    reported last. `load_subscribers` names the members that need this VM's load totals
-    at short intervals.
+    `has_quorum` returns whether this VM is in touch with the leader of the log.
+    `sessions` are the linked members by name, `lost_links` those whose link was lost
+    less than `RECONNECT_GRACE_MS` ago, `peer_capacities` the rows that other control
+    VMs reported last, and `capacities` what this VM knows by its own links.
     """
 
-    def __init__(self, address, fleet, clock):
+    def __init__(self, address, fleet, clock, has_quorum):
         self.fleet = fleet
         self.clock = clock
-        self.channels = {}
-        self.roles = {}
+        self.has_quorum = has_quorum
+        self.started_at = clock.now()
+        self.sessions = {}
         self.lost_links = {}
-        self.loads = {}
-        self.load_subscribers = set()
+        self.totals = LoadTotals(fleet.region_of_target)
+        self.capacities = ()
+        self.peer_capacities = {}
+        self.entry_counts = EntryCounts({}, False, False)
+        self.hop_peers_version = None
+        self.hop_peers_at = clock.now()
+        self.routes_at = clock.now()
         self.ticks = 0
         fleet.listeners.append(self.forward_change)
         self.socket = task.listen(address, LISTEN_BACKLOG)
         self.thread = task.spawn(self.accept_links)
-        self.ticker = task.PeriodicTask(self.tick, LOADS_INTERVAL_MS)
+        self.ticker = task.PeriodicTask(self.tick, TICK_INTERVAL_MS)
 
     def accept_links(self):
         """Accept links until this task is killed."""
@@ -76,112 +107,245 @@
         with contextlib.closing(channel):
             try:
                 first = channel.receive()
-                if isinstance(first, LinkHello):
-                    self.serve_member(channel, first.member)
+                if not isinstance(first, LinkHello) or first.protocol != LINK_PROTOCOL:
+                    raise ChannelError("the peer is of another build; replace it")
             except ChannelError as error:
                 logger.info("link refused", extra={"problem": str(error)})
+                return
+            self.serve_member(first, channel)
 
-    def serve_member(self, channel, member):
-        """Send a member the state of the fleet, then serve it until its link fails."""
-        name = member.name
-        previous = self.channels.pop(name, None)
-        if previous is not None:
-            previous.close()
-        self.channels[name] = channel
-        self.roles[name] = member.role
-        self.lost_links.pop(name, None)
-        logger.info("link open", extra={"member": name, "role": member.role})
-        for message in self.fleet.snapshot():
-            channel.push(message)
-        self.fleet.members.handle_up(MemberUp(member), DIRECT)
+    def serve_member(self, hello, channel):
+        """Serve a member until its link fails."""
+        session = self.open_session(hello, channel)
         try:
             while True:
-                self.handle(name, channel.receive())
+                self.handle(session, channel.receive())
         except ChannelError as error:
-            self.handle_link_loss(member, channel, str(error))
+            self.close_session(session, str(error))
+
+    def open_session(self, hello, channel):
+        """Register a member and send it the state of the fleet; return its session."""
+        session = Session(hello, channel)
+        previous = self.sessions.pop(session.name, None)
+        if previous is not None:
+            previous.channel.close()
+        self.sessions[session.name] = session
+        self.lost_links.pop(session.name, None)
+        extra = {"member": session.name, "role": session.record.role}
+        logger.info("link open", extra=extra)
+        for message in self.snapshot(session):
+            channel.push(message)
+        self.handle_record(hello.member)
+        return session
 
-    def handle(self, name, message):
+    def snapshot(self, session):
+        """Yield the messages that bring a newly linked member up to date."""
+        fleet = self.fleet
+        if session.is_control:
+            yield from fleet.members.snapshot(DIRECT)
+            yield from fleet.targets.snapshot(DIRECT)
+            return
+        if fleet.routes.revision and session.record.plan < fleet.routes.version:
+            session.routes_revision = fleet.routes.revision
+            yield fleet.routes
+        if fleet.evacuations.revision:
+            yield fleet.evacuations
+        changes = (*fleet.members.snapshot(), *fleet.targets.snapshot())
+        yield from (m for m in changes if concerns(m, session, fleet))
+        yield self.entry_counts
+
+    def handle(self, session, message):
         """Handle one message of a member."""
-        if isinstance(message, MemberHeartbeat):
-            self.loads[name] = message.loads
-            self.set_subscription(name, message.wants_loads)
-            known = self.fleet.members.get(name)
-            if known != message.member:
-                self.fleet.members.handle_up(MemberUp(message.member), DIRECT)
-
-    def set_subscription(self, name, wants_loads):
-        """Record whether a member needs the load totals at short intervals."""
-        if wants_loads:
-            self.load_subscribers.add(name)
+        if not isinstance(message, MemberHeartbeat):
+            return
+        if session.is_control:
+            self.peer_capacities[session.name] = message.capacities
         else:
-            self.load_subscribers.discard(name)
+            self.totals.report(session.name, message.loads)
+        if session.set_primary(message.is_primary and session.is_entry):
+            self.hop_peers_version = None
+        if message.member is not None:
+            session.record = message.member
+            self.handle_record(message.member)
+
+    def handle_record(self, record):
+        """Store the record of a linked member; pass a change on to control VMs."""
+        known = self.fleet.members.record_from(record.name, DIRECT)
+        self.fleet.members.handle_up(MemberUp(record), DIRECT)
+        if is_news(known, record):
+            self.push_to_control_vms(MemberUp(record))
 
-    def handle_link_loss(self, member, channel, problem):
+    def close_session(self, session, problem):
         """Record a lost link; the member has `RECONNECT_GRACE_MS` to reconnect."""
-        name = member.name
+        name = session.name
         logger.info("link lost", extra={"member": name, "problem": problem})
-        if self.channels.get(name) is channel:
-            del self.channels[name]
-            self.lost_links[name] = LostLink(self.clock.now(), member.incarnation)
-            self.loads.pop(name, None)
-            self.load_subscribers.discard(name)
+        if self.sessions.get(name) is session:
+            del self.sessions[name]
+            incarnation = session.record.incarnation
+            self.lost_links[name] = LostLink(self.clock.now(), incarnation)
+            self.totals.forget(name)
+            self.peer_capacities.pop(name, None)
 
     def tick(self):
-        """Report members that didn't reconnect as down, and send load totals."""
+        """Report lost members, and send what is sent periodically."""
+        self.expire_lost_links()
+        self.totals.update()
+        self.send_entry_counts()
+        self.ticks += 1
+        is_slow_tick = self.ticks % SLOW_TICKS == 0
+        if is_slow_tick:
+            self.update_capacities()
+        self.send_hop_peers()
+        for session in [*self.sessions.values()]:
+            self.send_loads(session, is_slow_tick)
+            if is_slow_tick and session.is_entry:
+                self.send_missing_plan(session)
+
+    def expire_lost_links(self):
+        """Report members that didn't reconnect as down."""
         now = self.clock.now()
         for name, lost_link in [*self.lost_links.items()]:
             if now - lost_link.lost_at >= RECONNECT_GRACE_MS:
                 del self.lost_links[name]
-                self.fleet.members.handle_down(
-                    MemberDown(name, lost_link.incarnation), DIRECT
-                )
-        loads = Loads(self.sum_loads())
-        self.ticks += 1
-        is_slow_tick = self.ticks % SLOW_LOADS_TICKS == 0
-        for name, channel in [*self.channels.items()]:
-            if is_slow_tick or name in self.load_subscribers:
-                channel.push(loads)
-
-    def sum_loads(self):
-        """Return the total load of all members on each target."""
-        totals = {}
-        for loads in self.loads.values():
-            for load in loads:
-                total = totals.get(load.id, TargetLoad(load.id, 0, 0))
-                totals[load.id] = TargetLoad(
-                    load.id,
-                    total.requests + load.requests,
-                    total.tokens + load.tokens,
-                    total.streams + load.streams,
-                )
-        return tuple(totals.values())
+                message = MemberDown(name, lost_link.incarnation)
+                self.fleet.members.handle_down(message, DIRECT)
+                self.push_to_control_vms(message)
+
+    def send_entry_counts(self):
+        """Send the number of entry VMs by region to entry VMs if it has changed."""
+        members = self.fleet.members.known()
+        counts = collections.Counter(m.region for m in members if m.role == ENTRY)
+        has_quorum = self.has_quorum()
+        has_settled = self.clock.now() - self.started_at >= SETTLE_MS
+        message = EntryCounts(dict(counts), has_quorum, has_quorum and has_settled)
+        if message != self.entry_counts:
+            self.entry_counts = message
+            self.push_to_entry_vms(message)
+
+    def update_capacities(self):
+        """Sum up the capacity of each region, and send it to the other regions."""
+        reporters = collections.Counter(
+            session.record.region
+            for session in self.sessions.values()
+            if session.is_entry
+        )
+        self.capacities = tuple(
+            summarize_capacities(self.fleet, self.totals.all_totals(), reporters)
+        )
+        rows = merge_capacities((self.capacities, *self.peer_capacities.values()))
+        for session in self.sessions.values():
+            if session.is_primary:
+                session.send_capacities(rows)
+
+    def send_hop_peers(self):
+        """Send members the VMs of other regions to which they may send hops."""
+        now, version = self.clock.now(), self.fleet.members.version
+        is_due = now - self.hop_peers_at >= HOP_PEERS_INTERVAL_MS
+        if not is_due or version == self.hop_peers_version:
+            return
+        self.hop_peers_version, self.hop_peers_at = version, now
+        by_region = collections.defaultdict(list)
+        for member in self.fleet.members.live():
+            if is_available(member):
+                by_region[member.region].append(member)
+        for session in self.sessions.values():
+            if session.is_primary:
+                session.send_hop_peers(find_hop_peers(session.record, by_region))
+
+    def send_loads(self, session, is_slow_tick):
+        """Send the load of the region's targets to a member that uses this link."""
+        if session.needs_loads:
+            session.needs_loads = False
+            data = self.totals.encode_complete(session.record.region)
+            session.channel.push_encoded(data)
+            return
+        changes = b""
+        if session.is_primary:
+            changes = self.totals.changed.get(session.record.region, b"")
+        if changes:
+            session.channel.push_encoded(changes)
+        elif is_slow_tick:
+            session.channel.push_encoded(LINK_HEARTBEAT)
+
+    def send_missing_plan(self, session):
+        """Send the plan if a member has not got it over another link by now."""
+        routes = self.fleet.routes
+        is_behind = session.record.plan < routes.version
+        is_due = self.clock.now() - self.routes_at >= MISSING_PLAN_DELAY_MS
+        if is_behind and is_due and session.routes_revision < routes.revision:
+            session.routes_revision = routes.revision
+            session.channel.push(routes)
 
     def forward_change(self, message, source):
-        """Send a change to all members; to control VMs only if it came in here."""
-        for name, channel in [*self.channels.items()]:
-            if self.roles[name] != CONTROL or source == DIRECT:
-                channel.push(message)
+        """Send a change to the entry VMs that it concerns."""
+        data = encode(message)
+        is_plan = isinstance(message, RoutesChanged)
+        if is_plan:
+            self.routes_at = self.clock.now()
+        for session in [*self.sessions.values()]:
+            if session.is_entry and concerns(message, session, self.fleet):
+                session.channel.push_encoded(data)
+                if is_plan:
+                    session.routes_revision = message.revision
+
+    def push_to_entry_vms(self, message):
+        """Send a message to all linked entry VMs."""
+        self.push_encoded_to(ENTRY, encode(message))
+
+    def push_to_control_vms(self, message):
+        """Send what this VM observed itself to the other control VMs."""
+        self.push_encoded_to(CONTROL, encode(message))
 
-    def forward_heartbeat(self, message):
-        """Send a target's heartbeat to the other control VMs."""
-        for name, channel in [*self.channels.items()]:
-            if self.roles[name] == CONTROL:
-                channel.push(message)
+    def push_encoded_to(self, role, data):
+        """Send an encoded message to all linked members of a role."""
+        for session in [*self.sessions.values()]:
+            if session.record.role == role:
+                session.channel.push_encoded(data)
 
     def handle_target_heartbeat(self, record):
         """Handle a heartbeat that a target sent to this VM."""
-        message = TargetSeen(record, 0)
+        message = TargetSeen(record, 0, self.pick_cold_senders(record))
         if self.fleet.targets.handle_seen(message, DIRECT):
-            self.forward_heartbeat(message)
+            self.push_to_control_vms(message)
+
+    def pick_cold_senders(self, record):
+        """Return the names of the entry VMs that may send to a target while cold."""
+        plan = self.fleet.store.plan
+        limits = plan.services.get(record.service) if plan else None
+        if limits is None or record.cold_ms <= 0:
+            return ()
+        region = self.fleet.region_of(record.failure_domain)
+        members = self.fleet.members.live_in(ENTRY, region)
+        names = [member.name for member in members if is_available(member)]
+        return select_cold_senders(record.id, limits.cold_per_s, names)
 
     def handle_target_leave(self, id_):
         """Handle a target's own notice that it leaves."""
-        self.fleet.targets.handle_leave(id_, DIRECT)
+        message = self.fleet.targets.handle_leave(id_, DIRECT)
+        self.push_to_control_vms(message)
+
+    def sweep_targets(self, silence_ms):
+        """Mark targets silent that this VM has not heard for `silence_ms`."""
+        for message in self.fleet.targets.sweep(silence_ms, DIRECT):
+            self.push_to_control_vms(message)
 
     def close(self):
         """Stop accepting links and close them all."""
         self.ticker.close()
         self.thread.kill()
         self.socket.close()
-        for channel in self.channels.values():
-            channel.close()
+        for session in self.sessions.values():
+            session.channel.close()
+
+
+def find_hop_peers(record, by_region):
+    """Return the VMs to which a member may send hops, by name.
+
+    `by_region` has the available entry VMs of each region.
+    """
+    return {
+        peer.name: peer
+        for region, members in by_region.items()
+        if region != record.region
+        for peer in select_hop_peers(record.name, members)
+    }
--- /dev/null
+++ b/pollenmount/fleet/session.py
@@ -0,0 +1,123 @@
+"""What a control VM keeps about one linked member, and what that member is sent."""
+
+from functools import singledispatch
+
+from pollenmount.fleet.messages import (
+    CONTROL,
+    ENTRY,
+    Capacities,
+    EvacuationsChanged,
+    LinkHello,
+    MemberDown,
+    MemberUp,
+    RoutesChanged,
+    TargetGone,
+    TargetSeen,
+    TargetSilent,
+)
+
+__all__ = ["Session", "concerns"]
+
+
+class Session:
+    """A linked member: its channel, its newest record, and what it has been sent.
+
+    `is_primary` is whether the member uses this link for the load of targets and for
+    the VMs to hop to. `needs_loads` is set until it has got the complete loads.
+    `hop_peers` are the VMs of other regions that it was sent, by name, `capacities`
+    and `routes_revision` the newest of those that it was sent.
+    """
+
+    def __init__(self, hello: LinkHello, channel):
+        self.channel = channel
+        self.record = hello.member
+        self.is_primary = False
+        self.needs_loads = False
+        self.hop_peers = {}
+        self.capacities = Capacities(())
+        self.routes_revision = 0
+
+    @property
+    def name(self):
+        """Return the member's name."""
+        return self.record.name
+
+    @property
+    def is_entry(self):
+        """Return whether the member is an entry VM."""
+        return self.record.role == ENTRY
+
+    @property
+    def is_control(self):
+        """Return whether the member is a control VM."""
+        return self.record.role == CONTROL
+
+    def set_primary(self, is_primary):
+        """Note whether this is the member's primary link; return whether it changed."""
+        if is_primary == self.is_primary:
+            return False
+        self.is_primary = is_primary
+        self.needs_loads = is_primary
+        if not is_primary:
+            self.send_hop_peers({})
+            self.capacities = Capacities(())
+        return True
+
+    def send_hop_peers(self, wanted):
+        """Send the differences between `wanted` and the VMs that the member knows."""
+        for name, member in self.hop_peers.items():
+            if name not in wanted:
+                self.channel.push(MemberDown(name, member.incarnation))
+        for name, member in wanted.items():
+            if self.hop_peers.get(name) != member:
+                self.channel.push(MemberUp(member))
+        self.hop_peers = dict(wanted)
+
+    def send_capacities(self, rows):
+        """Send the capacities of the member's other regions if they differ."""
+        others = tuple(row for row in rows if row.region != self.record.region)
+        message = Capacities(others)
+        if message != self.capacities:
+            self.capacities = message
+            self.channel.push(message)
+
+
+@singledispatch
+def concerns(message, session, fleet):
+    """Return whether an entry VM must hear of a change of the fleet at once."""
+    raise TypeError(f"no rule for {type(message).__name__}")
+
+
+@concerns.register
+def _(message: EvacuationsChanged, session, fleet):
+    return True
+
+
+@concerns.register
+def _(message: RoutesChanged, session, fleet):
+    # The other links bring it later, unless the member has got it by then.
+    return session.is_primary
+
+
+@concerns.register
+def _(message: MemberUp, session, fleet):
+    member = message.member
+    return member.role == CONTROL or member.name in session.hop_peers
+
+
+@concerns.register
+def _(message: MemberDown, session, fleet):
+    member = fleet.members.get(message.name)
+    is_control = member is not None and member.role == CONTROL
+    return is_control or message.name in session.hop_peers
+
+
+@concerns.register
+def _(message: TargetSeen, session, fleet):
+    return fleet.region_of_target(message.target.id) == session.record.region
+
+
+@concerns.register(TargetSilent)
+@concerns.register(TargetGone)
+def _(message, session, fleet):
+    return fleet.region_of_target(message.id) in (None, session.record.region)
--- a/pollenmount/fleet/targets.py
+++ b/pollenmount/fleet/targets.py
@@ -15,8 +15,10 @@
 )
 from pollenmount.fleet.versioned_cache import VersionedCache
 
-__all__ = ["Target", "TargetTable"]
+__all__ = ["DEFAULT_SLOTS", "Target", "TargetTable"]
 
+# Assumed for a target that doesn't report its number.
+DEFAULT_SLOTS = 16
 TARGET_RETENTION_MS = 60_000
 TOMBSTONE_TTL_MS = 60_000
 ANY_INCARNATION_TOMBSTONE_TTL_MS = 10_000
@@ -24,19 +26,24 @@
 # Smaller differences in the end of a warm-up come from transmission delays.
 COLD_CHANGE_MS = 250
 ANY_INCARNATION = -1
+# Stands for sources that were lost; a target may turn to another control VM meanwhile.
+LOST_SOURCES = "lost"
+LOST_SOURCES_GRACE_MS = 5000
 
 
 class Target(NamedTuple):
     """A target known to this VM; times are in milliseconds of this VM's clock.
 
     `heard_at` is when the newest heartbeat arrived, `heard_by` the sources that receive
-    its heartbeats, `cold_until` the end of its warm-up.
+    its heartbeats, `cold_until` the end of its warm-up. Until then only the entry VMs
+    named in `cold_senders` may send to it.
     """
 
     record: TargetRecord
     heard_at: int
     cold_until: int
     heard_by: frozenset[str]
+    cold_senders: tuple[str, ...] = ()
 
     @property
     def id(self):
@@ -53,6 +60,14 @@
         return now < self.cold_until
 
 
+class Tombstone(NamedTuple):
+    """A target that left at `left_at`; `failure_domain` is '' if it was unknown."""
+
+    born: int
+    left_at: int
+    failure_domain: str
+
+
 class TargetTable:
     """Targets by id; `on_change` is called with each message that changes one."""
 
@@ -81,11 +96,13 @@
             known and known.record.order_key > record.order_key
         ):
             return False
-        heard_by = (known.heard_by if known else frozenset()) | {source}
+        is_newer = known is None or known.record.order_key < record.order_key
+        # Who only heard older heartbeats may not hear the target any more.
+        heard_by = frozenset({source}) | (frozenset() if is_newer else known.heard_by)
         heard_at = now - message.age_ms
-        target = Target(record, heard_at, heard_at + record.cold_ms, heard_by)
+        cold_until = heard_at + record.cold_ms
+        target = Target(record, heard_at, cold_until, heard_by, message.cold_senders)
         is_changed = known is None or must_notify(known, target)
-        is_newer = known is None or known.record.order_key < record.order_key
         if known and not is_newer:
             target = target._replace(heard_at=max(known.heard_at, heard_at))
         self.by_id[record.id] = target
@@ -96,10 +113,13 @@
 
     def has_left(self, record):
         """Return whether this incarnation of the target has left."""
-        born, left_at = self.tombstones.get(record.id, (None, 0))
-        if born == ANY_INCARNATION:
-            return self.clock.now() - left_at < ANY_INCARNATION_TOMBSTONE_TTL_MS
-        return born is not None and record.born <= born
+        tombstone = self.tombstones.get(record.id)
+        if tombstone is None:
+            return False
+        if tombstone.born == ANY_INCARNATION:
+            age_ms = self.clock.now() - tombstone.left_at
+            return age_ms < ANY_INCARNATION_TOMBSTONE_TTL_MS
+        return record.born <= tombstone.born
 
     def handle_silent(self, message, source):
         """Remove a source that no longer hears a target; notify if it was the last."""
@@ -120,7 +140,9 @@
         is_change = message.id not in self.tombstones or known is not None
         while len(self.tombstones) >= MAX_TOMBSTONES:
             del self.tombstones[next(iter(self.tombstones))]
-        self.tombstones[message.id] = (message.born, self.clock.now())
+        domain = known.record.failure_domain if known else ""
+        now = self.clock.now()
+        self.tombstones[message.id] = Tombstone(message.born, now, domain)
         self.by_id.pop(message.id, None)
         self.version += 1
         if is_change:
@@ -134,40 +156,60 @@
         return message
 
     def forget_source(self, source):
-        """Remove a source from all targets."""
+        """Remove a source from all targets; those that it alone heard get a grace."""
         for id_, known in self.by_id.items():
             if source in known.heard_by:
-                heard_by = known.heard_by - {source}
+                heard_by = (known.heard_by - {source}) or frozenset({LOST_SOURCES})
                 self.by_id[id_] = known._replace(heard_by=heard_by)
         self.version += 1
 
     def sweep(self, silence_ms, source=None):
-        """Mark targets silent at `source` for `silence_ms`; remove expired state."""
+        """Mark targets silent at `source` for `silence_ms`; remove expired state.
+
+        Return the messages about those that have become silent there.
+        """
         now = self.clock.now()
+        silent = []
         for id_, known in [*self.by_id.items()]:
             silent_ms = now - known.heard_at
             if source in known.heard_by and silent_ms > silence_ms:
-                self.handle_silent(TargetSilent(id_), source)
+                silent.append(TargetSilent(id_))
+                self.handle_silent(silent[-1], source)
+            elif LOST_SOURCES in known.heard_by and silent_ms > LOST_SOURCES_GRACE_MS:
+                self.handle_silent(TargetSilent(id_), LOST_SOURCES)
             elif not known.heard_by and silent_ms > TARGET_RETENTION_MS:
                 del self.by_id[id_]
                 self.version += 1
-        for id_, (_, left_at) in [*self.tombstones.items()]:
-            if now - left_at > TOMBSTONE_TTL_MS:
+        for id_, tombstone in [*self.tombstones.items()]:
+            if now - tombstone.left_at > TOMBSTONE_TTL_MS:
                 del self.tombstones[id_]
+        return silent
+
+    def failure_domain_of(self, id_):
+        """Return the failure domain of a target, left or not, '' if it is unknown."""
+        known = self.by_id.get(id_)
+        if known:
+            return known.record.failure_domain
+        tombstone = self.tombstones.get(id_)
+        return tombstone.failure_domain if tombstone else ""
+
+    def snapshot(self, source=None):
+        """Yield the messages that bring another VM up to date, tombstones first.
 
-    def snapshot(self):
-        """Yield the messages that bring another VM up to date, tombstones first."""
+        `source` limits the targets to those that are heard by it.
+        """
         now = self.clock.now()
-        for id_, (born, _) in self.tombstones.items():
-            yield TargetGone(id_, born)
+        for id_, tombstone in self.tombstones.items():
+            yield TargetGone(id_, tombstone.born)
         for known in self.by_id.values():
-            yield make_target_seen(known, now)
+            if source is None or source in known.heard_by:
+                yield make_target_seen(known, now)
 
 
 def make_target_seen(known, now):
     """Return the `TargetSeen` of a known target for another VM."""
     age_ms = max(0, now - known.heard_at)
-    return TargetSeen(known.record, age_ms)
+    return TargetSeen(known.record, age_ms, known.cold_senders)
 
 
 def must_notify(known, new):
@@ -177,4 +219,5 @@
     turned_cold = (
         record.cold_ms > 0 and new.cold_until > known.cold_until + COLD_CHANGE_MS
     )
-    return not same or turned_cold or not known.heard_by
+    senders_changed = record.cold_ms > 0 and new.cold_senders != known.cold_senders
+    return not same or turned_cold or senders_changed or not known.heard_by
--- a/pollenmount/gateway/budget.py
+++ b/pollenmount/gateway/budget.py
@@ -4,13 +4,11 @@
 """
 
 import collections
-import zlib
 
 __all__ = ["RetryBudget", "WarmupLimiter"]
 
 MS_PER_S = 1000
 SAFETY_FACTOR = 0.8
-MAX_SENDERS_PER_TARGET = 3
 
 
 class RetryBudget:
@@ -55,9 +53,7 @@
 class WarmupLimiter:
     """Limits this VM's rate of requests to targets that are still warming up.
 
-    Only a few VMs of a region send to such a target, and all VMs select the same ones.
-    If each of many VMs had a small share of the target's rate, their requests could
-    coincide and exceed it.
+    Only a few VMs send to such a target; control VMs select them.
     """
 
     def __init__(self, clock, name):
@@ -65,12 +61,11 @@
         self.name = name
         self.last_sent_at = {}
 
-    def may_send(self, id_, rate_per_s, entry_names):
+    def may_send(self, id_, rate_per_s, senders):
         """Return whether this VM may send a request to a cold target now.
 
-        `entry_names` are the names of the region's entry VMs.
+        `senders` are the names of the VMs that share the target's rate.
         """
-        senders = select_senders(id_, rate_per_s, entry_names)
         if self.name not in senders:
             return False
         rate = SAFETY_FACTOR * rate_per_s / len(senders)
@@ -84,10 +79,3 @@
     def forget(self, id_):
         """Drop the state of a target that has left."""
         self.last_sent_at.pop(id_, None)
-
-
-def select_senders(id_, rate_per_s, entry_names):
-    """Return the names of the VMs that may send to a cold target (rendezvous hash)."""
-    count = max(1, min(MAX_SENDERS_PER_TARGET, int(rate_per_s)))
-    ranked = sorted(entry_names, key=lambda name: zlib.crc32(f"{id_} {name}".encode()))
-    return ranked[:count]
--- a/pollenmount/gateway/node.py
+++ b/pollenmount/gateway/node.py
@@ -49,7 +49,7 @@
         self.stack = contextlib.ExitStack()
         self.metrics = GatewayMetrics()
         self.store = RoutesStore(dialect.read_plan)
-        self.fleet = Fleet(self.clock, self.store)
+        self.fleet = Fleet(self.clock, self.store, settings.failure_domains)
 
     def manage(self, closeable):
         """Register `closeable` to be closed with the node; return it."""
--- a/pollenmount/gateway/roles/control.py
+++ b/pollenmount/gateway/roles/control.py
@@ -2,7 +2,7 @@
 
 from pollenmount import task
 from pollenmount.fleet.client import LinkClient
-from pollenmount.fleet.server import DIRECT, LinkServer
+from pollenmount.fleet.server import LinkServer
 from pollenmount.gateway.control import ControlApi, DirectoryApi
 from pollenmount.gateway.routes_log import RoutesLog
 from pollenmount.plugin import register
@@ -22,11 +22,18 @@
     def __init__(self, node):
         self.node = node
         settings, clock = node.settings, node.clock
-        self.server = node.manage(LinkServer(settings.links, node.fleet, clock))
         self.log = RoutesLog(node)
+        self.server = node.manage(
+            LinkServer(settings.links, node.fleet, clock, self.log.has_quorum)
+        )
         self.links = node.manage(
             LinkClient(
-                node.fleet, clock, node.member_record, tuple, node.seed_link_addresses
+                node.fleet,
+                clock,
+                node.member_record,
+                tuple,
+                node.seed_link_addresses,
+                lambda: self.server.capacities,
             )
         )
         node.manage(task.PeriodicTask(self.sweep, SWEEP_INTERVAL_MS))
@@ -39,7 +46,7 @@
     def sweep(self):
         """Mark targets that have missed several heartbeats as silent."""
         silence_ms = MISSED_HEARTBEATS * self.node.settings.heartbeat_ms
-        self.node.fleet.targets.sweep(silence_ms, DIRECT)
+        self.server.sweep_targets(silence_ms)
 
     def stop(self, requested_at):
         """Hand over leadership and finish running calls.
--- a/pollenmount/gateway/roles/entry.py
+++ b/pollenmount/gateway/roles/entry.py
@@ -3,7 +3,6 @@
 from pollenmount import task
 from pollenmount.api.connection import ConnectionLimits
 from pollenmount.fleet.client import LinkClient
-from pollenmount.fleet.entry_counter import EntryCounter
 from pollenmount.fleet.messages import TargetGone
 from pollenmount.gateway.attempt import Sender
 from pollenmount.gateway.budget import RetryBudget, WarmupLimiter
@@ -46,7 +45,6 @@
         settings, clock = node.settings, node.clock
         self.loads = LoadTracker(self.reported_loads)
         pool = node.manage(ConnectionPool(clock))
-        entry_counter = EntryCounter(clock, node.fleet.members)
         self.context = RoutingContext(
             settings,
             clock,
@@ -58,10 +56,9 @@
             warmup=WarmupLimiter(clock, settings.name),
             pool=pool,
             lags=LagTracker(clock),
-            entry_counter=entry_counter,
         )
         node.budget = RetryBudget(
-            clock, settings.bounds, lambda: 1 / entry_counter.entries()
+            clock, settings.bounds, node.fleet.entry_counter.share
         )
         sender = Sender(pool, node.dialect, clock)
         chooser = make_chooser(settings.chooser)
@@ -103,7 +100,7 @@
 
     def reported_loads(self):
         """Return the summed loads by target of the nearest control VM that sent any."""
-        for address in self.links.control_addresses():
+        for address in self.links.addresses:
             if address in self.node.fleet.loads:
                 return self.node.fleet.loads[address]
         return {}
@@ -111,12 +108,17 @@
     def is_ready(self):
         """Return whether this VM has had a plan and targets for a short while."""
         node = self.node
-        if node.stopping or node.store.plan is None or not node.fleet.targets.by_id:
+        if node.stopping or node.store.plan is None or not self.knows_targets():
             return False
         if self.plan_received_at is None:
             self.plan_received_at = node.clock.now()
         return node.clock.now() - self.plan_received_at >= READY_DELAY_MS
 
+    def knows_targets(self):
+        """Return whether this VM knows of a target in its region or in another one."""
+        fleet = self.node.fleet
+        return bool(fleet.targets.by_id or fleet.capacities)
+
     def handle_readiness(self, request):
         """Return the reply to a readiness check."""
         if not self.node.dialect.is_readiness(request.method, request.path):
--- a/pollenmount/gateway/routes_log.py
+++ b/pollenmount/gateway/routes_log.py
@@ -174,6 +174,10 @@
             if member.role == CONTROL and member.consensus_address != own
         ]
 
+    def has_quorum(self):
+        """Return whether this replica is in touch with the leader of the log."""
+        return self.group.state.leader is not None
+
     def publish_state(self, machine):
         """Publish the newest plan and evacuations to the fleet."""
         state = machine.state
--- a/pollenmount/gateway/routing_context.py
+++ b/pollenmount/gateway/routing_context.py
@@ -1,11 +1,11 @@
 """Collects the options for a routing decision from the tables of this VM."""
 
 from pollenmount.fleet.messages import ENTRY
+from pollenmount.fleet.targets import DEFAULT_SLOTS
 from pollenmount.gateway.choose import Options, TargetOption
 
 __all__ = ["RoutingContext"]
 
-DEFAULT_SLOTS = 16
 CONNECTIONS_SHARE = 0.85
 # Well above the round trip within a region and between regions.
 SLOW_CONNECT_MS = 80
@@ -26,46 +26,52 @@
         self.warmup = trackers["warmup"]
         self.pool = trackers["pool"]
         self.lags = trackers["lags"]
-        self.entry_counter = trackers["entry_counter"]
 
     def options(self, call, tried):
         """Return the `Options` of a call; `tried` has the names tried before."""
-        own_region = self.settings.region
-        entry_names = [member.name for member in self.entry_vms(own_region)]
-        local = [
-            self.make_option(target, own_region, call)
-            for target, region in self.eligible_targets(call, tried)
-            if region == own_region and self.may_send(target, entry_names)
-        ]
-        return Options(tuple(local), lambda: self.remote_options(call, tried))
+        sharers = self.fleet.entry_counter.entries(self.settings.region)
+        local = tuple(
+            self.make_option(target, call)
+            for target in self.eligible_targets(call, tried)
+            if self.may_send(target, sharers)
+        )
+        return Options(local, lambda: self.remote_options(call, tried))
 
     def eligible_targets(self, call, tried):
-        """Yield (target, region) for the targets that the call may be sent to.
+        """Yield the targets of this region that the call may be sent to.
 
-        Excludes draining, evacuated and tried targets, and regions that are no home of
-        the route.
+        Excludes draining, evacuated and tried targets. There are none if the region is
+        no home of the route.
         """
+        if not is_allowed_in(call.route, self.settings.region):
+            return
         evacuated = self.fleet.evacuations.failure_domains
         for target in self.fleet.targets.of_service(call.service):
             record = target.record
-            region = self.region_of(record.failure_domain)
             if not (
                 record.draining
                 or record.failure_domain in evacuated
                 or record.id in tried
-                or not is_allowed_in(call.route, region)
+                or self.fleet.region_of(record.failure_domain) != self.settings.region
             ):
-                yield target, region
+                yield target
 
     def remote_options(self, call, tried):
-        """Return the options in other regions, without cold targets."""
-        now = self.clock.now()
-        remote = [
-            self.make_option(target, region, call)
-            for target, region in self.eligible_targets(call, tried)
-            if region != self.settings.region and not target.is_cold(now)
-        ]
-        return self.reachable_options(remote, call.service, tried)
+        """Return an option for each other region that may run the call.
+
+        It stands for an average target there; the entry VM that receives the hop picks
+        one. A region whose entry VM recently found no target is excluded for a while.
+        """
+        return tuple(
+            make_region_option(row)
+            for row in self.fleet.capacities.values()
+            if row.service == call.service
+            and row.targets
+            and is_allowed_in(call.route, row.region)
+            and not self.breakers.is_open((row.region, row.service))
+            and not self.breakers.is_open(row.region)
+            and self.hop_candidates(row.region, tried)
+        )
 
     def forget(self, id_):
         """Drop all state of a target that has left."""
@@ -74,14 +80,10 @@
         self.breakers.forget(id_)
         self.lags.forget(id_)
 
-    def region_of(self, failure_domain):
-        """Return the region of a failure domain."""
-        return self.settings.failure_domains.get(failure_domain, failure_domain)
-
-    def may_send(self, target, entry_names):
+    def may_send(self, target, sharers):
         """Return whether this VM may send a request to a target of its region now.
 
-        `entry_names` are the names of the region's entry VMs.
+        `sharers` is the number of entry VMs that share the target's connections.
         """
         record = target.record
         if self.breakers.is_open(record.id, record.born):
@@ -93,10 +95,10 @@
             return False
         is_cold = target.is_cold(self.clock.now()) and service_limits.cold_per_s > 0
         if is_cold and not self.warmup.may_send(
-            record.id, service_limits.cold_per_s, entry_names
+            record.id, service_limits.cold_per_s, target.cold_senders
         ):
             return False
-        return self.has_free_connection(record.id, service_limits, len(entry_names))
+        return self.has_free_connection(record.id, service_limits, sharers)
 
     def has_free_connection(self, id_, service_limits, sharers):
         """Return whether this VM's share of a target's connections is not used up."""
@@ -108,15 +110,15 @@
         local = self.loads.local.get(id_)
         return (local.requests if local else 0) < limit
 
-    def make_option(self, target, region, call):
-        """Return the `TargetOption` of a target."""
+    def make_option(self, target, call):
+        """Return the `TargetOption` of a target of this region."""
         record = target.record
         load = self.loads.total_at(record.id)
         prompt = call.info.prompt
         cached = self.cache.cached_tokens(record.id, prompt) if prompt else 0
         return TargetOption(
             record.id,
-            region,
+            self.settings.region,
             record.slots or DEFAULT_SLOTS,
             load.requests,
             load.tokens,
@@ -126,24 +128,6 @@
             load.streams,
         )
 
-    def reachable_options(self, remote, service, tried):
-        """Return the remote options in regions with an available entry VM.
-
-        A region whose entry VM recently found no target is excluded for a while.
-        """
-        reachable_regions = {
-            region
-            for region in {option.region for option in remote}
-            if not self.breakers.is_open((region, service))
-            and not self.breakers.is_open(region)
-            and self.hop_candidates(region, tried)
-        }
-        return tuple(option for option in remote if option.region in reachable_regions)
-
-    def entry_vms(self, region):
-        """Return the live entry VMs of a region, as members."""
-        return self.fleet.members.live_in(ENTRY, region)
-
     def hop_candidates(self, region, tried):
         """Return the entry VMs of a region that can receive a hop."""
         return [
@@ -159,6 +143,21 @@
         ]
 
 
+def make_region_option(row):
+    """Return the `TargetOption` that stands for the targets of another region."""
+    return TargetOption(
+        row.region,
+        row.region,
+        row.slots // row.targets,
+        row.requests // row.targets,
+        row.tokens // row.targets,
+        0,
+        0.0,
+        True,
+        row.streams // row.targets,
+    )
+
+
 def is_allowed_in(route, region):
     """Return whether the home regions of a route allow a region."""
     return not route.homes or region in route.homes
--- /dev/null
+++ b/tests/fleet_model.py
@@ -0,0 +1,305 @@
+"""A fleet of any size without network: real tables and links, simulated connections."""
+
+import collections
+import contextlib
+import random
+import zlib
+from unittest import mock
+
+from pollenmount.clock import ManualClock
+from pollenmount.fleet import client, server
+from pollenmount.fleet.client import LinkClient
+from pollenmount.fleet.fleet import Fleet
+from pollenmount.fleet.messages import (
+    CONTROL,
+    ENTRY,
+    MemberRecord,
+    RoutesChanged,
+    TargetLoad,
+    TargetRecord,
+    decode,
+    encode,
+)
+from pollenmount.fleet.server import LinkServer
+from pollenmount.routes.plan import DEFAULT_LIMITS, RoutePlan, ServiceLimits
+from pollenmount.routes.store import RoutesStore
+
+REGIONS = ("east", "south", "west")
+ZONES = {f"{region}-{zone}": region for region in REGIONS for zone in "ab"}
+ROUND_MS = 250
+HEARTBEAT_MS = 1200
+SILENCE_MS = 4200
+SERVICES = {"engine": ServiceLimits("engine", 620, 2.7, None)}
+
+
+def decode_plan(document):
+    """Return the plan in a document, which has nothing but the version."""
+    return RoutePlan(int(document), (), SERVICES, DEFAULT_LIMITS)
+
+
+class End:
+    """One end of a link; what is pushed waits until the model delivers it."""
+
+    def __init__(self, model, node, deliver, on_close):
+        self.model = model
+        self.node = node
+        self.deliver = deliver
+        self.on_close = on_close
+        self.peer = None
+        self.inbox = collections.deque()
+        self.closed = False
+
+    def push(self, message):
+        self.push_encoded(encode(message))
+
+    def push_encoded(self, data):
+        if not self.closed:
+            self.node.sent_bytes += len(data)
+            self.peer.inbox.append(data)
+
+    def close(self):
+        """Close both ends; what is under way is lost."""
+        for end in (self, self.peer):
+            if not end.closed:
+                end.closed = True
+                end.inbox.clear()
+                self.model.ends.discard(end)
+                if end.node.alive:
+                    end.on_close()
+
+
+class Node:
+    """One VM: its tables, its links, and what it sent and received."""
+
+    def __init__(self, model, name, role, zone):
+        self.model = model
+        self.name = name
+        self.role = role
+        self.zone = zone
+        self.region = ZONES[zone]
+        self.address = f"{name}:1"
+        self.alive = True
+        self.starts = 0
+        self.sent_bytes = 0
+        self.received_bytes = 0
+        self.received = collections.Counter()
+        self.start()
+
+    def start(self):
+        """Start the VM, knowing nothing but the seeds."""
+        self.alive = True
+        self.starts += 1
+        self.loads = ()
+        self.store = RoutesStore(decode_plan)
+        self.fleet = Fleet(self.model.clock, self.store, ZONES)
+        self.changes = []
+        self.fleet.listeners.append(
+            lambda message, source: self.changes.append(message)
+        )
+        self.server = None
+        if self.role == CONTROL:
+            self.server = LinkServer(
+                self.address, self.fleet, self.model.clock, lambda: True
+            )
+        self.client = LinkClient(
+            self.fleet,
+            self.model.clock,
+            self.describe,
+            lambda: self.loads,
+            lambda: self.model.seeds,
+            lambda: self.server.capacities if self.server else (),
+        )
+
+    def describe(self):
+        """Return the VM's own record."""
+        plan = self.store.version
+        return MemberRecord(
+            self.name,
+            f"{self.name}-{self.starts}",
+            self.starts,
+            plan,
+            self.role,
+            self.region,
+            self.zone,
+            f"{self.name}:2",
+            f"{self.name}:3",
+            self.address if self.role == CONTROL else "",
+            "",
+            plan,
+            plan > 0,
+            False,
+        )
+
+    def receive(self, data):
+        """Count a message and return it."""
+        message = decode(data)
+        self.received_bytes += len(data)
+        self.received[type(message).__name__] += 1
+        return message
+
+    def on_message(self, address, data):
+        """Handle a message on a link that this VM opened."""
+        self.client.established.add(address)
+        self.client.failed_attempts.pop(address, None)
+        self.fleet.handle(self.receive(data), address)
+
+
+class FleetModel:
+    """Control VMs, two in each region, with `entries` entry VMs and some targets."""
+
+    def __init__(self, entries, targets=24, seed=1):
+        self.clock = ManualClock(1_000_000)
+        self.random = random.Random(seed)
+        self.stack = contextlib.ExitStack()
+        for module in (client, server):
+            for name, replacement in (
+                ("PeriodicTask", lambda step, interval_ms: mock.Mock()),
+                ("listen", lambda address, backlog: mock.Mock()),
+                ("spawn", self.spawn),
+            ):
+                patch = mock.patch.object(module.task, name, replacement)
+                self.stack.enter_context(patch)
+        self.ends = set()
+        self.cut_zones = set()
+        self.revision = 0
+        zones = sorted(ZONES)
+        self.seeds = [f"control-{zone}:1" for zone in zones[::2]]
+        self.nodes = {}
+        for zone in zones:
+            self.add(f"control-{zone}", CONTROL, zone)
+        for number in range(entries):
+            self.add(f"entry-{number}", ENTRY, zones[number % len(zones)])
+        self.targets = {
+            f"t{number}": zones[number % len(zones)] for number in range(targets)
+        }
+        self.sequence = 0
+
+    def close(self):
+        self.stack.close()
+
+    def add(self, name, role, zone):
+        """Add a VM and start it."""
+        self.nodes[name] = Node(self, name, role, zone)
+        return self.nodes[name]
+
+    def of_role(self, role):
+        """Return the running VMs of a role."""
+        return [n for n in self.nodes.values() if n.role == role and n.alive]
+
+    def spawn(self, function, *args):
+        """Open the link that a client asks for; other tasks are not run."""
+        owner = getattr(function, "__self__", None)
+        if isinstance(owner, LinkClient):
+            node = next(n for n in self.nodes.values() if n.client is owner)
+            self.connect(node, *args)
+
+    def connect(self, node, address):
+        """Connect a VM to a control VM, or fail."""
+        peer = self.nodes.get(address.partition(":")[0])
+        if peer is None or not peer.alive or not self.reaches(node, peer):
+            node.client.forget_link(address)
+            return
+        sessions = []
+
+        def deliver_to_server(data):
+            message = peer.receive(data)
+            if sessions:
+                peer.server.handle(sessions[0], message)
+            else:
+                sessions.append(peer.server.open_session(message, server_end))
+
+        def close_session():
+            if sessions:
+                peer.server.close_session(sessions[0], "closed")
+
+        server_end = End(self, peer, deliver_to_server, close_session)
+        client_end = End(
+            self,
+            node,
+            lambda data: node.on_message(address, data),
+            lambda: node.client.forget_link(address),
+        )
+        client_end.peer, server_end.peer = server_end, client_end
+        self.ends |= {client_end, server_end}
+        node.client.open_link(address, client_end)
+
+    def reaches(self, one, other):
+        """Return whether two VMs are not separated by a cut."""
+        return (one.zone in self.cut_zones) == (other.zone in self.cut_zones)
+
+    def cut(self, *zones):
+        """Separate some failure domains from the others; () joins all again."""
+        self.cut_zones = set(zones)
+        for end in [*self.ends]:
+            if not end.closed and not self.reaches(end.node, end.peer.node):
+                end.close()
+
+    def kill(self, node):
+        """Kill a VM; its links break."""
+        node.alive = False
+        for end in [*self.ends]:
+            if end.node is node and not end.closed:
+                end.close()
+
+    def put_plan(self, version):
+        """Put a plan into force at all control VMs."""
+        self.revision += 1
+        document = zlib.compress(str(version).encode())
+        for node in self.of_role(CONTROL):
+            node.fleet.handle(RoutesChanged(self.revision, version, document), "log")
+
+    def beat(self, id_, control, **changes):
+        """Send a target's heartbeat to a control VM."""
+        self.sequence += 1
+        record = TargetRecord(
+            *(id_, 1, self.sequence, "engine", f"{id_}:1", self.targets[id_]),
+            *("v", 16, False, 0),
+        )
+        control.server.handle_target_heartbeat(record._replace(**changes))
+
+    def beat_all(self):
+        """Send a heartbeat of each target to a control VM that it reaches."""
+        controls = self.of_role(CONTROL)
+        for id_, zone in self.targets.items():
+            near = [
+                c
+                for c in controls
+                if (c.zone in self.cut_zones) == (zone in self.cut_zones)
+            ]
+            if near:
+                home = zlib.crc32(id_.encode()) % len(near)
+                self.beat(id_, near[home])
+
+    def set_loads(self, requests):
+        """Let each entry VM have requests on each target of its region."""
+        for node in self.of_role(ENTRY):
+            own = [t for t, zone in self.targets.items() if ZONES[zone] == node.region]
+            node.loads = tuple(TargetLoad(id_, requests, 100) for id_ in own)
+
+    def deliver(self):
+        """Deliver all messages, in a random order over the links."""
+        while waiting := [end for end in self.ends if end.inbox]:
+            self.random.shuffle(waiting)
+            for end in waiting:
+                while end.inbox and self.random.random() < 0.7:
+                    end.deliver(end.inbox.popleft())
+
+    def run(self, ms):
+        """Let time pass, with all periodic work and all messages."""
+        for _ in range(ms // ROUND_MS):
+            self.clock.advance(ROUND_MS)
+            if self.clock.now() // ROUND_MS % (HEARTBEAT_MS // ROUND_MS) == 0:
+                self.beat_all()
+            for node in [n for n in self.nodes.values() if n.alive]:
+                node.client.run_round()
+                if node.server:
+                    node.server.tick()
+                    node.server.sweep_targets(SILENCE_MS)
+            self.deliver()
+
+    def reset_counters(self):
+        """Count what is sent and received from now on."""
+        for node in self.nodes.values():
+            node.received.clear()
+            node.sent_bytes = node.received_bytes = 0
+            node.changes.clear()
--- a/tests/gateway_harness.py
+++ b/tests/gateway_harness.py
@@ -1,17 +1,20 @@
 """Test harness: an entry VM without network, with scripted attempts."""
 
 from pollenmount.clock import ManualClock
-from pollenmount.fleet.entry_counter import EntryCounter
+from pollenmount.fleet.capacity import summarize_capacities
 from pollenmount.fleet.fleet import Fleet
 from pollenmount.fleet.messages import (
     CONTROL,
     ENTRY,
+    Capacities,
+    EntryCounts,
     EvacuationsChanged,
     MemberRecord,
     MemberUp,
     TargetRecord,
     TargetSeen,
 )
+from pollenmount.fleet.selection import select_cold_senders
 from pollenmount.gateway.budget import RetryBudget, WarmupLimiter
 from pollenmount.gateway.cache import PrefixCacheTracker
 from pollenmount.gateway.call import Call, ResponseHead
@@ -36,7 +39,7 @@
 from pollenmount.routes.store import RoutesStore
 from pollenmount.wire.pool import ConnectionPool
 
-ENTRY_COUNT_SETTLED_MS = 5000
+REGIONS = {"west-a": "west", "east-a": "east", "south-a": "south"}
 BOUNDS = Bounds(8, 0.2, 10, 54, 5)
 ENGINE = ServiceLimits("engine", 620, 2.7, EngineLimits(128, 247_053))
 PLAIN = ServiceLimits("desk", 100, 0.0, None)
@@ -49,7 +52,7 @@
         "10.1.0.1",
         region,
         f"{region}-a",
-        {"west-a": "west", "east-a": "east", "south-a": "south"},
+        REGIONS,
         Listen("10.1.0.1:80", "10.1.0.1:81", "", ""),
         7000,
         7015,
@@ -100,7 +103,11 @@
 
 
 class EntryHarness:
-    """An entry VM in the region west, with the targets and members that a test adds."""
+    """An entry VM in the region west, with the targets and members that a test adds.
+
+    `control` is the fleet as a control VM knows it, which tells the entry VM about its
+    own region's targets, and about the capacity of the other regions.
+    """
 
     def __init__(self, **changes):
         self.clock = ManualClock(1_000_000)
@@ -109,10 +116,10 @@
         self.store.plan = RoutePlan(
             1, (), {"engine": ENGINE, "desk": PLAIN}, DEFAULT_LIMITS
         )
-        self.fleet = Fleet(self.clock, self.store)
+        self.fleet = Fleet(self.clock, self.store, REGIONS)
+        self.control = Fleet(self.clock, self.store, REGIONS)
         self.loads = LoadTracker(lambda: self.reported)
         self.reported = {}
-        self.entry_counter = EntryCounter(self.clock, self.fleet.members)
         self.context = RoutingContext(
             self.settings,
             self.clock,
@@ -124,11 +131,8 @@
             warmup=WarmupLimiter(self.clock, self.settings.name),
             pool=ConnectionPool(self.clock),
             lags=LagTracker(self.clock),
-            entry_counter=self.entry_counter,
-        )
-        self.budget = RetryBudget(
-            self.clock, BOUNDS, lambda: 1 / self.entry_counter.entries()
         )
+        self.budget = RetryBudget(self.clock, BOUNDS, self.fleet.entry_counter.share)
         self.sender = ScriptedSender()
         self.dispatcher = Dispatcher(
             self.context,
@@ -139,11 +143,14 @@
             self.clock.advance,
         )
         self.add_entry("west-1", "west")
-        self.clock.advance(ENTRY_COUNT_SETTLED_MS)
 
     def add_entry(self, name, region, **changes):
-        """Add an entry VM to the members."""
+        """Add an entry VM to the members, and report their number."""
         self.add_member(name, region, ENTRY, **changes)
+        self.control.members.handle_up(MemberUp(self.fleet.members.get(name)), "c")
+        regions = [member.region for member in self.control.members.live()]
+        counts = {region: regions.count(region) for region in regions}
+        self.fleet.handle(EntryCounts(counts, True, True), "c")
 
     def add_member(self, name, region, role=CONTROL, **changes):
         """Add a member, as reported by one source."""
@@ -159,12 +166,25 @@
         record = TargetRecord(
             id_, 1, 1, service, f"{id_}:1", f"{region}-a", "v1", 6, False, 0
         )
-        self.fleet.handle(TargetSeen(record._replace(**changes), 0), "c")
+        record = record._replace(**changes)
+        names = [m.name for m in self.control.members.live_in(ENTRY, region)]
+        rate = self.store.plan.services[record.service].cold_per_s
+        message = TargetSeen(record, 0, select_cold_senders(id_, rate, names))
+        self.control.handle(message, "c")
+        if region == self.settings.region:
+            self.fleet.handle(message, "c")
+
+    def update_capacities(self):
+        """Report the capacity of the other regions with the load of their targets."""
+        rows = summarize_capacities(self.control, self.reported, {})
+        others = (row for row in rows if row.region != self.settings.region)
+        self.fleet.handle(Capacities(tuple(others)), "c")
 
     def evacuate(self, *domains):
         """Evacuate failure domains."""
         revision = self.fleet.evacuations.revision + 1
-        self.fleet.handle(EvacuationsChanged(revision, domains), "c")
+        for fleet in (self.fleet, self.control):
+            fleet.handle(EvacuationsChanged(revision, domains), "c")
 
     def make_call(self, route=None, prompt=None, timeout_ms=5000, **changes):
         """Return a call that has just been received."""
@@ -186,12 +206,14 @@
 
     def serve(self, call, *script):
         """Return (parts, progress) of a call whose attempts follow the script."""
+        self.update_capacities()
         self.sender.script = [*script]
         progress = Progress(call)
         return list(self.dispatcher.serve(call, progress)), progress
 
     def choose(self, call):
         """Return what the chooser picks for a call."""
+        self.update_capacities()
         options = self.context.options(call, set())
         return self.dispatcher.chooser.choose(
             options, call.info.prompt, call.route.slo_ms
--- a/tests/test_fleet_links.py
+++ b/tests/test_fleet_links.py
@@ -1,77 +1,137 @@
-"""Message rates on the links between members and control VMs, without a network."""
+"""Links between members and control VMs, without a network: which ones, and how often.
+
+Guards against heartbeats and load totals on each link at the shortest interval.
+"""
+
+import contextlib
 
 import pytest
 
-from pollenmount.clock import ManualClock
-from pollenmount.fleet import client, server
-from pollenmount.fleet.client import LinkClient
-from pollenmount.fleet.messages import CONTROL, ENTRY, Loads, MemberHeartbeat
-from pollenmount.fleet.server import LinkServer
-from tests.gateway_harness import EntryHarness
+from pollenmount.fleet import client
+from pollenmount.fleet.messages import CONTROL, ENTRY, LINK_PROTOCOL, LinkHello
+from tests.fleet_model import FleetModel
 
+ROUNDS = 12
 SECOND_MS = 1000
 
 
-class FakeChannel:
-    """Records the messages pushed to it."""
+@pytest.fixture
+def model():
+    """Yield a started fleet of six control VMs and 12 entry VMs."""
+    with contextlib.closing(FleetModel(12)) as model:
+        model.put_plan(1)
+        model.run(6000)
+        yield model
 
-    def __init__(self):
-        self.pushed = []
 
-    def push(self, message):
-        self.pushed.append(message)
+def linked_zones(node):
+    """Return the failure domains of the control VMs to which a VM has links."""
+    names = (address.partition(":")[0] for address in node.client.established)
+    return sorted(name.removeprefix("control-") for name in names)
 
-    def close(self):
-        """Do nothing."""
 
+def test_entry_vms_link_to_the_control_vms_of_their_region(model):
+    for node in model.of_role(ENTRY):
+        assert linked_zones(node) == [f"{node.region}-a", f"{node.region}-b"]
+    for node in model.of_role(CONTROL):
+        assert len(node.client.established) == 5
 
-@pytest.fixture
-def world(monkeypatch):
-    """Return an entry VM without background tasks; tests call their steps."""
-    monkeypatch.setattr(
-        client.task, "PeriodicTask", lambda step, interval_ms: FakeChannel()
-    )
-    monkeypatch.setattr(server.task, "listen", lambda address, backlog: FakeChannel())
-    monkeypatch.setattr(server.task, "spawn", lambda run: None)
-    world = EntryHarness()
-    world.add_member("west-c", "west", CONTROL)
-    world.add_member("east-c", "east", CONTROL)
-    return world
-
-
-def test_heartbeats_are_frequent_to_the_nearest_control_vm_and_changes_go_to_all(world):
-    members = world.fleet.members
-    me = [members.get("west-1")]
-    links = LinkClient(world.fleet, world.clock, lambda: me[0], tuple, list)
-    links.channels = {address: FakeChannel() for address in links.control_addresses()}
-    near, far = (
-        links.channels[members.get(name).link_address] for name in ("west-c", "east-c")
-    )
-    for _ in range(12):
-        world.clock.advance(client.ROUND_INTERVAL_MS)
-        links.send_heartbeats()
-    assert len(near.pushed) == 12
-    assert len(far.pushed) == 4
-    assert near.pushed[0].wants_loads
-    assert not far.pushed[0].wants_loads
-    me[0] = me[0]._replace(ready=False)
-    links.send_heartbeats()
-    assert not far.pushed[-1].member.ready
-
-
-def test_load_totals_are_frequent_only_to_members_that_use_them(world):
-    links = LinkServer("", world.fleet, ManualClock(1))
-    record = world.fleet.members.get("west-1")
-    links.channels = {"west-1": FakeChannel(), "east-1": FakeChannel()}
-    links.roles = {"west-1": ENTRY, "east-1": ENTRY}
-    links.handle("west-1", MemberHeartbeat(record))
-    links.handle("east-1", MemberHeartbeat(record._replace(name="east-1"), (), False))
-    for channel in links.channels.values():
-        channel.pushed.clear()
-    for _ in range(12):
-        links.tick()
-    counts = [
-        sum(isinstance(message, Loads) for message in channel.pushed)
-        for channel in links.channels.values()
-    ]
-    assert counts == [12, 4]
+
+def test_a_vm_returns_to_its_nearest_control_vm(model):
+    """A restart of a control VM must not leave its members with one that is far."""
+    nearest = model.nodes["control-west-a"]
+    model.kill(nearest)
+    model.run(4000)
+    node = next(n for n in model.of_role(ENTRY) if n.zone == "west-a")
+    assert len(linked_zones(node)) == 2
+    nearest.start()
+    model.put_plan(1)
+    model.run(8000)
+    assert linked_zones(node) == ["west-a", "west-b"]
+
+
+def test_without_a_leader_in_touch_further_control_vms_are_linked(model):
+    """Both nearest control VMs may be in the minority of a cut that spares this VM."""
+    node = next(n for n in model.of_role(ENTRY) if n.region == "west")
+    for zone in ("west-a", "west-b"):
+        model.nodes[f"control-{zone}"].server.has_quorum = lambda: False
+    model.run(6000)
+    assert len(linked_zones(node)) == 4
+    for zone in ("west-a", "west-b"):
+        model.nodes[f"control-{zone}"].server.has_quorum = lambda: True
+    model.run(4000)
+    assert linked_zones(node) == ["west-a", "west-b"]
+
+
+def test_heartbeats_are_frequent_to_the_nearest_control_vm_and_changes_go_to_all(model):
+    node = model.of_role(ENTRY)[0]
+    near = node.client.nearest_linked()
+    (far,) = node.client.established - {near}
+    pushed = {near: [], far: []}
+    for address, messages in pushed.items():
+        node.client.channels[address].push = messages.append
+    for _ in range(ROUNDS):
+        model.clock.advance(client.ROUND_INTERVAL_MS)
+        node.client.send_heartbeats()
+    assert len(pushed[near]) == ROUNDS
+    assert len(pushed[far]) == ROUNDS // 3
+    assert all(message.is_primary for message in pushed[near])
+    assert not any(message.is_primary for message in pushed[far])
+    assert not any(message.member for message in (*pushed[near], *pushed[far]))
+    record = node.describe()
+    node.describe = node.client.describe = lambda: record._replace(ready=False)
+    node.client.send_heartbeats()
+    assert not pushed[far][-1].member.ready
+    assert not pushed[near][-1].member.ready
+
+
+def test_load_totals_go_over_the_primary_link_only(model):
+    node = model.of_role(ENTRY)[0]
+    model.set_loads(1)
+    model.run(SECOND_MS)
+    near = node.client.nearest_linked()
+    (far,) = node.client.established - {near}
+    assert len(node.fleet.loads[near]) == 8
+    assert not node.fleet.loads[far]
+    assert node.fleet.loads[near]["t0"].requests == 4
+
+
+def test_load_totals_are_sent_whole_after_a_change_of_the_primary_link(model):
+    model.set_loads(1)
+    model.run(SECOND_MS)
+    node = model.of_role(ENTRY)[0]
+    near = node.client.nearest_linked()
+    model.kill(model.nodes[near.partition(":")[0]])
+    model.run(SECOND_MS)
+    assert len(node.fleet.loads[node.client.nearest_linked()]) == 8
+
+
+def test_load_that_ends_is_reported_once(model):
+    node = model.of_role(ENTRY)[0]
+    model.set_loads(1)
+    model.run(SECOND_MS)
+    for other in model.of_role(ENTRY):
+        other.loads = ()
+    model.run(2 * SECOND_MS)
+    assert not node.fleet.loads[node.client.nearest_linked()]
+    model.reset_counters()
+    model.run(3 * SECOND_MS)
+    assert node.received["Loads"] <= 2 * 3 * 2
+
+
+def test_a_peer_of_another_build_is_refused(model):
+    """It would expect to hear of all members, and take too much of shared budgets."""
+    control = model.of_role(CONTROL)[0]
+    record = model.of_role(ENTRY)[0].describe()
+    opened = []
+    control.server.open_session = lambda *args: opened.append(args)
+
+    class OldChannel:
+        def receive(self):
+            return LinkHello(record, LINK_PROTOCOL - 1)
+
+        def close(self):
+            """Do nothing."""
+
+    control.server.serve_link(OldChannel())
+    assert not opened
--- a/tests/test_fleet_table.py
+++ b/tests/test_fleet_table.py
@@ -5,6 +5,7 @@
 from pollenmount.fleet.members import MemberTable
 from pollenmount.fleet.messages import (
     ENTRY,
+    EntryCounts,
     EvacuationsChanged,
     MemberDown,
     MemberRecord,
@@ -183,19 +184,35 @@
 
 
 def test_the_entry_counter_never_assumes_too_few():
-    members = Members()
-    entry_counter = EntryCounter(members.clock, members.table)
-    assert entry_counter.entries() >= 24
-    for number in range(7):
-        members.up(name=f"m{number}")
-    members.clock.advance(3000)
-    assert entry_counter.entries() == 7
-    members.table.forget_source("c")
-    members.clock.advance(10_000)
-    members.table.sweep()
-    assert entry_counter.entries() == 7
-    members.clock.advance(60_000)
-    assert entry_counter.entries() == 1
+    """VMs that are believed gone may still use their share of a budget."""
+    clock = ManualClock(1000)
+    counter = EntryCounter(clock)
+    assert (counter.entries() >= 24, counter.share()) == (True, 0.0)
+    counter.record(EntryCounts({"west": 3}, True, False))
+    assert (counter.entries() >= 24, counter.share()) == (True, 0.0)
+    counter.record(EntryCounts({"west": 5, "east": 2}, True, True))
+    assert (counter.entries(), counter.entries("west")) == (7, 5)
+    assert counter.share() == 1 / 7
+    clock.advance(100_000)
+    counter.record(EntryCounts({"west": 5}, True, True))
+    clock.advance(50_000)
+    counter.record(EntryCounts({"west": 1}, False, False))
+    assert counter.entries() == 7
+    clock.advance(10_000)
+    assert counter.entries() == 5
+    clock.advance(50_000)
+    assert (counter.entries(), counter.share()) == (1, 1.0)
+
+
+def test_a_vm_that_joins_takes_its_share_once_it_can_be_counted():
+    """A VM that has just started must not use a budget of which others have it all."""
+    clock = ManualClock(1000)
+    old, new = EntryCounter(clock), EntryCounter(clock)
+    old.record(EntryCounts({"west": 1}, True, True))
+    assert old.share() + new.share() <= 1
+    old.record(EntryCounts({"west": 2}, True, True))
+    new.record(EntryCounts({"west": 2}, True, True))
+    assert old.share() + new.share() <= 1
 
 
 def test_targets_are_found_by_the_service_they_have_now():
--- a/tests/test_gateway_routes_log.py
+++ b/tests/test_gateway_routes_log.py
@@ -25,7 +25,7 @@
         self.clock = Clock()
         self.stopping = False
         self.parts = []
-        self.fleet = Fleet(self.clock, RoutesStore(lambda document: None))
+        self.fleet = Fleet(self.clock, RoutesStore(lambda document: None), {})
         self.fleet.store.update = lambda version, document: True
 
     def manage(self, part):
