Choose among a few targets of a large region, and learn of other regions at once

What other VMs had sent was assumed for two targets a prompt only, though a part that all use is cached everywhere. The test that views converge found two faults of sources (one with an older record; a newer record that dropped another source of an entry VM); both are examples of the test now. Change: options are the targets ranked first for the prompt and three drawn at random; a part that this VM sent often is expected on all targets; one rendezvous order for both gateways. Capacities go out at once and between control VMs each tick; plans go to control VMs without the log. A VM is ready once it knows a target of each service, and a call waits for the first targets for a quarter of its time at most.

--- a/pollenmount/fleet/capacity.py
+++ b/pollenmount/fleet/capacity.py
@@ -2,10 +2,44 @@
 
 import collections
 
-from pollenmount.fleet.messages import ServiceCapacity
+from pollenmount.fleet.messages import Capacities, ServiceCapacity, encode
 from pollenmount.fleet.targets import DEFAULT_SLOTS
 
-__all__ = ["merge_capacities", "summarize_capacities"]
+__all__ = ["CapacityReports", "merge_capacities", "summarize_capacities"]
+
+
+class CapacityReports:
+    """Rows of this control VM and of others, and what is sent to whom.
+
+    `changed` has the encoded message for each region whose rows changed with the last
+    update; `own_changed` is that with this VM's own rows for other control VMs, b'' if
+    they are the same as before.
+    """
+
+    def __init__(self):
+        self.own = ()
+        self.own_changed = b""
+        self.merged = ()
+        self.others = {}
+        self.changed = {}
+
+    def update(self, own, peers, regions):
+        """Replace this VM's rows and those of its peers, and find what changed."""
+        self.own_changed = encode(Capacities(own)) if own != self.own else b""
+        self.own = own
+        self.merged = merge_capacities((own, *peers))
+        before = self.others
+        self.others = {region: self.encode_others(region) for region in regions}
+        self.changed = {
+            region: data
+            for region, data in self.others.items()
+            if data != before.get(region)
+        }
+
+    def encode_others(self, region):
+        """Return the encoded message with the rows of all regions but one."""
+        rows = tuple(row for row in self.merged if row.region != region)
+        return encode(Capacities(rows))
 
 
 def summarize_capacities(fleet, totals, reporters):
@@ -59,4 +93,4 @@
             key = (row.region, row.service)
             if key not in best or row.reporters > best[key].reporters:
                 best[key] = row
-    return tuple(best.values())
+    return tuple(row for _, row in sorted(best.items()))
--- a/pollenmount/fleet/client.py
+++ b/pollenmount/fleet/client.py
@@ -67,19 +67,19 @@
     maps addresses to channels, None while connecting; `established` are the addresses
     of links on which something was received. `describe` returns this VM's
     `MemberRecord`, `get_loads` its load on the targets, `get_seeds` the link addresses
-    of the control VMs named in the settings, and `get_capacities` what a control VM
-    knows of the regions' capacity.
+    of the control VMs named in the settings, and `has_log` whether a control VM has
+    plans and evacuations from a replica of the log.
     """
 
     def __init__(
-        self, fleet, clock, describe, get_loads, get_seeds, get_capacities=tuple
+        self, fleet, clock, describe, get_loads, get_seeds, has_log=lambda: True
     ):
         self.fleet = fleet
         self.clock = clock
         self.describe = describe
         self.get_loads = get_loads
         self.get_seeds = get_seeds
-        self.get_capacities = get_capacities
+        self.has_log = has_log
         self.addresses = []
         self.channels = {}
         self.established = set()
@@ -188,13 +188,18 @@
         self.open_link(address, channel)
         try:
             while True:
-                message = channel.receive()
-                self.established.add(address)
-                self.failed_attempts.pop(address, None)
-                self.fleet.handle(message, address)
+                self.handle(address, channel.receive())
         except ChannelError as error:
             logger.info("link lost", extra={"address": address, "problem": str(error)})
 
+    def handle(self, address, message):
+        """Handle one message on a link; the first one shows that the link works."""
+        self.fleet.handle(message, address)
+        if address not in self.established:
+            self.established.add(address)
+            self.failed_attempts.pop(address, None)
+            self.send_heartbeats()
+
     def open_link(self, address, channel):
         """Introduce this VM on a new link."""
         self.channels[address] = channel
@@ -215,13 +220,13 @@
     def send_heartbeat(self, address, channel):
         """Send this VM's record and load if a heartbeat is due on this link.
 
-        It is due each round on the nearest link, else after a change of the record or
-        after `SLOW_HEARTBEAT_INTERVAL_MS`.
+        It is due each round on an entry VM's nearest link, else after a change of the
+        record or after `SLOW_HEARTBEAT_INTERVAL_MS`.
         """
         now, record = self.clock.now(), self.describe()
         last = self.last_heartbeats[address]
         has_changed = last.record != record
-        is_primary = address == self.nearest_linked()
+        is_primary = self.is_primary(address)
         is_due = now - last.sent_at >= SLOW_HEARTBEAT_INTERVAL_MS
         if has_changed or is_primary or is_due:
             self.last_heartbeats[address] = LastHeartbeat(record, now)
@@ -229,10 +234,15 @@
                 record if has_changed else None,
                 self.get_loads(),
                 is_primary,
-                self.get_capacities(),
             )
             channel.push(message)
 
+    def is_primary(self, address):
+        """Return whether a link is an entry VM's primary one, or brings the log."""
+        if self.describe().role == CONTROL:
+            return not self.has_log()
+        return address == self.nearest_linked()
+
     def nearest_linked(self):
         """Return the address of the nearest control VM with a working link, or ''."""
         linked = (address for address in self.addresses if address in self.established)
--- a/pollenmount/fleet/fleet.py
+++ b/pollenmount/fleet/fleet.py
@@ -22,6 +22,8 @@
 
 __all__ = ["Fleet"]
 
+CAPACITY_RETENTION_MS = 5000
+
 logger = get_logger("fleet")
 
 
@@ -31,21 +33,24 @@
     `store` receives new plans of routes. `listeners` are called with (message, source)
     for each message that changed the state. An entry VM also has the load of its
     region's targets by source, the `capacities` of other regions by (region, service),
-    and `quorums`, whether each linked control VM is in touch with the log's leader.
-    `regions` maps failure domains to regions.
+    None before the first report, and `quorums`, whether each linked control VM is in
+    touch with the log's leader. `capacity_rows` are the rows by source, which a control
+    VM has from others. `regions` maps failure domains to regions.
     """
 
-    def __init__(self, clock, store, regions):
+    def __init__(self, clock, store, regions, is_control=False):
         self.clock = clock
         self.store = store
         self.regions = regions
         self.listeners = []
-        self.targets = TargetTable(clock, self.notify)
+        self.targets = TargetTable(clock, self.notify, is_control)
         self.members = MemberTable(clock, self.notify)
         self.evacuations = EvacuationsChanged(0, ())
         self.routes = RoutesChanged(0, 0, b"")
         self.loads = {}
-        self.capacities = {}
+        self.capacities = None
+        self.capacities_seen_at = {}
+        self.capacity_rows = {}
         self.quorums = {}
         self.entry_counter = EntryCounter(clock)
 
@@ -100,7 +105,18 @@
 
     @handle.register
     def _(self, message: Capacities, source):
-        self.capacities = {(row.region, row.service): row for row in message.rows}
+        self.capacity_rows[source] = message.rows
+        # A control VM that has just started knows of some regions a little later.
+        now = self.clock.now()
+        known = self.capacities or {}
+        rows = {(row.region, row.service): row for row in message.rows}
+        self.capacities_seen_at.update(dict.fromkeys(rows, now))
+        missing = {
+            key: row
+            for key, row in known.items()
+            if now - self.capacities_seen_at[key] < CAPACITY_RETENTION_MS
+        }
+        self.capacities = missing | rows
 
     @handle.register
     def _(self, message: EntryCounts, source):
@@ -136,6 +152,7 @@
         self.members.forget_source(source)
         self.loads.pop(source, None)
         self.quorums.pop(source, None)
+        self.capacity_rows.pop(source, None)
 
     def sweep(self):
         """Remove expired members, targets and tombstones."""
--- a/pollenmount/fleet/messages.py
+++ b/pollenmount/fleet/messages.py
@@ -130,14 +130,13 @@
 class MemberHeartbeat(Message, frozen=True, array_like=True, tag="Beat"):
     """Periodic message of a member: its record if it changed, its load on each target.
 
-    `is_primary` marks the one link of the member on which it needs the load of targets
-    and the VMs for hops. `capacities` is what a control VM knows by its own links.
+    `is_primary` marks the one link of the member on which it needs the load of targets,
+    the capacity of other regions and the VMs for hops.
     """
 
     member: MemberRecord | None
     loads: tuple[TargetLoad, ...] = ()
     is_primary: bool = True
-    capacities: tuple[ServiceCapacity, ...] = ()
 
 
 class MemberUp(Message, frozen=True, array_like=True, tag=True):
@@ -216,7 +215,10 @@
 
 
 class Capacities(Message, frozen=True, array_like=True, tag=True):
-    """The capacity of the services in all other regions."""
+    """The capacity of the services in all other regions.
+
+    Between control VMs, what the sender knows by its own links.
+    """
 
     rows: tuple[ServiceCapacity, ...]
 
--- a/pollenmount/fleet/selection.py
+++ b/pollenmount/fleet/selection.py
@@ -1,8 +1,7 @@
 """Selection of a few entry VMs by rendezvous hashing, alike on all control VMs."""
 
-import zlib
-
 from pollenmount.fleet.messages import ENTRY
+from pollenmount.rendezvous import top_by_rendezvous
 
 __all__ = ["is_available", "select_cold_senders", "select_hop_peers"]
 
@@ -27,7 +26,7 @@
     coincide and exceed it.
     """
     count = max(1, min(MAX_SENDERS_PER_TARGET, int(rate_per_s)))
-    return tuple(rank_names(id_, names)[:count])
+    return tuple(top_by_rendezvous(id_, names, count))
 
 
 def select_hop_peers(name, members):
@@ -36,10 +35,5 @@
     Each VM has a different selection, so that hops are spread over the region.
     """
     by_name = {member.name: member for member in members}
-    chosen = rank_names(name, by_name)[:HOP_PEERS_PER_REGION]
+    chosen = top_by_rendezvous(name, by_name, HOP_PEERS_PER_REGION)
     return [by_name[other] for other in chosen]
-
-
-def rank_names(key, names):
-    """Return names in the order of their rendezvous weight for a key."""
-    return sorted(names, key=lambda name: (zlib.crc32(f"{key} {name}".encode()), name))
--- a/pollenmount/fleet/server.py
+++ b/pollenmount/fleet/server.py
@@ -1,8 +1,9 @@
 """Server side of links on a control VM: registers members and sends them changes.
 
 Other control VMs hear of what this VM observes itself, never of what it was told: so no
-two of them can vouch to each other for a VM that is gone. Entry VMs hear of what
-`fleet.session` selects for them.
+two of them can vouch to each other for a VM that is gone. Plans and evacuations go to
+control VMs without a replica of the log in touch with its leader. Entry VMs hear of
+what `fleet.session` selects for them.
 """
 
 import collections
@@ -10,13 +11,14 @@
 from typing import NamedTuple
 
 from pollenmount import task
-from pollenmount.fleet.capacity import merge_capacities, summarize_capacities
+from pollenmount.fleet.capacity import CapacityReports, summarize_capacities
 from pollenmount.fleet.channel import Channel, ChannelError
 from pollenmount.fleet.members import is_news
 from pollenmount.fleet.messages import (
     CONTROL,
     ENTRY,
     LINK_PROTOCOL,
+    Capacities,
     EntryCounts,
     LinkHello,
     Loads,
@@ -67,8 +69,8 @@
 
     `has_quorum` returns whether this VM is in touch with the leader of the log.
     `sessions` are the linked members by name, `lost_links` those whose link was lost
-    less than `RECONNECT_GRACE_MS` ago, `peer_capacities` the rows that other control
-    VMs reported last, and `capacities` what this VM knows by its own links.
+    less than `RECONNECT_GRACE_MS` ago, `totals` the load of targets, and `capacities`
+    what this VM and other control VMs know of the services in each region.
     """
 
     def __init__(self, address, fleet, clock, has_quorum):
@@ -79,8 +81,7 @@
         self.sessions = {}
         self.lost_links = {}
         self.totals = LoadTotals(fleet.region_of_target)
-        self.capacities = ()
-        self.peer_capacities = {}
+        self.capacities = CapacityReports()
         self.entry_counts = EntryCounts({}, False, False)
         self.hop_peers_version = None
         self.hop_peers_at = clock.now()
@@ -144,12 +145,9 @@
         if session.is_control:
             yield from fleet.members.snapshot(DIRECT)
             yield from fleet.targets.snapshot(DIRECT)
+            yield Capacities(self.capacities.own)
             return
-        if fleet.routes.revision and session.record.plan < fleet.routes.version:
-            session.routes_revision = fleet.routes.revision
-            yield fleet.routes
-        if fleet.evacuations.revision:
-            yield fleet.evacuations
+        yield from self.orders(session)
         changes = (*fleet.members.snapshot(), *fleet.targets.snapshot())
         yield from (m for m in changes if concerns(m, session, fleet))
         yield self.entry_counts
@@ -158,16 +156,35 @@
         """Handle one message of a member."""
         if not isinstance(message, MemberHeartbeat):
             return
-        if session.is_control:
-            self.peer_capacities[session.name] = message.capacities
-        else:
+        if session.is_entry:
             self.totals.report(session.name, message.loads)
-        if session.set_primary(message.is_primary and session.is_entry):
-            self.hop_peers_version = None
+        self.set_primary(session, message.is_primary)
         if message.member is not None:
             session.record = message.member
             self.handle_record(message.member)
 
+    def set_primary(self, session, is_primary):
+        """Send a member all that goes over its primary link once this one is it."""
+        if not session.set_primary(is_primary) or not is_primary:
+            return
+        for message in self.orders(session):
+            session.channel.push(message)
+        if session.is_entry:
+            region = session.record.region
+            session.channel.push_encoded(self.totals.encode_complete(region))
+            session.channel.push_encoded(self.capacities.encode_others(region))
+            peers = find_hop_peers(session.record, self.available_by_region())
+            session.send_hop_peers(peers)
+
+    def orders(self, session):
+        """Yield the plan, if the member has an older one, and the evacuations."""
+        fleet = self.fleet
+        if session.record.plan < fleet.routes.version:
+            session.routes_revision = fleet.routes.revision
+            yield fleet.routes
+        if fleet.evacuations.revision:
+            yield fleet.evacuations
+
     def handle_record(self, record):
         """Store the record of a linked member; pass a change on to control VMs."""
         known = self.fleet.members.record_from(record.name, DIRECT)
@@ -184,7 +201,6 @@
             incarnation = session.record.incarnation
             self.lost_links[name] = LostLink(self.clock.now(), incarnation)
             self.totals.forget(name)
-            self.peer_capacities.pop(name, None)
 
     def tick(self):
         """Report lost members, and send what is sent periodically."""
@@ -193,11 +209,10 @@
         self.send_entry_counts()
         self.ticks += 1
         is_slow_tick = self.ticks % SLOW_TICKS == 0
-        if is_slow_tick:
-            self.update_capacities()
+        self.update_capacities()
         self.send_hop_peers()
         for session in [*self.sessions.values()]:
-            self.send_loads(session, is_slow_tick)
+            self.send_changes(session, is_slow_tick)
             if is_slow_tick and session.is_entry:
                 self.send_missing_plan(session)
 
@@ -223,19 +238,20 @@
             self.push_to_entry_vms(message)
 
     def update_capacities(self):
-        """Sum up the capacity of each region, and send it to the other regions."""
+        """Sum up the capacity of each region."""
         reporters = collections.Counter(
             session.record.region
             for session in self.sessions.values()
             if session.is_entry
         )
-        self.capacities = tuple(
-            summarize_capacities(self.fleet, self.totals.all_totals(), reporters)
+        rows = summarize_capacities(self.fleet, self.totals.all_totals(), reporters)
+        self.capacities.update(
+            tuple(rows),
+            self.fleet.capacity_rows.values(),
+            {*self.fleet.regions.values()},
         )
-        rows = merge_capacities((self.capacities, *self.peer_capacities.values()))
-        for session in self.sessions.values():
-            if session.is_primary:
-                session.send_capacities(rows)
+        if self.capacities.own_changed:
+            self.push_encoded_to(CONTROL, self.capacities.own_changed)
 
     def send_hop_peers(self):
         """Send members the VMs of other regions to which they may send hops."""
@@ -244,28 +260,37 @@
         if not is_due or version == self.hop_peers_version:
             return
         self.hop_peers_version, self.hop_peers_at = version, now
+        by_region = self.available_by_region()
+        for session in self.sessions.values():
+            if session.is_primary and session.is_entry:
+                session.send_hop_peers(find_hop_peers(session.record, by_region))
+
+    def available_by_region(self):
+        """Return the entry VMs of each region that take requests."""
         by_region = collections.defaultdict(list)
         for member in self.fleet.members.live():
             if is_available(member):
                 by_region[member.region].append(member)
-        for session in self.sessions.values():
-            if session.is_primary:
-                session.send_hop_peers(find_hop_peers(session.record, by_region))
-
-    def send_loads(self, session, is_slow_tick):
-        """Send the load of the region's targets to a member that uses this link."""
-        if session.needs_loads:
-            session.needs_loads = False
-            data = self.totals.encode_complete(session.record.region)
+        return by_region
+
+    def send_changes(self, session, is_slow_tick):
+        """Send changes of load and capacity to a member that uses this link for them.
+
+        All others get a heartbeat at each slow tick.
+        """
+        changes = []
+        if session.is_primary and session.is_entry:
+            region = session.record.region
+            changes = [
+                message
+                for message in (
+                    self.totals.changed.get(region),
+                    self.capacities.changed.get(region),
+                )
+                if message
+            ]
+        for data in changes or ([LINK_HEARTBEAT] if is_slow_tick else ()):
             session.channel.push_encoded(data)
-            return
-        changes = b""
-        if session.is_primary:
-            changes = self.totals.changed.get(session.record.region, b"")
-        if changes:
-            session.channel.push_encoded(changes)
-        elif is_slow_tick:
-            session.channel.push_encoded(LINK_HEARTBEAT)
 
     def send_missing_plan(self, session):
         """Send the plan if a member has not got it over another link by now."""
@@ -277,13 +302,13 @@
             session.channel.push(routes)
 
     def forward_change(self, message, source):
-        """Send a change to the entry VMs that it concerns."""
+        """Send a change to the members that it concerns."""
         data = encode(message)
         is_plan = isinstance(message, RoutesChanged)
         if is_plan:
             self.routes_at = self.clock.now()
         for session in [*self.sessions.values()]:
-            if session.is_entry and concerns(message, session, self.fleet):
+            if concerns(message, session, self.fleet):
                 session.channel.push_encoded(data)
                 if is_plan:
                     session.routes_revision = message.revision
--- a/pollenmount/fleet/session.py
+++ b/pollenmount/fleet/session.py
@@ -5,7 +5,6 @@
 from pollenmount.fleet.messages import (
     CONTROL,
     ENTRY,
-    Capacities,
     EvacuationsChanged,
     LinkHello,
     MemberDown,
@@ -22,19 +21,17 @@
 class Session:
     """A linked member: its channel, its newest record, and what it has been sent.
 
-    `is_primary` is whether the member uses this link for the load of targets and for
-    the VMs to hop to. `needs_loads` is set until it has got the complete loads.
-    `hop_peers` are the VMs of other regions that it was sent, by name, `capacities`
-    and `routes_revision` the newest of those that it was sent.
+    `is_primary` is whether an entry VM uses this link for the load of targets, the
+    capacity of other regions and the VMs to hop to, and whether a control VM needs
+    plans and evacuations over it. `hop_peers` are the VMs of other
+    regions that it was sent, by name, and `routes_revision` is the newest plan's.
     """
 
     def __init__(self, hello: LinkHello, channel):
         self.channel = channel
         self.record = hello.member
         self.is_primary = False
-        self.needs_loads = False
         self.hop_peers = {}
-        self.capacities = Capacities(())
         self.routes_revision = 0
 
     @property
@@ -57,10 +54,8 @@
         if is_primary == self.is_primary:
             return False
         self.is_primary = is_primary
-        self.needs_loads = is_primary
         if not is_primary:
             self.send_hop_peers({})
-            self.capacities = Capacities(())
         return True
 
     def send_hop_peers(self, wanted):
@@ -73,51 +68,51 @@
                 self.channel.push(MemberUp(member))
         self.hop_peers = dict(wanted)
 
-    def send_capacities(self, rows):
-        """Send the capacities of the member's other regions if they differ."""
-        others = tuple(row for row in rows if row.region != self.record.region)
-        message = Capacities(others)
-        if message != self.capacities:
-            self.capacities = message
-            self.channel.push(message)
+
+def concerns(message, session, fleet):
+    """Return whether a member must hear of a change of the fleet at once."""
+    if session.is_control:
+        is_order = isinstance(message, RoutesChanged | EvacuationsChanged)
+        return is_order and session.is_primary
+    return concerns_entry(message, session, fleet)
 
 
 @singledispatch
-def concerns(message, session, fleet):
+def concerns_entry(message, session, fleet):
     """Return whether an entry VM must hear of a change of the fleet at once."""
     raise TypeError(f"no rule for {type(message).__name__}")
 
 
-@concerns.register
+@concerns_entry.register
 def _(message: EvacuationsChanged, session, fleet):
     return True
 
 
-@concerns.register
+@concerns_entry.register
 def _(message: RoutesChanged, session, fleet):
     # The other links bring it later, unless the member has got it by then.
     return session.is_primary
 
 
-@concerns.register
+@concerns_entry.register
 def _(message: MemberUp, session, fleet):
     member = message.member
     return member.role == CONTROL or member.name in session.hop_peers
 
 
-@concerns.register
+@concerns_entry.register
 def _(message: MemberDown, session, fleet):
     member = fleet.members.get(message.name)
     is_control = member is not None and member.role == CONTROL
     return is_control or message.name in session.hop_peers
 
 
-@concerns.register
+@concerns_entry.register
 def _(message: TargetSeen, session, fleet):
     return fleet.region_of_target(message.target.id) == session.record.region
 
 
-@concerns.register(TargetSilent)
-@concerns.register(TargetGone)
+@concerns_entry.register(TargetSilent)
+@concerns_entry.register(TargetGone)
 def _(message, session, fleet):
     return fleet.region_of_target(message.id) in (None, session.record.region)
--- a/pollenmount/fleet/targets.py
+++ b/pollenmount/fleet/targets.py
@@ -69,10 +69,18 @@
 
 
 class TargetTable:
-    """Targets by id; `on_change` is called with each message that changes one."""
+    """Targets by id; `on_change` is called with each message that changes one.
 
-    def __init__(self, clock, on_change=lambda message, source: None):
+    `gets_heartbeats` is true on a control VM. It gets each heartbeat from the VM that
+    heard it, so a source without the newest one does not hear the target any more. An
+    entry VM gets changes only, and each source tells it when a target is silent.
+    """
+
+    def __init__(
+        self, clock, on_change=lambda message, source: None, gets_heartbeats=True
+    ):
         self.clock = clock
+        self.gets_heartbeats = gets_heartbeats
         self.on_change = on_change
         self.by_id = {}
         self.tombstones = {}
@@ -92,16 +100,19 @@
         """Store a heartbeat; return whether it is newer than the stored record."""
         record, now = message.target, self.clock.now()
         known = self.by_id.get(record.id)
-        if self.has_left(record) or (
-            known and known.record.order_key > record.order_key
-        ):
+        if self.has_left(record):
+            return False
+        if known and known.record.order_key > record.order_key:
+            self.add_source(known, record, source)
             return False
         is_newer = known is None or known.record.order_key < record.order_key
-        # Who only heard older heartbeats may not hear the target any more.
-        heard_by = frozenset({source}) | (frozenset() if is_newer else known.heard_by)
+        is_only_source = known is None or (is_newer and self.gets_heartbeats)
+        heard_by = {source} | (set() if is_only_source else known.heard_by)
         heard_at = now - message.age_ms
         cold_until = heard_at + record.cold_ms
-        target = Target(record, heard_at, cold_until, heard_by, message.cold_senders)
+        target = Target(
+            record, heard_at, cold_until, frozenset(heard_by), message.cold_senders
+        )
         is_changed = known is None or must_notify(known, target)
         if known and not is_newer:
             target = target._replace(heard_at=max(known.heard_at, heard_at))
@@ -111,6 +122,12 @@
             self.on_change(message, source)
         return is_newer
 
+    def add_source(self, known, record, source):
+        """Note that a source hears a target of which it has an older record."""
+        if known.record.born == record.born:
+            heard_by = known.heard_by | {source}
+            self.by_id[record.id] = known._replace(heard_by=heard_by)
+
     def has_left(self, record):
         """Return whether this incarnation of the target has left."""
         tombstone = self.tombstones.get(record.id)
@@ -201,9 +218,11 @@
         now = self.clock.now()
         for id_, tombstone in self.tombstones.items():
             yield TargetGone(id_, tombstone.born)
-        for known in self.by_id.values():
+        for id_, known in self.by_id.items():
             if source is None or source in known.heard_by:
                 yield make_target_seen(known, now)
+            if source is None and not known.is_heard:
+                yield TargetSilent(id_)
 
 
 def make_target_seen(known, now):
--- a/pollenmount/gateway/choose.py
+++ b/pollenmount/gateway/choose.py
@@ -34,8 +34,8 @@
     """A target that may run the request, with the data on which choosers decide.
 
     `requests`, `prefill_tokens` and `streams` are the load that all entry VMs put on
-    it. `cached_tokens` is how much of the prompt is in its prefix cache, and `lag_ms`
-    how much later than expected it has responded lately.
+    it. `cached_tokens` is how much of the prompt is expected to be in its prefix cache,
+    and `lag_ms` how much later than expected it has responded lately.
     """
 
     id: str
@@ -43,7 +43,7 @@
     slots: int
     requests: int
     prefill_tokens: int
-    cached_tokens: int
+    cached_tokens: float
     lag_ms: float
     has_heartbeats: bool
     streams: int = 0
@@ -55,9 +55,12 @@
 
 
 class Options(NamedTuple):
-    """Targets of this region, and a function that returns those of other regions.
+    """Targets of this region, and a function that returns options in other regions.
 
-    Most calls stay in the region, so remote targets are computed only on demand.
+    In a large region `local` has only a few of the targets: those that are likely to
+    have the prompt cached, and some drawn at random, so that VMs with the same view of
+    the load don't all send to the same target. Most calls stay in the region, so remote
+    options are computed only on demand.
     """
 
     local: tuple[TargetOption, ...]
--- a/pollenmount/gateway/choosers/expected_time.py
+++ b/pollenmount/gateway/choosers/expected_time.py
@@ -1,9 +1,9 @@
 """Chooser `expected_time`: minimizes the expected time to the first byte.
 
 Prefix affinity is bounded by load: the expected time of a target is that of its pending
-prefill plus the prefill of this prompt, which is shorter where its shared parts are
-cached. A request leaves the region if a remote target is expected to be faster even
-with the cost of the hop.
+prefill plus the prefill of this prompt, which is shorter where its parts are cached.
+A request leaves the region if a remote target is expected to be faster even with the
+cost of the hop.
 
 Long streams are packed onto few targets, in an order that all VMs share, and prompts
 with a long prefill go to the others: each chunk of a prefill delays all streams that
@@ -16,7 +16,6 @@
 
 import zlib
 
-from pollenmount.gateway.cache import rank_by_affinity
 from pollenmount.gateway.choose import (
     FAMILY,
     HOP_COST_MS,
@@ -42,8 +41,6 @@
 PACK_RANK_MS = 25.0
 SLOT_WAIT_MS = 3000.0
 FIRST_TOKEN_MS = 30.0
-# Assumed cached share of a prompt's shared parts on the first and second ranked target.
-PREFERRED_CACHED_SHARES = (0.9, 0.5)
 # Prefill of uncached tokens also delays the prompts queued behind it.
 UNCACHED_WEIGHT = 2.0
 PLAIN_CALL_MS = 45.0
@@ -76,11 +73,9 @@
         return None
     if prompt is not None and is_long_stream(prompt):
         return cheapest_choice(long_stream_costs(usable, prompt))
-    cached_shares = assumed_cached_shares(usable, prompt)
-    chosen = cheapest_choice(other_costs(usable, prompt, cached_shares))
+    chosen = cheapest_choice(other_costs(usable, prompt))
     option = next(option for option in usable if option.id == chosen.target_id)
-    defer = would_stall_streams(option, prompt, cached_shares.get(option.id, 0.0))
-    return chosen._replace(should_defer=defer)
+    return chosen._replace(should_defer=would_stall_streams(option, prompt))
 
 
 def cheapest_choice(costs):
@@ -89,14 +84,13 @@
     return TargetChoice(id_, costs[id_])
 
 
-def would_stall_streams(option, prompt, cached_share):
+def would_stall_streams(option, prompt):
     """Return whether the prefill of a prompt would stall streams on a target now."""
     if prompt is None or not option.streams:
         return False
-    uncached = prompt.tokens - assumed_cached_tokens(option, prompt, cached_share)
     return (
         option.prefill_tokens > 0
-        and option.prefill_tokens + uncached > MAX_PREFILL_TOKENS
+        and option.prefill_tokens + uncached_tokens(option, prompt) > MAX_PREFILL_TOKENS
     )
 
 
@@ -110,32 +104,23 @@
     for rank, option in enumerate(ranked):
         excess = max(0, option.requests - PACKED_SLOT_SHARE * option.slots)
         cost = PACK_RANK_MS * rank + EXCESS_REQUEST_MS * excess
-        costs[option.id] = cost + expected_ms(option, prompt, 0.0)
+        costs[option.id] = cost + expected_ms(option, prompt)
     return costs
 
 
-def assumed_cached_shares(options, prompt):
-    """Return the assumed cached share of a prompt's shared parts, by target."""
-    if prompt is None:
-        return {}
-    order = rank_by_affinity(prompt, [option.id for option in options])
-    return dict(zip(order, PREFERRED_CACHED_SHARES, strict=False))
-
-
-def other_costs(options, prompt, cached_shares):
+def other_costs(options, prompt):
     """Return the costs in ms of a request that is not a long stream, by target."""
     return {
-        option.id: expected_ms(option, prompt, cached_shares.get(option.id, 0.0))
-        + stream_stall_ms(option, prompt, cached_shares.get(option.id, 0.0))
+        option.id: expected_ms(option, prompt) + stream_stall_ms(option, prompt)
         for option in options
     }
 
 
-def stream_stall_ms(option, prompt, cached_share):
+def stream_stall_ms(option, prompt):
     """Return the cost in ms of a prompt's prefill to the streams on a target."""
     if prompt is None:
         return 0.0
-    uncached = prompt.tokens - assumed_cached_tokens(option, prompt, cached_share)
+    uncached = uncached_tokens(option, prompt)
     return STREAM_STALL_WEIGHT * option.streams * uncached / PREFILL_TOKENS_PER_MS
 
 
@@ -150,7 +135,7 @@
     return min(hops, key=lambda hop: hop.expected_ms, default=None)
 
 
-def expected_ms(option, prompt, cached_share):
+def expected_ms(option, prompt):
     """Return the expected time in ms to the first byte of the response."""
     queued = max(0, option.requests + 1 - option.slots)
     penalty_ms = 0.0 if option.has_heartbeats else NO_HEARTBEAT_PENALTY_MS
@@ -158,7 +143,7 @@
     if prompt is None:
         load = option.requests / max(1, option.slots)
         return penalty_ms + PLAIN_CALL_MS * (load if queued else 0.2 * load)
-    uncached = prompt.tokens - assumed_cached_tokens(option, prompt, cached_share)
+    uncached = uncached_tokens(option, prompt)
     prefill_ms = (
         option.prefill_tokens + UNCACHED_WEIGHT * uncached
     ) / PREFILL_TOKENS_PER_MS
@@ -167,11 +152,6 @@
     return penalty_ms + FIRST_TOKEN_MS + prefill_ms + running_ms + slot_wait_ms
 
 
-def assumed_cached_tokens(option, prompt, cached_share):
-    """Return how many tokens of a prompt are assumed to be cached on a target.
-
-    Other VMs send the same shared parts to the targets ranked first, which this VM
-    does not see.
-    """
-    shared = sum(part.tokens for part in prompt.parts[:-1])
-    return min(prompt.tokens, max(option.cached_tokens, cached_share * shared))
+def uncached_tokens(option, prompt):
+    """Return how many tokens of a prompt a target is expected to prefill."""
+    return max(0.0, prompt.tokens - option.cached_tokens)
--- a/pollenmount/gateway/dispatch.py
+++ b/pollenmount/gateway/dispatch.py
@@ -36,6 +36,9 @@
 # engine to finish its pending prefill, short compared with the objective.
 MAX_DEFER_SHARE = 0.3
 DEFER_INTERVAL_MS = 15
+# Share of the caller's time that a call may wait for a VM that has just started.
+MAX_LEARNING_SHARE = 0.25
+LEARNING_INTERVAL_MS = 50
 # The VM that sends a hop counts the runs of the call; the receiving VM does not know of
 # the others.
 MAX_RUNS_PER_HOP = 1
@@ -101,19 +104,30 @@
         return self.chooser.choose(options, prompt, call.route.slo_ms)
 
     def choose_with_deferral(self, call, progress, may_hop):
-        """Return the chooser's decision, after waiting while it advises to defer.
+        """Return the chooser's decision, after waiting while it is better to wait.
 
-        The wait is bounded by a share of the route's latency objective.
+        The chooser may advise to defer. A VM that has just started may not know the
+        targets yet, so it can't tell that nothing serves the call.
         """
-        defer_until = call.received_at + MAX_DEFER_SHARE * call.route.slo_ms
         while True:
             chosen = self.choose(call, progress, may_hop)
-            should_defer = isinstance(chosen, TargetChoice) and chosen.should_defer
-            if not should_defer or self.clock.now() >= defer_until:
+            interval_ms = self.wait_interval_ms(call, chosen)
+            if not interval_ms:
                 return chosen
-            self.sleep(DEFER_INTERVAL_MS)
+            self.sleep(interval_ms)
             progress.waited_ms = self.clock.now() - call.received_at
 
+    def wait_interval_ms(self, call, chosen):
+        """Return after how long to choose again, or 0 to go on with `chosen`."""
+        waited_ms = self.clock.now() - call.received_at
+        if chosen is None and self.context.is_learning():
+            limit_ms = MAX_LEARNING_SHARE * (call.deadline - call.received_at)
+            return LEARNING_INTERVAL_MS if waited_ms < limit_ms else 0
+        if isinstance(chosen, TargetChoice) and chosen.should_defer:
+            limit_ms = MAX_DEFER_SHARE * call.route.slo_ms
+            return DEFER_INTERVAL_MS if waited_ms < limit_ms else 0
+        return 0
+
     def pick_destination(self, call, progress, may_hop):
         """Return (destination, expected ms to the first byte), or (None, 0)."""
         chosen = self.choose_with_deferral(call, progress, may_hop)
--- a/pollenmount/gateway/node.py
+++ b/pollenmount/gateway/node.py
@@ -49,7 +49,9 @@
         self.stack = contextlib.ExitStack()
         self.metrics = GatewayMetrics()
         self.store = RoutesStore(dialect.read_plan)
-        self.fleet = Fleet(self.clock, self.store, settings.failure_domains)
+        self.fleet = Fleet(
+            self.clock, self.store, settings.failure_domains, settings.is_control
+        )
 
     def manage(self, closeable):
         """Register `closeable` to be closed with the node; return it."""
--- a/pollenmount/gateway/roles/control.py
+++ b/pollenmount/gateway/roles/control.py
@@ -33,7 +33,7 @@
                 node.member_record,
                 tuple,
                 node.seed_link_addresses,
-                lambda: self.server.capacities,
+                self.log.has_quorum,
             )
         )
         node.manage(task.PeriodicTask(self.sweep, SWEEP_INTERVAL_MS))
--- a/pollenmount/gateway/roles/entry.py
+++ b/pollenmount/gateway/roles/entry.py
@@ -115,9 +115,19 @@
         return node.clock.now() - self.plan_received_at >= READY_DELAY_MS
 
     def knows_targets(self):
-        """Return whether this VM knows of a target in its region or in another one."""
+        """Return whether this VM knows targets, of every service after a short while.
+
+        After a start of the whole fleet targets are reported one by one.
+        """
         fleet = self.node.fleet
-        return bool(fleet.targets.by_id or fleet.capacities)
+        if fleet.capacities is None:
+            return False
+        known = {target.record.service for target in fleet.targets.by_id.values()}
+        known |= {service for _, service in fleet.capacities}
+        return bool(known) and (
+            not self.context.is_learning()
+            or known.issuperset(self.node.store.plan.services)
+        )
 
     def handle_readiness(self, request):
         """Return the reply to a readiness check."""
--- a/pollenmount/gateway/routing_context.py
+++ b/pollenmount/gateway/routing_context.py
@@ -1,5 +1,8 @@
 """Collects the options for a routing decision from the tables of this VM."""
 
+import itertools
+import random
+
 from pollenmount.fleet.messages import ENTRY
 from pollenmount.fleet.targets import DEFAULT_SLOTS
 from pollenmount.gateway.choose import Options, TargetOption
@@ -7,15 +10,26 @@
 __all__ = ["RoutingContext"]
 
 CONNECTIONS_SHARE = 0.85
+# Targets drawn at random beside those with a prompt's shared parts.
+DRAWN_TARGETS = 3
+# Assumed cached share of a prompt's shared parts in another region.
+REMOTE_CACHED_SHARE = 0.9
+# Within this time after a start, targets and control VMs have reported.
+LEARNING_MS = 2500
 # Well above the round trip within a region and between regions.
 SLOW_CONNECT_MS = 80
 SLOW_HOP_CONNECT_MS = 300
 
 
 class RoutingContext:
-    """Tables of this VM, and the targets and VMs that a request may now be sent to."""
+    """Tables of this VM, and the targets and VMs that a request may now be sent to.
+
+    `random` draws among the targets of a large region.
+    """
 
     def __init__(self, settings, clock, fleet, store, **trackers):
+        self.random = random.Random()
+        self.started_at = clock.now()
         self.settings = settings
         self.clock = clock
         self.fleet = fleet
@@ -27,16 +41,32 @@
         self.pool = trackers["pool"]
         self.lags = trackers["lags"]
 
+    def is_learning(self):
+        """Return whether this VM may not know yet what can be served."""
+        return self.clock.now() - self.started_at < LEARNING_MS
+
     def options(self, call, tried):
         """Return the `Options` of a call; `tried` has the names tried before."""
-        sharers = self.fleet.entry_counter.entries(self.settings.region)
+        entries = self.fleet.entry_counter.entries(self.settings.region)
+        targets = {t.id: t for t in self.eligible_targets(call, tried)}
+        prompt = call.info.prompt
+        spread = self.cache.spread(prompt, targets, entries) if prompt else None
         local = tuple(
-            self.make_option(target, call)
-            for target in self.eligible_targets(call, tried)
-            if self.may_send(target, sharers)
+            self.make_option(target, prompt, spread)
+            for target in self.shortlist(targets, spread, entries)
         )
         return Options(local, lambda: self.remote_options(call, tried))
 
+    def shortlist(self, targets, spread, entries):
+        """Yield the targets to choose from, of eligible ones by id."""
+        preferred = spread.preferred if spread else []
+        others = [id_ for id_ in targets if id_ not in preferred]
+        self.random.shuffle(others)
+        usable = (id_ for id_ in others if self.may_send(targets[id_], entries))
+        for id_ in itertools.chain(preferred, itertools.islice(usable, DRAWN_TARGETS)):
+            if id_ not in preferred or self.may_send(targets[id_], entries):
+                yield targets[id_]
+
     def eligible_targets(self, call, tried):
         """Yield the targets of this region that the call may be sent to.
 
@@ -63,8 +93,8 @@
         one. A region whose entry VM recently found no target is excluded for a while.
         """
         return tuple(
-            make_region_option(row)
-            for row in self.fleet.capacities.values()
+            make_region_option(row, call.info.prompt)
+            for row in (self.fleet.capacities or {}).values()
             if row.service == call.service
             and row.targets
             and is_allowed_in(call.route, row.region)
@@ -110,12 +140,14 @@
         local = self.loads.local.get(id_)
         return (local.requests if local else 0) < limit
 
-    def make_option(self, target, call):
+    def make_option(self, target, prompt, spread):
         """Return the `TargetOption` of a target of this region."""
         record = target.record
         load = self.loads.total_at(record.id)
-        prompt = call.info.prompt
-        cached = self.cache.cached_tokens(record.id, prompt) if prompt else 0
+        cached = 0.0
+        if prompt:
+            own = self.cache.cached_tokens(record.id, prompt)
+            cached = max(own, spread.expected_tokens(record.id))
         return TargetOption(
             record.id,
             self.settings.region,
@@ -143,15 +175,16 @@
         ]
 
 
-def make_region_option(row):
+def make_region_option(row, prompt):
     """Return the `TargetOption` that stands for the targets of another region."""
+    shared = sum(part.tokens for part in prompt.parts[:-1]) if prompt else 0
     return TargetOption(
         row.region,
         row.region,
         row.slots // row.targets,
         row.requests // row.targets,
         row.tokens // row.targets,
-        0,
+        REMOTE_CACHED_SHARE * shared,
         0.0,
         True,
         row.streams // row.targets,
--- a/pollenmount/routing/policies/adaptive.py
+++ b/pollenmount/routing/policies/adaptive.py
@@ -9,8 +9,9 @@
 
 from pollenmount.plans.plan import COST, INTERACTIVE, LATENCY
 from pollenmount.plugin import register
+from pollenmount.rendezvous import rank_by_rendezvous
 from pollenmount.routing.policies.base import FAMILY, Policy
-from pollenmount.routing.prefix import digest_prompt, rank_by_rendezvous
+from pollenmount.routing.prefix import digest_prompt
 from pollenmount.routing.request import (
     LocalTarget,
     ModelRoute,
--- a/pollenmount/routing/prefix.py
+++ b/pollenmount/routing/prefix.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-__all__ = ["BLOCK_WORDS", "block_digests", "digest_prompt", "rank_by_rendezvous"]
+__all__ = ["BLOCK_WORDS", "block_digests", "digest_prompt"]
 
 BLOCK_WORDS = 16
 # Later blocks of a prompt are ignored.
@@ -51,13 +51,3 @@
         state.update(" ".join(words[start : start + BLOCK_WORDS]).encode())
         digests.append(state.hexdigest())
     return tuple(digests)
-
-
-def rank_by_rendezvous(digest, names):
-    """Return the names in the order of rendezvous hashing for this digest."""
-
-    def rank(name):
-        text = f"{digest} {name}".encode()
-        return hashlib.blake2b(text, digest_size=DIGEST_BYTES).digest()
-
-    return sorted(names, key=rank)
--- a/tests/fleet_model.py
+++ b/tests/fleet_model.py
@@ -79,6 +79,7 @@
         self.region = ZONES[zone]
         self.address = f"{name}:1"
         self.alive = True
+        self.has_log = True
         self.starts = 0
         self.sent_bytes = 0
         self.received_bytes = 0
@@ -91,7 +92,7 @@
         self.starts += 1
         self.loads = ()
         self.store = RoutesStore(decode_plan)
-        self.fleet = Fleet(self.model.clock, self.store, ZONES)
+        self.fleet = Fleet(self.model.clock, self.store, ZONES, self.role == CONTROL)
         self.changes = []
         self.fleet.listeners.append(
             lambda message, source: self.changes.append(message)
@@ -99,7 +100,7 @@
         self.server = None
         if self.role == CONTROL:
             self.server = LinkServer(
-                self.address, self.fleet, self.model.clock, lambda: True
+                self.address, self.fleet, self.model.clock, lambda: self.has_log
             )
         self.client = LinkClient(
             self.fleet,
@@ -107,7 +108,7 @@
             self.describe,
             lambda: self.loads,
             lambda: self.model.seeds,
-            lambda: self.server.capacities if self.server else (),
+            lambda: self.has_log,
         )
 
     def describe(self):
@@ -139,9 +140,7 @@
 
     def on_message(self, address, data):
         """Handle a message on a link that this VM opened."""
-        self.client.established.add(address)
-        self.client.failed_attempts.pop(address, None)
-        self.fleet.handle(self.receive(data), address)
+        self.client.handle(address, self.receive(data))
 
 
 class FleetModel:
@@ -246,6 +245,8 @@
         self.revision += 1
         document = zlib.compress(str(version).encode())
         for node in self.of_role(CONTROL):
+            if not node.has_log:
+                continue
             node.fleet.handle(RoutesChanged(self.revision, version, document), "log")
 
     def beat(self, id_, control, **changes):
--- a/tests/gateway_harness.py
+++ b/tests/gateway_harness.py
@@ -25,7 +25,7 @@
 from pollenmount.gateway.lag import LagTracker
 from pollenmount.gateway.load import LoadTracker
 from pollenmount.gateway.progress import Progress
-from pollenmount.gateway.routing_context import RoutingContext
+from pollenmount.gateway.routing_context import LEARNING_MS, RoutingContext
 from pollenmount.gateway.settings import Bounds, GatewaySettings, Listen
 from pollenmount.routes.plan import (
     DEFAULT_LIMITS,
@@ -143,6 +143,7 @@
             self.clock.advance,
         )
         self.add_entry("west-1", "west")
+        self.clock.advance(LEARNING_MS)
 
     def add_entry(self, name, region, **changes):
         """Add an entry VM to the members, and report their number."""
--- a/tests/test_fleet_links.py
+++ b/tests/test_fleet_links.py
@@ -54,11 +54,11 @@
     """Both nearest control VMs may be in the minority of a cut that spares this VM."""
     node = next(n for n in model.of_role(ENTRY) if n.region == "west")
     for zone in ("west-a", "west-b"):
-        model.nodes[f"control-{zone}"].server.has_quorum = lambda: False
+        model.nodes[f"control-{zone}"].has_log = False
     model.run(6000)
     assert len(linked_zones(node)) == 4
     for zone in ("west-a", "west-b"):
-        model.nodes[f"control-{zone}"].server.has_quorum = lambda: True
+        model.nodes[f"control-{zone}"].has_log = True
     model.run(4000)
     assert linked_zones(node) == ["west-a", "west-b"]
 
--- a/tests/test_fleet_size.py
+++ b/tests/test_fleet_size.py
@@ -110,6 +110,18 @@
     assert node.store.version == 2
 
 
+def test_a_control_vm_without_the_log_passes_plans_on(make_fleet):
+    """The sixth control VM has no replica; its members once got plans late."""
+    model = make_fleet(12)
+    spare = model.nodes["control-west-a"]
+    spare.has_log = False
+    model.run(1000)
+    model.put_plan(2)
+    model.run(500)
+    assert spare.store.version == 2
+    assert all(node.store.version == 2 for node in model.of_role(ENTRY))
+
+
 def listed(control):
     """Return the names of the entry VMs that a control VM lists."""
     return {m.name for m in control.fleet.members.live() if m.role == ENTRY}
@@ -259,6 +271,34 @@
     suppress_health_check=[HealthCheck.too_slow],
 )
 @example([("kill", 5), ("lose target", 0)], 0)
+@example(
+    [
+        ("lose target", 8),
+        ("cut", {"east-a", "south-a"}),
+        ("run", 5),
+        ("cut", {"south-a", "west-b", "west-a"}),
+        ("kill", 10),
+        ("cut", set()),
+        ("start", 9),
+        ("cut", set()),
+    ],
+    482,
+)
+@example(
+    [
+        ("plan", None),
+        ("lose target", 8),
+        ("cut", {"east-a", "south-a", "west-a"}),
+        ("start", 8),
+        ("plan", None),
+        ("kill", 5),
+        ("lose target", 0),
+        ("plan", None),
+        ("run", 6),
+        ("cut", {"south-b"}),
+    ],
+    1000,
+)
 @given(STEPS, st.integers(0, 1000))
 def test_all_views_converge_after_any_losses(steps, seed):
     script = Script(seed)
--- a/tests/test_fleet_table.py
+++ b/tests/test_fleet_table.py
@@ -100,6 +100,34 @@
     assert targets.get().is_heard
 
 
+def test_a_source_with_an_older_record_hears_the_target_too():
+    """An entry VM that knew more than its next control VM took the target for silent.
+
+    Later heartbeats change nothing, so that control VM had no cause to tell of them.
+    """
+    targets = Targets()
+    targets.see("c", sequence=9)
+    targets.table.handle_silent(TargetSilent("t"), "c")
+    targets.see("d", sequence=8)
+    assert targets.get().is_heard
+    assert targets.get().record.sequence == 9
+    targets.see("d", born=99, sequence=10)
+    targets.table.handle_silent(TargetSilent("t"), "d")
+    assert not targets.get().is_heard
+
+
+def test_a_snapshot_tells_which_targets_are_not_heard():
+    targets = Targets()
+    targets.see("c")
+    targets.table.handle_silent(TargetSilent("t"), "c")
+    other = Targets()
+    for message in targets.table.snapshot():
+        kind = type(message).__name__
+        handler = {"TargetSeen": "handle_seen", "TargetSilent": "handle_silent"}[kind]
+        getattr(other.table, handler)(message, "c")
+    assert not other.get().is_heard
+
+
 def test_targets_survive_a_restart_of_the_control_vms():
     targets = Targets()
     targets.see()
--- a/tests/test_gateway_dispatch.py
+++ b/tests/test_gateway_dispatch.py
@@ -17,6 +17,7 @@
     HopRefusedError,
     decode_hop,
 )
+from pollenmount.gateway.routing_context import LEARNING_MS
 from pollenmount.routes.plan import RetryMode
 from pollenmount.wire.errors import ConnectError, ExchangeError, ResponseTimeoutError
 from tests.gateway_harness import EntryHarness, make_route, ok
@@ -231,3 +232,39 @@
     assert progress.sends == 0
     lost = [r.fields["ran_in"] for r in caplog.records if r.msg == "region lost"]
     assert lost == ["east"]
+
+
+def restart(harness):
+    """Let the VM have just started."""
+    harness.context.started_at = harness.clock.now()
+
+
+def test_a_vm_that_has_just_started_waits_for_its_first_targets():
+    """After a loss of power callers were refused by VMs that knew no target yet."""
+    harness = EntryHarness()
+    restart(harness)
+    began = harness.clock.now()
+
+    def sleep(ms):
+        harness.clock.advance(ms)
+        if harness.clock.now() - began >= 400:
+            harness.add_target("t")
+
+    harness.dispatcher.sleep = sleep
+    parts, progress = harness.serve(harness.make_call(), ok())
+    assert parts[-1] == b"done"
+    assert progress.waited_ms == 400
+
+
+def test_the_wait_of_a_started_vm_is_bounded_and_ends_in_a_truthful_refusal():
+    harness = EntryHarness()
+    restart(harness)
+    call = harness.make_call(timeout_ms=2000)
+    (refusal,), _ = harness.serve(call)
+    assert refusal.status == 503
+    assert 500 <= harness.clock.now() - call.received_at < 550
+    restart(harness)
+    harness.clock.advance(LEARNING_MS)
+    call = harness.make_call()
+    harness.serve(call)
+    assert harness.clock.now() == call.received_at
