Write circuit breakers and the retry budget once for both gateways

Each stood twice, with other words for the same states. Now pollenmount/circuit_breakers.py and pollenmount/retry_budget.py serve both; the times of the breakers are a parameter (the product's own gateway keeps its longer ones with jitter). The product's retry budget counts over a window like the other one: at most 16 retries and 16 of 100 requests in 10 s, where it was 20 and 20 of 100 accumulated. A probe that ends without a result frees its target in both.

--- a/pollenmount/gateway/roles/entry.py
+++ b/pollenmount/gateway/roles/entry.py
@@ -2,21 +2,22 @@
 
 from pollenmount import task
 from pollenmount.api.connection import ConnectionLimits
+from pollenmount.circuit_breakers import CircuitBreakers
 from pollenmount.fleet.client import LinkClient
 from pollenmount.fleet.messages import TargetGone
 from pollenmount.gateway.attempt import Sender
-from pollenmount.gateway.budget import RetryBudget, WarmupLimiter
 from pollenmount.gateway.cache import PrefixCacheTracker
 from pollenmount.gateway.callers import CallersApi, HopsApi
 from pollenmount.gateway.choose import make_chooser
-from pollenmount.gateway.circuit_breakers import CircuitBreakers
 from pollenmount.gateway.dispatch import Dispatcher
 from pollenmount.gateway.lag import LagTracker
 from pollenmount.gateway.load import LoadTracker
 from pollenmount.gateway.replies import empty_reply
 from pollenmount.gateway.routing_context import RoutingContext
+from pollenmount.gateway.warmup import WarmupLimiter
 from pollenmount.log import get_logger
 from pollenmount.plugin import register
+from pollenmount.retry_budget import RetryBudget
 from pollenmount.wire.pool import ConnectionPool
 
 __all__ = ["EntryRole"]
@@ -58,7 +59,7 @@
             lags=LagTracker(clock),
         )
         node.budget = RetryBudget(
-            clock, settings.bounds, node.fleet.entry_counter.share
+            clock, settings.bounds.retry_limits, node.fleet.entry_counter.share
         )
         sender = Sender(pool, node.dialect, clock)
         chooser = make_chooser(settings.chooser)
--- a/pollenmount/gateway/settings.py
+++ b/pollenmount/gateway/settings.py
@@ -11,9 +11,12 @@
 from pollenmount.errors import Fault, SettingsError
 from pollenmount.gateway.choose import FAMILY
 from pollenmount.plugin import load_family
+from pollenmount.retry_budget import RetryLimits
 
 __all__ = ["Bounds", "GatewaySettings", "Listen", "load_settings"]
 
+MS_PER_S = 1000
+
 
 class Listen(NamedTuple):
     """Listen addresses (`IP:port`) of a VM; '' for those that its role does not use."""
@@ -38,6 +41,12 @@
     retry_slack: float
     entries_ttl_s: float
 
+    @property
+    def retry_limits(self):
+        """Return the bounds of retries as `RetryLimits`."""
+        window_ms = int(self.retry_window_s * MS_PER_S)
+        return RetryLimits(window_ms, self.retry_share, self.retry_slack)
+
 
 class GatewaySettings(NamedTuple):
     """Validated settings.
--- a/pollenmount/parts/routing.py
+++ b/pollenmount/parts/routing.py
@@ -1,11 +1,11 @@
 """Builds the request path: admission, queue, router, attempts and upstream."""
 
 from pollenmount import task
+from pollenmount.circuit_breakers import BreakerTiming, CircuitBreakers
 from pollenmount.plugin import get_plugin_by_name, register
+from pollenmount.retry_budget import RetryBudget
 from pollenmount.routing.admit import Admission, get_share
 from pollenmount.routing.attempt import Attempter
-from pollenmount.routing.budget import RetryBudget
-from pollenmount.routing.circuit_breakers import CircuitBreakers
 from pollenmount.routing.policies.base import FAMILY
 from pollenmount.routing.queue import CallQueue
 from pollenmount.routing.router import Router
@@ -14,6 +14,8 @@
 from pollenmount.targets.upstream import Upstream
 
 QUEUE_WAKE_INTERVAL_MS = 50
+# Each probe reports its outcome, so the bound of its duration is rarely reached.
+BREAKER_TIMING = BreakerTiming(500, 10_000, 10_000, 0.3)
 
 
 class Signal:
@@ -58,7 +60,7 @@
 @register("pollenmount.parts", "health")
 def build_health(kernel):
     """Return the circuit breakers of targets and entry VMs."""
-    return CircuitBreakers(kernel.clock)
+    return CircuitBreakers(kernel.clock, BREAKER_TIMING)
 
 
 @register("pollenmount.parts", "policy")
@@ -98,7 +100,7 @@
         kernel.get("policy"),
         kernel.get("attempter"),
         kernel.get("health"),
-        RetryBudget(),
+        RetryBudget(kernel.clock),
         kernel.get("call_queue"),
         task.sleep,
     )
--- /dev/null
+++ b/pollenmount/retry_budget.py
@@ -0,0 +1,57 @@
+"""Retry budget: a share of the requests, so that failures can't multiply the load.
+
+VMs share it without coordination: there is no central counter, each uses its part.
+"""
+
+import collections
+from typing import NamedTuple
+
+__all__ = ["RetryBudget", "RetryLimits"]
+
+SAFETY_FACTOR = 0.8
+
+
+class RetryLimits(NamedTuple):
+    """Retries allowed in a window: a `ratio` of the requests, and `slack` more."""
+
+    window_ms: int = 10_000
+    ratio: float = 0.2
+    slack: float = 20.0
+
+
+class RetryBudget:
+    """Bounds the retries of requests to each service within a sliding window.
+
+    `vm_share`
+        Returns the share, 0 to 1, of the slack that this VM may use (default all).
+    """
+
+    def __init__(self, clock, limits=None, vm_share=lambda: 1.0):
+        self.clock = clock
+        self.limits = limits or RetryLimits()
+        self.vm_share = vm_share
+        self.requests = {}
+        self.retries = {}
+
+    def record_request(self, service=""):
+        """Count the first attempt of a caller's request to a service."""
+        self.recent(self.requests, service).append(self.clock.now())
+
+    def recent(self, table, service):
+        """Return the timestamps of a service that are within the window."""
+        times = table.setdefault(service, collections.deque())
+        oldest = self.clock.now() - self.limits.window_ms
+        while times and times[0] <= oldest:
+            times.popleft()
+        return times
+
+    def try_acquire(self, service=""):
+        """Return whether one more retry is allowed, and count it if so."""
+        requests = len(self.recent(self.requests, service))
+        retries = self.recent(self.retries, service)
+        slack = self.limits.slack * self.vm_share()
+        allowed = SAFETY_FACTOR * (self.limits.ratio * requests + slack)
+        if len(retries) + 1 > allowed:
+            return False
+        retries.append(self.clock.now())
+        return True
--- a/pollenmount/routing/attempt.py
+++ b/pollenmount/routing/attempt.py
@@ -70,7 +70,7 @@
         if it ends early.
         """
         started_at = self.clock.now()
-        self.breakers.record_start(candidate.name)
+        self.breakers.start_probe(candidate.name)
         try:
             with self.tracker.count_in_flight(*in_flight_names(candidate)):
                 parts = run_attempt(candidate, self, call, number, fresh)
