Count another region by its less loaded targets

Cause: the row of another region had the mean of all its targets; one busy target of two kept requests away from the free one, since the receiver of a hop would have picked that. Change: the mean of the less loaded half. Tests of that load, of many VMs with the same news, and of a part that all prompts share, in a module without network.

--- a/pollenmount/fleet/capacity.py
+++ b/pollenmount/fleet/capacity.py
@@ -1,13 +1,27 @@
 """Capacity of the services in each region, summed up for the other regions."""
 
 import collections
-
-from pollenmount.fleet.messages import Capacities, ServiceCapacity, encode
+import math
+from typing import NamedTuple
+
+from pollenmount.fleet.messages import (
+    Capacities,
+    ServiceCapacity,
+    TargetLoad,
+    encode,
+)
 from pollenmount.fleet.targets import DEFAULT_SLOTS
 
 __all__ = ["CapacityReports", "merge_capacities", "summarize_capacities"]
 
 
+class UsableTarget(NamedTuple):
+    """The slots of a target that accepts new work, and its load."""
+
+    slots: int
+    load: TargetLoad
+
+
 class CapacityReports:
     """Rows of this control VM and of others, and what is sent to whom.
 
@@ -55,21 +69,29 @@
         usable = is_usable(target, fleet.evacuations.failure_domains, now)
         group = groups[fleet.region_of(record.failure_domain), record.service]
         if usable:
-            group.append((record, totals.get(record.id)))
+            load = totals.get(record.id) or TargetLoad(record.id, 0, 0)
+            group.append(UsableTarget(record.slots or DEFAULT_SLOTS, load))
     for (region, service), members in groups.items():
-        loads = [load for _, load in members if load is not None]
+        members.sort(key=lambda member: (member.load.tokens, member.load.requests))
+        typical = members[: math.ceil(len(members) / 2)]
         yield ServiceCapacity(
             region,
             service,
             len(members),
-            sum(record.slots or DEFAULT_SLOTS for record, _ in members),
-            sum(load.requests for load in loads),
-            sum(load.tokens for load in loads),
-            sum(load.streams for load in loads),
+            mean(member.slots for member in typical),
+            mean(member.load.requests for member in typical),
+            mean(member.load.tokens for member in typical),
+            mean(member.load.streams for member in typical),
             reporters.get(region, 0),
         )
 
 
+def mean(values):
+    """Return the mean of some numbers, rounded down, 0 for none."""
+    values = list(values)
+    return sum(values) // len(values) if values else 0
+
+
 def is_usable(target, evacuated, now):
     """Return whether a target accepts requests from other regions now."""
     record = target.record
--- a/pollenmount/fleet/messages.py
+++ b/pollenmount/fleet/messages.py
@@ -100,10 +100,11 @@
 
 
 class ServiceCapacity(NamedTuple):
-    """Usable targets of a service in a region, and their total load.
+    """Usable targets of a service in a region, and the load that a request would meet.
 
-    `targets` counts those that accept new work now, `slots` is their total. `reporters`
-    is the number of entry VMs whose load is included.
+    `targets` counts those that accept new work now. `slots`, `requests`, `tokens` and
+    `streams` are the means of the less loaded half, among which a VM of the region
+    would choose. `reporters` is the number of entry VMs whose load is included.
     """
 
     region: str
--- a/pollenmount/gateway/routing_context.py
+++ b/pollenmount/gateway/routing_context.py
@@ -89,7 +89,7 @@
     def remote_options(self, call, tried):
         """Return an option for each other region that may run the call.
 
-        It stands for an average target there; the entry VM that receives the hop picks
+        It stands for a typical target there; the entry VM that receives the hop picks
         one. A region whose entry VM recently found no target is excluded for a while.
         """
         return tuple(
@@ -181,13 +181,13 @@
     return TargetOption(
         row.region,
         row.region,
-        row.slots // row.targets,
-        row.requests // row.targets,
-        row.tokens // row.targets,
+        row.slots,
+        row.requests,
+        row.tokens,
         REMOTE_CACHED_SHARE * shared,
         0.0,
         True,
-        row.streams // row.targets,
+        row.streams,
     )
 
 
--- a/tests/test_gateway_choose.py
+++ b/tests/test_gateway_choose.py
@@ -73,6 +73,50 @@
     assert choose(harness, make_prompt()) == "a"
 
 
+def test_a_region_counts_by_its_less_loaded_targets():
+    """One busy target of two must not keep requests away from the free one."""
+    harness = EntryHarness()
+    add_engines(harness, "a")
+    add_engines(harness, "e", "f", region="east")
+    harness.add_entry("east-1", "east")
+    harness.reported = {
+        "a": TargetLoad("a", 120, 30_000),
+        "e": TargetLoad("e", 128, 60_000),
+    }
+    assert isinstance(choose(harness, make_prompt()), RegionChoice)
+
+
+def test_many_vms_with_the_same_news_do_not_all_pick_the_same_target():
+    """The least loaded of 35 targets once got the requests of all VMs at once."""
+    names = [f"t{number}" for number in range(35)]
+    picks = collections.Counter()
+    for number in range(60):
+        harness = EntryHarness(name=f"west-{number}")
+        add_engines(harness, *names)
+        loads = {name: TargetLoad(name, 5, 3000) for name in names}
+        harness.reported = {**loads, "t0": TargetLoad("t0", 0, 0)}
+        harness.context.random.seed(number)
+        picks[choose(harness, make_prompt(f"s{number}"))] += 1
+    assert picks["t0"] <= 20
+    assert max(picks.values()) <= 20
+
+
+def test_a_part_that_all_prompts_share_is_expected_on_all_targets():
+    """Each VM sees a part of the traffic; what it sees often, all targets have read."""
+    harness = EntryHarness()
+    add_engines(harness, "a", "b", "c")
+    prompt = make_prompt("system", shared=6000)
+    options = harness.context.options(harness.make_call(STREAM, prompt), set()).local
+    assert min(option.cached_tokens for option in options) == 0
+    for _ in range(12):
+        harness.context.cache.record("a", prompt)
+    options = harness.context.options(harness.make_call(STREAM, prompt), set()).local
+    assert min(option.cached_tokens for option in options) > 0.9 * 6000
+    harness.clock.advance(10_000)
+    options = harness.context.options(harness.make_call(STREAM, prompt), set()).local
+    assert min(option.cached_tokens for option in options) == 0
+
+
 def test_homes_bind_whatever_the_load():
     harness = EntryHarness()
     add_engines(harness, "a")
