Send VMs for hops in one place, and close a session whatever ended it

A changed record of a VM for hops went out at once beside the selection of each second, so the record that a session remembered could differ from the one sent. Now the selection alone sends them. A message that can't be handled ends a session like a lost link.

--- a/pollenmount/fleet/server.py
+++ b/pollenmount/fleet/server.py
@@ -58,7 +58,7 @@
 
 
 class LostLink(NamedTuple):
-    """When a member's link was lost, and the record it had."""
+    """When a member's link was lost, and the incarnation that had it."""
 
     lost_at: int
     incarnation: str
@@ -118,11 +118,14 @@
     def serve_member(self, hello, channel):
         """Serve a member until its link fails."""
         session = self.open_session(hello, channel)
+        problem = "a message could not be handled"
         try:
             while True:
                 self.handle(session, channel.receive())
         except ChannelError as error:
-            self.close_session(session, str(error))
+            problem = str(error)
+        finally:
+            self.close_session(session, problem)
 
     def open_session(self, hello, channel):
         """Register a member and send it the state of the fleet; return its session."""
--- a/pollenmount/fleet/session.py
+++ b/pollenmount/fleet/session.py
@@ -96,15 +96,14 @@
 
 @concerns_entry.register
 def _(message: MemberUp, session, fleet):
-    member = message.member
-    return member.role == CONTROL or member.name in session.hop_peers
+    # VMs for hops are sent by `Session.send_hop_peers`.
+    return message.member.role == CONTROL
 
 
 @concerns_entry.register
 def _(message: MemberDown, session, fleet):
     member = fleet.members.get(message.name)
-    is_control = member is not None and member.role == CONTROL
-    return is_control or message.name in session.hop_peers
+    return member is not None and member.role == CONTROL
 
 
 @concerns_entry.register
--- a/tests/test_fleet_size.py
+++ b/tests/test_fleet_size.py
@@ -191,6 +191,21 @@
     assert not now & peers
 
 
+def test_a_hop_peer_that_restarts_and_is_replaced_is_not_kept(make_fleet):
+    """Its loss is reported for the incarnation that the member knows."""
+    model = make_fleet(60)
+    node = model.of_role(ENTRY)[0]
+    name = next(n for n in node.fleet.members.by_name if n.startswith("entry-"))
+    model.kill(model.nodes[name])
+    model.nodes[name].start()
+    model.run(4000)
+    model.kill(model.nodes[name])
+    model.run(8000)
+    now = {m.name for m in node.fleet.members.live() if m.role == ENTRY}
+    assert len(now) == 8
+    assert name not in now
+
+
 def test_a_region_without_control_vms_is_served_by_others(make_fleet):
     model = make_fleet(30)
     for zone in ("west-a", "west-b"):
