Let calls wait for the first plan of a VM that has just started

Callers have one retry. Ruled out: targets that were not known; one request only waited for those. Change: a caller's request waits for the first plan for a quarter of its time at most, within 2.5 s of the VM's start.

--- a/pollenmount/gateway/callers.py
+++ b/pollenmount/gateway/callers.py
@@ -7,7 +7,11 @@
 from pollenmount.api.reply import Reply
 from pollenmount.errors import Refusal
 from pollenmount.gateway.call import Call, ErrorResponse
-from pollenmount.gateway.dispatch import BrokenResponseError
+from pollenmount.gateway.dispatch import (
+    LEARNING_INTERVAL_MS,
+    MAX_LEARNING_SHARE,
+    BrokenResponseError,
+)
 from pollenmount.gateway.hop import (
     HOP_REQUEST,
     decode_hop,
@@ -26,6 +30,8 @@
 NOT_FOUND = 404
 BAD_REQUEST = 400
 NO_PLAN_RETRY_MS = 500
+# Assumed for a caller that does not say how long it waits.
+DEFAULT_TIMEOUT_MS = 2000
 STOPPING_RETRY_MS = 10
 CALLER_GONE = "caller_gone"
 
@@ -46,6 +52,7 @@
         """Return the reply to one request of a caller."""
         received_at = self.node.clock.now()
         info = self.node.dialect.read_caller(request.head)
+        self.wait_for_plan(info, received_at)
         error_response = self.check_acceptable(info)
         if error_response:
             return self.reject(info, error_response)
@@ -56,6 +63,18 @@
             request.cancel_on_disconnect()
         return CallResponder(self.node, result, may_hop=True).reply()
 
+    def wait_for_plan(self, info, received_at):
+        """Wait for the first plan if this VM has just started, for a bounded time."""
+        node = self.node
+        timeout_ms = info.timeout_ms or DEFAULT_TIMEOUT_MS
+        wait_until = received_at + MAX_LEARNING_SHARE * timeout_ms
+        while (
+            node.store.plan is None
+            and node.dispatcher.context.is_learning()
+            and node.clock.now() < wait_until
+        ):
+            node.dispatcher.sleep(LEARNING_INTERVAL_MS)
+
     def check_acceptable(self, info):
         """Return an `ErrorResponse` if this VM cannot take the request now, or None."""
         if self.node.refusing:
--- a/pollenmount/gateway/dispatch.py
+++ b/pollenmount/gateway/dispatch.py
@@ -28,7 +28,13 @@
     ResponseTimeoutError,
 )
 
-__all__ = ["BrokenResponseError", "Dispatcher", "may_have_arrived"]
+__all__ = [
+    "LEARNING_INTERVAL_MS",
+    "MAX_LEARNING_SHARE",
+    "BrokenResponseError",
+    "Dispatcher",
+    "may_have_arrived",
+]
 
 MAX_SENDS = 5
 MIN_REMAINING_MS = 30
--- a/tests/test_gateway_dispatch.py
+++ b/tests/test_gateway_dispatch.py
@@ -1,6 +1,7 @@
 """Attempts to run a call: which failures are retried, and the final response."""
 
 import collections
+import types
 
 import pytest
 
@@ -10,6 +11,8 @@
     NotRunError,
 )
 from pollenmount.gateway.call import ErrorResponse, Response, ResponseHead
+from pollenmount.gateway.callers import CallersApi
+from pollenmount.gateway.dialect import CallerInfo
 from pollenmount.gateway.dispatch import BrokenResponseError, may_have_arrived
 from pollenmount.gateway.hop import (
     HOP_REQUEST,
@@ -18,7 +21,7 @@
     decode_hop,
 )
 from pollenmount.gateway.routing_context import LEARNING_MS
-from pollenmount.routes.plan import RetryMode
+from pollenmount.routes.plan import DEFAULT_LIMITS, RetryMode, RoutePlan
 from pollenmount.wire.errors import ConnectError, ExchangeError, ResponseTimeoutError
 from tests.gateway_harness import EntryHarness, make_route, ok
 
@@ -268,3 +271,45 @@
     call = harness.make_call()
     harness.serve(call)
     assert harness.clock.now() == call.received_at
+
+
+def caller_api(harness):
+    """Return the callers' API of a harness whose VM has no plan yet."""
+    harness.store.plan = None
+    node = types.SimpleNamespace(
+        store=harness.store, dispatcher=harness.dispatcher, clock=harness.clock
+    )
+    return CallersApi(node)
+
+
+def test_a_vm_that_has_just_started_waits_for_its_first_plan():
+    """After a loss of power callers were refused within 0.3 s of a VM's start."""
+    harness = EntryHarness()
+    restart(harness)
+    api = caller_api(harness)
+    began = harness.clock.now()
+    plan = RoutePlan(1, (), {}, DEFAULT_LIMITS)
+
+    def sleep(ms):
+        harness.clock.advance(ms)
+        if harness.clock.now() - began >= 300:
+            harness.store.plan = plan
+
+    harness.dispatcher.sleep = sleep
+    info = CallerInfo("id-1", "h", 4000, "", None, ())
+    api.wait_for_plan(info, began)
+    assert harness.clock.now() - began == 300
+
+
+@pytest.mark.parametrize(("timeout_ms", "limit_ms"), [(4000, 1000), (None, 500)])
+def test_the_wait_for_a_plan_is_bounded(timeout_ms, limit_ms):
+    harness = EntryHarness()
+    restart(harness)
+    began = harness.clock.now()
+    info = CallerInfo("id-1", "h", timeout_ms, "", None, ())
+    caller_api(harness).wait_for_plan(info, began)
+    assert harness.clock.now() - began == limit_ms
+    harness.clock.advance(LEARNING_MS)
+    now = harness.clock.now()
+    caller_api(harness).wait_for_plan(info, now)
+    assert harness.clock.now() == now
