Let no series of plans delay the one that a member lacks

The member's primary link ended at the control VM without the log, which got no plans then. Ruled out: links that were lost (the members' logs show none on these VMs), a lagging log (all five replicas had the plans within 0.3 s). Change: the wait counts from when the member was first seen without a plan, at each tick.

--- a/pollenmount/fleet/server.py
+++ b/pollenmount/fleet/server.py
@@ -85,7 +85,6 @@
         self.entry_counts = EntryCounts({}, False, False)
         self.hop_peers_version = None
         self.hop_peers_at = clock.now()
-        self.routes_at = clock.now()
         self.ticks = 0
         fleet.listeners.append(self.forward_change)
         self.socket = task.listen(address, LISTEN_BACKLOG)
@@ -216,7 +215,7 @@
         self.send_hop_peers()
         for session in [*self.sessions.values()]:
             self.send_changes(session, is_slow_tick)
-            if is_slow_tick and session.is_entry:
+            if session.is_entry:
                 self.send_missing_plan(session)
 
     def expire_lost_links(self):
@@ -296,11 +295,15 @@
             session.channel.push_encoded(data)
 
     def send_missing_plan(self, session):
-        """Send the plan if a member has not got it over another link by now."""
-        routes = self.fleet.routes
-        is_behind = session.record.plan < routes.version
-        is_due = self.clock.now() - self.routes_at >= MISSING_PLAN_DELAY_MS
-        if is_behind and is_due and session.routes_revision < routes.revision:
+        """Send the plan if a member has lacked one for longer than its links take."""
+        now, routes = self.clock.now(), self.fleet.routes
+        has_plan = session.record.plan >= routes.version
+        if has_plan or session.routes_revision >= routes.revision:
+            session.behind_since = None
+        elif session.behind_since is None:
+            session.behind_since = now
+        elif now - session.behind_since >= MISSING_PLAN_DELAY_MS:
+            session.behind_since = None
             session.routes_revision = routes.revision
             session.channel.push(routes)
 
@@ -308,8 +311,6 @@
         """Send a change to the members that it concerns."""
         data = encode(message)
         is_plan = isinstance(message, RoutesChanged)
-        if is_plan:
-            self.routes_at = self.clock.now()
         for session in [*self.sessions.values()]:
             if concerns(message, session, self.fleet):
                 session.channel.push_encoded(data)
--- a/pollenmount/fleet/session.py
+++ b/pollenmount/fleet/session.py
@@ -25,6 +25,7 @@
     capacity of other regions and the VMs to hop to, and whether a control VM needs
     plans and evacuations over it. `hop_peers` are the VMs of other
     regions that it was sent, by name, and `routes_revision` is the newest plan's.
+    `behind_since` is since when it has lacked a plan that this link has not sent.
     """
 
     def __init__(self, hello: LinkHello, channel):
@@ -33,6 +34,7 @@
         self.is_primary = False
         self.hop_peers = {}
         self.routes_revision = 0
+        self.behind_since = None
 
     @property
     def name(self):
--- a/tests/test_fleet_size.py
+++ b/tests/test_fleet_size.py
@@ -110,6 +110,19 @@
     assert node.store.version == 2
 
 
+def test_a_series_of_plans_does_not_delay_the_second_link(make_fleet):
+    """Each plan once started the wait anew, so that a series of them kept all back."""
+    model = make_fleet(12)
+    node = model.of_role(ENTRY)[0]
+    primary = node.client.nearest_linked()
+    server_end = node.client.channels[primary].peer
+    server_end.push_encoded = lambda data: None
+    for version in range(2, 8):
+        model.put_plan(version)
+        model.run(500)
+    assert node.store.version >= 2
+
+
 def test_a_control_vm_without_the_log_passes_plans_on(make_fleet):
     """The sixth control VM has no replica; its members once got plans late."""
     model = make_fleet(12)
