Cut a connection by both of its ends in the partition test

The relay finds the process that opened a connection by its local address. Sockets connected to different addresses may share it, so the relay could take another process for the owner and leave a connection of the isolated VM uncut; it also kept connections whose owner it did not find. In 368 connections local addresses were shared at least twice, each time with one that was closed already. Change: the owner is looked up by both ends, and a connection without an owner is closed, so that the client connects again. The test says whom a VM lists and whose connections are open when it fails. Conclusion: the tool was wrong and is mended.

--- a/standins/relay.py
+++ b/standins/relay.py
@@ -57,8 +57,9 @@
     """Relays connections accepted at `listen` to `target` (both `IP:port`).
 
     `identify`
-        Function from a peer address to the name of the process that owns it
-        (default: '' for all).
+        Function from the client's and the relay's address of a connection to the name
+        of the process that opened it, or None if it isn't found: the connection is
+        closed then, since a cut could miss it (default: '' for all).
     `seed`
         Random seed of the losses (default 1).
 
@@ -66,7 +67,7 @@
     directions.
     """
 
-    def __init__(self, listen, target, identify=lambda peer: "", seed=1):
+    def __init__(self, listen, target, identify=lambda peer, own: "", seed=1):
         self.identify = identify
         self.isolated_owners = frozenset()
         self.target = parse_address(target)
@@ -114,7 +115,10 @@
     def accept(self):
         """Accept a connection and connect to the target."""
         source, peer = self.listener.accept()
-        owner = self.identify(peer)
+        owner = self.identify(peer, source.getsockname())
+        if owner is None:
+            source.close()
+            return
         try:
             target = socket.create_connection(self.target, timeout=1)
         except OSError:
@@ -129,6 +133,10 @@
             self.pipes.append(pipe)
             self.selector.register(pipe_source, selectors.EVENT_READ, pipe)
 
+    def owners(self):
+        """Return the owners of the open connections, sorted."""
+        return sorted(pipe.owner for pipe in [*self.pipes] if pipe.name == "in")
+
     def receive_chunk(self, pipe):
         """Read a chunk in one direction and queue it."""
         try:
@@ -187,34 +195,43 @@
         self.thread.join()
 
 
-def find_owner(processes, peer):
-    """Return the name of the process that owns the socket bound to `peer`.
+def find_owner(processes, peer, own):
+    """Return the name of the process that opened the connection from `peer` to `own`.
 
-    `peer` is an (IP, port); `processes` maps names to processes. Returns '' if none of
-    them owns it.
+    Both are an (IP, port); `processes` maps names to processes. Returns None if none of
+    them has the connection open.
     """
-    inode = find_socket_inode(peer)
-    for name, process in processes.items():
-        for link in Path(f"/proc/{process.pid}/fd").glob("*"):
+    link = f"socket:[{find_socket_inode(peer, own)}]"
+    for name, process in [*processes.items()]:
+        for path in Path(f"/proc/{process.pid}/fd").glob("*"):
             with contextlib.suppress(OSError):
-                if os.readlink(link) == f"socket:[{inode}]":
+                if os.readlink(path) == link:
                     return name
-    return ""
+    return None
 
 
-def find_socket_inode(peer):
-    """Return the inode of the TCP socket bound to (IP, port), or ''."""
-    host, port = peer
-    hex_address = f"{socket.inet_aton(host)[::-1].hex().upper()}:{port:04X}"
+def find_socket_inode(local, remote):
+    """Return the inode of the TCP socket between two (IP, port), or ''.
+
+    Sockets that are connected to different addresses may share a local one.
+    """
+    ends = hex_address(local), hex_address(remote)
     # A client may use an IPv6 socket for an IPv4 address.
     for table in ("tcp", "tcp6"):
         for line in Path(f"/proc/net/{table}").read_text().splitlines()[1:]:
             fields = line.split()
-            if fields[1].endswith(hex_address) and fields[9] != "0":
+            is_same = fields[1].endswith(ends[0]) and fields[2].endswith(ends[1])
+            if is_same and fields[9] != "0":
                 return fields[9]
     return ""
 
 
+def hex_address(address):
+    """Return an (IP, port) as the kernel's tables of sockets print it."""
+    host, port = address
+    return f"{socket.inet_aton(host)[::-1].hex().upper()}:{port:04X}"
+
+
 def parse_address(address):
     """Split `IP:port` into (IP, port)."""
     host, _, port = address.rpartition(":")
--- a/tests/faults/test_partition.py
+++ b/tests/faults/test_partition.py
@@ -93,6 +93,16 @@
         answer = self.cluster.call(address, "GET", "/v1/entries", OPERATOR_KEY)
         return {entry["name"] for entry in answer.json["entries"]}
 
+    def wait_for_entries(self, name, expected):
+        """Wait until a node considers just these entry VMs reachable."""
+        try:
+            wait_until(lambda: self.entry_names(name) == expected, TIMEOUT_S)
+        except TimeoutError as error:
+            error.add_note(f"{name} lists {self.entry_names(name)}, not {expected}")
+            for node, relay in self.relays.items():
+                error.add_note(f"relay of {node}: {relay.owners()}")
+            raise
+
 
 @pytest.fixture
 def nodes(cluster, network):
@@ -107,9 +117,7 @@
                 lambda name=name: relayed_nodes.plan_number(name) == FIRST_NUMBER,
                 TIMEOUT_S,
             )
-            wait_until(
-                lambda name=name: relayed_nodes.entry_names(name) == names, TIMEOUT_S
-            )
+            relayed_nodes.wait_for_entries(name, names)
             caller = f"aid-{name[:-2]}"
             wait_until(
                 lambda n=name, c=caller: relayed_nodes.send_chat(n, c).status == 200
@@ -121,8 +129,8 @@
     nodes.isolate(ISOLATED)
     others = {*nodes.listen} - {ISOLATED}
     for name in others:
-        wait_until(lambda name=name: nodes.entry_names(name) == others, TIMEOUT_S)
-    wait_until(lambda: nodes.entry_names(ISOLATED) == {ISOLATED}, TIMEOUT_S)
+        nodes.wait_for_entries(name, others)
+    nodes.wait_for_entries(ISOLATED, {ISOLATED})
     wait_until(lambda: nodes.apply_plan("kigali-1", FIRST_NUMBER + 1), TIMEOUT_S)
     for name in others:
         wait_until(
@@ -141,8 +149,6 @@
         wait_until(
             lambda name=name: nodes.plan_number(name) >= FIRST_NUMBER + 1, TIMEOUT_S
         )
-        wait_until(
-            lambda name=name: nodes.entry_names(name) == {*nodes.listen}, TIMEOUT_S
-        )
+        nodes.wait_for_entries(name, {*nodes.listen})
     newest = {nodes.plan_number(name) for name in nodes.listen}
     assert newest <= {FIRST_NUMBER + 1, FIRST_NUMBER + 2}
