Let VMs hear of each other's load within 200 ms

An engine prefills a long prompt in 200 ms, but VMs heard of each other's load 250 to 500 ms later, of VMs with another control VM up to 950 ms. Also, a part that a VM had sent once was taken as sent by all VMs, so prompts with rare shared parts went anywhere: the same part went to 3 targets for each 4 prompts. And a target that had crashed with its zone got probes with callers' requests until another served at its address: 457 answers 421, paid for by the retry budget. Change: VMs report changed rows of their load each 100 ms on links of their own interval, and control VMs keep totals and send changed rows as often; a count says what other VMs sent only as far as it isn't chance; uncached tokens weigh 4 instead of 2; a target that failed here and that no control VM hears is left alone for 5 s. "call ended" has the expected time to the first byte.

--- a/pollenmount/circuit_breakers.py
+++ b/pollenmount/circuit_breakers.py
@@ -65,6 +65,12 @@
         breaker = self.get(name, incarnation)
         return breaker is not None and self.clock.now() < breaker.open_until
 
+    def last_failure_at(self, name, incarnation=None):
+        """Return the time of the last failure or probe, None unless it has opened."""
+        breaker = self.get(name, incarnation)
+        is_failing = breaker is not None and breaker.is_half_open
+        return breaker.updated_at if is_failing else None
+
     def is_usable(self, name):
         """Return whether a request may be sent now."""
         return not self.is_open(name)
--- a/pollenmount/fleet/client.py
+++ b/pollenmount/fleet/client.py
@@ -11,9 +11,11 @@
     CONTROL,
     LINK_PROTOCOL,
     LinkHello,
+    Loads,
     MemberHeartbeat,
     MemberRecord,
 )
+from pollenmount.fleet.totals import LOAD_INTERVAL_MS, changed_loads
 from pollenmount.log import get_logger
 
 __all__ = ["LinkClient"]
@@ -68,7 +70,8 @@
     of links on which something was received. `describe` returns this VM's
     `MemberRecord`, `get_loads` its load on the targets, `get_seeds` the link addresses
     of the control VMs named in the settings, and `has_log` whether a control VM has
-    plans and evacuations from a replica of the log.
+    plans and evacuations from a replica of the log. `sent_loads` has the load last sent
+    on each link, by target.
     """
 
     def __init__(
@@ -84,10 +87,12 @@
         self.channels = {}
         self.established = set()
         self.last_heartbeats = {}
+        self.sent_loads = {}
         self.failed_attempts = {}
         self.known_control_vms = {}
         self.quorum_seen_at = clock.now()
         self.task = task.PeriodicTask(self.run_round, ROUND_INTERVAL_MS)
+        self.load_task = task.PeriodicTask(self.send_loads, LOAD_INTERVAL_MS)
 
     def run_round(self):
         """Send heartbeats, expire old state, and open and close links."""
@@ -211,6 +216,7 @@
         """Drop the state of a link that has ended."""
         del self.channels[address]
         self.last_heartbeats.pop(address, None)
+        self.sent_loads.pop(address, None)
         failed = self.failed_attempts.get(address)
         count = failed.count + 1 if failed else 0
         self.failed_attempts[address] = FailedAttempts(count, self.clock.now())
@@ -230,12 +236,8 @@
         is_due = now - last.sent_at >= SLOW_HEARTBEAT_INTERVAL_MS
         if has_changed or is_primary or is_due:
             self.last_heartbeats[address] = LastHeartbeat(record, now)
-            message = MemberHeartbeat(
-                record if has_changed else None,
-                self.get_loads(),
-                is_primary,
-            )
-            channel.push(message)
+            member = record if has_changed else None
+            channel.push(MemberHeartbeat(member, is_primary))
 
     def is_primary(self, address):
         """Return whether a link is an entry VM's primary one, or brings the log."""
@@ -254,8 +256,18 @@
             if channel is not None:
                 self.send_heartbeat(address, channel)
 
+    def send_loads(self):
+        """Send on each link what changed of this VM's load since it was last sent."""
+        loads = {load.id: load for load in self.get_loads()}
+        for address, channel in [*self.channels.items()]:
+            changed = changed_loads(self.sent_loads.get(address, {}), loads)
+            if changed and channel is not None:
+                self.sent_loads[address] = loads
+                channel.push(Loads(changed, complete=False))
+
     def close(self):
         """Close all links."""
+        self.load_task.close()
         self.task.close()
         for channel in [*self.channels.values()]:
             if channel is not None:
--- a/pollenmount/fleet/messages.py
+++ b/pollenmount/fleet/messages.py
@@ -129,14 +129,13 @@
 
 
 class MemberHeartbeat(Message, frozen=True, array_like=True, tag="Beat"):
-    """Periodic message of a member: its record if it changed, its load on each target.
+    """Periodic message of a member, with its record if it changed.
 
     `is_primary` marks the one link of the member on which it needs the load of targets,
     the capacity of other regions and the VMs for hops.
     """
 
     member: MemberRecord | None
-    loads: tuple[TargetLoad, ...] = ()
     is_primary: bool = True
 
 
@@ -193,7 +192,7 @@
 
 
 class Loads(Message, frozen=True, array_like=True, tag=True):
-    """Total load of all members on targets; also the server's heartbeat.
+    """Load on targets: a member's own, or the total of all; also a server's heartbeat.
 
     Targets that are missing have no load if `complete` is true, else the same as
     before.
--- a/pollenmount/fleet/server.py
+++ b/pollenmount/fleet/server.py
@@ -35,7 +35,7 @@
     select_hop_peers,
 )
 from pollenmount.fleet.session import Session, concerns
-from pollenmount.fleet.totals import LoadTotals
+from pollenmount.fleet.totals import LOAD_INTERVAL_MS, LoadTotals
 from pollenmount.log import get_logger
 
 __all__ = ["DIRECT", "LinkServer"]
@@ -90,6 +90,7 @@
         self.socket = task.listen(address, LISTEN_BACKLOG)
         self.thread = task.spawn(self.accept_links)
         self.ticker = task.PeriodicTask(self.tick, TICK_INTERVAL_MS)
+        self.load_ticker = task.PeriodicTask(self.send_loads, LOAD_INTERVAL_MS)
 
     def accept_links(self):
         """Accept links until this task is killed."""
@@ -133,6 +134,7 @@
         if previous is not None:
             previous.channel.close()
         self.sessions[session.name] = session
+        self.totals.forget(session.name)
         self.lost_links.pop(session.name, None)
         extra = {"member": session.name, "role": session.record.role}
         logger.info("link open", extra=extra)
@@ -156,10 +158,10 @@
 
     def handle(self, session, message):
         """Handle one message of a member."""
+        if isinstance(message, Loads) and self.sessions.get(session.name) is session:
+            self.totals.report(session.name, message.loads)
         if not isinstance(message, MemberHeartbeat):
             return
-        if session.is_entry:
-            self.totals.report(session.name, message.loads)
         self.set_primary(session, message.is_primary)
         if message.member is not None:
             session.record = message.member
@@ -207,7 +209,6 @@
     def tick(self):
         """Report lost members, and send what is sent periodically."""
         self.expire_lost_links()
-        self.totals.update()
         self.send_entry_counts()
         self.ticks += 1
         is_slow_tick = self.ticks % SLOW_TICKS == 0
@@ -246,7 +247,7 @@
             for session in self.sessions.values()
             if session.is_entry
         )
-        rows = summarize_capacities(self.fleet, self.totals.all_totals(), reporters)
+        rows = summarize_capacities(self.fleet, self.totals.by_target, reporters)
         self.capacities.update(
             tuple(rows),
             self.fleet.capacity_rows.values(),
@@ -276,23 +277,25 @@
         return by_region
 
     def send_changes(self, session, is_slow_tick):
-        """Send changes of load and capacity to a member that uses this link for them.
+        """Send changes of capacity to a member that uses this link for them.
 
         All others get a heartbeat at each slow tick.
         """
-        changes = []
+        changed = None
         if session.is_primary and session.is_entry:
-            region = session.record.region
-            changes = [
-                message
-                for message in (
-                    self.totals.changed.get(region),
-                    self.capacities.changed.get(region),
-                )
-                if message
-            ]
-        for data in changes or ([LINK_HEARTBEAT] if is_slow_tick else ()):
-            session.channel.push_encoded(data)
+            changed = self.capacities.changed.get(session.record.region)
+        if changed:
+            session.channel.push_encoded(changed)
+        elif is_slow_tick:
+            session.channel.push_encoded(LINK_HEARTBEAT)
+
+    def send_loads(self):
+        """Send changed totals of load to members that use this link for them."""
+        changes = self.totals.take_changes()
+        for session in [*self.sessions.values()] if changes else ():
+            changed = changes.get(session.record.region)
+            if changed and session.is_primary and session.is_entry:
+                session.channel.push_encoded(changed)
 
     def send_missing_plan(self, session):
         """Send the plan if a member has lacked one for longer than its links take."""
@@ -360,6 +363,7 @@
 
     def close(self):
         """Stop accepting links and close them all."""
+        self.load_ticker.close()
         self.ticker.close()
         self.thread.kill()
         self.socket.close()
--- a/pollenmount/fleet/totals.py
+++ b/pollenmount/fleet/totals.py
@@ -4,76 +4,98 @@
 
 from pollenmount.fleet.messages import Loads, TargetLoad, encode
 
-__all__ = ["LoadTotals"]
+__all__ = ["LOAD_INTERVAL_MS", "LoadTotals", "changed_loads"]
+
+# An engine prefills a long prompt in 200 ms; older news of its load is of no use.
+LOAD_INTERVAL_MS = 100
 
 
 class LoadTotals:
     """Sums of the loads that members report.
 
     `region_of_target` returns the region of a target, None for an unknown one.
-    `by_region` has the totals of each region by target, and `changed` the encoded
-    `Loads` message with the changes of the last update by region.
+    `reports` has the load by member and target, and `by_target` the totals; what has no
+    load is in neither. `changed` are the targets whose total changed since the last
+    call of `take_changes`.
     """
 
     def __init__(self, region_of_target):
         self.region_of_target = region_of_target
-        self.reports = {}
-        self.by_region = {}
-        self.changed = {}
+        self.reports = collections.defaultdict(dict)
+        self.by_target = {}
+        self.changed = set()
 
     def report(self, name, loads):
-        """Store the loads that a member reports."""
-        self.reports[name] = loads
+        """Store the loads of a member on some targets; others are as before."""
+        report = self.reports[name]
+        for load in loads:
+            self.replace(report.pop(load.id, no_load(load.id)), load)
+            if has_load(load):
+                report[load.id] = load
 
     def forget(self, name):
         """Drop the loads of a member that is no longer linked."""
-        self.reports.pop(name, None)
-
-    def update(self):
-        """Add up the reports, and find what changed in each region."""
-        before, self.by_region = self.by_region, self.sum_by_region()
-        self.changed = {
-            region: encode_changes(
-                before.get(region, {}), self.by_region.get(region, {})
-            )
-            for region in {*before, *self.by_region}
-        }
-
-    def sum_by_region(self):
-        """Return the totals as a map from region to target to `TargetLoad`."""
-        totals = {}
-        for loads in self.reports.values():
-            for load in loads:
-                known = totals.get(load.id)
-                totals[load.id] = add_loads(known, load) if known else load
-        regions = collections.defaultdict(dict)
-        for id_, load in totals.items():
+        for load in self.reports.pop(name, {}).values():
+            self.replace(load, no_load(load.id))
+
+    def replace(self, before, after):
+        """Replace one member's load on a target in the total."""
+        id_ = after.id
+        total = self.by_target.pop(id_, no_load(id_))
+        total = TargetLoad(
+            id_,
+            total.requests + after.requests - before.requests,
+            total.tokens + after.tokens - before.tokens,
+            total.streams + after.streams - before.streams,
+        )
+        if has_load(total):
+            self.by_target[id_] = total
+        self.changed.add(id_)
+
+    def take_changes(self):
+        """Return the encoded `Loads` with what changed since the last call, by region.
+
+        Targets that are not known yet are kept until they are.
+        """
+        rows = collections.defaultdict(list)
+        unknown = set()
+        for id_ in sorted(self.changed):
             region = self.region_of_target(id_)
             if region is not None:
-                regions[region][id_] = load
-        return dict(regions)
-
-    def all_totals(self):
-        """Return the totals of all regions, by target."""
-        return {id_: v for loads in self.by_region.values() for id_, v in loads.items()}
+                rows[region].append(self.by_target.get(id_, no_load(id_)))
+            elif id_ in self.by_target:
+                unknown.add(id_)
+        self.changed = unknown
+        return {
+            region: encode(Loads(tuple(loads), complete=False))
+            for region, loads in rows.items()
+        }
 
     def encode_complete(self, region):
         """Return the encoded `Loads` message with all totals of a region."""
-        return encode(Loads(tuple(self.by_region.get(region, {}).values())))
+        loads = (
+            load
+            for id_, load in self.by_target.items()
+            if self.region_of_target(id_) == region
+        )
+        return encode(Loads(tuple(loads)))
 
 
-def add_loads(one, other):
-    """Return the sum of two loads on one target."""
-    return TargetLoad(
-        one.id,
-        one.requests + other.requests,
-        one.tokens + other.tokens,
-        one.streams + other.streams,
-    )
+def no_load(id_):
+    """Return the `TargetLoad` of a target that has no load."""
+    return TargetLoad(id_, 0, 0)
 
 
-def encode_changes(before, after):
-    """Return the encoded `Loads` with the rows that differ, b'' if there are none."""
+def has_load(load):
+    """Return whether a `TargetLoad` has any load."""
+    return any(load[1:])
+
+
+def changed_loads(before, after):
+    """Return the loads in `after` that differ, and those that ended, as a tuple.
+
+    Both are by target.
+    """
     changed = [load for id_, load in after.items() if before.get(id_) != load]
-    idle = [TargetLoad(id_, 0, 0) for id_ in before if id_ not in after]
-    return encode(Loads((*changed, *idle), complete=False)) if changed or idle else b""
+    ended = [no_load(id_) for id_ in before if id_ not in after]
+    return (*changed, *ended)
--- a/pollenmount/gateway/cache.py
+++ b/pollenmount/gateway/cache.py
@@ -82,7 +82,7 @@
         expected, cached_share = 0.0, 1.0
         for part in shared_parts(prompt):
             count = self.counts.get((prompt.model, part.id))
-            sends_per_target = count * entries / max(1, len(ids))
+            sends_per_target = low_estimate(count) * entries / max(1, len(ids))
             cached_share *= 1 - math.exp(-sends_per_target)
             expected += cached_share * part.tokens
         return PromptSpread(prompt, preferred, expected)
@@ -123,6 +123,14 @@
         self.started_at = self.clock.now()
 
 
+def low_estimate(count):
+    """Return a number of events that is expected to be exceeded, from a count of some.
+
+    A few may be chance, and say nothing about what other VMs have seen.
+    """
+    return max(0.0, count - 1 - math.sqrt(count))
+
+
 def shared_parts(prompt):
     """Return the parts that other prompts may share: all but the last."""
     return prompt.parts[:-1]
--- a/pollenmount/gateway/callers.py
+++ b/pollenmount/gateway/callers.py
@@ -256,6 +256,7 @@
                 "status": status,
                 "elapsed_ms": elapsed_ms,
                 "waited_ms": progress.waited_ms,
+                "expected_ms": progress.expected_ms,
                 "first_ms": first_ms,
                 "prompt_tokens": prompt.tokens if prompt else 0,
                 "output_tokens": prompt.output_tokens if prompt else 0,
--- a/pollenmount/gateway/choosers/expected_time.py
+++ b/pollenmount/gateway/choosers/expected_time.py
@@ -42,7 +42,7 @@
 SLOT_WAIT_MS = 3000.0
 FIRST_TOKEN_MS = 30.0
 # Prefill of uncached tokens also delays the prompts queued behind it.
-UNCACHED_WEIGHT = 2.0
+UNCACHED_WEIGHT = 4.0
 PLAIN_CALL_MS = 45.0
 NO_HEARTBEAT_PENALTY_MS = 400.0
 MIN_HOP_GAIN_MS = 100.0
--- a/pollenmount/gateway/dispatch.py
+++ b/pollenmount/gateway/dispatch.py
@@ -174,17 +174,10 @@
 
     def run_attempt(self, call, progress, destination, expected_ms):
         """Yield the head and body of the response to one attempt."""
-        if destination.target_id and not progress.sends:
-            # A hop is counted by the VM that receives it and sends it to a target.
-            self.budget.record_request(call.service)
-        progress.sends += 1
-        progress.destination = destination
-        progress.tried.add(destination.name)
-        prompt = call.info.prompt
-        tokens = prompt.tokens if prompt else 0
-        if prompt and destination.target_id:
-            tokens -= self.context.cache.cached_tokens(destination.target_id, prompt)
+        self.record_start(call, progress, destination, expected_ms)
         sent_at = self.clock.now()
+        prompt = call.info.prompt
+        tokens = self.uncached_tokens(destination, prompt)
         is_stream = prompt is not None and is_long_stream(prompt)
         tracked = self.context.loads.track(destination.name, tokens, is_stream)
         with tracked as end_prefill:
@@ -196,8 +189,6 @@
                 end_prefill=end_prefill,
                 expected_at=sent_at + expected_ms,
             )
-            if prompt and destination.target_id:
-                self.context.cache.record(destination.target_id, prompt)
             resume_after = call.info.resume_after
             if progress.head:
                 resume_after = str(progress.last_id)
@@ -212,6 +203,27 @@
                         yield part
         self.context.breakers.record_success(destination.name)
 
+    def record_start(self, call, progress, destination, expected_ms):
+        """Count an attempt that starts."""
+        if destination.target_id and not progress.sends:
+            # A hop is counted by the VM that receives it and sends it to a target.
+            self.budget.record_request(call.service)
+        progress.sends += 1
+        progress.destination = destination
+        progress.expected_ms = round(expected_ms)
+        progress.tried.add(destination.name)
+
+    def uncached_tokens(self, destination, prompt):
+        """Return how many prompt tokens a destination prefills; note them as cached."""
+        if prompt is None:
+            return 0
+        if not destination.target_id:
+            return prompt.tokens
+        cache = self.context.cache
+        tokens = prompt.tokens - cache.cached_tokens(destination.target_id, prompt)
+        cache.record(destination.target_id, prompt)
+        return tokens
+
     def record_first_byte(self, destination, call, lag_ms):
         """Update the trackers when the first byte of a response arrives."""
         self.outage_since.pop((call.service, call.route.homes), None)
--- a/pollenmount/gateway/progress.py
+++ b/pollenmount/gateway/progress.py
@@ -14,7 +14,8 @@
     `last_id` the number of the last event delivered. `first_chunk_at` and
     `last_chunk_at` are the times of the first and the last chunk of the response;
     `longest_gap_ms` is the longest time between two. `waited_ms` is how long the call
-    was deferred before it was sent.
+    was deferred before it was sent, and `expected_ms` the time to the first byte that
+    was expected of the last attempt.
     """
 
     def __init__(self, call):
@@ -31,6 +32,7 @@
         self.last_chunk_at = None
         self.longest_gap_ms = 0
         self.waited_ms = 0
+        self.expected_ms = None
 
     def record_chunk(self, now):
         """Record that a chunk of the response arrived."""
--- a/pollenmount/gateway/routing_context.py
+++ b/pollenmount/gateway/routing_context.py
@@ -7,7 +7,7 @@
 from pollenmount.fleet.targets import DEFAULT_SLOTS
 from pollenmount.gateway.choose import Options, TargetOption
 
-__all__ = ["RoutingContext"]
+__all__ = ["LEARNING_MS", "SILENT_RETRY_MS", "RoutingContext"]
 
 CONNECTIONS_SHARE = 0.85
 # Targets drawn at random beside those with a prompt's shared parts.
@@ -16,6 +16,8 @@
 REMOTE_CACHED_SHARE = 0.9
 # Within this time after a start, targets and control VMs have reported.
 LEARNING_MS = 2500
+# A target that no control VM hears is gone, or cut off from them but not from here.
+SILENT_RETRY_MS = 5000
 # Well above the round trip within a region and between regions.
 SLOW_CONNECT_MS = 80
 SLOW_HOP_CONNECT_MS = 300
@@ -118,6 +120,8 @@
         record = target.record
         if self.breakers.is_open(record.id, record.born):
             return False
+        if self.is_presumed_gone(target):
+            return False
         if self.pool.is_connect_slow((record.id, record.address), SLOW_CONNECT_MS):
             return False
         service_limits = self.store.plan.services.get(record.service)
@@ -130,6 +134,17 @@
             return False
         return self.has_free_connection(record.id, service_limits, sharers)
 
+    def is_presumed_gone(self, target):
+        """Return whether a target failed here lately, and no control VM hears it.
+
+        A VM without links can't know the latter.
+        """
+        if target.is_heard or not self.fleet.quorums:
+            return False
+        failed_at = self.breakers.last_failure_at(target.id, target.record.born)
+        now = self.clock.now()
+        return failed_at is not None and now - failed_at < SILENT_RETRY_MS
+
     def has_free_connection(self, id_, service_limits, sharers):
         """Return whether this VM's share of a target's connections is not used up."""
         if service_limits.max_connections <= 0:
--- a/tests/fleet_model.py
+++ b/tests/fleet_model.py
@@ -293,8 +293,10 @@
                 self.beat_all()
             for node in [n for n in self.nodes.values() if n.alive]:
                 node.client.run_round()
+                node.client.send_loads()
                 if node.server:
                     node.server.tick()
+                    node.server.send_loads()
                     node.server.sweep_targets(SILENCE_MS)
             self.deliver()
 
