--- a/tests/test_gateway_load.py
+++ b/tests/test_gateway_load.py
@@ -3,7 +3,9 @@
 The patterns of load are named by the tests; there is no network.
 """
 
+import contextlib
 import random
+from typing import NamedTuple
 
 import pytest
 
@@ -39,6 +41,17 @@
         return self.busy_until
 
 
+class Running(NamedTuple):
+    """A request whose prefill is not known to be done; `stack` ends its tracking."""
+
+    done_at: float
+    vm: EntryHarness
+    stack: contextlib.ExitStack
+
+    def is_done(self):
+        return self.done_at <= self.vm.clock.now()
+
+
 class Region:
     """The entry VMs of a region, which report their load to a control VM."""
 
@@ -93,11 +106,11 @@
             chosen.target_id, prompt
         )
         vm.context.cache.record(chosen.target_id, prompt)
-        tracked = vm.loads.track(chosen.target_id, tokens)
-        tracked.__enter__()
+        stack = contextlib.ExitStack()
+        stack.enter_context(vm.loads.track(chosen.target_id, tokens))
         done_at = self.engines[chosen.target_id].prefill(prompt, now)
         self.first_token_ms.append(done_at - now)
-        self.running.append((done_at, vm, tracked))
+        self.running.append(Running(done_at, vm, stack))
 
     def make_prompt(self):
         """Return a prompt with a common part, a shared one, and one of its own."""
@@ -109,13 +122,10 @@
 
     def end_prefills(self):
         """End the requests whose prefill is done."""
-        still_running = []
-        for done_at, vm, tracked in self.running:
-            if done_at <= vm.clock.now():
-                tracked.__exit__(None, None, None)
-            else:
-                still_running.append((done_at, vm, tracked))
-        self.running = still_running
+        for request in self.running:
+            if request.is_done():
+                request.stack.close()
+        self.running = [request for request in self.running if not request.is_done()]
 
 
 @pytest.mark.parametrize("seed", [1, 2, 3])
