--- a/tests/gateway_harness.py
+++ b/tests/gateway_harness.py
@@ -178,6 +178,15 @@
         if region == self.settings.region:
             self.fleet.handle(message, "c")
 
+    def add_engines(self, *names, region="west"):
+        """Add targets of the service engine."""
+        for name in names:
+            self.add_target(name, region, "engine", slots=128)
+
+    def restart(self):
+        """Let the VM have just started."""
+        self.context.started_at = self.clock.now()
+
     def update_capacities(self):
         """Report the capacity of the other regions with the load of their targets."""
         rows = summarize_capacities(self.control, self.reported, {})
--- a/tests/test_gateway_choose.py
+++ b/tests/test_gateway_choose.py
@@ -13,11 +13,6 @@
 STREAM = make_route(RetryMode.STREAM, "engine", slo_ms=1000)
 
 
-def add_engines(harness, *names, region="west"):
-    for name in names:
-        harness.add_target(name, region, "engine", slots=128)
-
-
 def choose(harness, prompt, route=STREAM):
     chosen = harness.choose(harness.make_call(route, prompt))
     return chosen.target_id if isinstance(chosen, TargetChoice) else chosen
@@ -27,7 +22,7 @@
     """All entry VMs pick the same target for a prefix, without coordination."""
     one, other = EntryHarness(), EntryHarness(name="west-2")
     for harness in (one, other):
-        add_engines(harness, "a", "b", "c")
+        harness.add_engines("a", "b", "c")
     prompts = [make_prompt(f"s{number}") for number in range(60)]
     picks = [choose(one, prompt) for prompt in prompts]
     assert picks == [choose(other, prompt) for prompt in prompts]
@@ -37,7 +32,7 @@
 def test_affinity_yields_to_load():
     """Affinity is bounded by load: a hot prefix overflows to other targets."""
     harness = EntryHarness()
-    add_engines(harness, "a", "b")
+    harness.add_engines("a", "b")
     prompt = make_prompt()
     preferred = choose(harness, prompt)
     harness.reported = {preferred: TargetLoad(preferred, 60, 60_000)}
@@ -47,7 +42,7 @@
 def test_long_streams_count_beside_prompts():
     """The expected time counts running streams as well as pending prefill."""
     harness = EntryHarness()
-    add_engines(harness, "a", "b")
+    harness.add_engines("a", "b")
     harness.reported = {"a": TargetLoad("a", 120, 0)}
     picks = {choose(harness, make_prompt(f"s{n}")) for n in range(20)}
     assert picks == {"b"}
@@ -55,7 +50,7 @@
 
 def test_a_target_without_a_free_slot_costs_the_wait_for_one():
     harness = EntryHarness()
-    add_engines(harness, "a", "b")
+    harness.add_engines("a", "b")
     harness.reported = {"a": TargetLoad("a", 160, 0), "b": TargetLoad("b", 110, 4000)}
     assert {choose(harness, make_prompt(f"s{n}")) for n in range(20)} == {"b"}
 
@@ -63,8 +58,8 @@
 def test_a_full_region_spills_to_one_with_capacity():
     """A request leaves the region only if the gain exceeds the cost of the hop."""
     harness = EntryHarness()
-    add_engines(harness, "a")
-    add_engines(harness, "e", region="east")
+    harness.add_engines("a")
+    harness.add_engines("e", region="east")
     harness.add_entry("east-1", "east")
     assert choose(harness, make_prompt()) == "a"
     harness.reported = {"a": TargetLoad("a", 120, 30_000)}
@@ -76,8 +71,8 @@
 def test_a_region_counts_by_its_less_loaded_targets():
     """One busy target of two must not keep requests away from the free one."""
     harness = EntryHarness()
-    add_engines(harness, "a")
-    add_engines(harness, "e", "f", region="east")
+    harness.add_engines("a")
+    harness.add_engines("e", "f", region="east")
     harness.add_entry("east-1", "east")
     harness.reported = {
         "a": TargetLoad("a", 120, 30_000),
@@ -92,7 +87,7 @@
     picks = collections.Counter()
     for number in range(60):
         harness = EntryHarness(name=f"west-{number}")
-        add_engines(harness, *names)
+        harness.add_engines(*names)
         loads = {name: TargetLoad(name, 5, 3000) for name in names}
         harness.reported = {**loads, "t0": TargetLoad("t0", 0, 0)}
         harness.context.random.seed(number)
@@ -104,7 +99,7 @@
 def test_a_part_that_all_prompts_share_is_expected_on_all_targets():
     """Each VM sees a part of the traffic; what it sees often, all targets have read."""
     harness = EntryHarness()
-    add_engines(harness, "a", "b", "c")
+    harness.add_engines("a", "b", "c")
     prompt = make_prompt("system", shared=6000)
     options = harness.context.options(harness.make_call(STREAM, prompt), set()).local
     assert min(option.cached_tokens for option in options) == 0
@@ -119,8 +114,8 @@
 
 def test_homes_bind_whatever_the_load():
     harness = EntryHarness()
-    add_engines(harness, "a")
-    add_engines(harness, "e", region="east")
+    harness.add_engines("a")
+    harness.add_engines("e", region="east")
     harness.add_entry("east-1", "east")
     bound = STREAM._replace(homes=("west",))
     harness.reported = {"a": TargetLoad("a", 400, 900_000)}
@@ -173,7 +168,7 @@
     """Random baselines may differ from the expected counts, by up to 12 of 60."""
     random.seed(1)
     harness = EntryHarness(chooser=chooser)
-    add_engines(harness, "a", "b", "c")
+    harness.add_engines("a", "b", "c")
     harness.reported = {"a": TargetLoad("a", 9, 0), "b": TargetLoad("b", 5, 0)}
     picks = collections.Counter(choose(harness, make_prompt()) for _ in range(60))
     for name in "abc":
@@ -183,8 +178,8 @@
 @pytest.mark.parametrize("chooser", ["round_robin", "least_in_flight"])
 def test_baselines_leave_a_full_region(chooser):
     harness = EntryHarness(chooser=chooser)
-    add_engines(harness, "a")
-    add_engines(harness, "e", region="east")
+    harness.add_engines("a")
+    harness.add_engines("e", region="east")
     harness.add_entry("east-1", "east")
     assert choose(harness, make_prompt()) == "a"
     harness.reported = {"a": TargetLoad("a", 4 * 128, 0)}
@@ -194,8 +189,8 @@
 def test_remote_targets_are_not_examined_while_the_region_has_capacity():
     """Remote targets are evaluated only if the request may leave its region."""
     harness = EntryHarness()
-    add_engines(harness, *(f"e{n}" for n in range(300)), region="east")
-    add_engines(harness, "a", "b")
+    harness.add_engines(*(f"e{n}" for n in range(300)), region="east")
+    harness.add_engines("a", "b")
     for number in range(300):
         harness.add_target(f"d{number}")
     examined = []
@@ -210,7 +205,7 @@
 def harness_with_prefill():
     """Return a harness whose only engine has streams and a long pending prefill."""
     harness = EntryHarness()
-    add_engines(harness, "a")
+    harness.add_engines("a")
     harness.reported = {"a": TargetLoad("a", 9, 9000, 8)}
     return harness
 
--- a/tests/test_gateway_dispatch.py
+++ b/tests/test_gateway_dispatch.py
@@ -237,15 +237,10 @@
     assert lost == ["east"]
 
 
-def restart(harness):
-    """Let the VM have just started."""
-    harness.context.started_at = harness.clock.now()
-
-
 def test_a_vm_that_has_just_started_waits_for_its_first_targets():
     """After a loss of power callers were refused by VMs that knew no target yet."""
     harness = EntryHarness()
-    restart(harness)
+    harness.restart()
     began = harness.clock.now()
 
     def sleep(ms):
@@ -261,12 +256,12 @@
 
 def test_the_wait_of_a_started_vm_is_bounded_and_ends_in_a_truthful_refusal():
     harness = EntryHarness()
-    restart(harness)
+    harness.restart()
     call = harness.make_call(timeout_ms=2000)
     (refusal,), _ = harness.serve(call)
     assert refusal.status == 503
     assert 500 <= harness.clock.now() - call.received_at < 550
-    restart(harness)
+    harness.restart()
     harness.clock.advance(LEARNING_MS)
     call = harness.make_call()
     harness.serve(call)
@@ -285,7 +280,7 @@
 def test_a_vm_that_has_just_started_waits_for_its_first_plan():
     """After a loss of power callers were refused within 0.3 s of a VM's start."""
     harness = EntryHarness()
-    restart(harness)
+    harness.restart()
     api = caller_api(harness)
     began = harness.clock.now()
     plan = RoutePlan(1, (), {}, DEFAULT_LIMITS)
@@ -304,7 +299,7 @@
 @pytest.mark.parametrize(("timeout_ms", "limit_ms"), [(4000, 1000), (None, 500)])
 def test_the_wait_for_a_plan_is_bounded(timeout_ms, limit_ms):
     harness = EntryHarness()
-    restart(harness)
+    harness.restart()
     began = harness.clock.now()
     info = CallerInfo("id-1", "h", timeout_ms, "", None, ())
     caller_api(harness).wait_for_plan(info, began)
--- a/tests/test_gateway_joining.py
+++ b/tests/test_gateway_joining.py
@@ -27,7 +27,7 @@
 def joining():
     """Return a VM that has just started; it is not counted yet and knows no target."""
     harness = EntryHarness()
-    harness.context.started_at = harness.clock.now()
+    harness.restart()
     harness.counter = EntryCounter(harness.clock)
     harness.budget = RetryBudget(
         harness.clock, BOUNDS.retry_limits, harness.counter.share
--- a/tests/test_gateway_load.py
+++ b/tests/test_gateway_load.py
@@ -68,8 +68,7 @@
             vm.context.random.seed(seed + number)
             for peer in range(VMS):
                 vm.add_entry(f"west-{peer}", "west")
-            for id_ in TARGETS:
-                vm.add_target(id_, service="engine", slots=128)
+            vm.add_engines(*TARGETS)
 
     def run(self, ms, per_s):
         """Let prompts arrive at random for some time."""
@@ -140,11 +139,6 @@
     assert late <= 0.05 * len(region.first_token_ms)
 
 
-def add_engines(harness, *names):
-    for name in names:
-        harness.add_target(name, "west", "engine", slots=128)
-
-
 def test_a_target_that_failed_and_is_silent_gets_no_probe():
     """Another may serve at its address by now, and a probe is a caller's request."""
     harness = EntryHarness()
@@ -169,7 +163,7 @@
     harness = EntryHarness()
     for number in range(2, 40):
         harness.add_entry(f"west-{number}", "west")
-    add_engines(harness, "a", "b", "c", "d")
+    harness.add_engines("a", "b", "c", "d")
     prompt = make_prompt("rare", shared=6000)
     harness.context.cache.record("a", prompt)
     options = harness.context.options(harness.make_call(STREAM, prompt), set()).local
