--- a/pollenmount/api/connection.py
+++ b/pollenmount/api/connection.py
@@ -17,6 +17,12 @@
 
 from pollenmount import task
 from pollenmount.api.body import Body
+from pollenmount.api.endings import (
+    CallerDisconnectedError,
+    End,
+    ResponseWriter,
+    find_end,
+)
 from pollenmount.api.head import (
     MAX_HEAD_BYTES,
     MAX_LINE_BYTES,
@@ -25,6 +31,7 @@
 )
 from pollenmount.api.reply import refusal_reply, status_line
 from pollenmount.errors import Refusal, RefusalKind
+from pollenmount.log import get_logger
 
 __all__ = ["Connection", "ConnectionLimits", "default_limits"]
 
@@ -36,6 +43,8 @@
 MAX_LINGER_BYTES = 16 << 20
 READ_BLOCK_BYTES = 65_536
 
+logger = get_logger("web")
+
 
 class ConnectionLimits(NamedTuple):
     """Limits of a connection: idle time, time and bytes for a head, bytes per line."""
@@ -54,10 +63,17 @@
 
 
 class Connection(eventlet.wsgi.HttpProtocol):
-    """A connection to `listener`, which counts connections and running requests."""
+    """A connection to `listener`, which counts connections and running requests.
+
+    `requests` counts its requests; `failure` is the exception that interrupted the
+    newest response, and `end` why the connection is closed.
+    """
 
     def __init__(self, listener, conn_state, server):
         self.listener = listener
+        self.requests = 0
+        self.failure = None
+        self.end = End.AFTER_REPLY
         self.body = None
         self.disconnect_watcher = None
         self.lingers_on_close = False
@@ -66,6 +82,28 @@
             super().__init__(conn_state, server)
         finally:
             listener.connections -= 1
+            self.record_end()
+
+    def setup(self):
+        """Set up input and output; the latter records why a write failed."""
+        super().setup()
+        self.wfile = ResponseWriter(self.wfile)
+
+    def record_end(self):
+        """Count why the connection was closed; log it if that cut a response."""
+        if self.failure is None:
+            self.listener.on_close(self.end)
+            return
+        end = find_end(self.failure)
+        self.listener.on_close(end)
+        fields = {
+            "end": end,
+            "peer": "{}:{}".format(*self.client_address),
+            "requests": self.requests,
+            "sent_bytes": self.wfile.size,
+            "error": type(self.failure).__name__,
+        }
+        logger.info("connection closed", extra=fields)
 
     def handle_one_request(self):
         """Read one request and send the reply."""
@@ -73,6 +111,7 @@
         head_result = self.read_head()
         if head_result is None:
             return
+        self.requests += 1
         self.conn_state[2] = eventlet.wsgi.STATE_REQUEST
         self.listener.active += 1
         try:
@@ -87,9 +126,12 @@
         """Return Ok(Head), Err(Refusal), or None if no request arrived."""
         limits = self.listener.limits()
         self.connection.settimeout(limits.idle_s)
+        self.end = End.IDLE
         try:
             if not self.rfile.peek(1):
+                self.end = End.CALLER_CLOSED
                 return None
+            self.end = End.HEAD_UNREADABLE
             self.connection.settimeout(SOCKET_TIMEOUT_S)
             with task.Timeout(limits.head_s):
                 request_line = self.rfile.readline(limits.line_bytes + 1)
@@ -108,6 +150,7 @@
 
     def send_refusal(self, refusal):
         """Reply to a head that cannot be served, and close the connection."""
+        self.end = End.REFUSED
         reply = refusal_reply(refusal, [("Connection", "close")])
         lines = [f"HTTP/1.1 {status_line(reply.status)}"]
         lines += [f"{name}: {value}" for name, value in reply.headers]
@@ -124,19 +167,38 @@
         self.requestline = f"{head.method} {head.target} {head.version}"
         self.headers = {"Connection": "close" if head.closes_connection else ""}
         self.close_connection = int(head.closes_connection)
-        self.application = self.server.app
+        self.application = self.run_application
         self.body = Body(head, self.rfile, self.wfile, self.listener.budget)
         self.environ = self.make_environ(head)
+        self.end = End.AFTER_REPLY
         try:
             with task.Timeout(RESPONSE_LIMIT_S):
                 self.handle_one_response()
             self.lingers_on_close = not self.body.is_complete
-        except OSError:
+        except OSError as error:
+            self.failure = self.failure or error
             self.close_connection = 1
+        except BaseException as error:
+            self.failure = self.failure or error
+            raise
         finally:
+            self.failure = self.failure or self.wfile.error
             self.stop_disconnect_watcher()
             self.body.close()
 
+    def run_application(self, environ, start_response):
+        """Run the application; return its response."""
+        parts = self.server.app(environ, start_response)
+        return parts if hasattr(parts, "__len__") else self.watch_parts(parts)
+
+    def watch_parts(self, parts):
+        """Yield the parts of a response; record an exception that interrupts them."""
+        try:
+            yield from parts
+        except Exception as error:
+            self.failure = error
+            raise
+
     def make_environ(self, head):
         """Return the WSGI environment of one request."""
         path, _, query = head.target.partition("?")
@@ -177,18 +239,20 @@
         """Wait for the caller to disconnect, then cancel the request."""
         with contextlib.suppress(eventlet.hubs.IOClosed):
             eventlet.hubs.trampoline(self.connection.fileno(), read=True)
-            if self.has_peer_disconnected():
+            end = self.find_disconnect()
+            if end is not None:
                 self.disconnect_watcher = None
-                eventlet.kill(request_thread)
+                eventlet.kill(request_thread, CallerDisconnectedError(end))
 
-    def has_peer_disconnected(self):
-        """Return whether the caller has closed its side of the connection."""
+    def find_disconnect(self):
+        """Return how the caller closed its side of the connection, or None."""
         try:
-            return not self.connection.fd.recv(1, socket.MSG_PEEK)
+            received = self.connection.fd.recv(1, socket.MSG_PEEK)
         except BlockingIOError:
-            return False
+            return None
         except OSError:
-            return True
+            return End.CALLER_RESET
+        return None if received else End.CALLER_CLOSED
 
     def stop_disconnect_watcher(self):
         """Stop waiting for the caller to disconnect."""
--- a/pollenmount/api/web.py
+++ b/pollenmount/api/web.py
@@ -15,6 +15,7 @@
     Connection,
     default_limits,
 )
+from pollenmount.api.endings import find_end
 from pollenmount.api.reply import (
     Reply,
     json_reply,
@@ -92,6 +93,11 @@
         """Cancel the request as soon as its caller closes the connection."""
         self.environ["pollenmount.connection"].cancel_on_disconnect()
 
+    def find_end(self):
+        """Return the `End` of the response if its writing was interrupted, or None."""
+        error = self.environ["pollenmount.connection"].wfile.error
+        return find_end(error) if error is not None else None
+
     def read(self, limit):
         """Return the body, or a `Refusal` if it is malformed, late or over `limit`."""
         if int(self.header("Content-Length", "0")) > limit:
@@ -172,11 +178,13 @@
     """Serves a WSGI application on `address` until it is closed.
 
     `connections` counts open connections and `active` running requests. `limits`
-    returns the `ConnectionLimits` for the next request.
+    returns the `ConnectionLimits` for the next request. `on_close` is called with the
+    `End` of each connection.
     """
 
-    def __init__(self, address, app, limits=default_limits):
+    def __init__(self, address, app, limits=default_limits, on_close=lambda end: None):
         self.limits = limits
+        self.on_close = on_close
         self.connections = 0
         self.active = 0
         self.budget = ByteBudget(MAX_BUFFERED_BODY_BYTES)
--- a/pollenmount/gateway/callers.py
+++ b/pollenmount/gateway/callers.py
@@ -2,8 +2,9 @@
 
 import contextlib
 import random
+import traceback
 
-from pollenmount import task
+from pollenmount.api.endings import End, find_end
 from pollenmount.api.reply import Reply
 from pollenmount.errors import Refusal
 from pollenmount.gateway.call import Call, ErrorResponse
@@ -33,7 +34,6 @@
 # Assumed for a caller that does not say how long it waits.
 DEFAULT_TIMEOUT_MS = 2000
 STOPPING_RETRY_MS = 10
-CALLER_GONE = "caller_gone"
 
 logger = get_logger("calls")
 
@@ -61,7 +61,7 @@
             return self.reject(info, result)
         if result.route.retry_mode is not RetryMode.ONCE:
             request.cancel_on_disconnect()
-        return CallResponder(self.node, result, may_hop=True).reply()
+        return CallResponder(self.node, request, result, may_hop=True).reply()
 
     def wait_for_plan(self, info, received_at):
         """Wait for the first plan if this VM has just started, for a bounded time."""
@@ -168,18 +168,23 @@
             hop.plan_version,
         )
         request.cancel_on_disconnect()
-        return CallResponder(self.node, call, may_hop=False).reply()
+        return CallResponder(self.node, request, call, may_hop=False).reply()
 
 
 class CallResponder:
-    """Runs one call, converts the response into a reply, and logs the outcome."""
+    """Runs one call, converts the response into a reply, and logs the outcome.
 
-    def __init__(self, node, call, may_hop):
+    `node.calls` contains it until the call ends.
+    """
+
+    def __init__(self, node, request, call, may_hop):
         self.node = node
+        self.request = request
         self.call = call
         self.may_hop = may_hop
         self.progress = Progress(call)
         self.finished = False
+        node.calls.add(self)
 
     def reply(self):
         """Return the reply; the body of a stream is still to be generated."""
@@ -188,8 +193,8 @@
         parts = stack.enter_context(contextlib.closing(response))
         try:
             head = next(parts)
-        except task.Cancelled:
-            self.finish(CALLER_GONE)
+        except BaseException as error:
+            self.finish_interrupted(error)
             raise
         if isinstance(head, ErrorResponse):
             stack.close()
@@ -208,16 +213,38 @@
 
     def stream(self, parts, stack):
         """Yield the bytes of a stream; a broken one is ended without a final chunk."""
-        outcome = CALLER_GONE
+        progress = self.progress
         with stack:
             try:
-                yield from parts
-                outcome = "answered"
+                for part in parts:
+                    yield part
+                    progress.delivered_bytes += len(part)
             except BrokenResponseError as error:
-                outcome = f"broken: {error}"
+                self.finish(f"broken: {error}", progress.head)
+                raise
+            except BaseException as error:
+                self.finish_interrupted(error, progress.head)
                 raise
-            finally:
-                self.finish(outcome, self.progress.head)
+            self.finish("answered", progress.head)
+
+    def finish_interrupted(self, error, head=None):
+        """Log the outcome of a call that `error` interrupted.
+
+        The server closes the stream (`GeneratorExit`) after a failed write.
+        """
+        if isinstance(error, Exception):
+            frames = traceback.format_tb(error.__traceback__)
+            detail = {"request": self.call.id, "error": type(error).__name__}
+            logger.error("call failed", extra={**detail, "frames": frames})
+            self.finish(f"failed: {type(error).__name__}", head)
+        elif isinstance(error, GeneratorExit):
+            self.finish(self.request.find_end() or End.CANCELLED, head)
+        else:
+            self.finish(find_end(error), head)
+
+    def cut(self):
+        """Log that the call ends with this process."""
+        self.finish(End.CUT_AT_STOP, self.progress.head)
 
     def reject(self, error_response):
         """Return the reply for a call that got no response from a target."""
@@ -233,8 +260,10 @@
         if self.finished:
             return
         self.finished = True
+        self.node.calls.discard(self)
         call, progress = self.call, self.progress
-        elapsed_ms = self.node.clock.now() - call.received_at
+        now = self.node.clock.now()
+        elapsed_ms = now - call.received_at
         status = head.status if head else 0
         destination, prompt = progress.destination, call.info.prompt
         first_ms = (
@@ -261,6 +290,9 @@
                 "prompt_tokens": prompt.tokens if prompt else 0,
                 "output_tokens": prompt.output_tokens if prompt else 0,
                 "longest_gap_ms": progress.longest_gap_ms,
+                "last_gap_ms": progress.last_gap_ms(now),
+                "delivered_bytes": progress.delivered_bytes,
+                "last_event": progress.last_id,
                 "place": destination.name if destination else "",
                 "ran_in": destination.region if destination else "",
                 "sends": progress.sends,
--- a/pollenmount/gateway/dispatch.py
+++ b/pollenmount/gateway/dispatch.py
@@ -273,6 +273,8 @@
                 "problem": str(error),
                 "not_run": error.not_run,
                 "sends": progress.sends,
+                "last_gap_ms": progress.last_gap_ms(self.clock.now()),
+                "last_event": progress.last_id,
             },
         )
 
--- a/pollenmount/gateway/metrics.py
+++ b/pollenmount/gateway/metrics.py
@@ -4,6 +4,7 @@
 
 __all__ = ["GatewayMetrics"]
 
+DELAY_BUCKETS_S = (0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2, 5)
 ELAPSED_BUCKETS_S = (0.02, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1, 1.5, 2.5, 5, 10, 15)
 MS_PER_S = 1000
 
@@ -15,7 +16,7 @@
         self.registry = CollectorRegistry()
         self.calls = Counter(
             "pollenmount_calls_total",
-            "Calls by route and status; status 0 is a caller who left",
+            "Calls by route and status; status 0 is a call without a response",
             ("route", "status", "hop"),
             registry=self.registry,
         )
@@ -48,6 +49,18 @@
             "Log lines dropped since the start, as the output was too slow",
             registry=self.registry,
         )
+        self.closed_connections = Counter(
+            "pollenmount_connections_closed_total",
+            "Connections of callers and other VMs that ended, by reason",
+            ("end",),
+            registry=self.registry,
+        )
+        self.loop_delay = Histogram(
+            "pollenmount_event_loop_delay_seconds",
+            "How late a periodic task of the event loop ran",
+            buckets=DELAY_BUCKETS_S,
+            registry=self.registry,
+        )
 
     def count_call(self, call, status, outcome, elapsed_ms, is_from_caller):
         """Count a finished call.
@@ -59,6 +72,10 @@
         if outcome == "answered":
             self.call_seconds.labels(route).observe(elapsed_ms / MS_PER_S)
 
+    def count_closed_connection(self, end):
+        """Count a connection that was closed."""
+        self.closed_connections.labels(end).inc()
+
     def count_refusal(self, error_response):
         """Count a request that was rejected before it became a call."""
         self.refusals.labels(str(error_response.status)).inc()
--- a/pollenmount/gateway/node.py
+++ b/pollenmount/gateway/node.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import signal
+import traceback
 import uuid
 
 from prometheus_client import generate_latest
@@ -17,6 +18,7 @@
 from pollenmount.gateway.settings import load_settings
 from pollenmount.gateway.state import STATE_PATH, state_document
 from pollenmount.log import get_logger
+from pollenmount.loop_monitor import LoopMonitor
 from pollenmount.plugin import get_plugin_by_name
 from pollenmount.routes.store import RoutesStore
 
@@ -25,6 +27,7 @@
 ROLES_FAMILY = "pollenmount.gateway.roles"
 POLL_INTERVAL_MS = 150
 SETTINGS_CHECK_INTERVAL_MS = 1000
+MAX_CUT_LINES = 500
 
 logger = get_logger("node")
 
@@ -33,7 +36,7 @@
     """State and clean-up of one VM of either role.
 
     `stopping` is set once the VM leaves the directory, and `refusing` once it accepts
-    no new requests.
+    no new requests. `calls` are the `CallResponder`s of the running calls.
     """
 
     def __init__(self, settings, dialect, clock=None):
@@ -46,6 +49,7 @@
         self.refusing = False
         self.last_record = None
         self.sequence = 0
+        self.calls = set()
         self.stack = contextlib.ExitStack()
         self.metrics = GatewayMetrics()
         self.store = RoutesStore(dialect.read_plan)
@@ -61,8 +65,9 @@
     def serve(self, address, handle, limits=None):
         """Start and return a `WebServer` that calls `handle` for each request."""
         app = make_app(handle, lambda: self.stopping)
-        options = (limits,) if limits else ()
-        return self.manage(WebServer(address, app, *options))
+        options = {"limits": limits} if limits else {}
+        options["on_close"] = self.metrics.count_closed_connection
+        return self.manage(WebServer(address, app, **options))
 
     def serve_metrics(self):
         """Serve the metrics if the settings have a port for them."""
@@ -113,6 +118,13 @@
         """Return whether the directory may send callers to this VM."""
         return not self.stopping and self.store.plan is not None
 
+    def cut_calls(self):
+        """Log the calls that end with this process; return their number."""
+        running = [*self.calls]
+        for call in running[:MAX_CUT_LINES]:
+            call.cut()
+        return len(running)
+
     def close(self):
         """Close all registered parts, in reverse order."""
         self.stack.close()
@@ -129,8 +141,9 @@
     role = "control" if settings.is_control else "entry"
     node = GatewayNode(settings, dialect, clock)
     node.metrics.dropped_lines.set_function(lambda: writer.dropped)
+    node.manage(LoopMonitor(clock, node.metrics.loop_delay.observe))
     reloader = SettingsReloader(node, path)
-    with contextlib.closing(node):
+    with contextlib.closing(node), log_crash(node):
         instance = get_plugin_by_name(ROLES_FAMILY, role)(node)
         logger.info("started", extra={"incarnation": node.incarnation, "role": role})
         while signals.stop_requested_at is None:
@@ -138,10 +151,22 @@
             task.sleep(POLL_INTERVAL_MS)
         logger.info("stopping")
         instance.stop(signals.stop_requested_at)
-        logger.info("stopped")
+        logger.info("stopped", extra={"cut": node.cut_calls()})
     return 0
 
 
+@contextlib.contextmanager
+def log_crash(node):
+    """Log an exception that ends the process, and the calls that it cuts."""
+    try:
+        yield
+    except BaseException as error:
+        frames = traceback.format_tb(error.__traceback__)
+        fields = {"error": type(error).__name__, "frames": frames}
+        logger.critical("crashed", extra={**fields, "cut": node.cut_calls()})
+        raise
+
+
 class Signals:
     """Records the signals that this process receives.
 
--- a/pollenmount/gateway/progress.py
+++ b/pollenmount/gateway/progress.py
@@ -15,7 +15,8 @@
     `last_chunk_at` are the times of the first and the last chunk of the response;
     `longest_gap_ms` is the longest time between two. `waited_ms` is how long the call
     was deferred before it was sent, and `expected_ms` the time to the first byte that
-    was expected of the last attempt.
+    was expected of the last attempt. `delivered_bytes` counts the bytes of a stream
+    that were written to the caller.
     """
 
     def __init__(self, call):
@@ -33,6 +34,11 @@
         self.longest_gap_ms = 0
         self.waited_ms = 0
         self.expected_ms = None
+        self.delivered_bytes = 0
+
+    def last_gap_ms(self, now):
+        """Return the time since the last chunk of the response, None before one."""
+        return now - self.last_chunk_at if self.last_chunk_at else None
 
     def record_chunk(self, now):
         """Record that a chunk of the response arrived."""
--- a/tests/gateway_harness.py
+++ b/tests/gateway_harness.py
@@ -110,8 +110,10 @@
     own region's targets, and about the capacity of the other regions.
     """
 
+    clock_type = ManualClock
+
     def __init__(self, **changes):
-        self.clock = ManualClock(1_000_000)
+        self.clock = self.clock_type(1_000_000)
         self.settings = make_settings(**changes)
         self.store = RoutesStore(lambda document: document)
         self.store.plan = RoutePlan(
--- a/tests/test_gateway_joining.py
+++ b/tests/test_gateway_joining.py
@@ -135,6 +135,7 @@
         "clock": harness.clock,
         "fleet": harness.fleet,
         "metrics": GatewayMetrics(),
+        "calls": set(),
         "dialect": types.SimpleNamespace(read_caller=lambda head: info),
         "refusing": False,
     }
