--- a/pollenmount/wire/connection.py
+++ b/pollenmount/wire/connection.py
@@ -101,6 +101,7 @@
         self.requests_sent = 0
         self.unsent_bytes = 0
         self.sender_task = None
+        self.send_error = None
 
     def send(self, data):
         """Send a request; a large one is sent in a task while the response is read."""
@@ -113,9 +114,15 @@
             self.sender_task = task.spawn(self.send_in_background, data)
 
     def send_in_background(self, data):
-        """Send without raising; a target may respond before it has read everything."""
-        with contextlib.suppress(ExchangeError):
+        """Send without raising; a target may respond before it has read everything.
+
+        The kernel reports the failure of a connection once. If the sender gets it, the
+        reader sees an end of file, so the error is kept for it.
+        """
+        try:
             self.send_all(data)
+        except ExchangeError as error:
+            self.send_error = error
 
     def send_all(self, data):
         """Send every byte, or raise `ExchangeError`."""
@@ -137,6 +144,8 @@
             raise ExchangeError(f"the connection broke: {error}") from error
         self.buffer += data
         self.eof_received = not data
+        if not data and self.send_error is not None:
+            raise self.send_error
         return bool(data)
 
     def classify_timeout(self, error):
--- a/tests/test_wire_connection.py
+++ b/tests/test_wire_connection.py
@@ -11,6 +11,8 @@
 
 NO_LENGTH = b"HTTP/1.1 200 OK\r\n\r\npart of it"
 LEFT_MS = 5000
+# More than the socket buffers of both sides hold.
+LARGE_REQUEST_BYTES = 32 << 20
 
 
 def serve_once(data, reset):
@@ -84,3 +86,26 @@
     with pytest.raises(ExchangeError) as caught:
         connect("127.0.0.1:1", 500)
     assert caught.value.not_run
+
+
+# Guards against a response without length that seems complete after a reset.
+def test_a_failure_that_only_the_sender_was_told_of_is_no_end_of_a_body():
+    listener = socket.socket()
+    listener.bind(("127.0.0.1", 0))
+    listener.listen()
+    connected_socket = socket.create_connection(listener.getsockname())
+    accepted, _ = listener.accept()
+    connection = Connection(connected_socket)
+    connection.send(bytes(LARGE_REQUEST_BYTES))
+    task.sleep(50)
+    accepted.sendall(NO_LENGTH)
+    task.sleep(50)
+    head = connection.read_head(lambda: LEFT_MS)
+    body = connection.read_body(head, "GET", lambda: LEFT_MS)
+    assert next(body) == b"part of it"
+    # Closing with unread data resets the connection; the sender wakes up first.
+    accepted.close()
+    listener.close()
+    task.sleep(50)
+    with pytest.raises(ExchangeError):
+        list(body)
