--- a/pollenmount/wire/connection.py
+++ b/pollenmount/wire/connection.py
@@ -59,6 +59,8 @@
         connected_socket = socket.create_connection(
             (host, int(port)), timeout_ms / MS_PER_S
         )
+        # The time-out above is for connecting; a request may take longer to send.
+        connected_socket.settimeout(None)
         set_socket_options(connected_socket)
     except (OSError, ValueError) as error:
         raise ConnectError(f"can't connect to {address}: {error}") from error
@@ -129,7 +131,7 @@
         try:
             self.socket.sendall(data)
         except OSError as error:
-            raise ExchangeError(f"the connection broke: {error}") from error
+            raise classify_error(error) from error
         self.unsent_bytes = 0
 
     def receive_more(self, remaining_ms):
@@ -138,22 +140,14 @@
             raise ResponseTimeoutError("no response before the deadline")
         try:
             data = self.reader.receive(READ_BYTES, remaining_ms)
-        except TimeoutError as error:
-            raise self.classify_timeout(error) from error
         except OSError as error:
-            raise ExchangeError(f"the connection broke: {error}") from error
+            raise classify_error(error) from error
         self.buffer += data
         self.eof_received = not data
         if not data and self.send_error is not None:
             raise self.send_error
         return bool(data)
 
-    def classify_timeout(self, error):
-        """Return the error for a time-out of the read, or of TCP (which has errno)."""
-        if error.errno:
-            return PeerUnreachableError(f"the other end is silent: {error}")
-        return ResponseTimeoutError("no response before the deadline")
-
     def read_head(self, remaining_ms):
         """Return the next `HttpResponseHead` that isn't interim (1xx).
 
@@ -268,6 +262,18 @@
             self.socket.close()
 
 
+def classify_error(error):
+    """Return the `ExchangeError` for an `OSError` of a send or a read.
+
+    A time-out of TCP has an error number, one of the read has none.
+    """
+    if not isinstance(error, TimeoutError):
+        return ExchangeError(f"the connection broke: {error}")
+    if error.errno:
+        return PeerUnreachableError(f"the other end is silent: {error}")
+    return ResponseTimeoutError("no response before the deadline")
+
+
 def parse_head(data):
     """Return the `HttpResponseHead` in the bytes that precede the empty line."""
     first, *rest = data.split(b"\r\n")
--- /dev/null
+++ b/tests/test_wire_silence.py
@@ -0,0 +1,76 @@
+"""A peer or path that falls silent while a response is due."""
+
+import contextlib
+import socket
+import threading
+
+import pytest
+from eventlet.green import socket as green_socket
+
+from pollenmount.wire import connection as connection_module
+from pollenmount.wire.connection import connect, encode_request
+
+RECEIVE_BUFFER_BYTES = 4096
+BODY = b"x" * (8 << 20)
+CONNECT_TIMEOUT_MS = 400
+# Longer than the time-out of connecting.
+SHORT_PAUSE_S = 0.8
+DEADLINE_MS = 10_000
+RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"
+
+
+@pytest.fixture(autouse=True)
+def cooperative_sockets(monkeypatch):
+    """Use green sockets, as a VM does."""
+    monkeypatch.setattr(connection_module, "socket", green_socket)
+
+
+@contextlib.contextmanager
+def paused_target(network, pause_s):
+    """Yield the address of a target that reads a request after a pause."""
+    with socket.socket() as listener:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        listener.bind((f"127.{network}.7.1", 0))
+        listener.listen()
+        resumed = threading.Event()
+        thread = threading.Thread(
+            target=respond_late, args=(listener, resumed, pause_s)
+        )
+        thread.start()
+        yield "{}:{}".format(*listener.getsockname())
+        resumed.set()
+        thread.join()
+
+
+def respond_late(listener, resumed, pause_s):
+    """Accept a connection, read nothing for a while, then read all and respond."""
+    connection, _ = listener.accept()
+    with connection:
+        resumed.wait(pause_s)
+        remaining = len(encode_request("POST", "/", (), BODY))
+        while remaining > 0:
+            try:
+                data = connection.recv(1 << 20)
+            except ConnectionResetError:
+                return
+            if not data:
+                return
+            remaining -= len(data)
+        connection.sendall(RESPONSE)
+
+
+def exchange(address):
+    """Return the body of the response to a request with a large body."""
+    connection = connect(address, CONNECT_TIMEOUT_MS)
+    try:
+        connection.send(encode_request("POST", "/", (), BODY))
+        head = connection.read_head(lambda: DEADLINE_MS)
+        return b"".join(connection.read_body(head, "POST", lambda: DEADLINE_MS))
+    finally:
+        connection.close()
+
+
+# Guards against a large request of which the rest is not sent after a short pause.
+def test_a_large_request_is_sent_on_after_a_short_pause(network):
+    with paused_target(network, SHORT_PAUSE_S) as address:
+        assert exchange(address) == b"done"
