--- a/pollenmount/gateway/attempt.py
+++ b/pollenmount/gateway/attempt.py
@@ -78,6 +78,13 @@
     def on_delivered(self, event_id):
         """Handle that all events up to this number were passed on."""
 
+    def may_abandon(self, stalled_ms):
+        """Return whether to give up a silent peer; if not, wait until the deadline.
+
+        It is called while nothing arrives, for `stalled_ms` so far.
+        """
+        return True
+
 
 class Attempt(NamedTuple):
     """One attempt to run a call at a destination.
@@ -113,6 +120,7 @@
             destination.address,
             *((NON_IDEMPOTENT_MAX_IDLE_MS,) if non_idempotent else ()),
         )
+        connection.may_abandon = attempt.observer.may_abandon
         head = None
         try:
             connection.send(self.encode(attempt))
--- a/pollenmount/gateway/dispatch.py
+++ b/pollenmount/gateway/dispatch.py
@@ -37,6 +37,8 @@
 ]
 
 MAX_SENDS = 5
+# TCP gives up a peer after 2 s without data and without replies to keepalive probes.
+RESERVE_AFTER_MS = 1500
 MIN_REMAINING_MS = 30
 # Share of the route's latency objective that a call may be deferred: long enough for an
 # engine to finish its pending prefill, short compared with the objective.
@@ -92,7 +94,9 @@
                 )
                 return
             try:
-                yield from self.run_attempt(call, progress, destination, expected_ms)
+                yield from self.run_attempt(
+                    call, progress, destination, expected_ms, may_hop
+                )
                 return
             except ExchangeError as error:
                 self.record_failed_attempt(call, progress, destination, error)
@@ -172,7 +176,7 @@
             member.name, member.hop_address, member.incarnation, region, "", (header,)
         )
 
-    def run_attempt(self, call, progress, destination, expected_ms):
+    def run_attempt(self, call, progress, destination, expected_ms, may_hop):
         """Yield the head and body of the response to one attempt."""
         self.record_start(call, progress, destination, expected_ms)
         sent_at = self.clock.now()
@@ -188,12 +192,13 @@
                 call,
                 end_prefill=end_prefill,
                 expected_at=sent_at + expected_ms,
+                may_hop=may_hop,
             )
             resume_after = call.info.resume_after
             if progress.head:
                 resume_after = str(progress.last_id)
             parts = self.sender.run(Attempt(call, destination, resume_after, observer))
-            with contextlib.closing(parts):
+            with contextlib.closing(parts), self.retry_reservation(call, progress):
                 for part in parts:
                     if not isinstance(part, ResponseHead):
                         progress.record_chunk(self.clock.now())
@@ -203,6 +208,14 @@
                         yield part
         self.context.breakers.record_success(destination.name)
 
+    @contextlib.contextmanager
+    def retry_reservation(self, call, progress):
+        """End the reservation of a retry when the attempt ends."""
+        try:
+            yield
+        finally:
+            self.release_retry(call, progress)
+
     def record_start(self, call, progress, destination, expected_ms):
         """Count an attempt that starts."""
         if destination.target_id and not progress.sends:
@@ -283,16 +296,48 @@
         reason = self.reason_not_to_retry(call, progress, error)
         if reason:
             return reason
-        if progress.runs >= call.route.attempts:
+        reason = self.reason_of_limits(call, progress, progress.runs)
+        if reason:
+            return reason
+        if may_have_arrived(error) and not self.budget.try_acquire(call.service):
+            return "the retry budget is exhausted"
+        return None
+
+    def reason_of_limits(self, call, progress, runs):
+        """Return which limit forbids another attempt after `runs` runs, or None."""
+        if runs >= call.route.attempts:
             return "the attempts of the route are used up"
         if progress.sends >= MAX_SENDS:
             return "the limit of attempts per call is reached"
         if call.deadline - self.clock.now() < MIN_REMAINING_MS:
             return "the deadline leaves no time for another attempt"
-        if may_have_arrived(error) and not self.budget.try_acquire(call.service):
-            return "the retry budget is exhausted"
         return None
 
+    def may_replace_attempt(self, call, progress, may_hop, stalled_ms):
+        """Return whether another attempt can replace one that makes no progress.
+
+        A silent target or path may recover, so ending a response that nothing else can
+        complete does not help its caller. Many attempts may stall at once, so each
+        needs a reserved retry before TCP can give up its peer.
+        """
+        lost = PeerUnreachableError("the path to the target is silent")
+        if self.reason_not_to_retry(call, progress, lost) or self.reason_of_limits(
+            call, progress, progress.runs + 1
+        ):
+            return False
+        if progress.retry_reserved or stalled_ms < RESERVE_AFTER_MS:
+            return True
+        progress.retry_reserved = self.choose(
+            call, progress, may_hop
+        ) is not None and self.budget.reserve(call.service)
+        return progress.retry_reserved
+
+    def release_retry(self, call, progress):
+        """End the reservation of a retry, if there is one."""
+        if progress.retry_reserved:
+            progress.retry_reserved = False
+            self.budget.release(call.service)
+
     def reason_not_to_retry(self, call, progress, error):
         """Return why another attempt is unsafe, or None.
 
--- a/pollenmount/gateway/progress.py
+++ b/pollenmount/gateway/progress.py
@@ -16,7 +16,8 @@
     `longest_gap_ms` is the longest time between two. `waited_ms` is how long the call
     was deferred before it was sent, and `expected_ms` the time to the first byte that
     was expected of the last attempt. `delivered_bytes` counts the bytes of a stream
-    that were written to the caller.
+    that were written to the caller. `retry_reserved` tells whether the retry budget
+    keeps a retry for an attempt that would replace the present one.
     """
 
     def __init__(self, call):
@@ -35,6 +36,7 @@
         self.waited_ms = 0
         self.expected_ms = None
         self.delivered_bytes = 0
+        self.retry_reserved = False
 
     def last_gap_ms(self, now):
         """Return the time since the last chunk of the response, None before one."""
@@ -53,7 +55,15 @@
     """Records the first byte of a response and how far a stream was delivered."""
 
     def __init__(
-        self, dispatcher, progress, destination, call, *, end_prefill, expected_at
+        self,
+        dispatcher,
+        progress,
+        destination,
+        call,
+        *,
+        end_prefill,
+        expected_at,
+        may_hop,
     ):
         self.dispatcher = dispatcher
         self.progress = progress
@@ -61,10 +71,12 @@
         self.call = call
         self.end_prefill = end_prefill
         self.expected_at = expected_at
+        self.may_hop = may_hop
         self.has_begun = False
 
     def on_chunk(self):
-        """Update the trackers on the first chunk; later ones are ignored."""
+        """Update the trackers on the first chunk, and release a reserved retry."""
+        self.dispatcher.release_retry(self.call, self.progress)
         if not self.has_begun:
             self.has_begun = True
             self.end_prefill()
@@ -74,3 +86,9 @@
     def on_delivered(self, event_id):
         """Record the event after which another target would resume the stream."""
         self.progress.last_id = event_id
+
+    def may_abandon(self, stalled_ms):
+        """Return whether another attempt can replace this one."""
+        return self.dispatcher.may_replace_attempt(
+            self.call, self.progress, self.may_hop, stalled_ms
+        )
--- a/pollenmount/retry_budget.py
+++ b/pollenmount/retry_budget.py
@@ -32,6 +32,7 @@
         self.vm_share = vm_share
         self.requests = {}
         self.retries = {}
+        self.reserved = collections.Counter()
 
     def record_request(self, service=""):
         """Count the first attempt of a caller's request to a service."""
@@ -47,11 +48,29 @@
 
     def try_acquire(self, service=""):
         """Return whether one more retry is allowed, and count it if so."""
-        requests = len(self.recent(self.requests, service))
         retries = self.recent(self.retries, service)
-        slack = self.limits.slack * self.vm_share()
-        allowed = SAFETY_FACTOR * (self.limits.ratio * requests + slack)
-        if len(retries) + 1 > allowed:
+        if len(retries) + 1 > self.allowed(service):
             return False
         retries.append(self.clock.now())
         return True
+
+    def allowed(self, service):
+        """Return how many retries of a service are allowed in the present window."""
+        requests = len(self.recent(self.requests, service))
+        slack = self.limits.slack * self.vm_share()
+        return SAFETY_FACTOR * (self.limits.ratio * requests + slack)
+
+    def reserve(self, service=""):
+        """Return whether there is room for a retry that may become necessary.
+
+        It is kept from other reservations, but not from retries that are made now.
+        """
+        retries = len(self.recent(self.retries, service)) + self.reserved[service]
+        if retries + 1 > self.allowed(service):
+            return False
+        self.reserved[service] += 1
+        return True
+
+    def release(self, service=""):
+        """End a reservation."""
+        self.reserved[service] -= 1
--- a/pollenmount/wire/connection.py
+++ b/pollenmount/wire/connection.py
@@ -25,8 +25,11 @@
 MAX_HEAD_BYTES = 65_536
 MAX_CHUNK_LINE_BYTES = 256
 MAX_INLINE_SEND_BYTES = 8192
-# Data unacknowledged for this long means that the peer or the path to it is down.
+# Data unacknowledged for this long means that the peer or the path to it is down. It is
+# also the time-out of keepalive probes, and of a peer that doesn't read.
 TCP_USER_TIMEOUT_MS = 1000
+# Well before that time-out can end a connection.
+STALL_INTERVAL_MS = 500
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
@@ -72,12 +75,22 @@
     connected_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     connected_socket.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     tcp = socket.IPPROTO_TCP
-    connected_socket.setsockopt(tcp, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
+    set_user_timeout(connected_socket, TCP_USER_TIMEOUT_MS)
     connected_socket.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
     connected_socket.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
     connected_socket.setsockopt(tcp, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
 
 
+def set_user_timeout(connected_socket, timeout_ms):
+    """Let TCP end a connection whose peer acknowledges nothing for `timeout_ms`."""
+    connected_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
+
+
+def may_abandon_always(stalled_ms):
+    """Return that a silent peer may be given up."""
+    return True
+
+
 def encode_request(method, target, headers, body):
     """Return the bytes of a request, with a Content-Length if it may have a body."""
     lines = [f"{method} {target} HTTP/1.1"]
@@ -91,7 +104,8 @@
     """A connection that carries one request at a time.
 
     `reusable` is whether another request may follow the previous one. `requests_sent`
-    counts the requests sent.
+    counts the requests sent. `may_abandon` is called with the time for which nothing
+    has arrived; while it returns false, TCP does not give up a silent peer.
     """
 
     def __init__(self, connected_socket):
@@ -104,6 +118,8 @@
         self.unsent_bytes = 0
         self.sender_task = None
         self.send_error = None
+        self.may_abandon = may_abandon_always
+        self.has_long_timeout = False
 
     def send(self, data):
         """Send a request; a large one is sent in a task while the response is read."""
@@ -139,7 +155,7 @@
         if remaining_ms <= 0:
             raise ResponseTimeoutError("no response before the deadline")
         try:
-            data = self.reader.receive(READ_BYTES, remaining_ms)
+            data = self.receive_in_steps(remaining_ms)
         except OSError as error:
             raise classify_error(error) from error
         self.buffer += data
@@ -148,6 +164,32 @@
             raise self.send_error
         return bool(data)
 
+    def receive_in_steps(self, remaining_ms):
+        """Return received bytes; decide at each step whether TCP may give up."""
+        stalled_ms = 0
+        while True:
+            step_ms = min(STALL_INTERVAL_MS, remaining_ms - stalled_ms)
+            try:
+                return self.reader.receive(READ_BYTES, step_ms)
+            except TimeoutError as error:
+                stalled_ms += step_ms
+                if error.errno or stalled_ms >= remaining_ms:
+                    raise
+            self.extend_timeout(not self.may_abandon(stalled_ms), remaining_ms)
+
+    def extend_timeout(self, is_long, remaining_ms=0):
+        """Let TCP wait for a silent peer beyond the deadline, or not any longer."""
+        if is_long == self.has_long_timeout:
+            return
+        self.has_long_timeout = is_long
+        extra_ms = remaining_ms if is_long else 0
+        set_user_timeout(self.socket, TCP_USER_TIMEOUT_MS + extra_ms)
+
+    def end_exchange(self):
+        """Restore the short time-out of an idle connection."""
+        self.may_abandon = may_abandon_always
+        self.extend_timeout(False)
+
     def read_head(self, remaining_ms):
         """Return the next `HttpResponseHead` that isn't interim (1xx).
 
--- a/pollenmount/wire/pool.py
+++ b/pollenmount/wire/pool.py
@@ -79,6 +79,7 @@
         if not connection.reusable or len(idle) >= MAX_IDLE_CONNECTIONS:
             self.discard(key, connection)
             return
+        connection.end_exchange()
         now = self.clock.now()
         idle.append(IdleConnection(connection, now, now + idle_limit_ms(head)))
 
--- a/tests/test_wire_silence.py
+++ b/tests/test_wire_silence.py
@@ -9,12 +9,15 @@
 
 from pollenmount.wire import connection as connection_module
 from pollenmount.wire.connection import connect, encode_request
+from pollenmount.wire.errors import PeerUnreachableError
 
 RECEIVE_BUFFER_BYTES = 4096
 BODY = b"x" * (8 << 20)
 CONNECT_TIMEOUT_MS = 400
-# Longer than the time-out of connecting.
+# Longer than the time-out of connecting, shorter than that of TCP.
 SHORT_PAUSE_S = 0.8
+# Longer than the TCP time-out with which a replaceable attempt is given up.
+LONG_PAUSE_S = 2.5
 DEADLINE_MS = 10_000
 RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"
 
@@ -59,9 +62,10 @@
         connection.sendall(RESPONSE)
 
 
-def exchange(address):
+def exchange(address, may_abandon):
     """Return the body of the response to a request with a large body."""
     connection = connect(address, CONNECT_TIMEOUT_MS)
+    connection.may_abandon = lambda stalled_ms: may_abandon
     try:
         connection.send(encode_request("POST", "/", (), BODY))
         head = connection.read_head(lambda: DEADLINE_MS)
@@ -71,6 +75,21 @@
 
 
 # Guards against a large request of which the rest is not sent after a short pause.
-def test_a_large_request_is_sent_on_after_a_short_pause(network):
+@pytest.mark.parametrize("may_abandon", [False, True])
+def test_a_large_request_is_sent_on_after_a_short_pause(network, may_abandon):
     with paused_target(network, SHORT_PAUSE_S) as address:
-        assert exchange(address) == b"done"
+        assert exchange(address, may_abandon) == b"done"
+
+
+# Guards against a response that is lost because TCP gave up a target that was paused.
+def test_a_paused_target_that_cannot_be_replaced_is_waited_for(network):
+    with paused_target(network, LONG_PAUSE_S) as address:
+        assert exchange(address, may_abandon=False) == b"done"
+
+
+def test_a_paused_target_that_can_be_replaced_is_given_up(network):
+    with (
+        paused_target(network, LONG_PAUSE_S) as address,
+        pytest.raises(PeerUnreachableError),
+    ):
+        exchange(address, may_abandon=True)
