--- a/pollenmount/api/head.py
+++ b/pollenmount/api/head.py
@@ -21,9 +21,9 @@
 
 TOKEN = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+"
 REQUEST_LINE = re.compile(rb"(" + TOKEN + rb") ([\x21-\x7e]+) HTTP/1\.([01])\r\n")
-HEADER_LINE = re.compile(
-    rb"(" + TOKEN + rb"):[ \t]*([\t\x20-\x7e\x80-\xff]*?)[ \t]*\r\n"
-)
+# Blanks around the value are stripped: matching them here would take cubic time.
+HEADER_LINE = re.compile(rb"(" + TOKEN + rb"):([\t\x20-\x7e\x80-\xff]*)\r\n")
+BLANKS = b" \t"
 REQUEST_TARGET = re.compile(
     r"/(?:[^%#?]|%[0-9A-Fa-f]{2})*(?:\?(?:[^%#]|%[0-9A-Fa-f]{2})*)?"
 )
@@ -108,7 +108,8 @@
         )
     method, target, minor = (part.decode("ascii") for part in request.groups())
     headers = tuple(
-        (match[1].decode("ascii"), match[2].decode("latin-1")) for match in matches
+        (match[1].decode("ascii"), match[2].strip(BLANKS).decode("latin-1"))
+        for match in matches
     )
     head = Head(method, target, f"HTTP/1.{minor}", headers)
     problem = find_problem(head)
--- a/pollenmount/wire/connection.py
+++ b/pollenmount/wire/connection.py
@@ -34,7 +34,9 @@
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
 STATUS_LINE = re.compile(rb"HTTP/1\.([01]) ([1-5][0-9]{2})(?: [^\r\n]*)?")
-HEADER_LINE = re.compile(rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):[ \t]*([^\r\n]*?)[ \t]*")
+# Blanks around the value are stripped: matching them here would take cubic time.
+HEADER_LINE = re.compile(rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):([^\r\n]*)")
+BLANKS = b" \t"
 CHUNK_LINE = re.compile(rb"([0-9A-Fa-f]{1,8})[ \t]*(?:;[^\r\n]*)?")
 CONTINUE = 100
 MIN_FINAL_STATUS = 200
@@ -323,7 +325,9 @@
     matches = [HEADER_LINE.fullmatch(line) for line in rest]
     if not status_line or not all(matches):
         raise MalformedResponseError("malformed response head")
-    headers = tuple((m[1].decode("ascii"), m[2].decode("latin-1")) for m in matches)
+    headers = tuple(
+        (m[1].decode("ascii"), m[2].strip(BLANKS).decode("latin-1")) for m in matches
+    )
     head = HttpResponseHead(int(status_line[2]), headers, False)
     options = head.header("connection").lower()
     closes = "close" in options or (
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -2,6 +2,7 @@
 
 import json
 import string
+import time
 
 import eventlet
 import pytest
@@ -19,6 +20,9 @@
 
 PORT = 7100
 MAX_BODY_BYTES = 1000
+# With a time that grows with the cube of the blanks, half a minute.
+BLANK_COUNT = 4000
+MAX_PARSE_S = 5
 
 
 @pytest.fixture
@@ -284,3 +288,20 @@
         budget.reserve(1)
     budget.release(8)
     budget.reserve(8)
+
+
+# Guards against a caller's head that stops the whole VM while it is parsed.
+@pytest.mark.parametrize("end", [b"", b"x", b"\0"])
+def test_blanks_in_a_request_header_do_not_stall_the_vm(end):
+    started_at = time.process_time()
+    line = b"X:" + b" " * BLANK_COUNT + end + b"\r\n"
+    parsed = parse_head([b"GET /x HTTP/1.1\r\n", b"Host: h\r\n", line])
+    assert parsed.is_err() == (end == b"\0")
+    assert parsed.is_err() or parsed.ok_value.header("x") == end.decode()
+    assert time.process_time() - started_at < MAX_PARSE_S
+
+
+def test_blanks_around_a_request_header_are_stripped():
+    lines = [b"Host: \t h i\t \r\n", b"B:\r\n", b"C:d\r\n"]
+    head = parse_head([b"GET /x HTTP/1.1\r\n", *lines]).ok_value
+    assert head.headers == (("Host", "h i"), ("B", ""), ("C", "d"))
--- a/tests/test_wire_connection.py
+++ b/tests/test_wire_connection.py
@@ -1,18 +1,22 @@
 """Truncated and malformed responses raise, whatever their framing."""
 
 import struct
+import time
 
 import pytest
 from eventlet.green import socket
 
 from pollenmount import task
-from pollenmount.wire.connection import Connection, connect
-from pollenmount.wire.errors import ExchangeError
+from pollenmount.wire.connection import Connection, connect, parse_head
+from pollenmount.wire.errors import ExchangeError, MalformedResponseError
 
 NO_LENGTH = b"HTTP/1.1 200 OK\r\n\r\npart of it"
 LEFT_MS = 5000
 # More than the socket buffers of both sides hold.
 LARGE_REQUEST_BYTES = 32 << 20
+# With a time that grows with the cube of the blanks, over a minute.
+BLANK_COUNT = 4000
+MAX_PARSE_S = 5
 
 
 def serve_once(data, reset):
@@ -109,3 +113,20 @@
     task.sleep(50)
     with pytest.raises(ExchangeError):
         list(body)
+
+
+# Guards against a response head that stops the whole VM while it is parsed.
+@pytest.mark.parametrize("end", [b"", b"x", b"\r."])
+def test_blanks_in_a_response_header_do_not_stall_the_vm(end):
+    started_at = time.process_time()
+    try:
+        head = parse_head(b"HTTP/1.1 200 OK\r\nX:" + b" " * BLANK_COUNT + end)
+        assert head.headers == (("X", end.decode()),)
+    except MalformedResponseError:
+        assert b"\r" in end
+    assert time.process_time() - started_at < MAX_PARSE_S
+
+
+def test_blanks_around_a_response_header_are_stripped():
+    head = parse_head(b"HTTP/1.1 200 OK\r\nA: \t b c\t \r\nB:\r\nC:d")
+    assert head.headers == (("A", "b c"), ("B", ""), ("C", "d"))
