--- a/pollenmount/gateway/attempt.py
+++ b/pollenmount/gateway/attempt.py
@@ -220,7 +220,7 @@
         if not started:
             yield head
         if splitter.pending:
-            yield splitter.pending
+            yield bytes(splitter.pending)
 
 
 def read_complete(head, parts, attempt):
--- a/pollenmount/wire/events.py
+++ b/pollenmount/wire/events.py
@@ -2,30 +2,46 @@
 
 import re
 
-__all__ = ["EventSplitter"]
+from pollenmount.wire.errors import MalformedResponseError
 
+__all__ = ["MAX_EVENT_BYTES", "EventSplitter"]
+
+# An event carries a token or a few, or a short result. The longest output of an engine
+# in one event, 100,000 tokens of 10 bytes, still fits.
+MAX_EVENT_BYTES = 1 << 20
 EVENT_END = re.compile(rb"\r\n\r\n|\n\n")
+# Bytes of an event's end that may have arrived before its last one.
+EVENT_END_OVERLAP_BYTES = 3
 ID_LINE = re.compile(rb"(?:^|\n)id:[ \t]*([0-9]{1,18})[ \t]*(?:\r|\n|$)")
 
 
 class EventSplitter:
     """Buffers received bytes and returns complete events.
 
-    `last_id` is the numeric id of the last event returned, None before the first.
+    `pending` has the bytes of the event that is incomplete. `last_id` is the numeric id
+    of the last event returned, None before the first.
     """
 
     def __init__(self, last_id=None):
-        self.pending = b""
+        self.pending = bytearray()
         self.last_id = last_id
 
     def feed(self, data):
-        """Add received bytes; return those of the events now complete."""
+        """Add received bytes; return those of the events now complete.
+
+        Raises `MalformedResponseError` if the incomplete event was too long already.
+        """
+        if len(self.pending) > MAX_EVENT_BYTES:
+            raise MalformedResponseError("event of the stream too long")
+        # The time may not grow with the bytes that were searched before.
+        search_start = max(0, len(self.pending) - EVENT_END_OVERLAP_BYTES)
         self.pending += data
         end = 0
-        for match in EVENT_END.finditer(self.pending):
+        for match in EVENT_END.finditer(self.pending, search_start):
             self.record_id(self.pending[end : match.end()])
             end = match.end()
-        complete, self.pending = self.pending[:end], self.pending[end:]
+        complete = bytes(self.pending[:end])
+        del self.pending[:end]
         return complete
 
     def record_id(self, event):
