--- a/pollenmount/task.py
+++ b/pollenmount/task.py
@@ -71,7 +71,9 @@
     """Reads one connection with a lasting registration in the event loop.
 
     A stream arrives in many small chunks. Registering once, not for each chunk, and
-    waiting first after a read that drained the socket saves most system calls.
+    waiting first after a read that drained the socket saves most system calls. A peer
+    that sends faster than this process reads never drains the socket; other tasks run
+    before each further read then.
     """
 
     def __init__(self, connection):
@@ -80,6 +82,7 @@
         self.hub_listener = None
         self.waiter = None
         self.drained = False
+        self.has_unread_data = False
 
     def receive(self, size, timeout_ms):
         """Return received bytes, or b'' at the end of the stream.
@@ -91,16 +94,23 @@
             self.connection.settimeout(timeout_ms / MS_PER_S)
             return self.connection.recv(size)
         while True:
-            if self.drained:
-                self.wait_readable(timeout_ms)
+            self.let_others_run(timeout_ms)
             try:
                 data = self.raw_socket.recv(size)
             except BlockingIOError:
                 self.drained = True
             else:
                 self.drained = len(data) < size
+                self.has_unread_data = not self.drained
                 return data
 
+    def let_others_run(self, timeout_ms):
+        """Wait for data if the socket was drained; else only let other tasks run."""
+        if self.drained:
+            self.wait_readable(timeout_ms)
+        elif self.has_unread_data:
+            sleep()
+
     def wait_readable(self, timeout_ms):
         """Wait until the socket may be readable."""
         hub = eventlet.hubs.get_hub()
--- a/tests/test_task.py
+++ b/tests/test_task.py
@@ -9,6 +9,8 @@
 from pollenmount import task
 
 CHUNKS = 20
+READ_BYTES = 65_536
+READS = 10
 RECEIVE_TIMEOUT_MS = 5000
 
 
@@ -95,3 +97,50 @@
     eventlet.spawn_after(0.02, reader.close)
     with pytest.raises(ConnectionAbortedError):
         reader.receive(100, RECEIVE_TIMEOUT_MS)
+
+
+class EndlessSocket:
+    """A connection on which more bytes have always arrived than are read."""
+
+    def __init__(self):
+        self.fd = self
+
+    def recv(self, size):
+        return bytes(size)
+
+
+@pytest.fixture
+def turns():
+    """Return a list that gets an entry each time that another task runs."""
+    entries = []
+
+    def take_turns():
+        while True:
+            entries.append(1)
+            task.sleep()
+
+    other_task = task.spawn(take_turns)
+    yield entries
+    other_task.kill()
+
+
+# Guards against one peer that sends without pause and so stops all other tasks.
+def test_a_peer_that_never_pauses_lets_other_tasks_run(turns):
+    reader = task.SocketReader(EndlessSocket())
+    for _ in range(READS):
+        assert len(reader.receive(READ_BYTES, RECEIVE_TIMEOUT_MS)) == READ_BYTES
+    assert len(turns) >= READS - 1
+    reader.close()
+
+
+def test_reading_what_has_arrived_takes_no_turn_of_the_event_loop(
+    connected_sockets, turns
+):
+    """Each turn costs system calls, so a single short read must not add one."""
+    connection, writer = connected_sockets
+    writer.sendall(b"a")
+    turns_before = len(turns)
+    reader = task.SocketReader(connection)
+    assert reader.receive(READ_BYTES, RECEIVE_TIMEOUT_MS) == b"a"
+    assert len(turns) == turns_before
+    reader.close()
