--- a/pollenmount/task.py
+++ b/pollenmount/task.py
@@ -94,10 +94,12 @@
             self.connection.settimeout(timeout_ms / MS_PER_S)
             return self.connection.recv(size)
         while True:
-            self.let_others_run(timeout_ms)
+            timeout_error = self.let_others_run(timeout_ms)
             try:
                 data = self.raw_socket.recv(size)
             except BlockingIOError:
+                if timeout_error is not None:
+                    raise timeout_error from None
                 self.drained = True
             else:
                 self.drained = len(data) < size
@@ -105,11 +107,19 @@
                 return data
 
     def let_others_run(self, timeout_ms):
-        """Wait for data if the socket was drained; else only let other tasks run."""
+        """Wait for data if the socket was drained; else only let other tasks run.
+
+        Return the error of a time-out, or None. After a stall the event loop runs
+        timers before it polls sockets, so data may have arrived all the same.
+        """
         if self.drained:
-            self.wait_readable(timeout_ms)
+            try:
+                self.wait_readable(timeout_ms)
+            except TimeoutError as error:
+                return error
         elif self.has_unread_data:
             sleep()
+        return None
 
     def wait_readable(self, timeout_ms):
         """Wait until the socket may be readable."""
--- a/tests/test_task.py
+++ b/tests/test_task.py
@@ -1,6 +1,7 @@
 """Reading a connection: one registration, distinct errors, no busy waiting."""
 
 import struct
+import time
 
 import eventlet
 import pytest
@@ -11,6 +12,8 @@
 CHUNKS = 20
 READ_BYTES = 65_536
 READS = 10
+SHORT_TIMEOUT_MS = 50
+STALL_S = 0.2
 RECEIVE_TIMEOUT_MS = 5000
 
 
@@ -144,3 +147,27 @@
     assert reader.receive(READ_BYTES, RECEIVE_TIMEOUT_MS) == b"a"
     assert len(turns) == turns_before
     reader.close()
+
+
+# Guards against links and streams that end after a stall though their data is there.
+def test_data_that_arrived_during_a_stall_is_read_after_the_timeout(connected_sockets):
+    connection, writer = connected_sockets
+    reader = task.SocketReader(connection)
+    writer.sendall(b"a")
+    assert reader.receive(READ_BYTES, RECEIVE_TIMEOUT_MS) == b"a"
+
+    # A task that a socket wakes up is followed by timers, not by a look at sockets.
+    trigger, other = socket.socketpair()
+
+    def stall():
+        other.recv(1)
+        writer.sendall(b"b")
+        time.sleep(STALL_S)
+
+    task.spawn(stall)
+    task.sleep()
+    trigger.sendall(b"x")
+    assert reader.receive(READ_BYTES, SHORT_TIMEOUT_MS) == b"b"
+    with pytest.raises(TimeoutError):
+        reader.receive(READ_BYTES, SHORT_TIMEOUT_MS)
+    reader.close()
