--- a/pollenmount/gateway/attempt.py
+++ b/pollenmount/gateway/attempt.py
@@ -29,6 +29,8 @@
 RESPONSE_GRACE_MS = 150
 NON_IDEMPOTENT_MAX_IDLE_MS = 1000
 MAX_COMPLETE_RESPONSE_BYTES = 8 << 20
+# A response to another request may be as long as any; a refusal is far shorter.
+MAX_DISCARDED_BYTES = MAX_COMPLETE_RESPONSE_BYTES
 
 
 class NotRunError(ExchangeError):
@@ -163,8 +165,7 @@
             info = self.dialect.read_response(head)
             if info.id == attempt.call.id or (info.not_run and not info.id):
                 return head, info
-            for _ in connection.read_body(head, attempt.call.method, remaining_ms):
-                pass
+            discard(connection.read_body(head, attempt.call.method, remaining_ms))
             if not connection.reusable:
                 break
         raise MalformedResponseError(
@@ -177,8 +178,7 @@
         parts = connection.read_body(head, call.method, self.make_remaining_ms(call))
         with contextlib.closing(parts):
             if info.not_run or head.status == MISDIRECTED_REQUEST:
-                for _ in parts:
-                    pass
+                discard(parts)
                 kind = (
                     MisdirectedError
                     if head.status == MISDIRECTED_REQUEST
@@ -223,6 +223,18 @@
             yield bytes(splitter.pending)
 
 
+def discard(parts):
+    """Read a body to its end without keeping it.
+
+    Raises `MalformedResponseError` if it is longer than any valid one.
+    """
+    remaining_bytes = MAX_DISCARDED_BYTES
+    for part in parts:
+        remaining_bytes -= len(part)
+        if remaining_bytes < 0:
+            raise MalformedResponseError("response to discard is too long")
+
+
 def read_complete(head, parts, attempt):
     """Yield a response once complete; raise `FailedResponseError` for a 5xx."""
     body = bytearray()
--- a/pollenmount/wire/connection.py
+++ b/pollenmount/wire/connection.py
@@ -24,6 +24,10 @@
 READ_BYTES = 65_536
 MAX_HEAD_BYTES = 65_536
 MAX_CHUNK_LINE_BYTES = 256
+# A server that reports its progress once a second for a minute sends as many.
+MAX_INTERIM_HEADS = 64
+# As many as the headers that callers may send.
+MAX_TRAILER_LINES = 100
 MAX_INLINE_SEND_BYTES = 8192
 # Data unacknowledged for this long means that the peer or the path to it is down. It is
 # also the time-out of keepalive probes, and of a peer that doesn't read.
@@ -197,10 +201,11 @@
 
         `remaining_ms()` returns the time until the deadline.
         """
-        while True:
+        for _ in range(MAX_INTERIM_HEADS + 1):
             head = self.read_one_head(remaining_ms)
             if head.status >= MIN_FINAL_STATUS:
                 return head
+        raise MalformedResponseError("too many interim responses")
 
     def read_one_head(self, remaining_ms):
         """Return the next head, interim or final."""
@@ -251,8 +256,14 @@
             yield from self.read_counted(size, remaining_ms)
             if self.read_line(remaining_ms):
                 raise MalformedResponseError("no line end after the data of a chunk")
-        while self.read_line(remaining_ms):
-            pass
+        self.skip_trailers(remaining_ms)
+
+    def skip_trailers(self, remaining_ms):
+        """Read the lines after the last chunk, up to and including the empty one."""
+        for _ in range(MAX_TRAILER_LINES + 1):
+            if not self.read_line(remaining_ms):
+                return
+        raise MalformedResponseError("too many trailers")
 
     def read_chunk_size(self, remaining_ms):
         """Return the size of the next chunk."""
--- a/tests/test_gateway_sender.py
+++ b/tests/test_gateway_sender.py
@@ -4,6 +4,7 @@
 
 from pollenmount.clock import ManualClock
 from pollenmount.gateway.attempt import (
+    MAX_DISCARDED_BYTES,
     Attempt,
     AttemptDestination,
     FailedResponseError,
@@ -15,12 +16,13 @@
 from pollenmount.gateway.call import ResponseHead
 from pollenmount.routes.plan import RetryMode
 from pollenmount.wire.connection import Connection
-from pollenmount.wire.errors import ExchangeError
+from pollenmount.wire.errors import ExchangeError, MalformedResponseError
 from tests.gateway_harness import EntryHarness, make_route
 from tests.test_platform_adapter import DIALECT
 
 STAMP = "X-Pollenmount-Response-Stamp: 3e\r\n"
 STREAM = make_route(RetryMode.STREAM)
+BLOCK = b"x" * 65_536
 
 
 def response_bytes(id_="id-1", status=200, body=b"done", extra=STAMP):
@@ -162,3 +164,44 @@
     assert parts[1:] == [b"done"]
     parts, _ = run(head, b"done", reset=True)
     assert isinstance(parts[-1], ExchangeError)
+
+
+def endless_body(head):
+    """Return blocks of a body without length, longer than any that is discarded."""
+    head = head.replace(b"Content-Length: 0\r\n", b"")
+    return [head, *[BLOCK] * (2 * MAX_DISCARDED_BYTES // len(BLOCK))]
+
+
+# Guards against a VM that reads bytes which nobody gets until the caller's deadline.
+@pytest.mark.parametrize(
+    "head",
+    [
+        response_bytes("id-0", body=b""),
+        response_bytes(status=503, body=b"", extra="X-Pollenmount-Not-Run: 1\r\n"),
+        response_bytes(status=421, body=b""),
+    ],
+)
+def test_an_endless_body_to_discard_is_malformed(head):
+    parts, pool = run(*endless_body(head))
+    assert [type(part) for part in parts] == [MalformedResponseError]
+    assert not parts[0].not_run
+    assert not pool.returned
+    unread_bytes = sum(map(len, pool.connection.blocks))
+    assert unread_bytes >= MAX_DISCARDED_BYTES - 2 * len(BLOCK)
+
+
+def test_a_long_response_to_another_request_is_discarded():
+    body = b"x" * MAX_DISCARDED_BYTES
+    parts, _ = run(response_bytes("id-0", body=body) + response_bytes())
+    assert parts[1:] == [b"done"]
+
+
+# Guards against a VM that collects an event that never ends until it has no memory.
+def test_an_endless_event_breaks_the_stream():
+    head = response_bytes(body=b"id: 1\n\n").replace(b"Content-Length: 7\r\n", b"")
+    blocks = [BLOCK] * 100
+    parts, pool = run(head, *blocks, route=STREAM)
+    assert parts[1] == b"id: 1\n\n"
+    assert [type(part) for part in parts[2:]] == [MalformedResponseError]
+    assert not pool.returned
+    assert pool.connection.blocks
--- a/tests/test_wire_connection.py
+++ b/tests/test_wire_connection.py
@@ -7,7 +7,13 @@
 from eventlet.green import socket
 
 from pollenmount import task
-from pollenmount.wire.connection import Connection, connect, parse_head
+from pollenmount.wire.connection import (
+    MAX_INTERIM_HEADS,
+    MAX_TRAILER_LINES,
+    Connection,
+    connect,
+    parse_head,
+)
 from pollenmount.wire.errors import ExchangeError, MalformedResponseError
 
 NO_LENGTH = b"HTTP/1.1 200 OK\r\n\r\npart of it"
@@ -17,6 +23,9 @@
 # With a time that grows with the cube of the blanks, over a minute.
 BLANK_COUNT = 4000
 MAX_PARSE_S = 5
+INTERIM = b"HTTP/1.1 102 Processing\r\n\r\n"
+FINAL = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n"
 
 
 def serve_once(data, reset):
@@ -130,3 +139,20 @@
 def test_blanks_around_a_response_header_are_stripped():
     head = parse_head(b"HTTP/1.1 200 OK\r\nA: \t b c\t \r\nB:\r\nC:d")
     assert head.headers == (("A", "b c"), ("B", ""), ("C", "d"))
+
+
+# Guards against a target that keeps a call and its VM busy with interim responses.
+def test_interim_responses_are_bounded():
+    assert read_response(serve_once(INTERIM * MAX_INTERIM_HEADS + FINAL, False)) == (
+        b"ok"
+    )
+    with pytest.raises(MalformedResponseError):
+        read_response(serve_once(INTERIM * (MAX_INTERIM_HEADS + 1) + FINAL, False))
+
+
+# Guards against a target that keeps a call and its VM busy after the last chunk.
+def test_trailers_are_bounded():
+    lines = b"A: b\r\n" * MAX_TRAILER_LINES
+    assert read_response(serve_once(CHUNKED + lines + b"\r\n", False)) == b"ok"
+    with pytest.raises(MalformedResponseError):
+        read_response(serve_once(CHUNKED + lines + b"A: b\r\n\r\n", False))
