--- a/pollenmount/wire/connection.py
+++ b/pollenmount/wire/connection.py
@@ -28,6 +28,9 @@
 MAX_INTERIM_HEADS = 64
 # As many as the headers that callers may send.
 MAX_TRAILER_LINES = 100
+# Chunks of one read that are processed before other tasks run. A stream usually has one
+# event in a chunk and a read for each.
+MAX_CHUNKS_PER_TURN = 64
 MAX_INLINE_SEND_BYTES = 8192
 # Data unacknowledged for this long means that the peer or the path to it is down. It is
 # also the time-out of keepalive probes, and of a peer that doesn't read.
@@ -121,6 +124,7 @@
         self.reusable = True
         self.eof_received = False
         self.requests_sent = 0
+        self.chunks_in_turn = 0
         self.unsent_bytes = 0
         self.sender_task = None
         self.send_error = None
@@ -164,6 +168,7 @@
             data = self.receive_in_steps(remaining_ms)
         except OSError as error:
             raise classify_error(error) from error
+        self.chunks_in_turn = 0
         self.buffer += data
         self.eof_received = not data
         if not data and self.send_error is not None:
@@ -266,7 +271,11 @@
         raise MalformedResponseError("too many trailers")
 
     def read_chunk_size(self, remaining_ms):
-        """Return the size of the next chunk."""
+        """Return the size of the next chunk; after many, let other tasks run first."""
+        self.chunks_in_turn += 1
+        if self.chunks_in_turn > MAX_CHUNKS_PER_TURN:
+            self.chunks_in_turn = 1
+            task.sleep()
         match = CHUNK_LINE.fullmatch(self.read_line(remaining_ms))
         if not match:
             raise MalformedResponseError("malformed chunk size")
--- a/tests/test_wire_connection.py
+++ b/tests/test_wire_connection.py
@@ -8,9 +8,11 @@
 
 from pollenmount import task
 from pollenmount.wire.connection import (
+    MAX_CHUNKS_PER_TURN,
     MAX_INTERIM_HEADS,
     MAX_TRAILER_LINES,
     Connection,
+    HttpResponseHead,
     connect,
     parse_head,
 )
@@ -156,3 +158,32 @@
     assert read_response(serve_once(CHUNKED + lines + b"\r\n", False)) == b"ok"
     with pytest.raises(MalformedResponseError):
         read_response(serve_once(CHUNKED + lines + b"A: b\r\n\r\n", False))
+
+
+def read_chunks(count):
+    """Return (body, turns of another task) of `count` chunks received in one read."""
+    connection = Connection(None)
+    connection.buffer += b"1\r\nx\r\n" * count + b"0\r\n\r\n"
+    turns = []
+
+    def take_turns():
+        while True:
+            turns.append(1)
+            task.sleep()
+
+    other_task = task.spawn(take_turns)
+    head = HttpResponseHead(200, (("Transfer-Encoding", "chunked"),), False)
+    body = b"".join(connection.read_body(head, "GET", lambda: LEFT_MS))
+    other_task.kill()
+    return body, len(turns)
+
+
+# Guards against small chunks that keep a VM busy for most of a second at a time.
+def test_many_chunks_in_one_read_let_other_tasks_run():
+    body, turns = read_chunks(10 * MAX_CHUNKS_PER_TURN)
+    assert len(body) == 10 * MAX_CHUNKS_PER_TURN
+    assert turns >= 9
+
+
+def test_few_chunks_in_one_read_take_no_turn_of_the_event_loop():
+    assert read_chunks(3) == (b"xxx", 0)
