--- a/pollenmount/gateway/hop.py
+++ b/pollenmount/gateway/hop.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from pollenmount.routes.plan import RetryMode, Route
-from pollenmount.wire.errors import ExchangeError
+from pollenmount.wire.errors import ExchangeError, MalformedResponseError
 
 __all__ = [
     "HOP_REQUEST",
@@ -122,10 +122,18 @@
 
 
 def raise_if_refused(head):
-    """Raise `HopRefusedError` if a response is a refusal of the other region."""
+    """Raise `HopRefusedError` if a response is a refusal of the other region.
+
+    Raises `MalformedResponseError` if it can't be read.
+    """
     text = head.header(HOP_REFUSED.lower())
-    if text:
-        raise HopRefusedError(msgspec.json.decode(text, type=HopRefusal))
+    if not text:
+        return
+    try:
+        refusal = msgspec.json.decode(text, type=HopRefusal)
+    except msgspec.DecodeError as error:
+        raise MalformedResponseError(f"malformed refusal: {error}") from error
+    raise HopRefusedError(refusal)
 
 
 def is_hop_header(name):
--- a/pollenmount/wire/connection.py
+++ b/pollenmount/wire/connection.py
@@ -45,6 +45,7 @@
 HEADER_LINE = re.compile(rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):([^\r\n]*)")
 BLANKS = b" \t"
 CHUNK_LINE = re.compile(rb"([0-9A-Fa-f]{1,8})[ \t]*(?:;[^\r\n]*)?")
+LENGTH = re.compile(r"[0-9]{1,15}")
 CONTINUE = 100
 MIN_FINAL_STATUS = 200
 NO_CONTENT = 204
@@ -359,6 +360,6 @@
 def parse_length(head):
     """Return the Content-Length of a response."""
     lengths = {v for k, v in head.headers if k.lower() == "content-length"}
-    if len(lengths) != 1 or not (length := lengths.pop()).isdecimal():
+    if len(lengths) != 1 or not LENGTH.fullmatch(length := lengths.pop()):
         raise MalformedResponseError("malformed Content-Length")
     return int(length)
--- a/tests/test_gateway_sender.py
+++ b/tests/test_gateway_sender.py
@@ -205,3 +205,11 @@
     assert [type(part) for part in parts[2:]] == [MalformedResponseError]
     assert not pool.returned
     assert pool.connection.blocks
+
+
+# Guards against an unexpected error for bytes that a broken peer sends as a refusal.
+@pytest.mark.parametrize("text", ["{", "[]", '["x"]', "\xff"])
+def test_an_unreadable_refusal_of_a_hop_is_malformed(text):
+    parts, pool = run(response_bytes(extra=f"Pollenmount-Hop-Refused: {text}\r\n"))
+    assert [type(part) for part in parts] == [MalformedResponseError]
+    assert not pool.returned
--- a/tests/test_wire_connection.py
+++ b/tests/test_wire_connection.py
@@ -81,6 +81,8 @@
         b"HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\npart of it",
         b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n",
         b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nx",
+        # Too many digits for an integer must not be an unexpected error.
+        b"HTTP/1.1 200 OK\r\nContent-Length: " + b"9" * 5000 + b"\r\n\r\nx",
         b"no answer at all\r\n\r\n",
         b"HTTP/1.1 20",
     ],
