--- a/pollenmount/api/body.py
+++ b/pollenmount/api/body.py
@@ -6,12 +6,16 @@
 
 import re
 
+from pollenmount import task
+
 __all__ = ["Body", "BodyError", "ByteBudget", "ByteBudgetExceededError"]
 
 CHUNK_SIZE_LINE = re.compile(rb"([0-9A-Fa-f]{1,8})(?:[ \t]*;[\t\x20-\x7e]*)?\r\n")
 MAX_CHUNK_LINE_BYTES = 256
 MAX_TRAILER_LINES = 16
 READ_BLOCK_BYTES = 65_536
+# Blocks or chunks that are read before other tasks run.
+MAX_BLOCKS_PER_TURN = 64
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -81,10 +85,13 @@
             else self.read_blocks(self.head.length)
         )
         data = bytearray()
-        for block in blocks:
+        for count, block in enumerate(blocks, start=1):
             data += block
             if len(data) > limit:
                 return bytes(data)
+            # Reading doesn't wait while the caller sends faster than this VM reads.
+            if count % MAX_BLOCKS_PER_TURN == 0:
+                task.sleep()
         self.is_complete = True
         return bytes(data)
 
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -1,5 +1,6 @@
 """The HTTP layer alone: framing, time and memory limits, disconnects, targets."""
 
+import io
 import json
 import string
 import time
@@ -11,6 +12,7 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
+from pollenmount import task
 from pollenmount.api import body as body_module
 from pollenmount.api import connection, web
 from pollenmount.api.head import parse_head
@@ -305,3 +307,29 @@
     lines = [b"Host: \t h i\t \r\n", b"B:\r\n", b"C:d\r\n"]
     head = parse_head([b"GET /x HTTP/1.1\r\n", *lines]).ok_value
     assert head.headers == (("Host", "h i"), ("B", ""), ("C", "d"))
+
+
+@pytest.fixture
+def turns():
+    """Return a list that gets an entry each time that another task runs."""
+    entries = []
+
+    def take_turns():
+        while True:
+            entries.append(1)
+            task.sleep()
+
+    other_task = task.spawn(take_turns)
+    yield entries
+    other_task.kill()
+
+
+# Guards against a caller whose small chunks stop a VM for seconds.
+def test_a_body_in_many_chunks_lets_other_tasks_run(turns):
+    count = 10 * body_module.MAX_BLOCKS_PER_TURN
+    lines = [b"GET / HTTP/1.1\r\n", b"Host: h\r\n", b"Transfer-Encoding: chunked\r\n"]
+    received = io.BytesIO(b"1\r\nx\r\n" * count + b"0\r\n\r\n")
+    budget = body_module.ByteBudget(count)
+    body = body_module.Body(parse_head(lines).ok_value, received, None, budget)
+    assert body.read(count) == b"x" * count
+    assert len(turns) >= 9
