--- a/pollenmount/api/connection.py
+++ b/pollenmount/api/connection.py
@@ -42,6 +42,8 @@
 LINGER_TIMEOUT_S = 2
 MAX_LINGER_BYTES = 16 << 20
 READ_BLOCK_BYTES = 65_536
+# Requests of one connection that are answered before other tasks run.
+MAX_REQUESTS_PER_TURN = 8
 
 logger = get_logger("web")
 
@@ -106,7 +108,12 @@
         logger.info("connection closed", extra=fields)
 
     def handle_one_request(self):
-        """Read one request and send the reply."""
+        """Read one request and send the reply; after some, let other tasks run first.
+
+        Nothing waits while the caller sends requests ahead that are answered at once.
+        """
+        if self.requests % MAX_REQUESTS_PER_TURN == MAX_REQUESTS_PER_TURN - 1:
+            task.sleep()
         self.close_connection = 1
         head_result = self.read_head()
         if head_result is None:
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -333,3 +333,19 @@
     body = body_module.Body(parse_head(lines).ok_value, received, None, budget)
     assert body.read(count) == b"x" * count
     assert len(turns) >= 9
+
+
+# Guards against a caller that stops a VM by sending requests without pause.
+def test_requests_sent_ahead_let_other_tasks_run(serve, turns):
+    count = 10 * connection.MAX_REQUESTS_PER_TURN
+    turns_before = []
+
+    def handle(request):
+        turns_before.append(len(turns))
+        return json_reply({})
+
+    address, _ = serve(handle)
+    last = request_bytes("GET", headers=["Connection: close"])
+    exchange(address, request_bytes("GET") * (count - 1) + last)
+    assert len(turns_before) == count
+    assert turns_before[-1] - turns_before[0] >= 9
