--- a/pollenmount/targets/upstream.py
+++ b/pollenmount/targets/upstream.py
@@ -14,6 +14,7 @@
     ReadTimeoutError,
 )
 
+from pollenmount import task
 from pollenmount.targets.exact import RawTargetConnection, with_request_target
 
 __all__ = [
@@ -30,6 +31,8 @@
 MAX_IDLE_PER_POOL = 256
 MAX_POOLS = 512
 READ_CHUNK_BYTES = 65_536
+# Parts of a body that are read before other tasks run.
+MAX_PARTS_PER_TURN = 64
 CONNECT_FAILURES = (NewConnectionError, ConnectTimeoutError)
 
 
@@ -152,7 +155,12 @@
         stack.enter_context(response.owned_resources)
         stack.callback(response.close)
         try:
-            yield from response.stream(READ_CHUNK_BYTES, decode_content=False)
+            parts = response.stream(READ_CHUNK_BYTES, decode_content=False)
+            for count, part in enumerate(parts, start=1):
+                yield part
+                # Reading doesn't wait while the target sends faster than this VM reads.
+                if count % MAX_PARTS_PER_TURN == 0:
+                    task.sleep()
         except ReadTimeoutError as error:
             raise UpstreamTimeoutError("the response stalled") from error
         except (HTTPError, OSError) as error:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from pollenmount import task
 from standins.cluster import Cluster
 
 FIRST_NETWORK = int(os.environ.get("POLLENMOUNT_NETWORK", "20"))
@@ -47,3 +48,18 @@
     """Return a cluster whose processes are killed when the test ends."""
     with Cluster(tmp_path) as started_cluster:
         yield started_cluster
+
+
+@pytest.fixture
+def turns():
+    """Return a list that gets an entry each time that another task runs."""
+    entries = []
+
+    def take_turns():
+        while True:
+            entries.append(1)
+            task.sleep()
+
+    other_task = task.spawn(take_turns)
+    yield entries
+    other_task.kill()
--- a/tests/test_task.py
+++ b/tests/test_task.py
@@ -112,21 +112,6 @@
         return bytes(size)
 
 
-@pytest.fixture
-def turns():
-    """Return a list that gets an entry each time that another task runs."""
-    entries = []
-
-    def take_turns():
-        while True:
-            entries.append(1)
-            task.sleep()
-
-    other_task = task.spawn(take_turns)
-    yield entries
-    other_task.kill()
-
-
 # Guards against one peer that sends without pause and so stops all other tasks.
 def test_a_peer_that_never_pauses_lets_other_tasks_run(turns):
     reader = task.SocketReader(EndlessSocket())
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -1,5 +1,6 @@
 """The HTTP layer alone: framing, time and memory limits, disconnects, targets."""
 
+import contextlib
 import io
 import json
 import string
@@ -12,13 +13,12 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from pollenmount import task
 from pollenmount.api import body as body_module
 from pollenmount.api import connection, web
 from pollenmount.api.head import parse_head
 from pollenmount.api.reply import Reply, json_reply
 from pollenmount.errors import ListenError
-from pollenmount.targets.upstream import Upstream, read_body
+from pollenmount.targets.upstream import MAX_PARTS_PER_TURN, Upstream, read_body
 
 PORT = 7100
 MAX_BODY_BYTES = 1000
@@ -309,21 +309,6 @@
     assert head.headers == (("Host", "h i"), ("B", ""), ("C", "d"))
 
 
-@pytest.fixture
-def turns():
-    """Return a list that gets an entry each time that another task runs."""
-    entries = []
-
-    def take_turns():
-        while True:
-            entries.append(1)
-            task.sleep()
-
-    other_task = task.spawn(take_turns)
-    yield entries
-    other_task.kill()
-
-
 # Guards against a caller whose small chunks stop a VM for seconds.
 def test_a_body_in_many_chunks_lets_other_tasks_run(turns):
     count = 10 * body_module.MAX_BLOCKS_PER_TURN
@@ -349,3 +334,24 @@
     exchange(address, request_bytes("GET") * (count - 1) + last)
     assert len(turns_before) == count
     assert turns_before[-1] - turns_before[0] >= 9
+
+
+class EndlessResponse:
+    """A response whose parts have arrived before they are read."""
+
+    def __init__(self):
+        self.owned_resources = contextlib.nullcontext()
+
+    def stream(self, size, decode_content):
+        return iter(lambda: b"x" * size, b"")
+
+    def close(self):
+        pass
+
+
+# Guards against a target that sends without pause and so stops all other tasks.
+def test_a_long_body_of_a_target_lets_other_tasks_run(turns):
+    with contextlib.closing(read_body(EndlessResponse())) as parts:
+        for _ in range(10 * MAX_PARTS_PER_TURN):
+            next(parts)
+    assert len(turns) >= 9
--- a/tests/test_wire_connection.py
+++ b/tests/test_wire_connection.py
@@ -163,29 +163,20 @@
 
 
 def read_chunks(count):
-    """Return (body, turns of another task) of `count` chunks received in one read."""
+    """Return the body of `count` chunks that were received in one read."""
     connection = Connection(None)
     connection.buffer += b"1\r\nx\r\n" * count + b"0\r\n\r\n"
-    turns = []
-
-    def take_turns():
-        while True:
-            turns.append(1)
-            task.sleep()
-
-    other_task = task.spawn(take_turns)
     head = HttpResponseHead(200, (("Transfer-Encoding", "chunked"),), False)
-    body = b"".join(connection.read_body(head, "GET", lambda: LEFT_MS))
-    other_task.kill()
-    return body, len(turns)
+    return b"".join(connection.read_body(head, "GET", lambda: LEFT_MS))
 
 
 # Guards against small chunks that keep a VM busy for most of a second at a time.
-def test_many_chunks_in_one_read_let_other_tasks_run():
-    body, turns = read_chunks(10 * MAX_CHUNKS_PER_TURN)
-    assert len(body) == 10 * MAX_CHUNKS_PER_TURN
-    assert turns >= 9
+def test_many_chunks_in_one_read_let_other_tasks_run(turns):
+    count = 10 * MAX_CHUNKS_PER_TURN
+    assert read_chunks(count) == b"x" * count
+    assert len(turns) >= 9
 
 
-def test_few_chunks_in_one_read_take_no_turn_of_the_event_loop():
-    assert read_chunks(3) == (b"xxx", 0)
+def test_few_chunks_in_one_read_take_no_turn_of_the_event_loop(turns):
+    assert read_chunks(3) == b"xxx"
+    assert not turns
