--- a/pollenmount/log.py
+++ b/pollenmount/log.py
@@ -11,6 +11,10 @@
 import os
 import sys
 
+# `os.write` of a patched standard library waits in the event loop before each write to
+# a pipe, and raises if two tasks do so at the same time.
+from posix import write
+
 from pythonjsonlogger.json import JsonFormatter
 
 __all__ = ["FieldLogger", "LineWriter", "configure", "get_logger"]
@@ -87,7 +91,7 @@
                 parts.append(part)
             self.unwritten = b"".join(parts)
             try:
-                written = os.write(self.descriptor, self.unwritten)
+                written = write(self.descriptor, self.unwritten)
             except BlockingIOError:
                 return False
             except OSError:
@@ -120,7 +124,10 @@
             line = self.format(record)
         except Exception as error:
             line = format_failure(record, error)
-        self.writer.put(line)
+        try:
+            self.writer.put(line)
+        except Exception:
+            self.writer.dropped += 1
 
 
 def format_failure(record, error):
--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -3,11 +3,16 @@
 import json
 import logging
 import os
+import subprocess
+import sys
+from pathlib import Path
 
 import pytest
 
 from pollenmount import log
 
+CALLERS = 8  # of tests/log_pipe.py, which patches the standard library on import
+
 PIPE_BYTES = 1 << 20
 
 
@@ -121,3 +126,88 @@
         received += output.read()
     received += output.read()
     assert received.splitlines() == lines
+
+
+LOGGING_TASKS = """
+from pollenmount import task
+task.monkey_patch()
+import sys, eventlet
+from pollenmount import log
+log.configure()
+logger = log.get_logger("calls")
+def work():
+    for _ in range(20):
+        logger.info("call ended")
+        eventlet.sleep(0)
+for thread in [eventlet.spawn(work) for _ in range(3)]:
+    thread.wait()
+"""
+
+
+FULL_PIPE = """
+from pollenmount import task
+task.monkey_patch()
+import sys
+from pollenmount import log
+log.configure()
+logger = log.get_logger("calls")
+for _ in range(3000):
+    logger.info("call ended")
+sys.stderr.write("logged")
+sys.stderr.flush()
+"""
+
+
+def run_with_pipe(*arguments):
+    """Run Python with a pipe as standard output; return the finished process."""
+    return subprocess.run(
+        [sys.executable, "-W", "ignore", *arguments],
+        cwd=Path(__file__).parent.parent,
+        capture_output=True,
+        timeout=20,
+        check=False,
+    )
+
+
+def test_tasks_that_log_at_the_same_moment_do_not_disturb_each_other():
+    """On a pipe the second one got a `RuntimeError` from its logger."""
+    process = run_with_pipe("-c", LOGGING_TASKS)
+    assert process.stderr == b""
+    lines = [json.loads(line) for line in process.stdout.splitlines()]
+    assert len(lines) == 60
+
+
+def test_streams_that_end_at_the_same_moment_are_whole(network):
+    """All but one were closed without their end, as the log is on a pipe there."""
+    process = run_with_pipe("-m", "tests.log_pipe", str(network))
+    ended = [
+        fields["outcome"]
+        for fields in map(json.loads, process.stdout.splitlines())
+        if fields["message"] == "call ended"
+    ]
+    assert ended == ["answered"] * CALLERS
+    assert process.stderr.split() == [str(CALLERS).encode()]
+
+
+def test_a_full_pipe_does_not_delay_the_task_that_logs():
+    """The task waited until the reader of the pipe went on."""
+    reader, writer = os.pipe()
+    with os.fdopen(reader, "rb"), os.fdopen(writer, "wb") as output:
+        process = subprocess.run(
+            [sys.executable, "-W", "ignore", "-c", FULL_PIPE],
+            cwd=Path(__file__).parent.parent,
+            stdout=output,
+            stderr=subprocess.PIPE,
+            timeout=20,
+            check=False,
+        )
+    assert process.stderr == b"logged"
+
+
+def test_a_failure_to_write_does_not_reach_the_code_that_logs(output, monkeypatch):
+    def fail():
+        raise RuntimeError("no event loop")
+
+    monkeypatch.setattr(output.writer, "write_available", fail)
+    output.logger.info("call ended")
+    assert output.writer.dropped == 1
