--- a/pollenmount/task.py
+++ b/pollenmount/task.py
@@ -6,6 +6,7 @@
 
 import contextlib
 import os
+import traceback
 
 # All addresses are numeric, and eventlet's own resolver is slow to import.
 os.environ.setdefault("EVENTLET_NO_GREENDNS", "yes")
@@ -60,6 +61,31 @@
 def monkey_patch():
     """Make the standard library cooperative; threads stay native for gRPC."""
     eventlet.monkey_patch(thread=False)
+    log_unhandled_exceptions()
+
+
+def log_unhandled_exceptions():
+    """Log the exceptions of tasks, which the event loop prints to standard error.
+
+    If that is closed or full, printing would end the process or block it.
+    """
+    hub = eventlet.hubs.get_hub()
+
+    def squelch_exception(fileno, exc_info):
+        log_unhandled(exc_info)
+        with contextlib.suppress(Exception):
+            hub.remove_descriptor(fileno)
+
+    hub.squelch_exception = squelch_exception
+    hub.squelch_generic_exception = log_unhandled
+    hub.squelch_timer_exception = lambda timer, exc_info: log_unhandled(exc_info)
+
+
+def log_unhandled(exc_info):
+    """Log an exception without its message, which may quote a request."""
+    kind, _, frames = exc_info
+    fields = {"error": kind.__name__, "frames": traceback.format_tb(frames)}
+    logger.error("task failed", extra=fields)
 
 
 def sleep(ms=0):
--- a/tests/test_task.py
+++ b/tests/test_task.py
@@ -1,7 +1,12 @@
 """Reading a connection: one registration, distinct errors, no busy waiting."""
 
+import json
+import os
 import struct
+import subprocess
+import sys
 import time
+from pathlib import Path
 
 import eventlet
 import pytest
@@ -156,3 +161,45 @@
     with pytest.raises(TimeoutError):
         reader.receive(READ_BYTES, SHORT_TIMEOUT_MS)
     reader.close()
+
+
+FAILING_TASKS = """
+from pollenmount import task
+task.monkey_patch()
+import eventlet
+from eventlet.green import socket
+from pollenmount import log
+log.configure()
+def fail():
+    raise ValueError("secret text")
+def fail_after_read(end):
+    end.recv(1)
+    fail()
+ends = socket.socketpair()
+eventlet.spawn(fail_after_read, ends[0])
+eventlet.spawn(fail)
+task.sleep(100)
+ends[1].sendall(b"x")
+task.sleep(100)
+log.get_logger("test").info("alive")
+"""
+
+
+def test_an_exception_in_a_task_cannot_end_the_process():
+    """Its traceback went to a closed standard error: the process ended with it."""
+    reader, writer = os.pipe()
+    os.close(reader)
+    with os.fdopen(writer, "wb") as closed_pipe:
+        process = subprocess.run(
+            [sys.executable, "-W", "ignore", "-c", FAILING_TASKS],
+            cwd=Path(__file__).parent.parent,
+            stdout=subprocess.PIPE,
+            stderr=closed_pipe,
+            timeout=60,
+            check=False,
+        )
+    assert process.returncode == 0
+    lines = [json.loads(line) for line in process.stdout.splitlines()]
+    assert [line["message"] for line in lines] == ["task failed"] * 2 + ["alive"]
+    assert [line["error"] for line in lines[:2]] == ["ValueError"] * 2
+    assert b"secret" not in process.stdout
