--- a/pollenmount/api/web.py
+++ b/pollenmount/api/web.py
@@ -16,6 +16,7 @@
     default_limits,
 )
 from pollenmount.api.endings import find_end
+from pollenmount.api.listener import Listener
 from pollenmount.api.reply import (
     Reply,
     json_reply,
@@ -196,7 +197,7 @@
     def run(self, app):
         """Accept and serve connections until `close`."""
         eventlet.wsgi.server(
-            self.socket,
+            Listener(self.socket),
             app,
             protocol=functools.partial(Connection, self),
             log=NullServerLog(),
--- /dev/null
+++ b/tests/test_listener.py
@@ -0,0 +1,90 @@
+"""A listener goes on accepting after the errors that pass."""
+
+import errno
+import os
+import resource
+
+import pytest
+
+from pollenmount import task
+from pollenmount.api.connection import default_limits
+from pollenmount.api.listener import Listener
+from tests.gateway_sockets import (
+    STREAM_END,
+    ScriptedTarget,
+    SocketEntry,
+    read_stream,
+    request_bytes,
+    stream_events,
+    use_green_sockets,
+    wait_until,
+)
+
+IDLE_S = 30
+
+
+@pytest.fixture
+def entry(network, monkeypatch):
+    use_green_sockets(monkeypatch)
+    address = f"127.{network}.4.2:7300"
+    target = ScriptedTarget(address, stream_events(3, 50))
+    entry = SocketEntry(f"127.{network}.4.1:7300")
+    entry.add_target("t", address=address)
+    entry.server.limits = lambda: default_limits()._replace(idle_s=IDLE_S)
+    yield entry
+    target.close()
+    entry.close()
+
+
+def connect_without_descriptors(entry):
+    """Connect while only one descriptor is left, so that accepting fails."""
+    limits = resource.getrlimit(resource.RLIMIT_NOFILE)
+    lowest = os.dup(0)
+    os.close(lowest)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (lowest + 1, limits[1]))
+    try:
+        peer = entry.connect()
+        task.sleep(200)
+    finally:
+        resource.setrlimit(resource.RLIMIT_NOFILE, limits)
+    return peer
+
+
+def test_a_vm_without_free_descriptors_serves_again_when_it_has_some(entry, caplog):
+    """It closed its idle connections and never accepted another one."""
+    idle = entry.connect()
+    wait_until(lambda: entry.server.connections == 1)
+    waiting = connect_without_descriptors(entry)
+    for peer in (idle, waiting):
+        peer.sendall(request_bytes())
+        assert read_stream(peer).endswith(STREAM_END)
+        peer.close()
+    lines = [r.fields for r in caplog.records if r.msg == "can't accept"]
+    assert lines and lines[0]["problem"] == "EMFILE"
+
+
+class FailingSocket:
+    """A listening socket whose `accept` fails with each error in turn."""
+
+    def __init__(self, *errors):
+        self.errors = [*errors]
+
+    def accept(self):
+        if self.errors:
+            raise OSError(self.errors.pop(0), "error")
+        return "accepted"
+
+
+@pytest.mark.parametrize("number", [errno.ENFILE, errno.ECONNABORTED, errno.ENOBUFS])
+def test_errors_of_one_connection_are_passed_over(number):
+    assert Listener(FailingSocket(number, number)).accept() == "accepted"
+
+
+def test_a_closed_listener_ends():
+    with pytest.raises(OSError):
+        Listener(FailingSocket(errno.EBADF)).accept()
+
+
+def test_lines_are_bounded(caplog):
+    Listener(FailingSocket(*[errno.EMFILE] * 12)).accept()
+    assert len([r for r in caplog.records if r.msg == "can't accept"]) <= 3
