--- a/pollenmount/wire/connection.py
+++ b/pollenmount/wire/connection.py
@@ -195,7 +195,9 @@
             return
         self.has_long_timeout = is_long
         extra_ms = remaining_ms if is_long else 0
-        set_user_timeout(self.socket, TCP_USER_TIMEOUT_MS + extra_ms)
+        # On a broken connection it fails, as the next read or send will.
+        with contextlib.suppress(OSError):
+            set_user_timeout(self.socket, TCP_USER_TIMEOUT_MS + extra_ms)
 
     def end_exchange(self):
         """Restore the short time-out of an idle connection."""
--- a/tests/gateway_sockets.py
+++ b/tests/gateway_sockets.py
@@ -1,5 +1,7 @@
 """Test harness: an entry VM that serves callers over sockets, and scripted targets."""
 
+import ctypes
+import struct
 import sys
 import time
 import types
@@ -24,6 +26,10 @@
 LISTEN_BACKLOG = 1024
 READ_BYTES = 65_536
 NS_PER_MS = 1_000_000
+# From the kernel's headers; `socket` has no names for them.
+SO_ATTACH_FILTER = 26
+SO_DETACH_FILTER = 27
+DROP_ALL = struct.pack("HBBI", 6, 0, 0, 0)
 STREAM_END = b"0\r\n\r\n"
 ROUTES = (
     make_route(RetryMode.STREAM, prefix="/stream/", timeout_ms=60_000),
@@ -36,6 +42,18 @@
     monkeypatch.setattr(wire_connection, "socket", socket)
 
 
+def lose_packets(connected_socket, ms):
+    """Let the kernel drop all that arrives at a socket for a while.
+
+    Nothing is acknowledged then, as if the network to this end were cut.
+    """
+    program = ctypes.create_string_buffer(DROP_ALL)
+    packed = struct.pack("HL", 1, ctypes.addressof(program))
+    connected_socket.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, packed)
+    task.sleep(ms)
+    connected_socket.setsockopt(socket.SOL_SOCKET, SO_DETACH_FILTER, 0)
+
+
 class TickingClock(ManualClock):
     """A clock that goes on by itself, and can be advanced in addition."""
 
@@ -97,12 +115,16 @@
 
 
 class ScriptedTarget:
-    """A target; `run` gets each `Exchange` on it and sends the response."""
+    """A target; `run` gets each `Exchange` on it and sends the response.
+
+    `errors` are those of connections that the VM ended.
+    """
 
     def __init__(self, address, run):
         self.address = address
         self.run = run
         self.requests = 0
+        self.errors = []
         self.listener = task.listen(address, LISTEN_BACKLOG)
         self.thread = eventlet.spawn(self.accept)
 
@@ -123,7 +145,11 @@
                 data += received
             head, _, data = data.partition(b"\r\n\r\n")
             self.requests += 1
-            self.run(Exchange(connection, head.decode("latin-1"), data))
+            try:
+                self.run(Exchange(connection, head.decode("latin-1"), data))
+            except ConnectionError as error:
+                self.errors.append(error)
+                return
             data = b""
 
     def close(self):
@@ -147,16 +173,25 @@
     def read_body(self):
         """Read the rest of the body."""
         while len(self.data) < int(self.headers.get("content-length", 0)):
-            self.data += self.connection.recv(READ_BYTES)
-
-    def start(self):
-        """Send the head of a stream."""
-        self.connection.sendall(
-            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
-            b"X-Pollenmount-Response-Stamp: s\r\nX-Pollenmount-Attempt-Id: "
-            + self.headers["x-pollenmount-attempt-id"].encode()
-            + b"\r\n\r\n"
+            received = self.connection.recv(READ_BYTES)
+            if not received:
+                raise ConnectionError("the request is truncated")
+            self.data += received
+
+    def start(self, framing="Transfer-Encoding: chunked"):
+        """Send the head of a response, by default of a stream."""
+        lines = (
+            "HTTP/1.1 200 OK",
+            "X-Pollenmount-Response-Stamp: s",
+            f"X-Pollenmount-Attempt-Id: {self.headers['x-pollenmount-attempt-id']}",
+            framing,
         )
+        self.connection.sendall("\r\n".join((*lines, "", "")).encode())
+
+    def send_response(self, body):
+        """Send a complete response."""
+        self.start(f"Content-Length: {len(body)}")
+        self.connection.sendall(body)
 
     def send_event(self, number, size=20):
         """Send one event of a stream."""
