--- a/tests/faults/flood.py
+++ b/tests/faults/flood.py
@@ -1,8 +1,8 @@
 """Targets that answer with bytes without end: `python -m tests.faults.flood`.
 
 There is one of each of the `FLOODS`, with a service of its name and all at one address.
-A path has the name of what is sent, and `ping` for one complete answer instead. One
-request is read on each connection; sending ends when the other end closes it.
+A path ends with the name of what is sent and `flood`, or `ping` for a complete answer.
+One request is read on each connection; sending ends when the other end closes it.
 """
 
 import argparse
@@ -15,6 +15,7 @@
 import time
 
 from tests.soak.fleet import call
+from tests.soak.replica import expected_event
 
 __all__ = ["FLOODS"]
 
@@ -23,8 +24,9 @@
 READ_BYTES = 65_536
 BLANK_COUNT = 4000
 EVENTS_PER_BLOCK = 2000
+SOUND_EVENTS = 5
 REQUEST_ID = re.compile(rb"x-pollenmount-attempt-id: *([^\r\n]*)", re.IGNORECASE)
-PATH = re.compile(rb"[A-Z]+ /([a-z_]+)/([a-z]*) ")
+PATH = re.compile(rb"/([a-z_]+)/([a-z]*) HTTP")
 FOREIGN_ID = b"another-request"
 CHUNKED = b"Transfer-Encoding: chunked"
 
@@ -59,6 +61,12 @@
         yield b"".join(chunk(b"id: %d\ndata: x\n\n" % number) for number in numbers)
 
 
+def late(id_):
+    """Yield the first events of a sound stream, then bytes without end."""
+    events = [expected_event(id_.decode(), n + 1) for n in range(SOUND_EVENTS)]
+    return repeat(head(id_) + b"".join(events), b"x" * BLOCK_BYTES)
+
+
 FLOODS = {
     "interim": lambda id_: repeat(b"", b"HTTP/1.1 102 Processing\r\n\r\n"),
     "header": lambda id_: repeat(b"HTTP/1.1 200 OK\r\nX: ", b"x" * BLOCK_BYTES),
@@ -66,6 +74,7 @@
     "until_close": lambda id_: repeat(head(id_), b"x" * BLOCK_BYTES),
     "small_chunks": lambda id_: repeat(head(id_, CHUNKED), chunk(b"data:")),
     "events": numbered_events,
+    "late": late,
     "foreign": lambda id_: repeat(head(FOREIGN_ID), b"x" * BLOCK_BYTES),
     "foreign_chunks": lambda id_: repeat(head(FOREIGN_ID, CHUNKED), chunk(b"x")),
     "not_run": lambda id_: repeat(
@@ -90,7 +99,7 @@
         while b"\r\n\r\n" not in request:
             request += connection.recv(READ_BYTES)
         id_ = REQUEST_ID.search(request)[1]
-        kind, action = PATH.match(request).groups()
+        kind, action = PATH.search(request).groups()
         if action == b"ping":
             connection.sendall(head(id_, b"Content-Length: 4", b"Connection: close"))
             connection.sendall(b"done")
--- a/tests/faults/test_endless_responses.py
+++ b/tests/faults/test_endless_responses.py
@@ -14,9 +14,10 @@
 from tests.faults.flood import FLOODS
 from tests.soak.callers import Caller, find_violations
 from tests.soak.fleet import PORTS, ROOT, Fleet, call
+from tests.soak.replica import EVENT_COUNT, Replica, expected_event
 
 ENTRY = "entry-west-0"
-FLOOD_HOST = 103
+FLOOD_HOST, SOUND_HOST = 103, 104
 FLOOD_TIMEOUT_MS = 3000
 STREAM_TIMEOUT_MS = 4000
 PLAIN_FLOODS = ("after", "foreign", "not_run")
@@ -25,8 +26,12 @@
 # Bodies without length, which together kept a VM from reading anything else.
 UNTIL_CLOSE_COUNT = 12
 READER_COUNT = 3
+LATE_COUNT = 3
+PING_COUNT = 24
+MAX_ROUNDS = 5
 CLIENT_TIMEOUT_S = 6
 BAD_GATEWAY = 502
+PING_RESULT = (200, b"done")
 POLL_INTERVAL_S = 0.05
 # What the users' machines give to an entry VM.
 MAX_MEMORY_KB = 300 << 10
@@ -40,8 +45,9 @@
         routes[kind] = (retry_mode, kind, FLOOD_TIMEOUT_MS)
     documents = [
         {
-            **{"name": name, "host": "soak.example", "path_prefix": f"/{name}/"},
+            **{"name": name, "host": "soak.example", "path_prefix": path_of(name)},
             **{"kind": kind, "backend": service, "timeout_ms": timeout_ms},
+            **{"attempts": 1 + (name == "late"), "resumable": name == "late"},
         }
         for name, (kind, service, timeout_ms) in routes.items()
     ]
@@ -49,8 +55,17 @@
     return json.dumps({"version": 1, "routes": documents, "services": services})
 
 
+def path_of(name):
+    """Return the start of the path of a route."""
+    # Replicas send streams below this path only.
+    return "/stream/late/" if name == "late" else f"/{name}/"
+
+
 class Deployment:
-    """Three control VMs, one entry VM, sound targets and flooding ones."""
+    """Three control VMs, one entry VM, sound targets and flooding ones.
+
+    The service `late` has a target of each kind.
+    """
 
     def __init__(self, fleet):
         self.fleet = fleet
@@ -68,11 +83,15 @@
             ],
             cwd=ROOT,
         )
+        sound_ip = fleet.ip(1, SOUND_HOST)
+        addresses = fleet.operator_addresses
+        fleet.close_on_exit(Replica("sound", "late", "west-a", sound_ip, addresses))
         wait_until(lambda: self.put_plan() == 200)
         wait_until(lambda: self.check_readiness() == 200)
         wait_until(lambda: self.read_stream("first").status == 200)
         for kind in FLOODS:
-            wait_until(lambda name=kind: self.read_flood(name, "ping") == (200, 4))
+            wait_until(lambda name=kind: self.read_flood(name, "ping") == PING_RESULT)
+        wait_until(lambda: self.read_flood("late", "ping") != PING_RESULT)
 
     def put_plan(self):
         """Put the plan; return the status."""
@@ -98,22 +117,22 @@
             caller.disconnect()
 
     def read_flood(self, kind, action, number=0):
-        """Return (status, bytes received) of one call to a flooding target."""
+        """Return (status, body) of one call to a flooding target, 0 without a head."""
         headers = {
             "Host": "soak.example",
             "X-Pollenmount-Attempt-Id": f"{kind}-{action}-{number}",
         }
-        status, size = 0, 0
+        status, body = 0, bytearray()
         with (
             contextlib.closing(self.connect()) as connection,
             contextlib.suppress(OSError, http.client.HTTPException),
         ):
-            connection.request("POST", f"/{kind}/{action}", headers=headers)
+            connection.request("POST", f"{path_of(kind)}{action}", headers=headers)
             response = connection.getresponse()
             status = response.status
             while block := response.read1():
-                size += len(block)
-        return status, size
+                body += block
+        return status, bytes(body)
 
     def memory_kb(self):
         """Return the greatest memory that the entry VM has used."""
@@ -150,7 +169,8 @@
 # other callers are closed at their deadline, or that uses up its memory.
 def test_endless_responses_leave_other_callers_alone(deployment):
     stopping = threading.Event()
-    kinds = [*FLOODS, *["until_close"] * UNTIL_CLOSE_COUNT]
+    kinds = [kind for kind in FLOODS if kind != "late"]
+    kinds += ["until_close"] * UNTIL_CLOSE_COUNT
     with ThreadPoolExecutor(READER_COUNT + 1 + len(kinds)) as pool:
         readers = [
             pool.submit(read_streams, deployment, number, stopping)
@@ -173,5 +193,38 @@
     first_results = {
         kind: results[kinds.index(kind)] for kind in ("after", *ENDED_AT_ONCE)
     }
-    assert first_results.pop("after") == (200, 4)
+    assert first_results.pop("after") == PING_RESULT
     assert {status for status, _ in first_results.values()} == {BAD_GATEWAY}
+
+
+def read_late_streams(deployment, action, count):
+    """Read streams of the service `late` at the same time; return their results."""
+    with ThreadPoolExecutor(count) as pool:
+        streams = [
+            pool.submit(deployment.read_flood, "late", action, number)
+            for number in range(count)
+        ]
+        return [stream.result() for stream in streams]
+
+
+def has_flooded(deployment):
+    """Return whether the entry VM has logged an endless event of a stream."""
+    log = (deployment.fleet.folder / f"{ENTRY}.log").read_text()
+    return "event of the stream too long" in log
+
+
+# Guards against a resumable stream that is closed at its deadline, since the VM waits
+# for the end of an event in bytes that are none.
+def test_a_stream_that_turns_into_endless_bytes_is_resumed_elsewhere(deployment):
+    # The retry budget of a VM that has just started is a share of these requests.
+    read_late_streams(deployment, "ping", PING_COUNT)
+    for _ in range(MAX_ROUNDS):
+        for number, result in enumerate(
+            read_late_streams(deployment, "flood", LATE_COUNT)
+        ):
+            request_id = f"late-flood-{number}"
+            events = [expected_event(request_id, n + 1) for n in range(EVENT_COUNT)]
+            assert result == (200, b"".join(events))
+        if has_flooded(deployment):
+            return
+    pytest.fail("the flooding target got no stream")
