--- a/pollenmount/wire/events.py
+++ b/pollenmount/wire/events.py
@@ -33,16 +33,24 @@
         """
         if len(self.pending) > MAX_EVENT_BYTES:
             raise MalformedResponseError("event of the stream too long")
+        if not self.pending:
+            complete = self.take_events(data)
+            self.pending += data[len(complete) :]
+            return complete
         # The time may not grow with the bytes that were searched before.
         search_start = max(0, len(self.pending) - EVENT_END_OVERLAP_BYTES)
         self.pending += data
+        complete = bytes(self.take_events(self.pending, search_start))
+        del self.pending[: len(complete)]
+        return complete
+
+    def take_events(self, received, search_start=0):
+        """Return the start of `received` that is complete; store the events' ids."""
         end = 0
-        for match in EVENT_END.finditer(self.pending, search_start):
-            self.record_id(self.pending[end : match.end()])
+        for match in EVENT_END.finditer(received, search_start):
+            self.record_id(received[end : match.end()])
             end = match.end()
-        complete = bytes(self.pending[:end])
-        del self.pending[:end]
-        return complete
+        return received[:end]
 
     def record_id(self, event):
         """Store the id of an event, if it has one."""
