--- a/pollenmount/fleet/client.py
+++ b/pollenmount/fleet/client.py
@@ -7,6 +7,7 @@
 
 from pollenmount import task
 from pollenmount.fleet.channel import Channel, ChannelError
+from pollenmount.fleet.leaving import RESPONSE
 from pollenmount.fleet.messages import (
     CONTROL,
     LINK_PROTOCOL,
@@ -14,6 +15,7 @@
     Loads,
     MemberHeartbeat,
     MemberRecord,
+    TargetLeaving,
 )
 from pollenmount.fleet.totals import LOAD_INTERVAL_MS, changed_loads
 from pollenmount.log import get_logger
@@ -91,6 +93,7 @@
         self.failed_attempts = {}
         self.known_control_vms = {}
         self.quorum_seen_at = clock.now()
+        fleet.listeners.append(self.report_leaving)
         self.task = task.PeriodicTask(self.run_round, ROUND_INTERVAL_MS)
         self.load_task = task.PeriodicTask(self.send_loads, LOAD_INTERVAL_MS)
 
@@ -211,6 +214,8 @@
         record = self.describe()
         self.last_heartbeats[address] = LastHeartbeat(record, 0)
         channel.push(LinkHello(record, LINK_PROTOCOL))
+        for message in self.fleet.targets.leaving_messages():
+            channel.push(message)
 
     def forget_link(self, address):
         """Drop the state of a link that has ended."""
@@ -265,6 +270,14 @@
                 self.sent_loads[address] = loads
                 channel.push(Loads(changed, complete=False))
 
+    def report_leaving(self, message, source):
+        """Send a change on all links if it is a target's notice that this VM read."""
+        if not isinstance(message, TargetLeaving) or source != RESPONSE:
+            return
+        for channel in [*self.channels.values()]:
+            if channel is not None:
+                channel.push(message)
+
     def close(self):
         """Close all links."""
         self.load_task.close()
--- a/pollenmount/fleet/fleet.py
+++ b/pollenmount/fleet/fleet.py
@@ -14,6 +14,7 @@
     MemberUp,
     RoutesChanged,
     TargetGone,
+    TargetLeaving,
     TargetSeen,
     TargetSilent,
 )
@@ -84,6 +85,10 @@
     def _(self, message: TargetGone, source):
         self.targets.handle_gone(message, source)
 
+    @handle.register
+    def _(self, message: TargetLeaving, source):
+        self.targets.handle_leaving(message, source)
+
     @handle.register
     def _(self, message: MemberUp, source):
         self.members.handle_up(message, source)
--- a/pollenmount/fleet/messages.py
+++ b/pollenmount/fleet/messages.py
@@ -25,6 +25,7 @@
     "RoutesChanged",
     "ServiceCapacity",
     "TargetGone",
+    "TargetLeaving",
     "TargetLoad",
     "TargetRecord",
     "TargetSeen",
@@ -36,7 +37,7 @@
 ENTRY = "entry"
 CONTROL = "control"
 # Incremented when VMs of two builds would misunderstand each other.
-LINK_PROTOCOL = 2
+LINK_PROTOCOL = 3
 
 
 class MemberRecord(NamedTuple):
@@ -176,6 +177,16 @@
     born: int
 
 
+class TargetLeaving(Message, frozen=True, array_like=True, tag=True):
+    """An incarnation of a target said in a response that it leaves.
+
+    Sent by the entry VM that read the response, and passed on once by each control VM.
+    """
+
+    id: str
+    born: int
+
+
 class RoutesChanged(Message, frozen=True, array_like=True, tag=True):
     """A new plan of routes; `document` is compressed with zlib."""
 
@@ -231,6 +242,7 @@
     | TargetSeen
     | TargetSilent
     | TargetGone
+    | TargetLeaving
     | RoutesChanged
     | EvacuationsChanged
     | Loads
--- a/pollenmount/fleet/server.py
+++ b/pollenmount/fleet/server.py
@@ -26,6 +26,7 @@
     MemberHeartbeat,
     MemberUp,
     RoutesChanged,
+    TargetLeaving,
     TargetSeen,
     encode,
 )
@@ -160,6 +161,8 @@
         """Handle one message of a member."""
         if isinstance(message, Loads) and self.sessions.get(session.name) is session:
             self.totals.report(session.name, message.loads)
+        if isinstance(message, TargetLeaving):
+            self.handle_target_leaving(message, session.name)
         if not isinstance(message, MemberHeartbeat):
             return
         self.set_primary(session, message.is_primary)
@@ -356,6 +359,14 @@
         message = self.fleet.targets.handle_leave(id_, DIRECT)
         self.push_to_control_vms(message)
 
+    def handle_target_leaving(self, message, source):
+        """Pass on what a member read in a target's response, if it is news.
+
+        Unlike that a VM is there, this stays true, so it may be passed on by any VM.
+        """
+        if self.fleet.targets.handle_leaving(message, source):
+            self.push_to_control_vms(message)
+
     def sweep_targets(self, silence_ms):
         """Mark targets silent that this VM has not heard for `silence_ms`."""
         for message in self.fleet.targets.sweep(silence_ms, DIRECT):
--- a/pollenmount/fleet/session.py
+++ b/pollenmount/fleet/session.py
@@ -11,6 +11,7 @@
     MemberUp,
     RoutesChanged,
     TargetGone,
+    TargetLeaving,
     TargetSeen,
     TargetSilent,
 )
@@ -115,5 +116,6 @@
 
 @concerns_entry.register(TargetSilent)
 @concerns_entry.register(TargetGone)
+@concerns_entry.register(TargetLeaving)
 def _(message, session, fleet):
     return fleet.region_of_target(message.id) in (None, session.record.region)
--- a/pollenmount/fleet/targets.py
+++ b/pollenmount/fleet/targets.py
@@ -7,8 +7,12 @@
 
 from typing import NamedTuple
 
+import msgspec
+
+from pollenmount.fleet.leaving import LeavingTargets
 from pollenmount.fleet.messages import (
     TargetGone,
+    TargetLeaving,
     TargetRecord,
     TargetSeen,
     TargetSilent,
@@ -84,6 +88,7 @@
         self.on_change = on_change
         self.by_id = {}
         self.tombstones = {}
+        self.leaving = LeavingTargets()
         self.version = 0
         self.cache = VersionedCache(lambda: self.version)
 
@@ -98,7 +103,7 @@
 
     def handle_seen(self, message, source):
         """Store a heartbeat; return whether it is newer than the stored record."""
-        record, now = message.target, self.clock.now()
+        record, now = self.leaving.apply(message.target), self.clock.now()
         known = self.by_id.get(record.id)
         if self.has_left(record):
             return False
@@ -119,7 +124,7 @@
         self.by_id[record.id] = target
         if is_changed:
             self.version += 1
-            self.on_change(message, source)
+            self.on_change(msgspec.structs.replace(message, target=record), source)
         return is_newer
 
     def add_source(self, known, record, source):
@@ -165,6 +170,33 @@
         if is_change:
             self.on_change(message, source)
 
+    def handle_leaving(self, message, source):
+        """Mark an incarnation that leaves; return whether other VMs must be told.
+
+        It is treated as draining from now on. Others know already of one that reported
+        so in its heartbeats, or has left.
+        """
+        if not self.leaving.add(message.id, message.born):
+            return False
+        known = self.by_id.get(message.id)
+        if known is None:
+            is_news = message.id not in self.tombstones
+        else:
+            is_news = self.leaving.has(known.record) and not known.record.draining
+        if known and is_news:
+            record = self.leaving.apply(known.record)
+            self.by_id[message.id] = known._replace(record=record)
+            self.version += 1
+        if is_news:
+            self.on_change(message, source)
+        return is_news
+
+    def leaving_messages(self):
+        """Yield a `TargetLeaving` for each known target that leaves."""
+        for known in self.by_id.values():
+            if self.leaving.has(known.record):
+                yield TargetLeaving(known.id, known.record.born)
+
     def handle_leave(self, id_, source):
         """Remove a target that announced its leave; return the message about it."""
         known = self.by_id.get(id_)
@@ -223,6 +255,7 @@
                 yield make_target_seen(known, now)
             if source is None and not known.is_heard:
                 yield TargetSilent(id_)
+        yield from self.leaving_messages()
 
 
 def make_target_seen(known, now):
--- a/pollenmount/gateway/attempt.py
+++ b/pollenmount/gateway/attempt.py
@@ -19,6 +19,7 @@
     "NotRunError",
     "ResponseObserver",
     "Sender",
+    "connection_key",
 ]
 
 MISDIRECTED_REQUEST = 421
@@ -70,10 +71,18 @@
     target_id: str
     headers: tuple[tuple[str, str], ...] = ()
 
+    @property
+    def connection_key(self):
+        """Return the key of its pooled connections: those to one process."""
+        return connection_key(self.name, self.address, self.incarnation)
+
 
 class ResponseObserver:
     """Callbacks for the progress of an attempt's response."""
 
+    def on_head(self, status, info):
+        """Handle the arrival of the response's status and `ResponseInfo`."""
+
     def on_chunk(self):
         """Handle the arrival of a chunk of the body."""
 
@@ -115,7 +124,7 @@
         The body of a plain response is yielded in one piece, a stream event by event.
         """
         call, destination = attempt.call, attempt.destination
-        key = (destination.name, destination.address)
+        key = destination.connection_key
         non_idempotent = not call.route.may_retry
         connection = self.pool.acquire(
             key,
@@ -127,6 +136,7 @@
         try:
             connection.send(self.encode(attempt))
             head, info = self.read_head(connection, attempt)
+            attempt.observer.on_head(head.status, info)
             yield from self.read_response(connection, head, info, attempt)
         finally:
             if head is None:
@@ -235,6 +245,11 @@
             raise MalformedResponseError("response to discard is too long")
 
 
+def connection_key(name, address, incarnation):
+    """Return the pool's key for connections to one start of a target or VM."""
+    return name, address, incarnation
+
+
 def read_complete(head, parts, attempt):
     """Yield a response once complete; raise `FailedResponseError` for a 5xx."""
     body = bytearray()
--- a/pollenmount/gateway/dialect.py
+++ b/pollenmount/gateway/dialect.py
@@ -85,12 +85,14 @@
 
     `id` is the id of the request. `stamped` tells whether the target's response stamp
     is present, and `not_run` whether the target reports that it did not run the
-    request. `headers` are passed on.
+    request. `leaving` tells that the target is about to end. `headers` are passed on,
+    also that of `leaving`: the response stays the target's.
     """
 
     id: str
     stamped: bool
     not_run: bool
+    leaving: bool
     headers: tuple[tuple[str, str], ...]
 
 
--- a/pollenmount/gateway/dispatch.py
+++ b/pollenmount/gateway/dispatch.py
@@ -176,7 +176,7 @@
             member.name, member.hop_address, member.incarnation, region, "", (header,)
         )
 
-    def run_attempt(self, call, progress, destination, expected_ms, may_hop):
+    def run_attempt(self, call, progress, destination, expected_ms, may_hop=True):
         """Yield the head and body of the response to one attempt."""
         self.record_start(call, progress, destination, expected_ms)
         sent_at = self.clock.now()
--- a/pollenmount/gateway/metrics.py
+++ b/pollenmount/gateway/metrics.py
@@ -39,6 +39,12 @@
             buckets=ELAPSED_BUCKETS_S,
             registry=self.registry,
         )
+        self.targets_leaving = Counter(
+            "pollenmount_targets_leaving_total",
+            "Targets of which a response to this VM was the first to say they leave",
+            ("service",),
+            registry=self.registry,
+        )
         self.plan_version = Gauge(
             "pollenmount_plan_version",
             "Version of the plan of routes in force",
--- a/pollenmount/gateway/progress.py
+++ b/pollenmount/gateway/progress.py
@@ -74,6 +74,11 @@
         self.may_hop = may_hop
         self.has_begun = False
 
+    def on_head(self, status, info):
+        """Handle what the target says of itself, before the body arrives."""
+        notices = self.dispatcher.context.notices
+        notices.handle_head(self.call, self.destination, status, info)
+
     def on_chunk(self):
         """Update the trackers on the first chunk, and release a reserved retry."""
         self.dispatcher.release_retry(self.call, self.progress)
--- a/pollenmount/gateway/roles/entry.py
+++ b/pollenmount/gateway/roles/entry.py
@@ -14,6 +14,7 @@
 from pollenmount.gateway.load import LoadTracker
 from pollenmount.gateway.replies import empty_reply
 from pollenmount.gateway.routing_context import RoutingContext
+from pollenmount.gateway.target_notices import TargetNotices
 from pollenmount.gateway.warmup import WarmupLimiter
 from pollenmount.log import get_logger
 from pollenmount.plugin import register
@@ -57,6 +58,7 @@
             warmup=WarmupLimiter(clock, settings.name),
             pool=pool,
             lags=LagTracker(clock),
+            notices=TargetNotices(node.fleet, pool, node.metrics),
         )
         node.budget = RetryBudget(
             clock, settings.bounds.retry_limits, node.fleet.entry_counter.share
--- a/pollenmount/gateway/routing_context.py
+++ b/pollenmount/gateway/routing_context.py
@@ -5,6 +5,7 @@
 
 from pollenmount.fleet.messages import ENTRY
 from pollenmount.fleet.targets import DEFAULT_SLOTS
+from pollenmount.gateway.attempt import connection_key
 from pollenmount.gateway.choose import Options, TargetOption
 
 __all__ = ["LEARNING_MS", "SILENT_RETRY_MS", "RoutingContext"]
@@ -42,6 +43,7 @@
         self.warmup = trackers["warmup"]
         self.pool = trackers["pool"]
         self.lags = trackers["lags"]
+        self.notices = trackers["notices"]
 
     def is_learning(self):
         """Return whether this VM may not know yet what can be served."""
@@ -122,7 +124,8 @@
             return False
         if self.is_presumed_gone(target):
             return False
-        if self.pool.is_connect_slow((record.id, record.address), SLOW_CONNECT_MS):
+        key = connection_key(record.id, record.address, record.born)
+        if self.pool.is_connect_slow(key, SLOW_CONNECT_MS):
             return False
         service_limits = self.store.plan.services.get(record.service)
         if service_limits is None:
@@ -185,7 +188,8 @@
             and member.name not in tried
             and not self.breakers.is_open(member.name, member.incarnation)
             and not self.pool.is_connect_slow(
-                (member.name, member.hop_address), SLOW_HOP_CONNECT_MS
+                connection_key(member.name, member.hop_address, member.incarnation),
+                SLOW_HOP_CONNECT_MS,
             )
         ]
 
--- a/pollenmount/wire/pool.py
+++ b/pollenmount/wire/pool.py
@@ -27,7 +27,8 @@
     """Connections by key, such as a target's name and address.
 
     `open_counts` has the number of open connections by key, idle ones included;
-    `pending_connects` the start times of the connection attempts in progress.
+    `pending_connects` the start times of the connection attempts in progress, and
+    `retired` the keys whose connections are not kept.
     """
 
     def __init__(self, clock, connect_timeout_ms=CONNECT_TIMEOUT_MS):
@@ -36,6 +37,7 @@
         self.idle = {}
         self.open_counts = collections.Counter()
         self.pending_connects = {}
+        self.retired = set()
 
     def acquire(self, key, address, max_idle_ms=MAX_IDLE_MS):
         """Return a pooled connection idle for at most `max_idle_ms`, else a new one."""
@@ -76,7 +78,8 @@
     def release(self, key, connection, head):
         """Return a connection to the pool, or close it if it can't be reused."""
         idle = self.idle.setdefault(key, [])
-        if not connection.reusable or len(idle) >= MAX_IDLE_CONNECTIONS:
+        is_kept = connection.reusable and key not in self.retired
+        if not is_kept or len(idle) >= MAX_IDLE_CONNECTIONS:
             self.discard(key, connection)
             return
         connection.end_exchange()
@@ -93,6 +96,7 @@
         self.open_counts[key] -= 1
         if self.open_counts[key] <= 0:
             del self.open_counts[key]
+            self.retired.discard(key)
 
     def sweep(self):
         """Close idle connections whose time is up."""
@@ -104,6 +108,12 @@
             if not idle:
                 del self.idle[key]
 
+    def retire(self, key):
+        """Close the idle connections of a key, and others once they are released."""
+        if key in self.open_counts:
+            self.retired.add(key)
+        self.close_idle(key)
+
     def close_idle(self, key):
         """Close the idle connections of a key."""
         for entry in self.idle.pop(key, []):
--- a/tests/gateway_harness.py
+++ b/tests/gateway_harness.py
@@ -1,5 +1,7 @@
 """Test harness: an entry VM without network, with scripted attempts."""
 
+from typing import NamedTuple
+
 from pollenmount.circuit_breakers import CircuitBreakers
 from pollenmount.clock import ManualClock
 from pollenmount.fleet.capacity import summarize_capacities
@@ -19,13 +21,20 @@
 from pollenmount.gateway.cache import PrefixCacheTracker
 from pollenmount.gateway.call import Call, ResponseHead
 from pollenmount.gateway.choose import make_chooser
-from pollenmount.gateway.dialect import CallerInfo, Prompt, PromptPart
+from pollenmount.gateway.dialect import (
+    CallerInfo,
+    Prompt,
+    PromptPart,
+    ResponseInfo,
+)
 from pollenmount.gateway.dispatch import Dispatcher
 from pollenmount.gateway.lag import LagTracker
 from pollenmount.gateway.load import LoadTracker
+from pollenmount.gateway.metrics import GatewayMetrics
 from pollenmount.gateway.progress import Progress
 from pollenmount.gateway.routing_context import LEARNING_MS, RoutingContext
 from pollenmount.gateway.settings import Bounds, GatewaySettings, Listen
+from pollenmount.gateway.target_notices import TargetNotices
 from pollenmount.gateway.warmup import WarmupLimiter
 from pollenmount.retry_budget import RetryBudget
 from pollenmount.routes.plan import (
@@ -80,11 +89,19 @@
     return Prompt("m", shared + own, 50, parts)
 
 
+class TargetHead(NamedTuple):
+    """Status and `ResponseInfo` of a target's response."""
+
+    status: int
+    info: ResponseInfo
+
+
 class ScriptedSender:
     """Stands in for `Sender`: each attempt runs the next step of the script.
 
-    A step is a list of parts to yield. An exception in it is raised, and an integer is
-    reported as the number of the last event delivered.
+    A step is a list of parts to yield. An exception in it is raised, an integer is
+    reported as the number of the last event delivered, and a `TargetHead` as what the
+    target says of itself.
     """
 
     def __init__(self):
@@ -97,7 +114,9 @@
         for part in self.script.pop(0):
             if isinstance(part, Exception):
                 raise part
-            if isinstance(part, int):
+            if isinstance(part, TargetHead):
+                attempt.observer.on_head(part.status, part.info)
+            elif isinstance(part, int):
                 attempt.observer.on_delivered(part)
             else:
                 yield part
@@ -123,6 +142,8 @@
         self.control = Fleet(self.clock, self.store, REGIONS)
         self.loads = LoadTracker(lambda: self.reported)
         self.reported = {}
+        self.metrics = GatewayMetrics()
+        pool = ConnectionPool(self.clock)
         self.context = RoutingContext(
             self.settings,
             self.clock,
@@ -132,8 +153,9 @@
             cache=PrefixCacheTracker(self.clock),
             breakers=CircuitBreakers(self.clock),
             warmup=WarmupLimiter(self.clock, self.settings.name),
-            pool=ConnectionPool(self.clock),
+            pool=pool,
             lags=LagTracker(self.clock),
+            notices=TargetNotices(self.fleet, pool, self.metrics),
         )
         self.budget = RetryBudget(
             self.clock, BOUNDS.retry_limits, self.fleet.entry_counter.share
--- a/tests/test_gateway_dispatch.py
+++ b/tests/test_gateway_dispatch.py
@@ -192,7 +192,7 @@
 
 def test_a_target_with_a_slow_connect_gets_no_more_requests(harness):
     """A pending connect shows an unreachable target before the connect times out."""
-    key = ("a", "a:1")
+    key = ("a", "a:1", 1)
     harness.context.pool.pending_connects[key] = collections.deque(
         [harness.clock.now()]
     )
