--- a/pollenmount/gateway/attempt.py
+++ b/pollenmount/gateway/attempt.py
@@ -6,6 +6,7 @@
 from pollenmount.gateway.call import Call, Response, ResponseHead
 from pollenmount.gateway.dialect import AttemptInfo
 from pollenmount.gateway.hop import raise_if_refused
+from pollenmount.gateway.target_pauses import bounded_pause_ms
 from pollenmount.routes.plan import RetryMode
 from pollenmount.wire.connection import encode_request
 from pollenmount.wire.errors import ExchangeError, MalformedResponseError
@@ -19,11 +20,13 @@
     "NotRunError",
     "ResponseObserver",
     "Sender",
+    "TargetPauseError",
     "connection_key",
 ]
 
 MISDIRECTED_REQUEST = 421
 SERVER_ERROR = 500
+UNAVAILABLE = 503
 OK = 200
 MULTIPLE_CHOICES = 300
 MAX_FOREIGN_RESPONSES = 3
@@ -48,6 +51,14 @@
     """Another target responded at the address, and did not run the request."""
 
 
+class TargetPauseError(NotRunError):
+    """The target did not run the request and wants none from this VM for a while."""
+
+    def __init__(self, status):
+        super().__init__(status)
+        self.args = (f"the target asks for a pause (status {status})",)
+
+
 class FailedResponseError(ExchangeError):
     """The target ran the request and failed; `response` is its complete response."""
 
@@ -189,12 +200,7 @@
         with contextlib.closing(parts):
             if info.not_run or head.status == MISDIRECTED_REQUEST:
                 discard(parts)
-                kind = (
-                    MisdirectedError
-                    if head.status == MISDIRECTED_REQUEST
-                    else NotRunError
-                )
-                raise kind(head.status)
+                raise not_run_error(head.status, info)
             if OK <= head.status < MULTIPLE_CHOICES and not info.stamped:
                 raise MalformedResponseError(
                     "a success without the target's response stamp"
@@ -245,6 +251,15 @@
             raise MalformedResponseError("response to discard is too long")
 
 
+def not_run_error(status, info):
+    """Return the `NotRunError` for the status and the `ResponseInfo` of a response."""
+    if status == MISDIRECTED_REQUEST:
+        return MisdirectedError(status)
+    if status == UNAVAILABLE and bounded_pause_ms(info.retry_after_s):
+        return TargetPauseError(status)
+    return NotRunError(status)
+
+
 def connection_key(name, address, incarnation):
     """Return the pool's key for connections to one start of a target or VM."""
     return name, address, incarnation
--- a/pollenmount/gateway/call.py
+++ b/pollenmount/gateway/call.py
@@ -68,9 +68,11 @@
     """An error response of the gateway itself.
 
     A `status` of 503 or 429 guarantees that no target ran the request; 502 and 504
-    guarantee nothing. `retry_after_ms` is 0 if a retry cannot help.
+    guarantee nothing. `retry_after_ms` is 0 if a retry cannot help. `pause_ms` is when
+    the first target may be used again if all ask for a pause, else 0.
     """
 
     status: int
     reason: str
     retry_after_ms: int = 0
+    pause_ms: int = 0
--- a/pollenmount/gateway/dialect.py
+++ b/pollenmount/gateway/dialect.py
@@ -85,14 +85,17 @@
 
     `id` is the id of the request. `stamped` tells whether the target's response stamp
     is present, and `not_run` whether the target reports that it did not run the
-    request. `leaving` tells that the target is about to end. `headers` are passed on,
-    also that of `leaving`: the response stays the target's.
+    request. `leaving` tells that the target is about to end, and `retry_after_s` how
+    long it wants no requests: None if it doesn't say, NaN if that is unreadable.
+    `headers` are passed on, also those of `leaving` and `retry_after_s`: the response
+    stays the target's.
     """
 
     id: str
     stamped: bool
     not_run: bool
     leaving: bool
+    retry_after_s: float | None
     headers: tuple[tuple[str, str], ...]
 
 
--- a/pollenmount/gateway/dispatch.py
+++ b/pollenmount/gateway/dispatch.py
@@ -20,6 +20,7 @@
 from pollenmount.gateway.choose import TargetChoice, is_long_stream, no_remote_options
 from pollenmount.gateway.hop import HopRefusedError, encode_hop
 from pollenmount.gateway.progress import CallObserver
+from pollenmount.gateway.target_pauses import spread_wait_ms
 from pollenmount.log import get_logger
 from pollenmount.wire.errors import (
     ConnectError,
@@ -90,7 +91,7 @@
             destination, expected_ms = self.pick_destination(call, progress, may_hop)
             if destination is None:
                 yield from self.end_without_response(
-                    call, progress, "no target can take it"
+                    call, progress, "no target can take it", may_hop
                 )
                 return
             try:
@@ -102,7 +103,7 @@
                 self.record_failed_attempt(call, progress, destination, error)
                 problem = self.reason_to_stop(call, progress, error)
             if problem:
-                yield from self.end_without_response(call, progress, problem)
+                yield from self.end_without_response(call, progress, problem, may_hop)
                 return
 
     def choose(self, call, progress, may_hop):
@@ -349,7 +350,7 @@
             return "the stream broke off and cannot be resumed"
         return None
 
-    def end_without_response(self, call, progress, problem):
+    def end_without_response(self, call, progress, problem, may_hop):
         """Yield the final response of a call that got none from a target."""
         if progress.head:
             raise BrokenResponseError(problem)
@@ -357,14 +358,15 @@
             yield progress.failed_response.head
             yield progress.failed_response.body
             return
+        progress.pause_ms = self.context.soonest_pause_ms(call, may_hop)
         yield self.make_error_response(call, progress, problem)
 
     def make_error_response(self, call, progress, problem):
         """Return the `ErrorResponse` that matches the outcome of the attempts."""
         if all(failure.not_run for failure in progress.failures):
-            return ErrorResponse(
-                UNAVAILABLE, problem, self.suggest_retry_after_ms(call, progress)
-            )
+            reason = "all targets ask for a pause" if progress.pause_ms else problem
+            retry_after_ms = self.suggest_retry_after_ms(call, progress)
+            return ErrorResponse(UNAVAILABLE, reason, retry_after_ms, progress.pause_ms)
         if self.clock.now() >= call.deadline:
             return ErrorResponse(
                 GATEWAY_TIMEOUT, "the deadline of the request has passed"
@@ -374,10 +376,14 @@
     def suggest_retry_after_ms(self, call, progress):
         """Return after how many milliseconds the caller should retry.
 
-        An outage is likely to go on for as long as it has lasted so far. The wait is at
-        most a third of the caller's remaining time.
+        That is once the first pause is over, if all targets ask for one. An outage is
+        likely to go on for as long as it has lasted so far. The wait is at most a third
+        of the caller's remaining time.
         """
         now = self.clock.now()
+        if progress.pause_ms:
+            wait_ms = spread_wait_ms(progress.pause_ms, self.context.random)
+            return max(1, min(wait_ms, (call.deadline - now) // 3))
         started_at = self.outage_since.setdefault((call.service, call.route.homes), now)
         wait_ms = max(MIN_RETRY_AFTER_MS, progress.retry_after_ms, now - started_at)
         return max(1, min(wait_ms, MAX_RETRY_AFTER_MS, (call.deadline - now) // 3))
--- a/pollenmount/gateway/metrics.py
+++ b/pollenmount/gateway/metrics.py
@@ -45,6 +45,12 @@
             ("service",),
             registry=self.registry,
         )
+        self.target_pauses = Counter(
+            "pollenmount_target_pauses_total",
+            "Responses in which a target asked this VM for a pause",
+            ("service",),
+            registry=self.registry,
+        )
         self.plan_version = Gauge(
             "pollenmount_plan_version",
             "Version of the plan of routes in force",
--- a/pollenmount/gateway/progress.py
+++ b/pollenmount/gateway/progress.py
@@ -17,7 +17,8 @@
     was deferred before it was sent, and `expected_ms` the time to the first byte that
     was expected of the last attempt. `delivered_bytes` counts the bytes of a stream
     that were written to the caller. `retry_reserved` tells whether the retry budget
-    keeps a retry for an attempt that would replace the present one.
+    keeps a retry for an attempt that would replace the present one. `pause_ms` is as
+    in `ErrorResponse`.
     """
 
     def __init__(self, call):
@@ -29,6 +30,7 @@
         self.head = None
         self.last_id = call.resume_after
         self.retry_after_ms = 0
+        self.pause_ms = 0
         self.destination = None
         self.first_chunk_at = None
         self.last_chunk_at = None
--- a/pollenmount/gateway/roles/entry.py
+++ b/pollenmount/gateway/roles/entry.py
@@ -15,6 +15,7 @@
 from pollenmount.gateway.replies import empty_reply
 from pollenmount.gateway.routing_context import RoutingContext
 from pollenmount.gateway.target_notices import TargetNotices
+from pollenmount.gateway.target_pauses import TargetPauses
 from pollenmount.gateway.warmup import WarmupLimiter
 from pollenmount.log import get_logger
 from pollenmount.plugin import register
@@ -47,6 +48,7 @@
         settings, clock = node.settings, node.clock
         self.loads = LoadTracker(self.reported_loads)
         pool = node.manage(ConnectionPool(clock))
+        pauses = TargetPauses(clock)
         self.context = RoutingContext(
             settings,
             clock,
@@ -58,7 +60,8 @@
             warmup=WarmupLimiter(clock, settings.name),
             pool=pool,
             lags=LagTracker(clock),
-            notices=TargetNotices(node.fleet, pool, node.metrics),
+            pauses=pauses,
+            notices=TargetNotices(node.fleet, pool, pauses, node.metrics),
         )
         node.budget = RetryBudget(
             clock, settings.bounds.retry_limits, node.fleet.entry_counter.share
--- a/pollenmount/gateway/routing_context.py
+++ b/pollenmount/gateway/routing_context.py
@@ -43,6 +43,7 @@
         self.warmup = trackers["warmup"]
         self.pool = trackers["pool"]
         self.lags = trackers["lags"]
+        self.pauses = trackers["pauses"]
         self.notices = trackers["notices"]
 
     def is_learning(self):
@@ -98,21 +99,46 @@
         """
         return tuple(
             make_region_option(row, call.info.prompt)
-            for row in (self.fleet.capacities or {}).values()
-            if row.service == call.service
-            and row.targets
-            and is_allowed_in(call.route, row.region)
+            for row in self.remote_capacities(call)
+            if not self.pauses.left_ms((row.region, row.service))
             and not self.breakers.is_open((row.region, row.service))
             and not self.breakers.is_open(row.region)
             and self.hop_candidates(row.region, tried)
         )
 
+    def remote_capacities(self, call):
+        """Yield the `ServiceCapacity` of each other region that may run the call."""
+        for row in (self.fleet.capacities or {}).values():
+            if (
+                row.service == call.service
+                and row.targets
+                and is_allowed_in(call.route, row.region)
+            ):
+                yield row
+
+    def soonest_pause_ms(self, call, may_hop):
+        """Return when the first pause ends if all that may run the call ask for one.
+
+        It is 0 if any does not, or if there is none.
+        """
+        left = [
+            self.pauses.left_ms(target.id, target.record.born)
+            for target in self.eligible_targets(call, ())
+        ]
+        if may_hop:
+            left += (
+                self.pauses.left_ms((row.region, row.service))
+                for row in self.remote_capacities(call)
+            )
+        return min(left, default=0)
+
     def forget(self, id_):
         """Drop all state of a target that has left."""
         self.cache.forget(id_)
         self.warmup.forget(id_)
         self.breakers.forget(id_)
         self.lags.forget(id_)
+        self.pauses.forget(id_)
 
     def may_send(self, target, sharers):
         """Return whether this VM may send a request to a target of its region now.
@@ -120,7 +146,8 @@
         `sharers` is the number of entry VMs that share the target's connections.
         """
         record = target.record
-        if self.breakers.is_open(record.id, record.born):
+        is_open = self.breakers.is_open(record.id, record.born)
+        if is_open or self.pauses.left_ms(record.id, record.born):
             return False
         if self.is_presumed_gone(target):
             return False
--- a/pollenmount/gateway/target_notices.py
+++ b/pollenmount/gateway/target_notices.py
@@ -4,22 +4,37 @@
 there handles.
 """
 
+import math
+
 from pollenmount.fleet.leaving import RESPONSE
 from pollenmount.fleet.messages import TargetLeaving
 from pollenmount.gateway.attempt import connection_key
+from pollenmount.gateway.target_pauses import MAX_PAUSE_MS, bounded_pause_ms
+from pollenmount.log import get_logger
 
 __all__ = ["TargetNotices"]
 
 MISDIRECTED_REQUEST = 421
+UNAVAILABLE = 503
+MS_PER_S = 1000
+MAX_WARNED = 4096
+
+logger = get_logger("targets")
 
 
 class TargetNotices:
-    """Handles the notices in responses, and those that other VMs have read."""
+    """Handles the notices in responses, and those that other VMs have read.
+
+    `warned` has the targets, by id and incarnation, of which a pause out of range was
+    logged.
+    """
 
-    def __init__(self, fleet, pool, metrics):
+    def __init__(self, fleet, pool, pauses, metrics):
         self.fleet = fleet
         self.pool = pool
+        self.pauses = pauses
         self.metrics = metrics
+        self.warned = set()
         fleet.listeners.append(self.handle_change)
 
     def handle_head(self, call, destination, status, info):
@@ -28,6 +43,8 @@
             return
         if info.leaving:
             self.handle_leaving(call, destination, status)
+        if status == UNAVAILABLE and info.retry_after_s is not None:
+            self.handle_pause(call, destination, info.retry_after_s)
 
     def handle_leaving(self, call, destination, status):
         """Stop sending to a target that leaves, in the incarnation that was asked."""
@@ -67,3 +84,45 @@
             record = target.record
             key = connection_key(record.id, record.address, record.born)
             self.pool.retire(key)
+
+    def handle_pause(self, call, destination, seconds):
+        """Send nothing to the target for as long as it asks, within bounds."""
+        pause_ms = bounded_pause_ms(seconds)
+        if not is_in_range(seconds):
+            self.warn_once(destination, seconds, pause_ms)
+        if not pause_ms:
+            return
+        id_, born = destination.target_id, destination.incarnation
+        self.metrics.target_pauses.labels(call.service).inc()
+        if self.pauses.start(id_, born, pause_ms):
+            logger.info(
+                "target paused",
+                extra={
+                    "request": call.id,
+                    "target": id_,
+                    "born": born,
+                    "service": call.service,
+                    "pause_ms": pause_ms,
+                },
+            )
+
+    def warn_once(self, destination, seconds, pause_ms):
+        """Log a pause out of range, once for each incarnation of a target."""
+        key = (destination.target_id, destination.incarnation)
+        if key in self.warned or len(self.warned) >= MAX_WARNED:
+            return
+        self.warned.add(key)
+        logger.warning(
+            "pause out of range",
+            extra={
+                "target": destination.target_id,
+                "born": destination.incarnation,
+                "asked_s": str(seconds),
+                "pause_ms": pause_ms,
+            },
+        )
+
+
+def is_in_range(seconds):
+    """Return whether a pause is a number from 0 to the longest one that is kept."""
+    return not math.isnan(seconds) and 0 <= seconds * MS_PER_S <= MAX_PAUSE_MS
--- a/tests/gateway_harness.py
+++ b/tests/gateway_harness.py
@@ -35,6 +35,7 @@
 from pollenmount.gateway.routing_context import LEARNING_MS, RoutingContext
 from pollenmount.gateway.settings import Bounds, GatewaySettings, Listen
 from pollenmount.gateway.target_notices import TargetNotices
+from pollenmount.gateway.target_pauses import TargetPauses
 from pollenmount.gateway.warmup import WarmupLimiter
 from pollenmount.retry_budget import RetryBudget
 from pollenmount.routes.plan import (
@@ -144,6 +145,7 @@
         self.reported = {}
         self.metrics = GatewayMetrics()
         pool = ConnectionPool(self.clock)
+        pauses = TargetPauses(self.clock)
         self.context = RoutingContext(
             self.settings,
             self.clock,
@@ -155,7 +157,8 @@
             warmup=WarmupLimiter(self.clock, self.settings.name),
             pool=pool,
             lags=LagTracker(self.clock),
-            notices=TargetNotices(self.fleet, pool, self.metrics),
+            pauses=pauses,
+            notices=TargetNotices(self.fleet, pool, pauses, self.metrics),
         )
         self.budget = RetryBudget(
             self.clock, BOUNDS.retry_limits, self.fleet.entry_counter.share
