--- a/pollenmount/gateway/callers.py
+++ b/pollenmount/gateway/callers.py
@@ -153,7 +153,8 @@
         if hop is None or self.node.store.plan is None or self.node.stopping:
             reason = "this VM cannot accept requests from other regions now"
             error_response = ErrorResponse(UNAVAILABLE, reason, STOPPING_RETRY_MS)
-            return error_reply(error_response, refusal_headers(error_response, True))
+            headers = refusal_headers(error_response, True, is_ready=False)
+            return error_reply(error_response, headers)
         body = request.read(self.node.store.limits.body_bytes)
         if isinstance(body, Refusal):
             error_response = ErrorResponse(body.status, body.message)
--- a/pollenmount/gateway/dispatch.py
+++ b/pollenmount/gateway/dispatch.py
@@ -18,9 +18,9 @@
 )
 from pollenmount.gateway.call import AttemptFailure, ErrorResponse, ResponseHead
 from pollenmount.gateway.choose import TargetChoice, is_long_stream, no_remote_options
-from pollenmount.gateway.hop import HopRefusedError, encode_hop
+from pollenmount.gateway.hop import HopRefusedError, PeerNotReadyError, encode_hop
 from pollenmount.gateway.progress import CallObserver
-from pollenmount.gateway.target_pauses import spread_wait_ms
+from pollenmount.gateway.target_pauses import MAX_REGION_PAUSE_MS, spread_wait_ms
 from pollenmount.log import get_logger
 from pollenmount.wire.errors import (
     ConnectError,
@@ -256,6 +256,10 @@
             self.context.cache.forget(destination.name)
         elif isinstance(error, FailedResponseError):
             progress.failed_response = error.response
+        elif isinstance(error, PeerNotReadyError):
+            breakers.record_failure(
+                destination.name, destination.incarnation, open_now=True
+            )
         elif not isinstance(
             error, NotRunError | HopRefusedError | ResponseTimeoutError
         ):
@@ -274,9 +278,7 @@
             progress.runs += 1
         if isinstance(error, HopRefusedError):
             progress.retry_after_ms = error.retry_after_ms
-            breakers.record_failure(
-                (destination.region, call.service), open_now=error.not_run
-            )
+            self.record_refused_hop(call, destination, error)
         progress.failures.append(AttemptFailure(str(error), error.not_run))
         logger.info(
             "attempt failed",
@@ -292,6 +294,15 @@
             },
         )
 
+    def record_refused_hop(self, call, destination, error):
+        """Keep the region out for this service: for as long as asked, or a while."""
+        key = (destination.region, call.service)
+        if error.pause_ms:
+            pause_ms = min(error.pause_ms, MAX_REGION_PAUSE_MS)
+            self.context.pauses.start(key, None, pause_ms)
+        else:
+            self.context.breakers.record_failure(key, open_now=error.not_run)
+
     def reason_to_stop(self, call, progress, error):
         """Return why no further attempt is made, or None."""
         reason = self.reason_not_to_retry(call, progress, error)
@@ -393,4 +404,4 @@
     """Return whether a failed attempt may have reached a target."""
     if isinstance(error, HopRefusedError):
         return not error.not_run or error.sends > 0
-    return not isinstance(error, ConnectError)
+    return not isinstance(error, ConnectError | PeerNotReadyError)
--- a/pollenmount/gateway/hop.py
+++ b/pollenmount/gateway/hop.py
@@ -16,6 +16,7 @@
     "HopRefusal",
     "HopRefusedError",
     "HopRequest",
+    "PeerNotReadyError",
     "decode_hop",
     "encode_hop",
     "hop_route",
@@ -27,6 +28,9 @@
 HOP_REQUEST = "Pollenmount-Hop"
 HOP_REFUSED = "Pollenmount-Hop-Refused"
 HOP_TARGET = "Pollenmount-Hop-Target"
+# Headers of their own, which VMs of builds before ignore.
+HOP_PAUSE_MS = "Pollenmount-Hop-Pause-Ms"
+HOP_NOT_READY = "Pollenmount-Hop-Not-Ready"
 HEADER_PREFIX = "pollenmount-hop"
 MS_PER_S = 1000
 
@@ -59,13 +63,30 @@
 
 
 class HopRefusedError(ExchangeError):
-    """The entry VM of the other region returned no response of a target."""
+    """The entry VM of the other region returned no response of a target.
 
-    def __init__(self, refusal):
+    `pause_ms` is when the first target there may be used again if all have asked that
+    VM for a pause, else 0.
+    """
+
+    def __init__(self, refusal, pause_ms=0):
         super().__init__(f"the other region refused: {refusal.reason}")
         self.not_run = refusal.not_run
         self.retry_after_ms = refusal.retry_after_ms
         self.sends = refusal.sends
+        self.pause_ms = pause_ms
+
+
+class PeerNotReadyError(ExchangeError):
+    """The entry VM of the other region stops, or has no plan yet.
+
+    Its region may take the request through another VM.
+    """
+
+    not_run = True
+
+    def __init__(self, refusal):
+        super().__init__(f"the other VM is not ready: {refusal.reason}")
 
 
 def encode_hop(call, remaining_ms, attempts):
@@ -109,8 +130,11 @@
     )
 
 
-def refusal_headers(error_response, not_run, sends=0):
-    """Return the headers that report a refusal to another region's entry VM."""
+def refusal_headers(error_response, not_run, sends=0, is_ready=True):
+    """Return the headers that report a refusal to another region's entry VM.
+
+    `is_ready` is false if this VM itself takes no requests.
+    """
     refusal = HopRefusal(
         error_response.status,
         error_response.reason,
@@ -118,22 +142,33 @@
         error_response.retry_after_ms,
         sends,
     )
-    return [(HOP_REFUSED, msgspec.json.encode(refusal).decode())]
+    headers = [(HOP_REFUSED, msgspec.json.encode(refusal).decode())]
+    if error_response.pause_ms:
+        headers.append((HOP_PAUSE_MS, str(error_response.pause_ms)))
+    if not is_ready:
+        headers.append((HOP_NOT_READY, "1"))
+    return headers
 
 
 def raise_if_refused(head):
     """Raise `HopRefusedError` if a response is a refusal of the other region.
 
-    Raises `MalformedResponseError` if it can't be read.
+    `PeerNotReadyError` is raised if it is one of the VM itself, and
+    `MalformedResponseError` if it can't be read.
     """
     text = head.header(HOP_REFUSED.lower())
     if not text:
         return
     try:
         refusal = msgspec.json.decode(text, type=HopRefusal)
+        pause_ms = msgspec.json.decode(
+            head.header(HOP_PAUSE_MS.lower()) or "0", type=int
+        )
     except msgspec.DecodeError as error:
         raise MalformedResponseError(f"malformed refusal: {error}") from error
-    raise HopRefusedError(refusal)
+    if head.header(HOP_NOT_READY.lower()):
+        raise PeerNotReadyError(refusal)
+    raise HopRefusedError(refusal, pause_ms)
 
 
 def is_hop_header(name):
--- a/pollenmount/gateway/target_pauses.py
+++ b/pollenmount/gateway/target_pauses.py
@@ -7,11 +7,19 @@
 
 import math
 
-__all__ = ["MAX_PAUSE_MS", "TargetPauses", "bounded_pause_ms", "spread_wait_ms"]
+__all__ = [
+    "MAX_PAUSE_MS",
+    "MAX_REGION_PAUSE_MS",
+    "TargetPauses",
+    "bounded_pause_ms",
+    "spread_wait_ms",
+]
 
 MS_PER_S = 1000
 # A target that wants more is asked once in this time, and says so again.
 MAX_PAUSE_MS = 300_000
+# Another VM or a new target of the region may take requests sooner.
+MAX_REGION_PAUSE_MS = 10_000
 MAX_PAUSES = 4096
 # Callers who were told of the same end come back over this time after it.
 MIN_SPREAD_MS = 500
