--- a/pollenmount/task.py
+++ b/pollenmount/task.py
@@ -194,9 +194,13 @@
         """
         self.unregister()
         if self.waiter is not None:
-            error = ConnectionAbortedError("connection closed locally")
             hub = eventlet.hubs.get_hub()
-            hub.schedule_call_global(0, self.waiter.throw, error)
+            hub.schedule_call_global(0, self.end_wait, self.waiter)
+
+    def end_wait(self, waiter):
+        """Raise an error in a task, unless its wait has ended meanwhile."""
+        if self.waiter is waiter:
+            waiter.throw(ConnectionAbortedError("connection closed locally"))
 
 
 def spawn(function, *args):
--- a/tests/test_task.py
+++ b/tests/test_task.py
@@ -20,6 +20,7 @@
 SHORT_TIMEOUT_MS = 50
 STALL_S = 0.2
 RECEIVE_TIMEOUT_MS = 5000
+SHORT_MS = 50
 
 
 @pytest.fixture
@@ -203,3 +204,37 @@
     assert [line["message"] for line in lines] == ["task failed"] * 2 + ["alive"]
     assert [line["error"] for line in lines[:2]] == ["ValueError"] * 2
     assert b"secret" not in process.stdout
+
+
+def test_a_close_does_not_interrupt_what_the_reader_does_next(connected_sockets):
+    """The error reached a task whose wait had just timed out, in its next wait."""
+    connection, _ = connected_sockets
+    reader = task.SocketReader(connection)
+    interrupted = []
+
+    def read_then_wait():
+        with pytest.raises(TimeoutError):
+            reader.receive(100, SHORT_MS)
+        try:
+            task.sleep(SHORT_MS)
+        except OSError as error:
+            interrupted.append(error)
+
+    thread = eventlet.spawn(read_then_wait)
+    task.sleep()
+    block_until = time.monotonic() + 2 * SHORT_MS / 1000
+    while time.monotonic() < block_until:
+        pass
+    reader.close()
+    thread.wait()
+    assert not interrupted
+
+
+def test_a_close_ends_a_wait(connected_sockets):
+    connection, _ = connected_sockets
+    reader = task.SocketReader(connection)
+    thread = eventlet.spawn(reader.receive, 100, RECEIVE_TIMEOUT_MS)
+    task.sleep()
+    reader.close()
+    with pytest.raises(ConnectionAbortedError):
+        thread.wait()
