--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -1,5 +1,6 @@
 """Tables in the documentation list exactly what the code defines."""
 
+import json
 import re
 
 import pytest
@@ -80,3 +81,52 @@
     known = {path.name for path in files} | set(re.findall(r"def (test_\w+)", code))
     referenced = set(re.findall(r"`(test_[\w.]+)`", page))
     assert referenced - known == set()
+
+
+CLAIMS_HEADER = "| site | run | commit | entry | shows |"
+UNFINISHED = "the run did not finish"
+
+
+def journal_entry(id_):
+    """Return the entry of a run of the users' bench, by its id."""
+    (path,) = (ROOT / "journal").glob(f"*-{id_}.json")
+    return json.loads(path.read_text())
+
+
+def journal_ids():
+    """Return the ids of all entries."""
+    return {path.stem.rpartition("-")[2] for path in (ROOT / "journal").glob("*.json")}
+
+
+def shown_by_hunt(entry):
+    """Return what an entry of a hunt shows, in the words of the page."""
+    return f"{sum(bool(day['rules']) for day in entry['days'])} with a rule broken"
+
+
+def shown_by_score(entry):
+    """Return what an entry of a score shows, in the words of the page."""
+    gate = "passed" if all(day["gate"] for day in entry["days"]) else "failed"
+    return f"{entry['score']:.3f}, gate {gate}"
+
+
+@pytest.mark.parametrize("row", rows("PROMISES.md", CLAIMS_HEADER))
+def test_hunts_and_scores_are_in_the_journal(row):
+    site, run, commit, id_, shown = row
+    entry = journal_entry(id_)
+    assert entry["ok"] and entry["error"] is None
+    assert entry["head"].startswith(commit) and not entry["dirty"]
+    assert entry["argv"][0].endswith(f"/{site}.toml")
+    if run == "score":
+        assert entry["cmd"] == "score" and "--quick" not in entry["argv"]
+        assert shown == shown_by_score(entry)
+    else:
+        assert (entry["cmd"], run) == ("hunt", f"hunt, {len(entry['days'])} days")
+        assert shown == shown_by_hunt(entry)
+
+
+def test_no_page_names_an_entry_of_a_run_that_did_not_finish():
+    pages = [*(ROOT / "docs").rglob("*.md"), *ROOT.glob("*.md")]
+    text = "\n".join(path.read_text() for path in pages)
+    named = set(re.findall(r"\b[0-9a-f]{8}\b", text)) & journal_ids()
+    unfinished = [id_ for id_ in named if journal_entry(id_)["error"] == UNFINISHED]
+    assert unfinished == []
