--- a/pollenmount/gateway/dispatch.py
+++ b/pollenmount/gateway/dispatch.py
@@ -20,6 +20,7 @@
 from pollenmount.gateway.choose import TargetChoice, is_long_stream, no_remote_options
 from pollenmount.gateway.hop import HopRefusedError, PeerNotReadyError, encode_hop
 from pollenmount.gateway.progress import CallObserver
+from pollenmount.gateway.retry_policy import RetryPolicy
 from pollenmount.gateway.target_pauses import MAX_REGION_PAUSE_MS, spread_wait_ms
 from pollenmount.log import get_logger
 from pollenmount.wire.errors import (
@@ -34,13 +35,8 @@
     "MAX_LEARNING_SHARE",
     "BrokenResponseError",
     "Dispatcher",
-    "may_have_arrived",
 ]
 
-MAX_SENDS = 5
-# TCP gives up a peer after 2 s without data and without replies to keepalive probes.
-RESERVE_AFTER_MS = 1500
-MIN_REMAINING_MS = 30
 # Share of the route's latency objective that a call may be deferred: long enough for an
 # engine to finish its pending prefill, short compared with the objective.
 MAX_DEFER_SHARE = 0.3
@@ -77,7 +73,7 @@
         self.context = context
         self.chooser = chooser
         self.sender = sender
-        self.budget = budget
+        self.retries = RetryPolicy(budget, clock)
         self.clock = clock
         self.sleep = sleep
         self.outage_since = {}
@@ -101,7 +97,7 @@
                 return
             except ExchangeError as error:
                 self.record_failed_attempt(call, progress, destination, error)
-                problem = self.reason_to_stop(call, progress, error)
+                problem = self.retries.reason_to_stop(call, progress, error)
             if problem:
                 yield from self.end_without_response(call, progress, problem, may_hop)
                 return
@@ -199,7 +195,7 @@
             if progress.head:
                 resume_after = str(progress.last_id)
             parts = self.sender.run(Attempt(call, destination, resume_after, observer))
-            with contextlib.closing(parts), self.retry_reservation(call, progress):
+            with contextlib.closing(parts), self.retries.reservation(call, progress):
                 for part in parts:
                     if not isinstance(part, ResponseHead):
                         progress.record_chunk(self.clock.now())
@@ -209,19 +205,21 @@
                         yield part
         self.context.breakers.record_success(destination.name)
 
-    @contextlib.contextmanager
-    def retry_reservation(self, call, progress):
-        """End the reservation of a retry when the attempt ends."""
-        try:
-            yield
-        finally:
-            self.release_retry(call, progress)
+    def may_replace_attempt(self, call, progress, may_hop, stalled_ms):
+        """Return whether another attempt can replace one that makes no progress."""
+
+        def has_other_option():
+            return self.choose(call, progress, may_hop) is not None
+
+        return self.retries.may_replace_attempt(
+            call, progress, stalled_ms, has_other_option
+        )
 
     def record_start(self, call, progress, destination, expected_ms):
         """Count an attempt that starts."""
         if destination.target_id and not progress.sends:
             # A hop is counted by the VM that receives it and sends it to a target.
-            self.budget.record_request(call.service)
+            self.retries.budget.record_request(call.service)
         progress.sends += 1
         progress.destination = destination
         progress.expected_ms = round(expected_ms)
@@ -303,64 +301,6 @@
         else:
             self.context.breakers.record_failure(key, open_now=error.not_run)
 
-    def reason_to_stop(self, call, progress, error):
-        """Return why no further attempt is made, or None."""
-        reason = self.reason_not_to_retry(call, progress, error)
-        if reason:
-            return reason
-        reason = self.reason_of_limits(call, progress, progress.runs)
-        if reason:
-            return reason
-        if may_have_arrived(error) and not self.budget.try_acquire(call.service):
-            return "the retry budget is exhausted"
-        return None
-
-    def reason_of_limits(self, call, progress, runs):
-        """Return which limit forbids another attempt after `runs` runs, or None."""
-        if runs >= call.route.attempts:
-            return "the attempts of the route are used up"
-        if progress.sends >= MAX_SENDS:
-            return "the limit of attempts per call is reached"
-        if call.deadline - self.clock.now() < MIN_REMAINING_MS:
-            return "the deadline leaves no time for another attempt"
-        return None
-
-    def may_replace_attempt(self, call, progress, may_hop, stalled_ms):
-        """Return whether another attempt can replace one that makes no progress.
-
-        A silent target or path may recover, so ending a response that nothing else can
-        complete does not help its caller. Many attempts may stall at once, so each
-        needs a reserved retry before TCP can give up its peer.
-        """
-        lost = PeerUnreachableError("the path to the target is silent")
-        if self.reason_not_to_retry(call, progress, lost) or self.reason_of_limits(
-            call, progress, progress.runs + 1
-        ):
-            return False
-        if progress.retry_reserved or stalled_ms < RESERVE_AFTER_MS:
-            return True
-        progress.retry_reserved = self.choose(
-            call, progress, may_hop
-        ) is not None and self.budget.reserve(call.service)
-        return progress.retry_reserved
-
-    def release_retry(self, call, progress):
-        """End the reservation of a retry, if there is one."""
-        if progress.retry_reserved:
-            progress.retry_reserved = False
-            self.budget.release(call.service)
-
-    def reason_not_to_retry(self, call, progress, error):
-        """Return why another attempt is unsafe, or None.
-
-        It could run the request twice or mix the events of two runs.
-        """
-        if not (error.not_run or call.route.may_retry):
-            return "it may have run and must not be repeated"
-        if progress.head and (not call.route.resumable or progress.last_id is None):
-            return "the stream broke off and cannot be resumed"
-        return None
-
     def end_without_response(self, call, progress, problem, may_hop):
         """Yield the final response of a call that got none from a target."""
         if progress.head:
@@ -398,10 +338,3 @@
         started_at = self.outage_since.setdefault((call.service, call.route.homes), now)
         wait_ms = max(MIN_RETRY_AFTER_MS, progress.retry_after_ms, now - started_at)
         return max(1, min(wait_ms, MAX_RETRY_AFTER_MS, (call.deadline - now) // 3))
-
-
-def may_have_arrived(error):
-    """Return whether a failed attempt may have reached a target."""
-    if isinstance(error, HopRefusedError):
-        return not error.not_run or error.sends > 0
-    return not isinstance(error, ConnectError | PeerNotReadyError)
--- a/pollenmount/gateway/progress.py
+++ b/pollenmount/gateway/progress.py
@@ -83,7 +83,7 @@
 
     def on_chunk(self):
         """Update the trackers on the first chunk, and release a reserved retry."""
-        self.dispatcher.release_retry(self.call, self.progress)
+        self.dispatcher.retries.release(self.call, self.progress)
         if not self.has_begun:
             self.has_begun = True
             self.end_prefill()
--- a/tests/soak/start.py
+++ b/tests/soak/start.py
@@ -46,9 +46,9 @@
 
 def retry_everything():
     """Retry requests that may have run, whatever the kind of their route."""
-    from pollenmount.gateway.dispatch import Dispatcher
+    from pollenmount.gateway.retry_policy import RetryPolicy
 
-    Dispatcher.reason_not_to_retry = lambda self, call, progress, error: None
+    RetryPolicy.reason_not_to_retry = lambda self, call, progress, error: None
 
 
 def report_all_as_not_run():
--- a/tests/test_gateway_dispatch.py
+++ b/tests/test_gateway_dispatch.py
@@ -13,13 +13,14 @@
 from pollenmount.gateway.call import ErrorResponse, Response, ResponseHead
 from pollenmount.gateway.callers import CallersApi
 from pollenmount.gateway.dialect import CallerInfo
-from pollenmount.gateway.dispatch import BrokenResponseError, may_have_arrived
+from pollenmount.gateway.dispatch import BrokenResponseError
 from pollenmount.gateway.hop import (
     HOP_REQUEST,
     HopRefusal,
     HopRefusedError,
     decode_hop,
 )
+from pollenmount.gateway.retry_policy import may_have_arrived
 from pollenmount.gateway.routing_context import LEARNING_MS
 from pollenmount.routes.plan import DEFAULT_LIMITS, RetryMode, RoutePlan
 from pollenmount.wire.errors import ConnectError, ExchangeError, ResponseTimeoutError
--- a/tests/test_gateway_joining.py
+++ b/tests/test_gateway_joining.py
@@ -32,7 +32,7 @@
     harness.budget = RetryBudget(
         harness.clock, BOUNDS.retry_limits, harness.counter.share
     )
-    harness.dispatcher.budget = harness.budget
+    harness.dispatcher.retries.budget = harness.budget
     return harness
 
 
--- a/tests/test_gateway_silence.py
+++ b/tests/test_gateway_silence.py
@@ -3,8 +3,8 @@
 import pytest
 
 from pollenmount.gateway.call import ResponseHead
-from pollenmount.gateway.dispatch import RESERVE_AFTER_MS
 from pollenmount.gateway.progress import Progress
+from pollenmount.gateway.retry_policy import RESERVE_AFTER_MS
 from pollenmount.routes.plan import RetryMode
 from pollenmount.wire.errors import PeerUnreachableError
 from tests.gateway_harness import EntryHarness, make_route
@@ -70,8 +70,8 @@
     assert may_replace(harness, call, progress)
     # The retry that was reserved is the one that is made.
     error = PeerUnreachableError("silent")
-    harness.dispatcher.release_retry(call, progress)
-    assert harness.dispatcher.reason_to_stop(call, progress, error) is None
+    harness.dispatcher.retries.release(call, progress)
+    assert harness.dispatcher.retries.reason_to_stop(call, progress, error) is None
 
 
 # Guards against streams that break because all of them are given up at once, and the
@@ -81,9 +81,9 @@
     given_up = [pair for pair in stalled if may_replace(harness, *pair)]
     assert len(given_up) == ALLOWED_RETRIES
     for call, progress in given_up:
-        harness.dispatcher.release_retry(call, progress)
+        harness.dispatcher.retries.release(call, progress)
         error = PeerUnreachableError("silent")
-        assert harness.dispatcher.reason_to_stop(call, progress, error) is None
+        assert harness.dispatcher.retries.reason_to_stop(call, progress, error) is None
     harness.clock.advance(10_000)
     call, progress = running(harness, RESUMABLE, 3)
     assert may_replace(harness, call, progress)
@@ -100,7 +100,7 @@
     assert all(may_replace(harness, *pair) for pair in pairs)
     late = running(harness, RESUMABLE, 3)
     assert not may_replace(harness, *late)
-    harness.dispatcher.release_retry(*pairs[0])
+    harness.dispatcher.retries.release(*pairs[0])
     assert may_replace(harness, *late)
 
 
--- a/tests/test_hop_refusals.py
+++ b/tests/test_hop_refusals.py
@@ -6,9 +6,9 @@
 import msgspec
 import pytest
 
-from pollenmount.gateway.dispatch import may_have_arrived
 from pollenmount.gateway.hop import HopRefusal, PeerNotReadyError
 from pollenmount.gateway.progress import Progress
+from pollenmount.gateway.retry_policy import may_have_arrived
 from pollenmount.gateway.target_pauses import MAX_PAUSE_MS, MAX_REGION_PAUSE_MS
 from tests.gateway_harness import EntryHarness
 from tests.scripted_vm import NOT_RUN, ONCE, Vm, response_bytes
--- a/tests/test_target_pauses.py
+++ b/tests/test_target_pauses.py
@@ -7,8 +7,8 @@
 from pollenmount.clock import ManualClock
 from pollenmount.gateway.attempt import TargetPauseError, connection_key
 from pollenmount.gateway.call import ErrorResponse
-from pollenmount.gateway.dispatch import may_have_arrived
 from pollenmount.gateway.progress import Progress
+from pollenmount.gateway.retry_policy import may_have_arrived
 from pollenmount.gateway.target_pauses import (
     MAX_PAUSE_MS,
     MAX_PAUSES,
