--- a/tests/faults/notices.py
+++ b/tests/faults/notices.py
@@ -80,10 +80,10 @@
 class NoticeReplica(Replica):
     """A replica with `arrivals`; `muted` keeps its heartbeats from arriving."""
 
-    def __init__(self, *args):
+    def __init__(self, *args, **options):
         self.arrivals = []
         self.muted = False
-        super().__init__(*args)
+        super().__init__(*args, **options)
         self.server.RequestHandlerClass = NoticeHandler
 
     def send_heartbeat(self, address):
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -7,8 +7,8 @@
 import time
 from typing import NamedTuple
 
-from tests.soak.fleet import PORTS, REGIONS, ROUTES
-from tests.soak.replica import EVENT_COUNT, expected_body, expected_event
+from tests.soak.plans import REGIONS, ROUTES
+from tests.soak.replica import EVENT_COUNTS, expected_body, expected_events
 
 REQUEST_TIMEOUT_S = 6
 REQUEST_INTERVAL_S = 0.03
@@ -21,6 +21,10 @@
 
     `complete` tells whether the response ended as its framing requires, `stamped`
     whether it has the header that a replica sets on responses of requests it ran.
+    `vm` is the entry VM. The request was sent from `began_at` to `sent_at`, neither
+    before its predecessor on the connection was answered. At `ended_at` came its
+    `ending`: `complete`, `closed`, `reset`, `timed out` or, if it wasn't sent whole,
+    `not sent`. Only callers with a habit record these.
     """
 
     request_id: str
@@ -29,6 +33,11 @@
     body: bytes
     complete: bool
     stamped: bool
+    vm: str = ""
+    began_at: float = 0.0
+    sent_at: float = 0.0
+    ended_at: float = 0.0
+    ending: str = ""
 
 
 class Caller(threading.Thread):
@@ -64,9 +73,13 @@
         addresses = self.fleet.resolve(self.region, control)
         if addresses:
             host, _, port = self.random.choice(addresses).rpartition(":")
-            self.connection = http.client.HTTPConnection(
-                host, int(port), timeout=REQUEST_TIMEOUT_S
-            )
+            self.open(host, int(port))
+
+    def open(self, host, port):
+        """Set the connection to one to an entry VM."""
+        self.connection = http.client.HTTPConnection(
+            host, port, timeout=REQUEST_TIMEOUT_S
+        )
 
     def disconnect(self):
         """Close the connection, if any."""
@@ -104,18 +117,18 @@
     def __init__(self, fleet, seed, stopping, first_version):
         super().__init__(daemon=True)
         self.fleet = fleet
+        self.seed = seed
         self.random = random.Random(seed)
         self.stopping = stopping
         self.version = first_version
         self.acknowledged = first_version
+        self.interval_range_s = (PLAN_INTERVAL_S, PLAN_INTERVAL_S)
         self.violations = []
 
     def run(self):
         """Put and read plans until `stopping` is set."""
-        while not self.stopping.wait(PLAN_INTERVAL_S):
-            self.version += self.random.randint(1, 3)
-            if self.fleet.put_plan(self.choose_control_vm(), self.version) == 200:
-                self.acknowledged = self.version
+        while not self.stopping.wait(self.random.uniform(*self.interval_range_s)):
+            self.put_next()
             expected = self.acknowledged
             read_version = self.fleet.read_version(self.choose_control_vm())
             if read_version is not None and read_version < expected:
@@ -123,6 +136,17 @@
                     f"read plan {read_version} after {expected} was acknowledged"
                 )
 
+    def put_next(self):
+        """Put a plan with a higher version."""
+        self.version += self.random.randint(1, 3)
+        status = self.fleet.put_plan(self.choose_control_vm(), self.version)
+        self.note_status(self.version, status)
+
+    def note_status(self, version, status):
+        """Note that a plan was acknowledged if its status says so."""
+        if status == 200:
+            self.acknowledged = max(self.acknowledged, version)
+
     def choose_control_vm(self):
         """Return the address of a random control VM."""
         return self.random.choice(self.fleet.operator_addresses)
@@ -141,7 +165,7 @@
         yield f"{observation.request_id} was refused with {observation.status} but ran"
     if observation.status == 200 and not observation.stamped:
         yield f"{observation.request_id} got a 200 without a replica's stamp"
-    if observation.status == 200 and observation.route == "stream":
+    if observation.status == 200 and observation.route in EVENT_COUNTS:
         yield from find_stream_violations(observation)
     elif (
         observation.status == 200
@@ -153,9 +177,8 @@
 
 def find_stream_violations(observation):
     """Yield violations in a streamed response, complete or not."""
-    all_events = b"".join(
-        expected_event(observation.request_id, number)
-        for number in range(1, EVENT_COUNT + 1)
+    all_events = expected_events(
+        observation.request_id, EVENT_COUNTS[observation.route]
     )
     if observation.complete and observation.body != all_events:
         yield f"{observation.request_id} got a wrong stream with a normal end"
@@ -180,4 +203,4 @@
     return caller
 
 
-__all__ = ["PORTS", "Caller", "Observation", "Operator", "find_violations", "is_served"]
+__all__ = ["Caller", "Observation", "Operator", "find_violations", "is_served"]
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -10,12 +10,12 @@
 import sys
 from pathlib import Path
 
+from tests.soak.plans import PLANNED_ROUTES, REGIONS, ROUTES, make_document
 from tests.soak.replica import Replica
-from tests.soak.start import SYNCED_SUFFIX
+from tests.soak.start import FILES_VARIABLE, SYNCED_SUFFIX
 
 ROOT = Path(__file__).parent.parent.parent
 START_SCRIPT = Path(__file__).parent / "start.py"
-REGIONS = ("west", "east", "south")
 ENTRIES = {"west": 2, "east": 1, "south": 1}
 PORTS = {"callers": 8001, "readiness": 8002, "operators": 8003, "directory": 8004}
 FIRST_PORT, LAST_PORT = 8100, 8115
@@ -27,27 +27,29 @@
     "retry_slack": 54,
     "entries_ttl_s": 5,
 }
-ROUTES = {
-    "once": ("non_idempotent", 2, "desk"),
-    "read": ("idempotent", 2, "desk"),
-    "stream": ("streaming", 2, "model"),
-}
+PLANNED_STOP_GRACE_S = 8
 
 
 class Fleet:
     """Three control VMs, four entry VMs and two replicas per region on loopback.
 
     `network` is the second octet of all addresses; data and logs go to `folder`.
-    `fault` names a fault injected into the code of all VMs ('' for none).
+    `fault` names a fault injected into the code of all VMs ('' for none). `planned` is
+    whether the fleet has the longer routes and stops of planned work, and `files` how
+    many descriptors each VM may open (0 for the machine's limit).
     """
 
-    def __init__(self, folder, network, fault=""):
+    def __init__(self, folder, network, fault="", planned=False, files=0):
         self.folder = Path(folder)
         self.fault = fault
+        self.files = files
+        self.routes = PLANNED_ROUTES if planned else ROUTES
+        self.stop_grace_s = PLANNED_STOP_GRACE_S if planned else BOUNDS["stop_grace_s"]
         self.network = network
         self.stack = contextlib.ExitStack()
         self.stack.callback(self.kill_processes)
         self.processes = {}
+        self.log_offsets = {}
         self.control_ips, self.entry_ips = {}, {}
         for number, region in enumerate(REGIONS, start=1):
             self.control_ips[f"control-{region}"] = self.ip(number, 9)
@@ -59,7 +61,12 @@
         self.replicas = [
             self.close_on_exit(
                 Replica(
-                    f"i-{s}-{r}", s, f"{r}-a", self.ip(n, d), self.operator_addresses
+                    f"i-{s}-{r}",
+                    s,
+                    f"{r}-a",
+                    self.ip(n, d),
+                    self.operator_addresses,
+                    relayed=not planned,
                 )
             )
             for n, r in enumerate(REGIONS, start=1)
@@ -75,6 +82,10 @@
         self.stack.callback(resource.close)
         return resource
 
+    def name_at(self, ip):
+        """Return the name of the entry VM at an address."""
+        return next(name for name, own_ip in self.entry_ips.items() if own_ip == ip)
+
     def start_all(self):
         """Start every VM for the first time."""
         for name in (*self.control_ips, *self.entry_ips):
@@ -88,11 +99,16 @@
 
     def write_settings(self, name, first_start):
         """Write the settings file of one VM."""
+        document = self.make_settings(name, first_start)
+        (self.folder / f"{name}.json").write_text(json.dumps(document))
+
+    def make_settings(self, name, first_start):
+        """Return the settings of one VM."""
         is_control = name in self.control_ips
         ip = (self.control_ips if is_control else self.entry_ips)[name]
         region = name.split("-")[1]
         listens = ("operators", "directory") if is_control else ("callers", "readiness")
-        document = {
+        return {
             "name": name,
             "ip": ip,
             "region": region,
@@ -105,15 +121,15 @@
             "first_start": first_start,
             "lost_disks": 1,
             "heartbeat_ms": 400,
-            "bounds": BOUNDS,
+            "bounds": BOUNDS | {"stop_grace_s": self.stop_grace_s},
             "data_folder": str(self.folder / f"data-{name}") if is_control else "",
         }
-        (self.folder / f"{name}.json").write_text(json.dumps(document))
 
     def start(self, name):
         """Start one VM."""
         path = self.folder / f"{name}.json"
         with open(self.folder / f"{name}.log", "ab") as log:
+            self.log_offsets[name] = log.tell()
             self.processes[name] = subprocess.Popen(
                 [
                     sys.executable,
@@ -123,9 +139,18 @@
                 stdout=log,
                 stderr=log,
                 stdin=subprocess.DEVNULL,
-                env={**os.environ, "POLLENMOUNT_SETTINGS": str(path)},
+                env={
+                    **os.environ,
+                    "POLLENMOUNT_SETTINGS": str(path),
+                    FILES_VARIABLE: str(self.files),
+                },
             )
 
+    def has_started(self, name):
+        """Return whether the newest process of a VM has logged its start."""
+        offset, mark = self.log_offsets[name], b'"started"'
+        return mark in (self.folder / f"{name}.log").read_bytes()[offset:]
+
     def send_signal(self, name, signal_number):
         """Send a signal to a VM, if it is running."""
         if self.processes[name].poll() is None:
@@ -155,24 +180,17 @@
 
     def put_plan(self, address, version):
         """Put a plan at one control VM; return the status, 0 if no response arrived."""
-        routes = [
-            {
-                "name": name,
-                "host": "soak.example",
-                "path_prefix": f"/{name}/",
-                "kind": kind,
-                "timeout_ms": 4000,
-                "slo_ms": 500,
-                "attempts": attempts,
-                "resumable": name == "stream",
-                "backend": service,
-            }
-            for name, (kind, attempts, service) in ROUTES.items()
-        ]
-        services = [{"name": "desk", "max_conns": 400}, {"name": "model"}]
-        document = {"version": version, "routes": routes, "services": services}
+        return self.put_document(address, make_document(version, self.routes))
+
+    def put_document(self, address, document):
+        """Put the document of a plan at one control VM; return the status, or 0."""
         return call(address, "PUT", "/-/config", json.dumps(document))[0]
 
+    def set_evacuation(self, address, failure_domain, evacuated):
+        """Evacuate a failure domain, or end its evacuation; return the status, or 0."""
+        method = "POST" if evacuated else "DELETE"
+        return call(address, method, f"/-/evacuate/{failure_domain}")[0]
+
     def read_version(self, address):
         """Return the newest version known to a control VM, None if the read failed."""
         status, body = call(address, "GET", "/-/config")
--- a/tests/soak/replica.py
+++ b/tests/soak/replica.py
@@ -1,4 +1,4 @@
-"""A replica of the users' platform that sends heartbeats and counts its runs."""
+"""A replica of the users' platform that sends heartbeats and records its runs."""
 
 import collections
 import contextlib
@@ -8,14 +8,22 @@
 import json
 import threading
 import time
+from typing import NamedTuple
 
 from standins.relay import Relay
 
 EVENT_COUNT = 25
-EVENT_INTERVAL_S = 0.03
+LONG_EVENT_COUNT = 58
+EVENT_COUNTS = {"stream": EVENT_COUNT, "long": LONG_EVENT_COUNT}
+EVENT_INTERVALS_S = {"stream": 0.03, "long": 0.06}
+# One long stream in three pauses once, for a time that its request determines.
+PAUSE_RANGE_S = (1.0, 1.5)
+PAUSE_SHARE = 3
 EVENTS_BEFORE_CUT = 5
 HEARTBEAT_INTERVAL_S = 0.3
 CALL_TIMEOUT_S = 1
+RELAYED_PORT, SERVER_PORT = 9000, 9001
+WARMUP_MS = 1500
 SLOW_S = 3
 MODES = ("ok", "ok", "failing", "truncated", "mismatched", "overloaded", "slow")
 
@@ -30,19 +38,48 @@
     return b"id: %d\ndata: %s\n\n" % (number, expected_body(f"{id_} {number}"))
 
 
+def expected_events(id_, count):
+    """Return all events of the streamed response that belongs to a request."""
+    return b"".join(expected_event(id_, number) for number in range(1, count + 1))
+
+
+def choose_pause(id_):
+    """Return (event, seconds) of a long stream's pause, (0, 0) if it has none."""
+    draw = hashlib.sha256(f"pause {id_}".encode()).digest()
+    if draw[0] % PAUSE_SHARE:
+        return 0, 0
+    shortest_s, longest_s = PAUSE_RANGE_S
+    seconds = shortest_s + (longest_s - shortest_s) * draw[1] / 255
+    return 1 + draw[2] % LONG_EVENT_COUNT, seconds
+
+
+class Run(NamedTuple):
+    """One run of a request at a replica.
+
+    `ending` is `whole` if all of the response was written, `closed` if its connection
+    was closed before, and `broke off` if the replica itself did not write all of it.
+    """
+
+    request_id: str
+    replica_id: str
+    started_at: float
+    ended_at: float
+    ending: str
+
+
 class Handler(http.server.BaseHTTPRequestHandler):
     """Responds according to the replica's mode and counts runs by request ID."""
 
     protocol_version = "HTTP/1.1"
+    broke_off = False
 
     def log_message(self, *args):
         """Log nothing."""
 
     def do_GET(self):
         """Refuse a request, or count and run it."""
-        length = int(self.headers.get("Content-Length") or 0)
-        self.rfile.read(length)
         replica = self.server.replica
+        self.read_body(int(self.headers.get("Content-Length") or 0))
         id_ = self.headers.get("X-Pollenmount-Attempt-Id", "")
         expected = self.headers.get("X-Pollenmount-Expect-Instance")
         if expected not in (None, replica.id):
@@ -52,18 +89,37 @@
         else:
             with replica.lock:
                 replica.runs[id_] += 1
-            self.run_request(replica.mode, id_)
+            with self.record_run(id_):
+                self.run_request(replica.mode, id_)
 
     do_POST = do_GET  # noqa: N815
 
+    def read_body(self, length):
+        """Read the request's body; disconnect if it does not arrive whole."""
+        if len(self.rfile.read(length)) < length:
+            raise ConnectionError("the request's body broke off")
+
+    @contextlib.contextmanager
+    def record_run(self, id_):
+        """Record how the run of a request ends."""
+        started_at, ending = time.monotonic(), "closed"
+        try:
+            yield
+            ending = "broke off" if self.broke_off else "whole"
+        finally:
+            run = Run(id_, self.server.replica.id, started_at, time.monotonic(), ending)
+            with self.server.replica.lock:
+                self.server.replica.records.append(run)
+
     def run_request(self, mode, id_):
         """Respond to a request that was counted as run."""
         if mode == "slow":
             time.sleep(SLOW_S)
-        if mode == "truncated" and self.path.startswith("/stream/"):
-            self.stream_events(id_, EVENTS_BEFORE_CUT)
+        route = self.path.split("/")[1]
+        if mode == "truncated" and route in EVENT_COUNTS:
+            self.stream_events(id_, route, EVENTS_BEFORE_CUT)
         elif mode == "truncated":
-            self.close_connection = True
+            self.close_connection = self.broke_off = True
             self.wfile.write(b"HTTP/1.1 200 OK\r\nContent-Length: 64\r\n\r\nhalf")
         elif mode == "mismatched":
             self.send_complete_response(
@@ -71,8 +127,8 @@
             )
         elif mode == "failing":
             self.send_complete_response(500, id_, b"failed", True)
-        elif self.path.startswith("/stream/"):
-            self.stream_events(id_)
+        elif route in EVENT_COUNTS:
+            self.stream_events(id_, route)
         else:
             self.send_complete_response(200, id_, expected_body(id_), True)
 
@@ -92,20 +148,23 @@
         else:
             self.send_header("X-Pollenmount-Not-Run", "1")
 
-    def stream_events(self, id_, count=EVENT_COUNT):
+    def stream_events(self, id_, route, count=LONG_EVENT_COUNT):
         """Send up to `count` events; disconnect if the stream is not complete."""
         self.send_head(200, id_, True)
         self.send_header("Content-Type", "text/event-stream")
         self.send_header("Transfer-Encoding", "chunked")
         self.end_headers()
         first = int(self.headers.get("Last-Event-Id") or 0) + 1
-        last = min(first + count - 1, EVENT_COUNT)
+        last = min(first + count - 1, EVENT_COUNTS[route])
+        pause_after, pause_s = choose_pause(id_) if route == "long" else (0, 0)
         for number in range(first, last + 1):
             event = expected_event(id_, number)
             self.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
-            time.sleep(EVENT_INTERVAL_S)
-        if last < EVENT_COUNT:
-            self.close_connection = True
+            time.sleep(EVENT_INTERVALS_S[route])
+            if number == pause_after:
+                time.sleep(pause_s)
+        if last < EVENT_COUNTS[route]:
+            self.close_connection = self.broke_off = True
             return
         self.wfile.write(b"0\r\n\r\n")
 
@@ -122,23 +181,29 @@
 class Replica:
     """One replica behind a relay that can cut, delay or reset its connections.
 
-    `control_addresses` are those of the control VMs, which receive its heartbeats.
+    `control_addresses` are those of the control VMs, which receive its heartbeats. A
+    replica that is not `relayed` receives requests without the relay. `state` is what
+    its heartbeats report, and `records` are its runs that have ended.
     """
 
-    def __init__(self, id_, service, zone, ip, control_addresses):
+    def __init__(self, id_, service, zone, ip, control_addresses, relayed=True):
         self.id = id_
         self.service = service
         self.zone = zone
         self.control_addresses = control_addresses
+        self.port = RELAYED_PORT if relayed else SERVER_PORT
         self.mode = "ok"
+        self.state = "ready"
+        self.has_returned = False
+        self.records = []
         self.runs = collections.Counter()
         self.lock = threading.Lock()
         self.sequence = 0
         self.born = int(time.time() * 1000)
         self.stopping = threading.Event()
-        self.server = Server((ip, 9001), Handler)
+        self.server = Server((ip, SERVER_PORT), Handler)
         self.server.replica = self
-        self.relay = Relay(f"{ip}:9000", f"{ip}:9001")
+        self.relay = Relay(f"{ip}:{RELAYED_PORT}", f"{ip}:{SERVER_PORT}")
         self.threads = [
             threading.Thread(target=self.server.serve_forever, daemon=True),
             threading.Thread(target=self.send_heartbeats, daemon=True),
@@ -149,37 +214,54 @@
     def send_heartbeats(self):
         """Send heartbeats to the control VMs in rotation, skipping silent ones."""
         while not self.stopping.wait(HEARTBEAT_INTERVAL_S):
+            if self.state == "gone":
+                continue
             self.sequence += 1
             offset = self.sequence % len(self.control_addresses)
             for address in (
                 *self.control_addresses[offset:],
                 *self.control_addresses[:offset],
             ):
-                if self.send_heartbeat(address):
+                if self.call_control("PUT", address, self.heartbeat()):
                     break
 
-    def send_heartbeat(self, address):
-        """Send one heartbeat; return whether it was acknowledged."""
-        document = {
+    def heartbeat(self):
+        """Return the document of the next heartbeat."""
+        age_ms = int(time.time() * 1000) - self.born
+        return {
             "backend": self.service,
-            "addr": f"{self.server.server_address[0]}:9000",
+            "addr": f"{self.server.server_address[0]}:{self.port}",
             "zone": self.zone,
             "version": "v1",
             "slots": 16,
-            "state": "ready",
-            "warmup_left_ms": 0,
+            "state": self.state,
+            "warmup_left_ms": max(0, WARMUP_MS - age_ms) if self.has_returned else 0,
             "seq": self.sequence,
             "born": self.born,
         }
+
+    def call_control(self, method, address, document=None):
+        """Send a heartbeat or leave; return whether it was acknowledged."""
         with contextlib.suppress(OSError, http.client.HTTPException):
             host, _, port = address.rpartition(":")
             connection = http.client.HTTPConnection(host, int(port), CALL_TIMEOUT_S)
             with contextlib.closing(connection):
                 path = f"/-/instances/{self.id}"
-                connection.request("PUT", path, json.dumps(document))
+                connection.request(method, path, json.dumps(document))
                 return connection.getresponse().status == 200
         return False
 
+    def leave(self):
+        """Deregister at the first control VM that answers; requests still finish."""
+        self.state = "gone"
+        any(self.call_control("DELETE", a) for a in self.control_addresses)
+
+    def come_back(self):
+        """Register as a new incarnation, which is cold for a while."""
+        self.born = int(time.time() * 1000)
+        self.has_returned = True
+        self.state = "ready"
+
     def close(self):
         """Stop the heartbeats, the relay and the server."""
         self.stopping.set()
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -6,8 +6,10 @@
 import argparse
 import collections
 import contextlib
+import json
 import random
 import signal
+import subprocess
 import sys
 import tempfile
 import threading
@@ -15,23 +17,59 @@
 from typing import NamedTuple
 
 from tests.soak.callers import Caller, Operator, find_violations, is_served
-from tests.soak.fleet import REGIONS, Fleet
-from tests.soak.replica import MODES
+from tests.soak.fleet import Fleet
+from tests.soak.habits import DEFAULT_HABITS, HABITS, HabitCaller, deadline_s
+from tests.soak.lost import LostFinder
+from tests.soak.planned import KINDS, PlannedOperator, PlannedWork, WorkRecord
+from tests.soak.plans import REGIONS
+from tests.soak.replica import MODES, PAUSE_RANGE_S
 from tests.soak.start import FAULTS
 
 CALLERS_PER_REGION = 3
+CALLERS_PER_HABIT = 2
 START_TIMEOUT_S = 30
 RECOVERY_TIMEOUT_S = 20
 FAULT_INTERVAL_RANGE_S = (0.2, 1.0)
 FAULT_DURATION_RANGE_S = (0.3, 2.0)
+MAX_PRINTED = 10
+
+
+class Options(NamedTuple):
+    """Options of a run beside its seed.
+
+    `seconds` is its length, `faults` is `any`, or `planned` for planned work only, and
+    `fault` is in the VMs' code ('' for none). `habits` are those of the callers beside
+    planned work, `busy` is the number of processes that use up processor time beside
+    the fleet, and `files` how many descriptors a VM may open (0 for no own limit).
+    `work` names the kinds of planned work.
+    """
+
+    seconds: float
+    faults: str = "any"
+    fault: str = ""
+    habits: tuple[str, ...] = DEFAULT_HABITS
+    busy: int = 0
+    files: int = 0
+    work: tuple[str, ...] = KINDS
+
+    @property
+    def is_planned(self):
+        """Return whether there is planned work only."""
+        return self.faults == "planned"
 
 
 class Report(NamedTuple):
-    """Result of a run: requests by status, injected faults, violations found."""
+    """Result of a run: requests by status, injected faults, violations found.
+
+    `cuts` are requests that ended without an answer and broke no rule, `endings` how
+    requests of callers with a habit ended.
+    """
 
     statuses: dict[int, int]
     injected: list[str]
     violations: list[str]
+    cuts: list[str] = ()
+    endings: dict[str, int] = {}
 
 
 class FaultInjector:
@@ -148,15 +186,29 @@
     return False
 
 
-def run_seed(folder, network, seed, seconds, fault=""):
-    """Run one seed, with `fault` in the VMs' code if given; return the `Report`."""
-    with contextlib.closing(Fleet(folder, network, fault)) as fleet:
+def run_seed(folder, network, seed, options):
+    """Run one seed; return the `Report`."""
+    fleet = Fleet(folder, network, options.fault, options.is_planned, options.files)
+    with contextlib.closing(fleet), run_busy_processes(options.busy):
         fleet.start_all()
         started = wait_for(lambda: is_started(fleet), START_TIMEOUT_S)
         if not started:
             return Report({}, [], ["the fleet did not start"])
         fleet.clear_first_start()
-        return run_workload(fleet, seed, seconds)
+        return run_workload(fleet, seed, options)
+
+
+@contextlib.contextmanager
+def run_busy_processes(count):
+    """Run processes that use up processor time while the context lasts."""
+    command = [sys.executable, "-c", "while True: pass"]
+    processes = [subprocess.Popen(command) for _ in range(count)]
+    try:
+        yield
+    finally:
+        for process in processes:
+            process.kill()
+            process.wait()
 
 
 def is_started(fleet):
@@ -165,27 +217,52 @@
     return accepted and all(is_served(fleet, region) for region in REGIONS)
 
 
-def run_workload(fleet, seed, seconds):
+def run_workload(fleet, seed, options):
     """Run callers and an operator while injecting faults; return the `Report`."""
     stopping = threading.Event()
-    callers = [
-        Caller(fleet, f"{region}-{number}", f"{seed} {region} {number}", stopping)
-        for region in REGIONS
-        for number in range(CALLERS_PER_REGION)
-    ]
-    operator = Operator(fleet, seed, stopping, 1)
-    for thread in (*callers, operator):
+    record = WorkRecord()
+    callers = make_callers(fleet, seed, options, stopping)
+    if options.is_planned:
+        operator = PlannedOperator(fleet, seed, stopping, 1, record)
+        injector = PlannedWork(fleet, seed, record, options.work)
+    else:
+        operator = Operator(fleet, seed, stopping, 1)
+        injector = FaultInjector(fleet, seed)
+    threads = (*callers, operator) if "plan" in options.work else callers
+    for thread in threads:
         thread.start()
-    injector = FaultInjector(fleet, seed)
-    injector.run(seconds)
+    injector.run(options.seconds)
     recovered = wait_for(lambda: has_recovered(fleet), RECOVERY_TIMEOUT_S)
     stopping.set()
-    for thread in (*callers, operator):
+    for thread in threads:
         thread.join()
     violations = (
         [] if recovered else ["not every region is served again after the faults"]
     )
-    return make_report(fleet, callers, operator, injector, violations)
+    report = make_report(fleet, callers, operator, injector, violations)
+    return add_lost(report, fleet, callers, record) if options.is_planned else report
+
+
+def make_callers(fleet, seed, options, stopping):
+    """Return the callers, which have habits beside planned work."""
+    if options.is_planned:
+        return [
+            HabitCaller(
+                fleet,
+                f"{region}-{habit}-{number}",
+                f"{seed} {region} {habit} {number}",
+                stopping,
+                HABITS[habit],
+            )
+            for region in REGIONS
+            for habit in options.habits
+            for number in range(CALLERS_PER_HABIT)
+        ]
+    return [
+        Caller(fleet, f"{region}-{number}", f"{seed} {region} {number}", stopping)
+        for region in REGIONS
+        for number in range(CALLERS_PER_REGION)
+    ]
 
 
 def has_recovered(fleet):
@@ -222,6 +299,40 @@
     return Report(dict(statuses), injector.injected, violations)
 
 
+def add_lost(report, fleet, callers, record):
+    """Return the report with the lost requests and how all requests ended."""
+    # A replica notices that its connection was closed when it writes the next event.
+    time.sleep(max(PAUSE_RANGE_S))
+    runs = collections.defaultdict(list)
+    for replica in fleet.replicas:
+        with replica.lock:
+            for run in replica.records:
+                runs[run.request_id].append(run)
+    observations = [o for caller in callers for o in caller.observations]
+
+    def get_limit_s(observation):
+        route = observation.route
+        return record.least_limit_s(route, observation.sent_at, deadline_s(route))
+
+    write_record(fleet.folder, observations, runs, record)
+    finder = LostFinder(runs, record.works, get_limit_s, fleet.stop_grace_s)
+    violations, cuts = finder.find(observations)
+    endings = collections.Counter(o.ending for o in observations)
+    return report._replace(
+        violations=report.violations + violations, cuts=cuts, endings=dict(endings)
+    )
+
+
+def write_record(folder, observations, runs, record):
+    """Write what callers and replicas observed, and the planned work, to a folder."""
+    with open(folder / "record.jsonl", "w") as file:
+        all_runs = (run for request_runs in runs.values() for run in request_runs)
+        for entry in (*observations, *all_runs, *record.works):
+            values = entry._asdict() | {"type": type(entry).__name__}
+            values["body"] = len(values.get("body", b""))
+            print(json.dumps(values), file=file)
+
+
 def main():
     """Run one or more seeds; return 1 if a violation was found."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -231,17 +342,41 @@
     parser.add_argument("--network", type=int, default=90)
     parser.add_argument("--keep", default="", help="folder in which logs are kept")
     parser.add_argument("--fault", default="", choices=("", *FAULTS))
+    parser.add_argument("--faults", default="any", choices=("any", "planned"))
+    parser.add_argument("--habits", default=",".join(DEFAULT_HABITS))
+    parser.add_argument("--busy", type=int, default=0, help="busy processes beside")
+    parser.add_argument("--files", type=int, default=0, help="descriptors of a VM")
+    parser.add_argument("--work", default=",".join(KINDS), help="planned work")
     flags = parser.parse_args()
+    options = Options(
+        flags.seconds,
+        flags.faults,
+        flags.fault,
+        tuple(flags.habits.split(",")),
+        flags.busy,
+        flags.files,
+        tuple(flags.work.split(",")),
+    )
     failed = 0
     for seed in range(flags.seed, flags.seed + flags.seeds):
         folder = tempfile.mkdtemp(dir=flags.keep or None)
-        report = run_seed(folder, flags.network, seed, flags.seconds, flags.fault)
+        report = run_seed(folder, flags.network, seed, options)
         failed += bool(report.violations)
-        print(f"seed {seed}: {report.statuses}, {len(report.injected)} faults", folder)
-        for violation in report.violations[:10]:
-            print(f"    {violation}")
+        print_report(seed, report, folder)
     return 1 if failed else 0
 
 
+def print_report(seed, report, folder):
+    """Print what a seed showed."""
+    endings = f", ended {report.endings}" if report.endings else ""
+    print(
+        f"seed {seed}: {report.statuses}{endings}, {len(report.injected)} faults",
+        folder,
+        flush=True,
+    )
+    for text in (*report.violations[:MAX_PRINTED], *report.cuts[:MAX_PRINTED]):
+        print(f"    {text}")
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/tests/soak/start.py
+++ b/tests/soak/start.py
@@ -6,11 +6,14 @@
 
 import contextlib
 import os
+import resource
 import sys
 from pathlib import Path
 
 ROOT = Path(__file__).parent.parent.parent
 SYNCED_SUFFIX = ".synced"
+FILES_VARIABLE = "POLLENMOUNT_SOAK_FILES"
+OPERATORS_PREFIX = "/-/"
 
 
 def record_synced_sizes():
@@ -95,6 +98,34 @@
     Sender.run = lambda self, attempt: run(self, attempt._replace(resume_after=""))
 
 
+def cut_callers_on_plan():
+    """Close the connections of running requests when a plan comes into force."""
+    import socket
+
+    from pollenmount.api.connection import Connection
+    from pollenmount.routes.store import RoutesStore
+
+    running = set()
+    run_request, update = Connection.run_request, RoutesStore.update
+
+    def run_and_record(connection, head):
+        running.add(connection)
+        try:
+            run_request(connection, head)
+        finally:
+            running.discard(connection)
+
+    def update_and_cut(store, version, document):
+        is_updated = update(store, version, document)
+        for connection in [*running] if is_updated else ():
+            if not connection.requestline.split()[1].startswith(OPERATORS_PREFIX):
+                with contextlib.suppress(OSError):
+                    connection.connection.shutdown(socket.SHUT_RDWR)
+        return is_updated
+
+    Connection.run_request, RoutesStore.update = run_and_record, update_and_cut
+
+
 FAULTS = {
     "sync": skip_syncs,
     "twice": retry_everything,
@@ -102,9 +133,18 @@
     "answer": accept_any_response,
     "stale": read_local_copy,
     "resume": restart_resumed_streams,
+    "plan": cut_callers_on_plan,
 }
 
 
+def limit_files():
+    """Lower the number of descriptors of this process, if the soak test asks for it."""
+    files = int(os.environ.get(FILES_VARIABLE, "0"))
+    if files:
+        hard_limit = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
+        resource.setrlimit(resource.RLIMIT_NOFILE, (files, hard_limit))
+
+
 def main():
     """Inject the faults named on the command line, then run `platform/start.py`."""
     sys.path.insert(0, str(ROOT))
@@ -113,6 +153,7 @@
 
     from pollenmount import task
 
+    limit_files()
     task.monkey_patch()
     record_synced_sizes()
     for name in sys.argv[1:]:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -8,27 +8,43 @@
 
 from tests.soak.callers import Observation, find_violations
 from tests.soak.fleet import ROOT
-from tests.soak.replica import EVENT_COUNT, expected_body, expected_event
+from tests.soak.lost import LostFinder, Work
+from tests.soak.replica import EVENT_COUNT, Run, expected_body, expected_event
 
 DURATION_S = 8
 TIMEOUT_S = 150
+GRACE_S = 8
+LIMIT_S = 10
 
 
-def test_seeded_run_has_no_violations(tmp_path, network):
-    """Runs in a separate process: other tests leave green threads in this one."""
-    arguments = ["--seed=1", f"--seconds={DURATION_S}", f"--network={network}"]
-    completed = subprocess.run(
-        [sys.executable, "-m", "tests.soak.run", *arguments, f"--keep={tmp_path}"],
+def run_soak(folder, *arguments):
+    """Run the soak in a separate process: other tests leave green threads in this."""
+    return subprocess.run(
+        [sys.executable, "-m", "tests.soak.run", *arguments, f"--keep={folder}"],
         cwd=ROOT,
         capture_output=True,
         text=True,
         check=False,
         timeout=TIMEOUT_S,
     )
+
+
+@pytest.mark.parametrize("faults", ["any", "planned"])
+def test_seeded_run_has_no_violations(tmp_path, network, faults):
+    arguments = ["--seed=1", f"--seconds={DURATION_S}", f"--network={network}"]
+    completed = run_soak(tmp_path, *arguments, f"--faults={faults}")
     assert completed.returncode == 0, completed.stdout + completed.stderr
     assert "200:" in completed.stdout
 
 
+def test_planted_cut_is_found(tmp_path, network):
+    arguments = ["--seed=1", "--seconds=4", f"--network={network}"]
+    planted = ["--faults=planned", "--work=plan", "--fault=plan"]
+    completed = run_soak(tmp_path, *arguments, *planted)
+    assert completed.returncode == 1, completed.stdout + completed.stderr
+    assert "LOST beside plan" in completed.stdout
+
+
 @pytest.mark.parametrize(
     ("observation", "run_count"),
     [
@@ -55,3 +71,111 @@
         Observation("a", "once", 502, b"", True, False),
     ):
         assert not [*find_violations(observation, collections.Counter({"a": 1}))]
+
+
+def observe_cut(sent_at=100.0, ended_at=102.0, ending="closed", vm="entry"):
+    """Return the observation of a stream that was cut."""
+    observation = Observation("a", "long", 200, b"", False, True)
+    return observation._replace(
+        vm=vm, began_at=sent_at, sent_at=sent_at, ended_at=ended_at, ending=ending
+    )
+
+
+def find_lost(observations, works, run_ending="closed", run_ended_at=102.0):
+    """Return what a `LostFinder` finds; without a `run_ending` nothing has run."""
+    run = Run("a", "replica", 100.0, run_ended_at, run_ending)
+    runs = {"a": [run]} if run_ending else {}
+    return LostFinder(runs, works, lambda observation: LIMIT_S, GRACE_S).find(
+        observations
+    )
+
+
+STOP = Work("stop", "entry", 101.0, 101.0)
+RELOAD = Work("reload", "entry", 101.0, 101.0)
+PLAN = Work("plan", "", 101.0, 101.1)
+
+
+@pytest.mark.parametrize(
+    ("cut", "work", "run_ending"),
+    [
+        (observe_cut(), STOP, "closed"),
+        (observe_cut(ending="reset"), STOP, "whole"),
+        # It has not run, but was sent long before.
+        (observe_cut(), STOP, ""),
+        # It ran, so that it was read at once.
+        (observe_cut(ended_at=101.1, sent_at=101.0), STOP, "closed"),
+        (observe_cut(ended_at=109.9, sent_at=104.5), STOP, "closed"),
+        (observe_cut(sent_at=103.9, ended_at=108.0), RELOAD, "closed"),
+        (observe_cut(), PLAN, "closed"),
+        (observe_cut(sent_at=104.0, ended_at=105.0), PLAN, "closed"),
+    ],
+)
+def test_each_kind_of_lost_request_is_found(cut, work, run_ending):
+    violations, cuts = find_lost([cut], [work], run_ending)
+    assert f"LOST beside {work.kind}" in violations[0]
+    assert not cuts
+
+
+@pytest.mark.parametrize(
+    ("cut", "work", "run_ending"),
+    [
+        # The connection closed while the request was on its way.
+        (observe_cut(sent_at=101.0, ended_at=101.1), STOP, ""),
+        (observe_cut(ending="complete"), STOP, "whole"),
+        (observe_cut(ending="timed out"), STOP, "closed"),
+        (observe_cut(ending="not sent"), STOP, ""),
+        (observe_cut(), STOP, "broke off"),
+        # The time limit was reached.
+        (observe_cut(sent_at=92.0), STOP, "closed"),
+    ],
+)
+def test_requests_that_are_not_lost_are_passed_over(cut, work, run_ending):
+    assert find_lost([cut], [work], run_ending) == ([], [])
+
+
+@pytest.mark.parametrize(
+    ("cut", "work"),
+    [
+        (observe_cut(), STOP._replace(vm="another")),
+        (observe_cut(ended_at=100.9), STOP),
+        (observe_cut(sent_at=105.0, ended_at=110.1), STOP),
+        (observe_cut(), RELOAD._replace(vm="another")),
+        (observe_cut(ended_at=100.9), RELOAD),
+        (observe_cut(sent_at=104.1, ended_at=105.0), RELOAD),
+        (observe_cut(ended_at=100.9), PLAN),
+        (observe_cut(sent_at=105.0, ended_at=105.2), PLAN),
+        # Seven tenths of its time were used.
+        (observe_cut(sent_at=94.9), PLAN),
+    ],
+)
+def test_cuts_apart_from_planned_work_break_no_rule(cut, work):
+    violations, cuts = find_lost([cut], [work])
+    assert not violations
+    assert len(cuts) == 1
+
+
+def test_replica_at_work_in_the_last_sixth_of_a_stop_is_excused():
+    end = 101.0 + GRACE_S
+    late = observe_cut(sent_at=104.0, ended_at=end)
+    for works in ([STOP], [STOP, PLAN._replace(ended_at=end)]):
+        assert find_lost([late], works, run_ended_at=end) == ([], [])
+    # Its run had ended before, or it was sent later, or another VM was stopped.
+    assert find_lost([late], [STOP], run_ended_at=107.6)[0]
+    assert find_lost([late._replace(sent_at=104.1)], [STOP], run_ended_at=end)[0]
+    works = [STOP._replace(vm="another"), PLAN._replace(ended_at=end)]
+    assert find_lost([late], works, run_ended_at=end)[0]
+
+
+def test_cuts_beside_a_plan_count_only_if_more_frequent():
+    whole = observe_cut(ending="complete")
+    apart, beside = {"sent_at": 200.0, "ended_at": 201.0}, {}
+    for count, is_lost in ((3, False), (4, True)):
+        observations = [
+            *[observe_cut(**beside)] * count,
+            *[whole] * (12 - count),
+            observe_cut(**apart),
+            *[whole._replace(**apart)] * 11,
+        ]
+        violations, cuts = find_lost(observations, [PLAN])
+        assert len(violations) == (count if is_lost else 0)
+        assert len(violations) + len(cuts) == count + 1
