--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -8,6 +8,7 @@
 import signal
 import subprocess
 import sys
+import threading
 from pathlib import Path
 
 from tests.soak.plans import PLANNED_ROUTES, REGIONS, ROUTES, make_document
@@ -127,24 +128,27 @@
 
     def start(self, name):
         """Start one VM."""
-        path = self.folder / f"{name}.json"
-        with open(self.folder / f"{name}.log", "ab") as log:
-            self.log_offsets[name] = log.tell()
-            self.processes[name] = subprocess.Popen(
-                [
-                    sys.executable,
-                    str(START_SCRIPT),
-                    *([self.fault] if self.fault else []),
-                ],
-                stdout=log,
-                stderr=log,
-                stdin=subprocess.DEVNULL,
-                env={
-                    **os.environ,
-                    "POLLENMOUNT_SETTINGS": str(path),
-                    FILES_VARIABLE: str(self.files),
-                },
-            )
+        path, log_path = self.folder / f"{name}.json", self.folder / f"{name}.log"
+        self.log_offsets[name] = log_path.stat().st_size if log_path.exists() else 0
+        self.processes[name] = process = subprocess.Popen(
+            [
+                sys.executable,
+                str(START_SCRIPT),
+                *([self.fault] if self.fault else []),
+            ],
+            stdout=subprocess.PIPE,
+            stderr=subprocess.STDOUT,
+            stdin=subprocess.DEVNULL,
+            env={
+                **os.environ,
+                "POLLENMOUNT_SETTINGS": str(path),
+                FILES_VARIABLE: str(self.files),
+            },
+        )
+        # A pipe, as a VM's supervisor has; the event loop treats it unlike a file.
+        threading.Thread(
+            target=copy_log, args=(process.stdout, log_path), daemon=True
+        ).start()
 
     def has_started(self, name):
         """Return whether the newest process of a VM has logged its start."""
@@ -216,6 +220,14 @@
         self.stack.close()
 
 
+def copy_log(pipe, path):
+    """Append what a VM writes to its log file, until it exits."""
+    with pipe, open(path, "ab") as log:
+        for line in pipe:
+            log.write(line)
+            log.flush()
+
+
 def call(address, method, path, body=None):
     """Return (status, body) of a call, (0, b'') if no response arrived."""
     host, _, port = address.rpartition(":")
