--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -37,13 +37,15 @@
     `network` is the second octet of all addresses; data and logs go to `folder`.
     `fault` names a fault injected into the code of all VMs ('' for none). `planned` is
     whether the fleet has the longer routes and stops of planned work, and `files` how
-    many descriptors each VM may open (0 for the machine's limit).
+    many descriptors each VM may open (0 for the machine's limit). The first plan binds
+    long streams to the region `home`, if it is given.
     """
 
-    def __init__(self, folder, network, fault="", planned=False, files=0):
+    def __init__(self, folder, network, fault="", planned=False, files=0, home=""):
         self.folder = Path(folder)
         self.fault = fault
         self.files = files
+        self.home = home
         self.routes = PLANNED_ROUTES if planned else ROUTES
         self.stop_grace_s = PLANNED_STOP_GRACE_S if planned else BOUNDS["stop_grace_s"]
         self.network = network
@@ -184,7 +186,9 @@
 
     def put_plan(self, address, version):
         """Put a plan at one control VM; return the status, 0 if no response arrived."""
-        return self.put_document(address, make_document(version, self.routes))
+        return self.put_document(
+            address, make_document(version, self.routes, self.home)
+        )
 
     def put_document(self, address, document):
         """Put the document of a plan at one control VM; return the status, or 0."""
--- a/tests/soak/planned.py
+++ b/tests/soak/planned.py
@@ -22,6 +22,7 @@
 EVACUATION_RANGE_S = (0.2, 5.0)
 DRAIN_RANGE_S = (0.5, 3.0)
 PAUSE_S = 0.1
+HOME_DELAY_S = 3
 # At least one entry VM isn't stopped, so that callers are served.
 MAX_STOPPED_ENTRIES = 2
 KINDS = ("plan", "stop", "reload", "evacuate", "drain")
@@ -87,7 +88,7 @@
     def put_varied(self, address, version):
         """Put a plan with changes that the version determines, and record it."""
         document = vary_document(
-            make_document(version, self.fleet.routes),
+            make_document(version, self.fleet.routes, self.fleet.home),
             random.Random(f"{self.seed} {version}"),
         )
         started_at = time.monotonic()
@@ -100,7 +101,7 @@
 class PlannedWork:
     """Does planned work chosen by the seed; some of it overlaps.
 
-    `kinds` names what is done: stop, reload, evacuate, drain.
+    `kinds` names what is done: stop, reload, evacuate, drain, home.
     """
 
     def __init__(self, fleet, seed, record, kinds):
@@ -116,6 +117,7 @@
             "reload": (self.reload, self.rewrite_settings, self.rewrite_settings),
             "evacuate": (self.evacuate, self.evacuate),
             "drain": (self.drain_replica, self.drain_replica),
+            "home": (self.stop_home,),
         }
         chosen = [m for kind in kinds for m in methods.get(kind, ())]
         self.methods = chosen or [lambda: "none"]
@@ -176,6 +178,13 @@
             return "no stop of two"
         return self.stop_some(self.random.sample(running, 2))
 
+    def stop_home(self):
+        """Stop an entry VM of the home region once requests are on their way there."""
+        time.sleep(HOME_DELAY_S)
+        region = self.fleet.home
+        names = [n for n in self.running_entries() if n.split("-")[1] == region]
+        return self.stop_some([self.random.choice(names)]) if names else "no stop"
+
     def stop_control(self):
         """Stop a control VM, if the two others run."""
         names = sorted(self.fleet.control_ips)
--- a/tests/soak/plans.py
+++ b/tests/soak/plans.py
@@ -20,14 +20,21 @@
 SERVICES = ("desk", "model")
 
 
-def make_document(version, routes=ROUTES):
-    """Return the document of the plan that all changes start from."""
+def make_document(version, routes=ROUTES, home=""):
+    """Return the document of the plan that all changes start from.
+
+    Long streams are bound to the region `home` if it is given.
+    """
+    documents = [
+        make_route(name, *values, resumable=name == "stream")
+        for name, values in routes.items()
+    ]
+    for route in documents:
+        if home and route["name"] == "long":
+            route["home_regions"] = [home]
     return {
         "version": version,
-        "routes": [
-            make_route(name, *values, resumable=name == "stream")
-            for name, values in routes.items()
-        ],
+        "routes": documents,
         "services": [{"name": "desk", "max_conns": 400}, {"name": "model"}],
     }
 
--- a/tests/soak/replica.py
+++ b/tests/soak/replica.py
@@ -6,6 +6,7 @@
 import http.client
 import http.server
 import json
+import random
 import threading
 import time
 from typing import NamedTuple
@@ -15,8 +16,9 @@
 EVENT_COUNT = 25
 LONG_EVENT_COUNT = 58
 EVENT_COUNTS = {"stream": EVENT_COUNT, "long": LONG_EVENT_COUNT}
-EVENT_INTERVALS_S = {"stream": 0.03, "long": 0.06}
-# One long stream in three pauses once, for a time that its request determines.
+EVENT_INTERVAL_S = 0.03
+# A long stream's interval is determined by its request, and one in three pauses once.
+LONG_INTERVAL_RANGE_S = (0.05, 0.1)
 PAUSE_RANGE_S = (1.0, 1.5)
 PAUSE_SHARE = 3
 EVENTS_BEFORE_CUT = 5
@@ -43,14 +45,24 @@
     return b"".join(expected_event(id_, number) for number in range(1, count + 1))
 
 
-def choose_pause(id_):
-    """Return (event, seconds) of a long stream's pause, (0, 0) if it has none."""
-    draw = hashlib.sha256(f"pause {id_}".encode()).digest()
-    if draw[0] % PAUSE_SHARE:
-        return 0, 0
-    shortest_s, longest_s = PAUSE_RANGE_S
-    seconds = shortest_s + (longest_s - shortest_s) * draw[1] / 255
-    return 1 + draw[2] % LONG_EVENT_COUNT, seconds
+class Pace(NamedTuple):
+    """Seconds between events, and a pause after one event (0 for none)."""
+
+    interval_s: float
+    pause_after: int = 0
+    pause_s: float = 0.0
+
+
+def choose_pace(id_, route):
+    """Return the `Pace` of the streamed response that belongs to a request."""
+    if route != "long":
+        return Pace(EVENT_INTERVAL_S)
+    draw = random.Random(id_)
+    interval_s = draw.uniform(*LONG_INTERVAL_RANGE_S)
+    if draw.randrange(PAUSE_SHARE):
+        return Pace(interval_s)
+    pause_after = draw.randint(1, LONG_EVENT_COUNT)
+    return Pace(interval_s, pause_after, draw.uniform(*PAUSE_RANGE_S))
 
 
 class Run(NamedTuple):
@@ -156,13 +168,13 @@
         self.end_headers()
         first = int(self.headers.get("Last-Event-Id") or 0) + 1
         last = min(first + count - 1, EVENT_COUNTS[route])
-        pause_after, pause_s = choose_pause(id_) if route == "long" else (0, 0)
+        pace = choose_pace(id_, route)
         for number in range(first, last + 1):
             event = expected_event(id_, number)
             self.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
-            time.sleep(EVENT_INTERVALS_S[route])
-            if number == pause_after:
-                time.sleep(pause_s)
+            time.sleep(pace.interval_s)
+            if number == pace.pause_after:
+                time.sleep(pace.pause_s)
         if last < EVENT_COUNTS[route]:
             self.close_connection = self.broke_off = True
             return
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -41,7 +41,8 @@
     `fault` is in the VMs' code ('' for none). `habits` are those of the callers beside
     planned work, `busy` is the number of processes that use up processor time beside
     the fleet, and `files` how many descriptors a VM may open (0 for no own limit).
-    `work` names the kinds of planned work.
+    `work` names the kinds of planned work. The first plan binds long streams to the
+    region `home`, if it is given.
     """
 
     seconds: float
@@ -51,6 +52,7 @@
     busy: int = 0
     files: int = 0
     work: tuple[str, ...] = KINDS
+    home: str = ""
 
     @property
     def is_planned(self):
@@ -188,7 +190,14 @@
 
 def run_seed(folder, network, seed, options):
     """Run one seed; return the `Report`."""
-    fleet = Fleet(folder, network, options.fault, options.is_planned, options.files)
+    fleet = Fleet(
+        folder,
+        network,
+        options.fault,
+        options.is_planned,
+        options.files,
+        options.home,
+    )
     with contextlib.closing(fleet), run_busy_processes(options.busy):
         fleet.start_all()
         started = wait_for(lambda: is_started(fleet), START_TIMEOUT_S)
@@ -347,6 +356,7 @@
     parser.add_argument("--busy", type=int, default=0, help="busy processes beside")
     parser.add_argument("--files", type=int, default=0, help="descriptors of a VM")
     parser.add_argument("--work", default=",".join(KINDS), help="planned work")
+    parser.add_argument("--home", default="", choices=("", *REGIONS))
     flags = parser.parse_args()
     options = Options(
         flags.seconds,
@@ -356,6 +366,7 @@
         flags.busy,
         flags.files,
         tuple(flags.work.split(",")),
+        flags.home,
     )
     failed = 0
     for seed in range(flags.seed, flags.seed + flags.seeds):
