--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -37,6 +37,15 @@
     assert "200:" in completed.stdout
 
 
+def test_stop_of_a_vm_cuts_no_streams_of_other_vms(tmp_path, network):
+    """Seed 1: streams sent on to a VM that was stopping broke off when it exited."""
+    arguments = ["--seed=1", "--seconds=14", f"--network={network}"]
+    planned = ["--faults=planned", "--work=home", "--home=south"]
+    completed = run_soak(tmp_path, *arguments, *planned)
+    assert completed.returncode == 0, completed.stdout + completed.stderr
+    assert "cut:" not in completed.stdout
+
+
 def test_planted_cut_is_found(tmp_path, network):
     arguments = ["--seed=1", "--seconds=4", f"--network={network}"]
     planted = ["--faults=planned", "--work=plan", "--fault=plan"]
