--- a/pollenmount/wire/connection.py
+++ b/pollenmount/wire/connection.py
@@ -321,12 +321,19 @@
     def close(self):
         """Close the connection; the peer may cancel a running request."""
         self.reusable = False
-        if self.sender_task is not None:
-            self.sender_task.kill()
-            self.sender_task = None
-        self.reader.close()
-        with contextlib.suppress(OSError):
-            self.socket.close()
+        try:
+            # Lets other tasks run, which may cancel this one.
+            self.end_sender_task()
+        finally:
+            self.reader.close()
+            with contextlib.suppress(OSError):
+                self.socket.close()
+
+    def end_sender_task(self):
+        """Stop sending a request, if that is still going on."""
+        sender_task, self.sender_task = self.sender_task, None
+        if sender_task is not None:
+            sender_task.kill()
 
 
 def classify_error(error):
--- a/tests/test_wire_connection.py
+++ b/tests/test_wire_connection.py
@@ -3,6 +3,7 @@
 import struct
 import time
 
+import eventlet
 import pytest
 from eventlet.green import socket
 
@@ -180,3 +181,17 @@
 def test_few_chunks_in_one_read_take_no_turn_of_the_event_loop(turns):
     assert read_chunks(3) == b"xxx"
     assert not turns
+
+
+# Guards against a connection that stays open because its request is cancelled while it
+# closes it.
+def test_a_close_that_is_cancelled_still_closes_the_socket():
+    ours, theirs = socket.socketpair()
+    connection = Connection(ours)
+    connection.send(bytes(LARGE_REQUEST_BYTES))
+    task.sleep(10)
+    closing = eventlet.spawn(connection.close)
+    eventlet.spawn(eventlet.kill, closing)
+    task.sleep(50)
+    assert ours.fileno() == -1
+    theirs.close()
