--- a/pollenmount/gateway/retry_policy.py
+++ b/pollenmount/gateway/retry_policy.py
@@ -59,8 +59,11 @@
             call, progress, progress.runs + 1
         ):
             return False
-        if progress.retry_reserved or stalled_ms < RESERVE_AFTER_MS:
+        if stalled_ms < RESERVE_AFTER_MS:
             return True
+        if progress.retry_reserved and self.budget.covers_reserved(call.service):
+            return True
+        self.release(call, progress)
         progress.retry_reserved = has_other_option() and self.budget.reserve(
             call.service
         )
--- a/pollenmount/retry_budget.py
+++ b/pollenmount/retry_budget.py
@@ -71,6 +71,11 @@
         self.reserved[service] += 1
         return True
 
+    def covers_reserved(self, service=""):
+        """Return whether there is still room for all reservations of a service."""
+        retries = len(self.recent(self.retries, service))
+        return retries + self.reserved[service] <= self.allowed(service)
+
     def release(self, service=""):
         """End a reservation."""
         self.reserved[service] -= 1
--- a/tests/test_gateway_silence.py
+++ b/tests/test_gateway_silence.py
@@ -108,3 +108,15 @@
     call, progress = running(harness, RESUMABLE, 3)
     assert may_replace(harness, call, progress, 500)
     assert not progress.retry_reserved
+
+
+# Guards against a stream that is given up although other calls have used the budget.
+def test_a_reservation_lasts_only_while_the_budget_covers_it(harness):
+    call, progress = running(harness, RESUMABLE, 3)
+    assert may_replace(harness, call, progress)
+    while harness.budget.try_acquire("desk"):
+        pass
+    assert not may_replace(harness, call, progress)
+    assert not progress.retry_reserved
+    harness.clock.advance(10_000)
+    assert may_replace(harness, *running(harness, RESUMABLE, 3))
