--- a/pollenmount/gateway/attempt.py
+++ b/pollenmount/gateway/attempt.py
@@ -11,6 +11,7 @@
 from pollenmount.wire.connection import encode_request
 from pollenmount.wire.errors import ExchangeError, MalformedResponseError
 from pollenmount.wire.events import EventSplitter
+from pollenmount.wire.numbers import parse_decimal
 
 __all__ = [
     "Attempt",
@@ -220,9 +221,7 @@
     def read_events(self, head, parts, attempt):
         """Yield the head and the complete events of a stream as they arrive."""
         resume_after = attempt.resume_after
-        splitter = EventSplitter(
-            int(resume_after) if resume_after.isdecimal() else None
-        )
+        splitter = EventSplitter(parse_decimal(resume_after))
         started = False
         for part in parts:
             attempt.observer.on_chunk()
--- a/pollenmount/gateway/call.py
+++ b/pollenmount/gateway/call.py
@@ -4,6 +4,7 @@
 
 from pollenmount.gateway.dialect import CallerInfo
 from pollenmount.routes.plan import Route
+from pollenmount.wire.numbers import parse_decimal
 
 __all__ = ["AttemptFailure", "Call", "ErrorResponse", "Response", "ResponseHead"]
 
@@ -34,8 +35,7 @@
     @property
     def resume_after(self):
         """Return the number of the last event that the caller has, or None."""
-        text = self.info.resume_after
-        return int(text) if text.isdecimal() else None
+        return parse_decimal(self.info.resume_after)
 
 
 class ResponseHead(NamedTuple):
--- a/pollenmount/wire/pool.py
+++ b/pollenmount/wire/pool.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from pollenmount.wire.connection import Connection, connect
+from pollenmount.wire.numbers import parse_decimal
 
 __all__ = ["ConnectionPool"]
 
@@ -129,8 +130,9 @@
     """Return how long a connection may be idle, from its last Keep-Alive header."""
     for option in head.header("keep-alive").split(","):
         name, _, value = option.strip().partition("=")
-        if name.lower() == "timeout" and value.isdecimal():
-            keep_alive_ms = int(value) * MS_PER_S
+        timeout_s = parse_decimal(value)
+        if name.lower() == "timeout" and timeout_s is not None:
+            keep_alive_ms = timeout_s * MS_PER_S
             return min(
                 MAX_IDLE_MS, max(keep_alive_ms - CLOSE_MARGIN_MS, keep_alive_ms // 2)
             )
--- a/tests/test_gateway_sender.py
+++ b/tests/test_gateway_sender.py
@@ -15,8 +15,9 @@
 )
 from pollenmount.gateway.call import ResponseHead
 from pollenmount.routes.plan import RetryMode
-from pollenmount.wire.connection import Connection
+from pollenmount.wire.connection import Connection, HttpResponseHead
 from pollenmount.wire.errors import ExchangeError, MalformedResponseError
+from pollenmount.wire.pool import DEFAULT_MAX_IDLE_MS, idle_limit_ms
 from tests.gateway_harness import EntryHarness, make_route
 from tests.test_platform_adapter import DIALECT
 
@@ -213,3 +214,15 @@
     parts, pool = run(response_bytes(extra=f"Pollenmount-Hop-Refused: {text}\r\n"))
     assert [type(part) for part in parts] == [MalformedResponseError]
     assert not pool.returned
+
+
+# Guards against a stream that loses its end because of a number in its target's head.
+def test_an_absurd_idle_time_of_a_target_is_left_out():
+    headers = (("Keep-Alive", "timeout=" + "9" * 5000),)
+    assert idle_limit_ms(HttpResponseHead(200, headers, False)) == DEFAULT_MAX_IDLE_MS
+
+
+def test_an_absurd_event_id_of_a_caller_is_left_out():
+    call = EntryHarness().make_call(STREAM)
+    info = call.info._replace(resume_after="9" * 5000)
+    assert call._replace(info=info).resume_after is None
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -255,3 +255,20 @@
 
     for key in (*Document.__struct_fields__, *Listen._fields, *Bounds._fields):
         assert f'"{key}"' in text
+
+
+# Guards against one caller's numbers that stop the reports of load of its VM, or raise.
+@pytest.mark.parametrize("digits", [20, 5000])
+def test_absurd_numbers_of_a_caller_are_left_out(digits):
+    number = "9" * digits
+    counted = caller_head(
+        ("X-Pollenmount-Deadline-Ms", number),
+        ("X-Pollenmount-Token-Count", "10,5"),
+        ("X-Pollenmount-Prompt-Prefix", f"a:{number}"),
+        ("X-Pollenmount-Length-Hint", number),
+    )
+    info = DIALECT.read_caller(counted)
+    assert info.timeout_ms is None
+    assert (info.prompt.parts[0].tokens, info.prompt.hint) == (0, 0)
+    absurd = caller_head(("X-Pollenmount-Token-Count", f"{number},5"))
+    assert DIALECT.read_caller(absurd).prompt is None
