--- a/pollenmount/fleet/targets.py
+++ b/pollenmount/fleet/targets.py
@@ -76,8 +76,9 @@
     """Targets by id; `on_change` is called with each message that changes one.
 
     `gets_heartbeats` is true on a control VM. It gets each heartbeat from the VM that
-    heard it, so a source without the newest one does not hear the target any more. An
-    entry VM gets changes only, and each source tells it when a target is silent.
+    heard it, so a source without the newest one does not hear the target any more, and
+    does not report it silent either. An entry VM gets changes only, and each source
+    tells it when a target is silent.
     """
 
     def __init__(
@@ -108,7 +109,8 @@
         if self.has_left(record):
             return False
         if known and known.record.order_key > record.order_key:
-            self.add_source(known, record, source)
+            if not self.gets_heartbeats:
+                self.add_source(known, record, source)
             return False
         is_newer = known is None or known.record.order_key < record.order_key
         is_only_source = known is None or (is_newer and self.gets_heartbeats)
@@ -128,7 +130,7 @@
         return is_newer
 
     def add_source(self, known, record, source):
-        """Note that a source hears a target of which it has an older record."""
+        """Note on an entry VM that a source with an older record hears a target."""
         if known.record.born == record.born:
             heard_by = known.heard_by | {source}
             self.by_id[record.id] = known._replace(heard_by=heard_by)
@@ -215,7 +217,8 @@
     def sweep(self, silence_ms, source=None):
         """Mark targets silent at `source` for `silence_ms`; remove expired state.
 
-        Return the messages about those that have become silent there.
+        `source` is this VM if it hears targets itself, as a control VM. Return the
+        messages about those that have become silent there.
         """
         now = self.clock.now()
         silent = []
@@ -229,11 +232,21 @@
             elif not known.heard_by and silent_ms > TARGET_RETENTION_MS:
                 del self.by_id[id_]
                 self.version += 1
+            elif source and silent_ms > silence_ms + LOST_SOURCES_GRACE_MS:
+                self.drop_sources(known)
         for id_, tombstone in [*self.tombstones.items()]:
             if now - tombstone.left_at > TOMBSTONE_TTL_MS:
                 del self.tombstones[id_]
         return silent
 
+    def drop_sources(self, known):
+        """Remove all sources of a target of which a control VM gets no heartbeats.
+
+        If it missed the newest one, the source that it knows does not report silence.
+        """
+        for source in known.heard_by:
+            self.handle_silent(TargetSilent(known.id), source)
+
     def failure_domain_of(self, id_):
         """Return the failure domain of a target, left or not, '' if it is unknown."""
         known = self.by_id.get(id_)
--- a/tests/test_fleet_size.py
+++ b/tests/test_fleet_size.py
@@ -327,6 +327,23 @@
     ],
     1000,
 )
+@example(
+    [
+        ("run", 5),
+        ("cut", {"south-b"}),
+        ("run", 4),
+        ("lose target", 9),
+        ("plan", None),
+        ("start", 14),
+        ("kill", 16),
+        ("start", 5),
+        ("start", 4),
+        ("lose target", 1),
+        ("kill", 10),
+        ("lose target", 9),
+    ],
+    241,
+)
 @given(STEPS, st.integers(0, 1000))
 def test_all_views_converge_after_any_losses(steps, seed):
     script = Script(seed)
