--- a/pollenmount/fleet/client.py
+++ b/pollenmount/fleet/client.py
@@ -267,8 +267,8 @@
         for address, channel in [*self.channels.items()]:
             changed = changed_loads(self.sent_loads.get(address, {}), loads)
             if changed and channel is not None:
-                self.sent_loads[address] = loads
                 channel.push(Loads(changed, complete=False))
+                self.sent_loads[address] = loads
 
     def report_leaving(self, message, source):
         """Send a change on all links if it is a target's notice that this VM read."""
--- a/pollenmount/fleet/server.py
+++ b/pollenmount/fleet/server.py
@@ -131,6 +131,8 @@
     def open_session(self, hello, channel):
         """Register a member and send it the state of the fleet; return its session."""
         session = Session(hello, channel)
+        # A message that can't be encoded must not leave a session without a link.
+        messages = [encode(message) for message in self.snapshot(session)]
         previous = self.sessions.pop(session.name, None)
         if previous is not None:
             previous.channel.close()
@@ -139,8 +141,8 @@
         self.lost_links.pop(session.name, None)
         extra = {"member": session.name, "role": session.record.role}
         logger.info("link open", extra=extra)
-        for message in self.snapshot(session):
-            channel.push(message)
+        for data in messages:
+            channel.push_encoded(data)
         self.handle_record(hello.member)
         return session
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -272,3 +272,31 @@
     assert (info.prompt.parts[0].tokens, info.prompt.hint) == (0, 0)
     absurd = caller_head(("X-Pollenmount-Token-Count", f"{number},5"))
     assert DIALECT.read_caller(absurd).prompt is None
+
+
+# Guards against a heartbeat that no link can carry: no VM could open a new one.
+@pytest.mark.parametrize(
+    "changes",
+    [
+        *({"warmup_left_ms": 1e300}, {"slots": 10**30}, {"slots": -1}),
+        *({"born": 10**30}, {"seq": -(10**30)}, {"addr": "name.example:80"}),
+        *({"addr": "10.1.0.9:70000"}, {"addr": "10.1.0.9:"}),
+    ],
+)
+def test_a_heartbeat_out_of_range_names_no_target(changes):
+    document = json.dumps(HEARTBEAT | changes).encode()
+    assert DIALECT.read_target("i-1", document) is None
+
+
+@pytest.mark.parametrize(
+    "document",
+    [
+        PLAN | {"version": 10**30},
+        PLAN | {"routes": [ROUTE | {"timeout_ms": 1e400}]},
+        PLAN | {"limits": {"idle_timeout_ms": 1e400}},
+    ],
+)
+def test_a_plan_out_of_range_is_refused(document):
+    text = json.dumps(document).replace("Infinity", "1e400")
+    with pytest.raises(SheetError):
+        DIALECT.read_plan(text.encode())
