--- a/tests/test_gateway_joining.py
+++ b/tests/test_gateway_joining.py
@@ -5,6 +5,7 @@
 
 import types
 
+import msgspec
 import pytest
 
 from pollenmount.fleet.entry_counter import EntryCounter
@@ -12,7 +13,12 @@
 from pollenmount.gateway.attempt import NotRunError
 from pollenmount.gateway.callers import HopsApi
 from pollenmount.gateway.dialect import CallerInfo
-from pollenmount.gateway.hop import HopRefusal, HopRefusedError, encode_hop
+from pollenmount.gateway.hop import (
+    HOP_REFUSED,
+    HopRefusal,
+    HopRefusedError,
+    encode_hop,
+)
 from pollenmount.gateway.metrics import GatewayMetrics
 from pollenmount.retry_budget import RetryBudget
 from pollenmount.routes.plan import RetryMode
@@ -160,5 +166,6 @@
     receiver.add_target("e", "east")
     reply = receive_hop(receiver, receiver.make_call(ONCE), stopping=True)
     assert reply.status == 503
-    assert not receiver.sender.attempts
+    refusal = msgspec.json.decode(dict(reply.headers)[HOP_REFUSED], type=HopRefusal)
+    assert refusal.not_run
     assert not receiver.sender.attempts
