--- a/pollenmount/fleet/targets.py
+++ b/pollenmount/fleet/targets.py
@@ -38,8 +38,9 @@
 class Target(NamedTuple):
     """A target known to this VM; times are in milliseconds of this VM's clock.
 
-    `heard_at` is when the newest heartbeat arrived, `heard_by` the sources that receive
-    its heartbeats, `cold_until` the end of its warm-up. Until then only the entry VMs
+    `heard_at` is when the newest heartbeat arrived, on an entry VM that of the newest
+    change, or when a source was lost. `heard_by` are the sources that receive its
+    heartbeats, `cold_until` is the end of its warm-up. Until then only the entry VMs
     named in `cold_senders` may send to it.
     """
 
@@ -149,10 +150,8 @@
         """Remove a source that no longer hears a target; notify if it was the last."""
         known = self.by_id.get(message.id)
         if known and source in known.heard_by:
-            heard_by = known.heard_by - {source}
-            self.by_id[message.id] = known._replace(heard_by=heard_by)
-            self.version += 1
-            if not heard_by:
+            self.remove_source(known, source)
+            if not self.by_id[message.id].is_heard:
                 self.on_change(message, source)
 
     def handle_gone(self, message, source):
@@ -208,10 +207,19 @@
 
     def forget_source(self, source):
         """Remove a source from all targets; those that it alone heard get a grace."""
-        for id_, known in self.by_id.items():
+        for known in [*self.by_id.values()]:
             if source in known.heard_by:
-                heard_by = (known.heard_by - {source}) or frozenset({LOST_SOURCES})
-                self.by_id[id_] = known._replace(heard_by=heard_by)
+                self.remove_source(known, source, frozenset({LOST_SOURCES}))
+        self.version += 1
+
+    def remove_source(self, known, source, others=frozenset()):
+        """Remove a source of a target; `others` stand for it if it is the last.
+
+        On an entry VM the target was heard until now, though no change came for long.
+        """
+        heard_by = (known.heard_by - {source}) or others
+        heard_at = known.heard_at if self.gets_heartbeats else self.clock.now()
+        self.by_id[known.id] = known._replace(heard_by=heard_by, heard_at=heard_at)
         self.version += 1
 
     def sweep(self, silence_ms, source=None):
--- a/tests/test_fleet_links.py
+++ b/tests/test_fleet_links.py
@@ -50,6 +50,31 @@
     assert linked_zones(node) == ["west-a", "west-b"]
 
 
+def test_entry_vms_know_their_targets_while_all_control_vms_are_down():
+    """After a minute without changes they forgot all at once, and had none to ask."""
+    with contextlib.closing(FleetModel(12)) as model:
+        model.put_plan(1)
+        model.run(70_000)
+        for control in model.of_role(CONTROL):
+            model.kill(control)
+        model.run(20_000)
+        for node in model.of_role(ENTRY):
+            assert len(node.fleet.targets.by_id) == 8
+        model.targets.pop("t0")
+        for control in model.nodes.values():
+            if not control.alive:
+                control.start()
+        model.put_plan(1)
+        model.run(8000)
+        for node in model.of_role(ENTRY):
+            known = node.fleet.targets.by_id.values()
+            assert sum(target.is_heard for target in known) == (
+                7 if node.region == "east" else 8
+            )
+        model.run(60_000)
+        assert not any("t0" in n.fleet.targets.by_id for n in model.nodes.values())
+
+
 def test_without_a_leader_in_touch_further_control_vms_are_linked(model):
     """Both nearest control VMs may be in the minority of a cut that spares this VM."""
     node = next(n for n in model.of_role(ENTRY) if n.region == "west")
--- a/tests/test_fleet_table.py
+++ b/tests/test_fleet_table.py
@@ -186,6 +186,39 @@
     assert targets.get() is None
 
 
+def test_an_entry_vm_keeps_a_target_for_a_while_after_a_long_time_without_changes():
+    """One without links forgot all targets at once that had not changed for 60 s."""
+    targets = Targets(gets_heartbeats=False)
+    targets.see()
+    targets.clock.advance(600_000)
+    targets.table.forget_source("c")
+    targets.clock.advance(4900)
+    targets.table.sweep(0)
+    assert targets.get().is_heard
+    targets.clock.advance(200)
+    targets.table.sweep(0)
+    assert not targets.get().is_heard
+    targets.clock.advance(59_900)
+    targets.table.sweep(0)
+    assert targets.get() is not None
+    targets.clock.advance(200)
+    targets.table.sweep(0)
+    assert targets.get() is None
+
+
+def test_an_entry_vm_keeps_a_silent_target_for_a_while():
+    targets = Targets(gets_heartbeats=False)
+    targets.see()
+    targets.clock.advance(600_000)
+    targets.table.handle_silent(TargetSilent("t"), "c")
+    targets.clock.advance(59_900)
+    targets.table.sweep(0)
+    assert targets.get() is not None
+    targets.clock.advance(200)
+    targets.table.sweep(0)
+    assert targets.get() is None
+
+
 def test_a_source_without_heartbeats_reports_the_target_silent():
     targets = Targets()
     targets.see("direct")
