--- a/tests/faults/notices.py
+++ b/tests/faults/notices.py
@@ -86,9 +86,9 @@
         super().__init__(*args, **options)
         self.server.RequestHandlerClass = NoticeHandler
 
-    def send_heartbeat(self, address):
-        """Send one heartbeat unless the replica is muted."""
-        return not self.muted and super().send_heartbeat(address)
+    def call_control(self, method, address, document=None):
+        """Send a heartbeat or leave unless the replica is muted."""
+        return not self.muted and super().call_control(method, address, document)
 
 
 class NoticeFleet(Fleet):
