--- a/tests/soak/planned.py
+++ b/tests/soak/planned.py
@@ -11,6 +11,7 @@
 
 from tests.soak.callers import Operator
 from tests.soak.lost import Work
+from tests.soak.notices import LEAVING, PAUSE
 from tests.soak.plans import REGIONS, make_document, vary_document
 
 WORK_INTERVAL_RANGE_S = (0.1, 1.0)
@@ -21,11 +22,14 @@
 WRITE_DELAY_RANGE_S = (0.02, 0.2)
 EVACUATION_RANGE_S = (0.2, 5.0)
 DRAIN_RANGE_S = (0.5, 3.0)
+# Longer than a VM may go on sending to a replica that leaves.
+LEAVING_RANGE_S = (4.0, 6.0)
+ASK_RANGE_S = (0.3, 2.0)
 PAUSE_S = 0.1
 HOME_DELAY_S = 3
 # At least one entry VM isn't stopped, so that callers are served.
 MAX_STOPPED_ENTRIES = 2
-KINDS = ("plan", "stop", "reload", "evacuate", "drain")
+KINDS = ("plan", "stop", "reload", "evacuate", "drain", "notice")
 
 
 class WorkRecord:
@@ -101,7 +105,8 @@
 class PlannedWork:
     """Does planned work chosen by the seed; some of it overlaps.
 
-    `kinds` names what is done: stop, reload, evacuate, drain, home.
+    `kinds` names what is done: stop, reload, evacuate, drain,
+    notice, home.
     """
 
     def __init__(self, fleet, seed, record, kinds):
@@ -117,6 +122,7 @@
             "reload": (self.reload, self.rewrite_settings, self.rewrite_settings),
             "evacuate": (self.evacuate, self.evacuate),
             "drain": (self.drain_replica, self.drain_replica),
+            "notice": (self.announce_leave, self.ask_for_pause),
             "home": (self.stop_home,),
         }
         chosen = [m for kind in kinds for m in methods.get(kind, ())]
@@ -240,16 +246,46 @@
                 break
         self.record.record("plan", "", started_at, time.monotonic())
 
-    def drain_replica(self):
-        """Let a replica drain and leave, and come back as a new incarnation."""
+    def choose_replica(self):
+        """Return a replica with which nothing is done yet, now busy; None for none."""
         replica = self.random.choice(self.fleet.replicas)
         if replica.id in self.busy:
-            return "no drain"
+            return None
         self.busy.add(replica.id)
+        return replica
+
+    def drain_replica(self):
+        """Let a replica drain and leave, and come back as a new incarnation."""
+        replica = self.choose_replica()
+        if replica is None:
+            return "no drain"
         replica.state = "draining"
         self.call_later(DRAIN_RANGE_S, self.end_drain, replica)
         return f"drain {replica.id}"
 
+    def announce_leave(self):
+        """Let a replica say in its responses only that it leaves; end as a drain."""
+        replica = self.choose_replica()
+        if replica is None:
+            return "no leave"
+        replica.notice = LEAVING
+        self.call_later(LEAVING_RANGE_S, self.end_drain, replica)
+        return f"leave {replica.id}"
+
+    def ask_for_pause(self):
+        """Let a replica turn requests away for a while, and ask for a pause."""
+        replica = self.choose_replica()
+        if replica is None:
+            return "no pause"
+        replica.notice = PAUSE
+        self.call_later(ASK_RANGE_S, self.end_pause, replica)
+        return f"pause {replica.id}"
+
+    def end_pause(self, replica):
+        """Let a replica take requests again."""
+        replica.notice = ""
+        self.busy.discard(replica.id)
+
     def end_drain(self, replica):
         """Let a drained replica leave and come back."""
         replica.leave()
--- a/tests/soak/replica.py
+++ b/tests/soak/replica.py
@@ -12,6 +12,7 @@
 from typing import NamedTuple
 
 from standins.relay import Relay
+from tests.soak.notices import LEAVING, PAUSE, PAUSE_S, Arrival
 
 EVENT_COUNT = 25
 LONG_EVENT_COUNT = 58
@@ -24,6 +25,7 @@
 EVENTS_BEFORE_CUT = 5
 HEARTBEAT_INTERVAL_S = 0.3
 CALL_TIMEOUT_S = 1
+UNAVAILABLE = 503
 RELAYED_PORT, SERVER_PORT = 9000, 9001
 WARMUP_MS = 1500
 SLOW_S = 3
@@ -96,7 +98,9 @@
         expected = self.headers.get("X-Pollenmount-Expect-Instance")
         if expected not in (None, replica.id):
             self.send_complete_response(421, id_, b"", False)
-        elif replica.mode == "overloaded":
+            return
+        replica.record_arrival(id_)
+        if replica.mode == "overloaded" or replica.notice == PAUSE:
             self.send_complete_response(503, id_, b"", False)
         else:
             with replica.lock:
@@ -159,6 +163,11 @@
             self.send_header("X-Pollenmount-Response-Stamp", "stamp")
         else:
             self.send_header("X-Pollenmount-Not-Run", "1")
+        notice = self.server.replica.notice
+        if notice == LEAVING:
+            self.send_header("Server-Leaving", "1")
+        elif notice == PAUSE and status == UNAVAILABLE:
+            self.send_header("Retry-After", str(PAUSE_S))
 
     def stream_events(self, id_, route, count=LONG_EVENT_COUNT):
         """Send up to `count` events; disconnect if the stream is not complete."""
@@ -195,7 +204,8 @@
 
     `control_addresses` are those of the control VMs, which receive its heartbeats. A
     replica that is not `relayed` receives requests without the relay. `state` is what
-    its heartbeats report, and `records` are its runs that have ended.
+    its heartbeats report, `notice` what its responses say of it, `records` are its runs
+    that have ended and `arrivals` all requests that reached it.
     """
 
     def __init__(self, id_, service, zone, ip, control_addresses, relayed=True):
@@ -206,8 +216,10 @@
         self.port = RELAYED_PORT if relayed else SERVER_PORT
         self.mode = "ok"
         self.state = "ready"
+        self.notice = ""
         self.has_returned = False
         self.records = []
+        self.arrivals = []
         self.runs = collections.Counter()
         self.lock = threading.Lock()
         self.sequence = 0
@@ -223,6 +235,12 @@
         for thread in self.threads:
             thread.start()
 
+    def record_arrival(self, id_):
+        """Record a request that reached this replica, and what its response says."""
+        arrival = Arrival(id_, self.id, self.born, time.monotonic(), self.notice)
+        with self.lock:
+            self.arrivals.append(arrival)
+
     def send_heartbeats(self):
         """Send heartbeats to the control VMs in rotation, skipping silent ones."""
         while not self.stopping.wait(HEARTBEAT_INTERVAL_S):
@@ -272,6 +290,7 @@
         """Register as a new incarnation, which is cold for a while."""
         self.born = int(time.time() * 1000)
         self.has_returned = True
+        self.notice = ""
         self.state = "ready"
 
     def close(self):
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -20,6 +20,7 @@
 from tests.soak.fleet import Fleet
 from tests.soak.habits import DEFAULT_HABITS, HABITS, HabitCaller, deadline_s
 from tests.soak.lost import LostFinder
+from tests.soak.notices import NoticeChecker
 from tests.soak.planned import KINDS, PlannedOperator, PlannedWork, WorkRecord
 from tests.soak.plans import REGIONS
 from tests.soak.replica import MODES, PAUSE_RANGE_S
@@ -326,12 +327,25 @@
     write_record(fleet.folder, observations, runs, record)
     finder = LostFinder(runs, record.works, get_limit_s, fleet.stop_grace_s)
     violations, cuts = finder.find(observations)
+    violations += find_notice_violations(fleet, observations, record.works)
     endings = collections.Counter(o.ending for o in observations)
     return report._replace(
         violations=report.violations + violations, cuts=cuts, endings=dict(endings)
     )
 
 
+def find_notice_violations(fleet, observations, works):
+    """Return requests sent to replicas in spite of what their responses said."""
+    regions = {name: name.split("-")[1] for name in fleet.entry_ips}
+    regions |= {replica.id: replica.id.split("-")[2] for replica in fleet.replicas}
+    arrivals = []
+    for replica in fleet.replicas:
+        with replica.lock:
+            arrivals += replica.arrivals
+    taken = [o for o in observations if o.vm]
+    return [*NoticeChecker(taken, regions, works).find(arrivals)]
+
+
 def write_record(folder, observations, runs, record):
     """Write what callers and replicas observed, and the planned work, to a folder."""
     with open(folder / "record.jsonl", "w") as file:
--- a/tests/soak/start.py
+++ b/tests/soak/start.py
@@ -126,6 +126,20 @@
     Connection.run_request, RoutesStore.update = run_and_record, update_and_cut
 
 
+def ignore_leaving():
+    """Go on sending to targets that say in a response that they leave."""
+    from pollenmount.gateway.target_notices import TargetNotices
+
+    TargetNotices.handle_leaving = lambda self, call, destination, status: None
+
+
+def ignore_pauses():
+    """Go on sending to targets that ask for a pause."""
+    from pollenmount.gateway.target_notices import TargetNotices
+
+    TargetNotices.handle_pause = lambda self, call, destination, seconds: None
+
+
 FAULTS = {
     "sync": skip_syncs,
     "twice": retry_everything,
@@ -134,6 +148,8 @@
     "stale": read_local_copy,
     "resume": restart_resumed_streams,
     "plan": cut_callers_on_plan,
+    "leaving": ignore_leaving,
+    "pause": ignore_pauses,
 }
 
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -9,6 +9,7 @@
 from tests.soak.callers import Observation, find_violations
 from tests.soak.fleet import ROOT
 from tests.soak.lost import LostFinder, Work
+from tests.soak.notices import Arrival, NoticeChecker
 from tests.soak.replica import EVENT_COUNT, Run, expected_body, expected_event
 
 DURATION_S = 8
@@ -54,6 +55,15 @@
     assert "LOST beside plan" in completed.stdout
 
 
+@pytest.mark.parametrize(("fault", "rule"), [("leaving", "DRAIN"), ("pause", "BUDGET")])
+def test_planted_disregard_of_a_notice_is_found(tmp_path, network, fault, rule):
+    arguments = ["--seed=1", "--seconds=8", f"--network={network}"]
+    planted = ["--faults=planned", "--work=notice", f"--fault={fault}"]
+    completed = run_soak(tmp_path, *arguments, *planted)
+    assert completed.returncode == 1, completed.stdout + completed.stderr
+    assert f"{rule}: " in completed.stdout
+
+
 @pytest.mark.parametrize(
     ("observation", "run_count"),
     [
@@ -188,3 +198,37 @@
         violations, cuts = find_lost(observations, [PLAN])
         assert len(violations) == (count if is_lost else 0)
         assert len(violations) + len(cuts) == count + 1
+
+
+def take(number, sent_at):
+    """Return the observation of a request that the VM entry-west-0 took."""
+    observation = observe_cut(sent_at=sent_at, vm="entry-west-0")
+    return observation._replace(request_id=f"r{number}")
+
+
+def find_disregarded(arrivals, works=()):
+    """Return what the check of notices finds; arrivals are (time, notice, born)."""
+    taken = [take(n, at) for n, (at, _, _) in enumerate(arrivals)]
+    regions = {"entry-west-0": "west", "i-desk-west": "west"}
+    made = [
+        Arrival(f"r{n}", "i-desk-west", born, at, notice)
+        for n, (at, notice, born) in enumerate(arrivals)
+    ]
+    return [*NoticeChecker(taken, regions, works).find(made)]
+
+
+def test_requests_after_a_notice_are_found():
+    late = [(100, "leaving", 1), (103.1, "leaving", 1)]
+    assert "DRAIN" in find_disregarded(late)[0]
+    hurried = [(100, "pause", 1), *((101 + n / 10, "", 1) for n in range(3))]
+    assert "BUDGET" in find_disregarded(hurried)[0]
+
+
+def test_requests_that_a_notice_allows_are_passed_over():
+    assert not find_disregarded([(100, "leaving", 1), (102.9, "leaving", 1)])
+    assert not find_disregarded([(100, "leaving", 1), (110, "", 2)])
+    at_once = [(100, "pause", 1), *((100.1 + n / 10, "pause", 1) for n in range(4))]
+    assert not find_disregarded(at_once)
+    assert not find_disregarded([(100, "pause", 1), (101, "", 1), (102, "", 1)])
+    late = [(100, "leaving", 1), (103.1, "leaving", 1)]
+    assert not find_disregarded(late, [Work("stop", "entry-west-0", 95, 95)])
