--- a/tests/faults/notices.py
+++ b/tests/faults/notices.py
@@ -55,7 +55,7 @@
         """Record which VM's caller sent the request, and respond to it."""
         replica = self.server.replica
         id_ = self.headers.get("X-Pollenmount-Attempt-Id", "")
-        replica.arrivals.append((id_.partition(" ")[0], time.monotonic()))
+        replica.vm_arrivals.append((id_.partition(" ")[0], time.monotonic()))
         if replica.mode == "pausing":
             self.send_complete_response(503, id_, b"", False)
         else:
@@ -78,10 +78,10 @@
 
 
 class NoticeReplica(Replica):
-    """A replica with `arrivals`; `muted` keeps its heartbeats from arriving."""
+    """A replica with `vm_arrivals`: VMs and times; `muted` stops its heartbeats."""
 
     def __init__(self, *args, **options):
-        self.arrivals = []
+        self.vm_arrivals = []
         self.muted = False
         super().__init__(*args, **options)
         self.server.RequestHandlerClass = NoticeHandler
@@ -134,7 +134,7 @@
                 pool.submit(self.send, "stream", self.fleet.west[0]),
                 *self.start_load(pool, "read", LOAD_INTERVAL_S),
             ]
-            while not leaving.arrivals:
+            while not leaving.vm_arrivals:
                 time.sleep(POLL_INTERVAL_S)
             time.sleep(TOLD_WITHIN_S)
             results += self.start_load(pool, "stream", STREAM_INTERVAL_S)
@@ -155,7 +155,7 @@
             time.sleep(POLL_INTERVAL_S)
         self.answers.clear()
         for replica in (leaving, pausing):
-            replica.arrivals.clear()
+            replica.vm_arrivals.clear()
             replica.runs.clear()
 
     def is_ready(self):
@@ -171,7 +171,7 @@
 
     def has_retried(self, vm):
         """Return whether a request that a target rejected was served by another."""
-        arrivals = self.fleet.by_name[PAUSING].arrivals
+        arrivals = self.fleet.by_name[PAUSING].vm_arrivals
         count = len(arrivals)
         return self.send("read", vm).status == 200 and len(arrivals) > count
 
@@ -246,7 +246,7 @@
                 for route, answers in self.answers.items()
             },
             "arrivals": {
-                replica.id: [(vm, at - began) for vm, at in replica.arrivals]
+                replica.id: [(vm, at - began) for vm, at in replica.vm_arrivals]
                 for replica in (leaving, pausing)
             },
             "orders": self.orders,
