Log leaders, members and join requests of a replicated log

No line told who led a log, which incarnations voted, who had asked to join or which replica took no calls, so the hypotheses of the incident of a plan lost after a second disk could not be told apart. Each is one line a change.

--- a/pollenmount/consensus/group.py
+++ b/pollenmount/consensus/group.py
@@ -20,6 +20,7 @@
     decode_message,
     encode_message,
 )
+from pollenmount.consensus.changes import log_changes
 from pollenmount.consensus.client import no_quorum_refusal
 from pollenmount.consensus.journal import JournalFailedError, JournalFullError
 from pollenmount.consensus.link import ReplicaLink
@@ -264,6 +265,7 @@
 
     def release_effects(self, transition, batch, proposals):
         """Adopt a saved transition: send messages, apply entries, answer requests."""
+        log_changes(self.name, self.state, transition.state)
         self.state = transition.state
         for effect in transition.effects:
             if isinstance(effect, s.Appended):
--- a/pollenmount/consensus/joining.py
+++ b/pollenmount/consensus/joining.py
@@ -38,6 +38,7 @@
         self.interval_ms = options.get("interval_ms", JOIN_INTERVAL_MS)
         self.more_addresses = options.get("more_addresses", tuple)
         self.rounds = 0
+        self.last_hellos = ()
         self.task = task.spawn(self.run)
 
     def run(self):
@@ -97,9 +98,24 @@
         If no reply names one, call the further nodes that may know it.
         """
         leaders = {reply.leader for reply in replies.values() if reply.leader}
-        if not leaders:
-            leaders = {*self.more_addresses()}
-        self.call_all({address: address for address in leaders - already_called})
+        further = leaders or {*self.more_addresses()}
+        self.call_all({address: address for address in further - already_called})
+        self.log_hellos(sorted(replies), sorted(leaders))
+
+    def log_hellos(self, answered, leaders):
+        """Log which nodes answered and the leaders they named, if that has changed."""
+        hellos = (answered, leaders)
+        if hellos != self.last_hellos:
+            logger.info(
+                "asked to join",
+                extra={
+                    "group": self.group.name,
+                    "asked": sorted(self.voters.keys() - {self.group.me.name}),
+                    "answered": answered,
+                    "leaders": leaders,
+                },
+            )
+        self.last_hellos = hellos
 
     def bootstrap_group(self, others, replies):
         """Bootstrap the group if every first voter is up and belongs to no group."""
--- a/pollenmount/consensus/link.py
+++ b/pollenmount/consensus/link.py
@@ -2,10 +2,11 @@
 
 import collections
 
-from result import Ok
+from result import Err, Ok
 
 from pollenmount import task
 from pollenmount.consensus.calls import Exchange, encode_message
+from pollenmount.log import get_logger
 
 __all__ = ["ReplicaLink"]
 
@@ -13,6 +14,8 @@
 MIN_BYTES_PER_MS = 1000
 MAX_QUEUED_MESSAGES = 256
 
+logger = get_logger("consensus")
+
 
 class ReplicaLink:
     """Sends the messages of one group to one other replica.
@@ -29,6 +32,7 @@
         self.deliver = deliver
         self.queue = collections.deque(maxlen=MAX_QUEUED_MESSAGES)
         self.is_sending = False
+        self.problem = ""
 
     def push(self, messages):
         """Queue messages for the next call."""
@@ -52,5 +56,17 @@
         size = sum(len(message.body) for message in encoded)
         timeout_ms = CALL_TIMEOUT_MS + size // MIN_BYTES_PER_MS
         reply = self.control.call(self.to.address, exchange, timeout_ms)
+        self.log_reachability(reply)
         if isinstance(reply, Ok):
             self.deliver(reply.ok_value)
+
+    def log_reachability(self, reply):
+        """Log when calls to the replica start to fail, and when they succeed again."""
+        problem = reply.err_value.problem if isinstance(reply, Err) else ""
+        if bool(problem) != bool(self.problem):
+            extra = {"group": self.group, "replica": self.to.name, "problem": problem}
+            if problem:
+                logger.info("replica unreachable", extra=extra)
+            else:
+                logger.info("replica reachable", extra=extra)
+        self.problem = problem
