Replace a channel to a control VM that has gone silent

Callers saw an acknowledged plan go out of force, and operators no answer to a read, after a second disk was lost 6 s after the first VM was back.

Cause: the gRPC channel to a VM that loses power keeps a TCP connection that is dead without a reset. Nothing but TCP's own retransmissions tests it, at intervals that double, so the next one may come as late as the VM was down. Ruled out by the same logs: a request to join that is late or lost, and a change of members that does not go on; both took less than 1.2 s.

The test silences the open connection of a relay: before, no call was answered within 4 s, which is the time after which a returned VM must count.

--- a/pollenmount/bridge/control.py
+++ b/pollenmount/bridge/control.py
@@ -14,6 +14,8 @@
 from result import Err, Ok
 
 from pollenmount import task
+from pollenmount.bridge.peer_channel import PeerChannel
+from pollenmount.clock import Clock
 from pollenmount.errors import ListenError, TransportError
 from pollenmount.log import get_logger
 
@@ -149,19 +151,27 @@
     def __init__(self, loop_executor, peer_key):
         self.loop_executor = loop_executor
         self.metadata = ((KEY_HEADER, peer_key),)
+        self.clock = Clock()
         self.channels = {}
 
     def call(self, address, request, timeout_ms):
         """Send `request` to `address`; return Ok(reply) or Err(TransportError)."""
         call_type = CALL_TYPES_BY_REQUEST[type(request)]
-        invoke = self.get_channel(address).unary_unary(f"/{SERVICE}/{call_type.name}")
-        data = msgspec.msgpack.encode(request)
-        future = invoke.future(
-            data, timeout=timeout_ms / task.MS_PER_S, metadata=self.metadata
+        channel = self.get_channel(address)
+        future = channel.start_call(
+            f"/{SERVICE}/{call_type.name}",
+            msgspec.msgpack.encode(request),
+            timeout_ms / task.MS_PER_S,
+            self.metadata,
         )
         if not self.wait_until_done(future, timeout_ms + CLIENT_GRACE_MS):
+            self.handle_silence(channel)
             return Err(TransportError(address, "no reply in time", True))
         code = future.code()
+        if code is grpc.StatusCode.DEADLINE_EXCEEDED:
+            self.handle_silence(channel)
+        elif code is not grpc.StatusCode.CANCELLED:
+            channel.record_reply()
         if code is not grpc.StatusCode.OK:
             return Err(
                 TransportError(address, code.name, code not in NOT_HANDLED_CODES)
@@ -171,6 +181,11 @@
         except (msgspec.DecodeError, UnicodeDecodeError):
             return Err(TransportError(address, "unreadable reply", True))
 
+    def handle_silence(self, channel):
+        """Replace a channel on which nothing has come for too long."""
+        if channel.record_silence():
+            logger.info("channel replaced", extra={"address": channel.address})
+
     def wait_until_done(self, future, limit_ms):
         """Wait until a call ends; return false if it takes longer than `limit_ms`.
 
@@ -190,9 +205,7 @@
     def get_channel(self, address):
         """Return the channel to `address`, opened on first use."""
         if address not in self.channels:
-            self.channels[address] = grpc.insecure_channel(
-                address, options=GRPC_OPTIONS
-            )
+            self.channels[address] = PeerChannel(address, GRPC_OPTIONS, self.clock)
         return self.channels[address]
 
     def close(self):
--- a/standins/relay.py
+++ b/standins/relay.py
@@ -1,4 +1,4 @@
-"""A TCP relay that injects partitions, delays and losses, and counts bytes.
+"""A TCP relay that injects partitions, silence, delays and losses, and counts bytes.
 
 While a direction is cut, received data is buffered and not forwarded, as TCP behaves
 under a network partition; `heal` resumes forwarding. Each relay runs in its own thread.
@@ -51,6 +51,7 @@
         self.target = target
         self.chunks = collections.deque()
         self.closed = False
+        self.silent = False
 
 
 class Relay:
@@ -97,6 +98,14 @@
         self.directions = {"in": Direction(), "out": Direction()}
         self.isolated_owners = frozenset()
 
+    def silence_open_connections(self):
+        """Forward nothing more on the open connections; new ones work.
+
+        They are not closed either, as when a VM has lost power.
+        """
+        for pipe in [*self.pipes]:
+            pipe.silent = True
+
     def run(self):
         """Relay until `close` is called."""
         while not self.closing.is_set():
@@ -165,7 +174,8 @@
 
     def is_cut(self, pipe):
         """Return whether this direction is cut for the connection."""
-        return pipe.owner in self.isolated_owners or self.directions[pipe.name].cut
+        is_isolated = pipe.owner in self.isolated_owners
+        return pipe.silent or is_isolated or self.directions[pipe.name].cut
 
     def write(self, pipe, data):
         """Write all data; return whether it was written."""
--- a/tests/test_bridge.py
+++ b/tests/test_bridge.py
@@ -12,9 +12,13 @@
 from pollenmount.bridge.control import ControlClient, ControlServer, register_call
 from pollenmount.bridge.loop_executor import LoopExecutor
 from pollenmount.errors import ListenError
+from standins.relay import Relay
 
 KEY = "a key of sixteen characters"
 TIMEOUT_MS = 5000
+CALL_TIMEOUT_MS = 1000
+# `sync_s` of the users' deployments: until then a VM that is back counts as lost.
+RETURN_BOUND_MS = 4000
 
 
 class Echo(NamedTuple):
@@ -131,14 +135,42 @@
     assert client.call(address, Echo("x"), TIMEOUT_MS) == Ok(EchoReply("x"))
 
 
+@pytest.fixture
+def relay(address, network):
+    opened = Relay(f"127.{network}.9.4:7200", address)
+    yield opened
+    opened.close()
+
+
+def call_until_answered(client, address, bound_ms):
+    """Return the milliseconds until a call is answered; fail after `bound_ms`."""
+    started_at = client.clock.now()
+    while client.clock.now() - started_at < bound_ms:
+        if isinstance(client.call(address, Echo("x"), CALL_TIMEOUT_MS), Ok):
+            return client.clock.now() - started_at
+        task.sleep(20)
+    raise AssertionError(f"no call was answered within {bound_ms} ms")
+
+
+# A leader did not reach a replica whose VM had lost power and was back: its connection
+# was dead without a reset.
+def test_a_silent_connection_is_replaced_before_the_vm_counts_as_back(
+    relay, client, network
+):
+    relayed = f"127.{network}.9.4:7200"
+    assert client.call(relayed, Echo("x"), TIMEOUT_MS) == Ok(EchoReply("x"))
+    relay.silence_open_connections()
+    call_until_answered(client, relayed, RETURN_BOUND_MS)
+
+
 class HungChannel:
     """A channel whose calls never end."""
 
-    def unary_unary(self, name):
+    def start_call(self, path, data, timeout_s, metadata):
         return self
 
-    def future(self, data, timeout, metadata):
-        return self
+    def record_silence(self):
+        return False
 
     def add_done_callback(self, callback):
         """Ignore the callback, as the call never ends."""
