Give a connection between control VMs time for the way between regions

A control VM that had started reached no other one in its first round of calls, and a replica with an empty disk asked the leader to join 1.1 s late: gRPC gave each attempt to connect 100 ms, and the way to another region and back takes 110 ms, the peer's first bytes 165 ms. Only the growing back-off made an attempt long enough.

Attempts get 500 ms, and are at most that far apart. The test delays the first bytes of a relay by 165 ms: the first call ended with UNAVAILABLE before.

--- a/pollenmount/bridge/control.py
+++ b/pollenmount/bridge/control.py
@@ -31,12 +31,15 @@
 # Status codes that prove that no handler ran the call.
 NOT_HANDLED_CODES = (grpc.StatusCode.UNIMPLEMENTED, grpc.StatusCode.UNAUTHENTICATED)
 MAX_MESSAGE_BYTES = 64 << 20
+# Several round trips between regions, until the first bytes of the peer have come.
+CONNECT_TIMEOUT_MS = 500
 GRPC_OPTIONS = (
     ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
     ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
     ("grpc.initial_reconnect_backoff_ms", 100),
-    ("grpc.max_reconnect_backoff_ms", 1000),
-    ("grpc.min_reconnect_backoff_ms", 100),
+    ("grpc.max_reconnect_backoff_ms", CONNECT_TIMEOUT_MS),
+    # gRPC's name for the least time that it gives an attempt to connect.
+    ("grpc.min_reconnect_backoff_ms", CONNECT_TIMEOUT_MS),
     ("grpc.enable_retries", 0),
     ("grpc.so_reuseport", 0),
 )
--- a/tests/test_bridge.py
+++ b/tests/test_bridge.py
@@ -19,6 +19,8 @@
 CALL_TIMEOUT_MS = 1000
 # `sync_s` of the users' deployments: until then a VM that is back counts as lost.
 RETURN_BOUND_MS = 4000
+# Three times 55 ms one way: SYN, its acknowledgement, the first bytes.
+FIRST_BYTES_DELAY_S = 0.165
 
 
 class Echo(NamedTuple):
@@ -163,6 +165,14 @@
     call_until_answered(client, relayed, RETURN_BOUND_MS)
 
 
+# A new connection between regions was given up before the peer's first bytes arrived.
+def test_the_first_call_to_another_region_is_answered(relay, client, network):
+    relay.set_direction("out", delay_s=FIRST_BYTES_DELAY_S)
+    relayed = f"127.{network}.9.4:7200"
+    reply = client.call(relayed, Echo("x"), CALL_TIMEOUT_MS)
+    assert reply == Ok(EchoReply("x"))
+
+
 class HungChannel:
     """A channel whose calls never end."""
 
