Log the parts of a prompt and how far its response came when it breaks

Of a request that broke off, no line told which prompt parts it had, nor whether the target had begun to respond, so requests that crash their target could not be told from those that were there when it crashed.

--- a/pollenmount/gateway/dialect.py
+++ b/pollenmount/gateway/dialect.py
@@ -50,6 +50,10 @@
         """Return the expected output tokens; most outputs stay far below the limit."""
         return self.hint or self.output_tokens // OUTPUT_LIMIT_PER_OUTPUT
 
+    def shared_ids(self):
+        """Return the ids of the parts that other prompts may share: not the last."""
+        return tuple(part.id for part in self.parts[:-1])
+
 
 class CallerInfo(NamedTuple):
     """Decoded headers of a caller's request.
--- a/pollenmount/gateway/dispatch.py
+++ b/pollenmount/gateway/dispatch.py
@@ -221,6 +221,7 @@
             # A hop is counted by the VM that receives it and sends it to a target.
             self.retries.budget.record_request(call.service)
         progress.sends += 1
+        progress.attempt_headed = progress.attempt_served = False
         progress.destination = destination
         progress.expected_ms = round(expected_ms)
         progress.tried.add(destination.name)
@@ -289,6 +290,9 @@
                 "sends": progress.sends,
                 "last_gap_ms": progress.last_gap_ms(self.clock.now()),
                 "last_event": progress.last_id,
+                "parts": call.info.prompt.shared_ids() if call.info.prompt else (),
+                "headed": progress.attempt_headed,
+                "served": progress.attempt_served,
             },
         )
 
--- a/pollenmount/gateway/progress.py
+++ b/pollenmount/gateway/progress.py
@@ -4,6 +4,9 @@
 
 __all__ = ["CallObserver", "Progress"]
 
+OK = 200
+MULTIPLE_CHOICES = 300
+
 
 class Progress:
     """State of one call across its attempts.
@@ -18,7 +21,8 @@
     was expected of the last attempt. `delivered_bytes` counts the bytes of a stream
     that were written to the caller. `retry_reserved` tells whether the retry budget
     keeps a retry for an attempt that would replace the present one. `pause_ms` is as
-    in `ErrorResponse`.
+    in `ErrorResponse`. `attempt_headed` and `attempt_served` tell of the last attempt
+    whether the head of a success and an event have arrived.
     """
 
     def __init__(self, call):
@@ -39,6 +43,8 @@
         self.expected_ms = None
         self.delivered_bytes = 0
         self.retry_reserved = False
+        self.attempt_headed = False
+        self.attempt_served = False
 
     def last_gap_ms(self, now):
         """Return the time since the last chunk of the response, None before one."""
@@ -80,6 +86,8 @@
         """Handle what the target says of itself, before the body arrives."""
         notices = self.dispatcher.context.notices
         notices.handle_head(self.call, self.destination, status, info)
+        is_success = OK <= status < MULTIPLE_CHOICES
+        self.progress.attempt_headed = is_success and not info.not_run
 
     def on_chunk(self):
         """Update the trackers on the first chunk, and release a reserved retry."""
@@ -93,6 +101,7 @@
     def on_delivered(self, event_id):
         """Record the event after which another target would resume the stream."""
         self.progress.last_id = event_id
+        self.progress.attempt_served = True
 
     def may_abandon(self, stalled_ms):
         """Return whether another attempt can replace this one."""
--- /dev/null
+++ b/tests/test_prompt_parts_log.py
@@ -0,0 +1,20 @@
+"""What the log says of a prompt whose response broke off."""
+
+from pollenmount.gateway.dialect import ResponseInfo
+from pollenmount.routes.plan import RetryMode
+from pollenmount.wire.errors import MalformedResponseError
+from tests.gateway_harness import EntryHarness, TargetHead, make_prompt, make_route
+
+HEAD = TargetHead(200, ResponseInfo("id-1", True, False, False, None, ()))
+STREAM = make_route(RetryMode.STREAM, "engine", attempts=1)
+
+
+# The requests at a target that crashed could not be told apart by their prompts.
+def test_a_failed_attempt_is_logged_with_its_parts_and_how_far_it_came(caplog):
+    caplog.set_level("INFO", "pollenmount")
+    harness = EntryHarness()
+    harness.add_engines("a")
+    call = harness.make_call(STREAM, make_prompt("s"))
+    harness.serve(call, [HEAD, MalformedResponseError("ended early")])
+    (line,) = [r.fields for r in caplog.records if r.msg == "attempt failed"]
+    assert (line["parts"], line["headed"], line["served"]) == (("s",), True, False)
