Put a prompt part that crashes targets in quarantine

Cause: no VM connected the crashes. Each saw a response that broke as it began and sent the request to the next target, and a target that fails now and then stays in use. The class of fault: a retry without regard to whether the request itself ends its target.

A response whose head had arrived and that broke before its first event is now evidence against those parts of the prompt that no VM has seen served in the last minute. VMs exchange evidence, and what they have seen served, over their links; two crashes of different targets by different prompts at different moments put a part in quarantine. A prompt that may have crashed a target goes to no other one until its parts are cleared.

Before the change test_deadly_prompts.py failed three times: 90 requests with the part after the bound instead of 3; a second attempt of the request that had crashed a target; a 502 in place of a truthful refusal.

--- a/pollenmount/fleet/client.py
+++ b/pollenmount/fleet/client.py
@@ -15,6 +15,8 @@
     Loads,
     MemberHeartbeat,
     MemberRecord,
+    PartsServed,
+    PromptBroke,
     TargetLeaving,
 )
 from pollenmount.fleet.totals import LOAD_INTERVAL_MS, changed_loads
@@ -93,7 +95,7 @@
         self.failed_attempts = {}
         self.known_control_vms = {}
         self.quorum_seen_at = clock.now()
-        fleet.listeners.append(self.report_leaving)
+        fleet.listeners.append(self.report_observation)
         self.task = task.PeriodicTask(self.run_round, ROUND_INTERVAL_MS)
         self.load_task = task.PeriodicTask(self.send_loads, LOAD_INTERVAL_MS)
 
@@ -270,9 +272,10 @@
                 channel.push(Loads(changed, complete=False))
                 self.sent_loads[address] = loads
 
-    def report_leaving(self, message, source):
-        """Send a change on all links if it is a target's notice that this VM read."""
-        if not isinstance(message, TargetLeaving) or source != RESPONSE:
+    def report_observation(self, message, source):
+        """Send a change on all links if this VM observed it in a target's response."""
+        is_observation = isinstance(message, TargetLeaving | PromptBroke | PartsServed)
+        if not is_observation or source != RESPONSE:
             return
         for channel in [*self.channels.values()]:
             if channel is not None:
--- a/pollenmount/fleet/fleet.py
+++ b/pollenmount/fleet/fleet.py
@@ -12,12 +12,15 @@
     Loads,
     MemberDown,
     MemberUp,
+    PartsServed,
+    PromptBroke,
     RoutesChanged,
     TargetGone,
     TargetLeaving,
     TargetSeen,
     TargetSilent,
 )
+from pollenmount.fleet.part_quarantine import PartQuarantine
 from pollenmount.fleet.targets import TargetTable
 from pollenmount.log import get_logger
 
@@ -46,6 +49,7 @@
         self.listeners = []
         self.targets = TargetTable(clock, self.notify, is_control)
         self.members = MemberTable(clock, self.notify)
+        self.quarantine = PartQuarantine(clock)
         self.evacuations = EvacuationsChanged(0, ())
         self.routes = RoutesChanged(0, 0, b"")
         self.loads = {}
@@ -89,6 +93,17 @@
     def _(self, message: TargetLeaving, source):
         self.targets.handle_leaving(message, source)
 
+    @handle.register
+    def _(self, message: PromptBroke, source):
+        if self.quarantine.record_break(message):
+            self.notify(message, source)
+
+    @handle.register
+    def _(self, message: PartsServed, source):
+        cleared = self.quarantine.record_served(message.parts)
+        if cleared:
+            self.notify(PartsServed(cleared), source)
+
     @handle.register
     def _(self, message: MemberUp, source):
         self.members.handle_up(message, source)
--- a/pollenmount/fleet/messages.py
+++ b/pollenmount/fleet/messages.py
@@ -22,6 +22,8 @@
     "MemberHeartbeat",
     "MemberRecord",
     "MemberUp",
+    "PartsServed",
+    "PromptBroke",
     "RoutesChanged",
     "ServiceCapacity",
     "TargetGone",
@@ -37,7 +39,7 @@
 ENTRY = "entry"
 CONTROL = "control"
 # Incremented when VMs of two builds would misunderstand each other.
-LINK_PROTOCOL = 3
+LINK_PROTOCOL = 4
 
 
 class MemberRecord(NamedTuple):
@@ -187,6 +189,26 @@
     born: int
 
 
+class PromptBroke(Message, frozen=True, array_like=True, tag=True):
+    """A target ended a response as it began; a part of the prompt may have crashed it.
+
+    `prompt` is the id of the prompt's own part, `parts` are the shared ones that the
+    sender has not seen served lately. It was `age_ms` ago.
+    """
+
+    target: str
+    born: int
+    prompt: str
+    parts: tuple[str, ...]
+    age_ms: int = 0
+
+
+class PartsServed(Message, frozen=True, array_like=True, tag=True):
+    """Responses to prompts with these parts have begun, so they crash no target."""
+
+    parts: tuple[str, ...]
+
+
 class RoutesChanged(Message, frozen=True, array_like=True, tag=True):
     """A new plan of routes; `document` is compressed with zlib."""
 
@@ -243,6 +265,8 @@
     | TargetSilent
     | TargetGone
     | TargetLeaving
+    | PromptBroke
+    | PartsServed
     | RoutesChanged
     | EvacuationsChanged
     | Loads
--- a/pollenmount/fleet/server.py
+++ b/pollenmount/fleet/server.py
@@ -25,6 +25,8 @@
     MemberDown,
     MemberHeartbeat,
     MemberUp,
+    PartsServed,
+    PromptBroke,
     RoutesChanged,
     TargetLeaving,
     TargetSeen,
@@ -153,10 +155,12 @@
             yield from fleet.members.snapshot(DIRECT)
             yield from fleet.targets.snapshot(DIRECT)
             yield Capacities(self.capacities.own)
+            yield from fleet.quarantine.messages()
             return
         yield from self.orders(session)
         changes = (*fleet.members.snapshot(), *fleet.targets.snapshot())
         yield from (m for m in changes if concerns(m, session, fleet))
+        yield from fleet.quarantine.messages()
         yield self.entry_counts
 
     def handle(self, session, message):
@@ -165,6 +169,8 @@
             self.totals.report(session.name, message.loads)
         if isinstance(message, TargetLeaving):
             self.handle_target_leaving(message, session.name)
+        if isinstance(message, PromptBroke | PartsServed):
+            self.fleet.handle(message, session.name)
         if not isinstance(message, MemberHeartbeat):
             return
         self.set_primary(session, message.is_primary)
@@ -324,6 +330,9 @@
                 session.channel.push_encoded(data)
                 if is_plan:
                     session.routes_revision = message.revision
+        if isinstance(message, PromptBroke | PartsServed) and source in self.sessions:
+            # Control VMs are all linked, so each of them passes on its members' news.
+            self.push_encoded_to(CONTROL, data)
 
     def push_to_entry_vms(self, message):
         """Send a message to all linked entry VMs."""
--- a/pollenmount/fleet/session.py
+++ b/pollenmount/fleet/session.py
@@ -9,6 +9,8 @@
     LinkHello,
     MemberDown,
     MemberUp,
+    PartsServed,
+    PromptBroke,
     RoutesChanged,
     TargetGone,
     TargetLeaving,
@@ -86,8 +88,10 @@
     raise TypeError(f"no rule for {type(message).__name__}")
 
 
-@concerns_entry.register
-def _(message: EvacuationsChanged, session, fleet):
+@concerns_entry.register(EvacuationsChanged)
+@concerns_entry.register(PromptBroke)
+@concerns_entry.register(PartsServed)
+def _(message, session, fleet):
     return True
 
 
--- a/pollenmount/gateway/dispatch.py
+++ b/pollenmount/gateway/dispatch.py
@@ -20,6 +20,7 @@
 from pollenmount.gateway.choose import TargetChoice, is_long_stream, no_remote_options
 from pollenmount.gateway.hop import HopRefusedError, PeerNotReadyError, encode_hop
 from pollenmount.gateway.progress import CallObserver
+from pollenmount.gateway.prompt_guard import VERDICT_WAIT_MS
 from pollenmount.gateway.retry_policy import RetryPolicy
 from pollenmount.gateway.target_pauses import MAX_REGION_PAUSE_MS, spread_wait_ms
 from pollenmount.log import get_logger
@@ -44,6 +45,7 @@
 # Share of the caller's time that a call may wait for a VM that has just started.
 MAX_LEARNING_SHARE = 0.25
 LEARNING_INTERVAL_MS = 50
+VERDICT_INTERVAL_MS = 20
 # The VM that sends a hop counts the runs of the call; the receiving VM does not know of
 # the others.
 MAX_RUNS_PER_HOP = 1
@@ -84,6 +86,10 @@
         Raises `BrokenResponseError` if the response breaks off.
         """
         while True:
+            if self.is_quarantined(call, progress):
+                problem = "a part of the prompt is in quarantine"
+                yield from self.end_without_response(call, progress, problem, may_hop)
+                return
             destination, expected_ms = self.pick_destination(call, progress, may_hop)
             if destination is None:
                 yield from self.end_without_response(
@@ -97,11 +103,40 @@
                 return
             except ExchangeError as error:
                 self.record_failed_attempt(call, progress, destination, error)
-                problem = self.retries.reason_to_stop(call, progress, error)
+                problem = self.reason_to_stop(call, progress, error)
             if problem:
                 yield from self.end_without_response(call, progress, problem, may_hop)
                 return
 
+    def is_quarantined(self, call, progress):
+        """Return whether the prompt is in quarantine; record the refusal if so."""
+        left_ms = self.context.guard.left_ms(call.info.prompt)
+        if left_ms:
+            progress.quarantine_ms = left_ms
+            self.context.guard.record_refusal(call, left_ms)
+        return left_ms > 0
+
+    def reason_to_stop(self, call, progress, error):
+        """Return why no further attempt follows a failed one, or None."""
+        if self.may_crash_again(call, progress, error):
+            return "a part of the prompt may have crashed the target"
+        return self.retries.reason_to_stop(call, progress, error)
+
+    def may_crash_again(self, call, progress, error):
+        """Return whether the prompt is under suspicion, after time for a verdict.
+
+        VMs that served its parts say so; until then it must not crash another target.
+        """
+        guard, prompt = self.context.guard, call.info.prompt
+        if not guard.needs_verdict(prompt, progress, error):
+            return False
+        asked_at = self.clock.now()
+        while self.clock.now() - asked_at < VERDICT_WAIT_MS:
+            if progress.destination.target_id and not guard.is_suspected(prompt):
+                return False
+            self.sleep(VERDICT_INTERVAL_MS)
+        return guard.is_suspected(prompt)
+
     def choose(self, call, progress, may_hop):
         """Return the chooser's decision for the options at this moment."""
         options = self.context.options(call, progress.tried)
@@ -204,6 +239,8 @@
                         progress.head = part
                         yield part
         self.context.breakers.record_success(destination.name)
+        if not progress.attempt_served:
+            self.context.guard.record_served(call.info.prompt)
 
     def may_replace_attempt(self, call, progress, may_hop, stalled_ms):
         """Return whether another attempt can replace one that makes no progress."""
@@ -275,6 +312,7 @@
                 logger.warning("region lost", extra={"ran_in": destination.region})
         if not error.not_run:
             progress.runs += 1
+        self.context.guard.record_break(call.info.prompt, destination, progress, error)
         if isinstance(error, HopRefusedError):
             progress.retry_after_ms = error.retry_after_ms
             self.record_refused_hop(call, destination, error)
@@ -336,6 +374,8 @@
         of the caller's remaining time.
         """
         now = self.clock.now()
+        if progress.quarantine_ms:
+            return progress.quarantine_ms
         if progress.pause_ms:
             wait_ms = spread_wait_ms(progress.pause_ms, self.context.random)
             return max(1, min(wait_ms, (call.deadline - now) // 3))
--- a/pollenmount/gateway/metrics.py
+++ b/pollenmount/gateway/metrics.py
@@ -51,6 +51,12 @@
             ("service",),
             registry=self.registry,
         )
+        self.quarantined = Counter(
+            "pollenmount_prompts_refused_total",
+            "Calls refused because a part of their prompt is in quarantine",
+            ("service",),
+            registry=self.registry,
+        )
         self.plan_version = Gauge(
             "pollenmount_plan_version",
             "Version of the plan of routes in force",
--- a/pollenmount/gateway/progress.py
+++ b/pollenmount/gateway/progress.py
@@ -21,7 +21,8 @@
     was expected of the last attempt. `delivered_bytes` counts the bytes of a stream
     that were written to the caller. `retry_reserved` tells whether the retry budget
     keeps a retry for an attempt that would replace the present one. `pause_ms` is as
-    in `ErrorResponse`. `attempt_headed` and `attempt_served` tell of the last attempt
+    in `ErrorResponse`, and `quarantine_ms` for how long the prompt is in quarantine.
+    `attempt_headed` and `attempt_served` tell of the last attempt
     whether the head of a success and an event have arrived.
     """
 
@@ -43,6 +44,7 @@
         self.expected_ms = None
         self.delivered_bytes = 0
         self.retry_reserved = False
+        self.quarantine_ms = 0
         self.attempt_headed = False
         self.attempt_served = False
 
@@ -101,7 +103,9 @@
     def on_delivered(self, event_id):
         """Record the event after which another target would resume the stream."""
         self.progress.last_id = event_id
-        self.progress.attempt_served = True
+        if not self.progress.attempt_served:
+            self.progress.attempt_served = True
+            self.dispatcher.context.guard.record_served(self.call.info.prompt)
 
     def may_abandon(self, stalled_ms):
         """Return whether another attempt can replace this one."""
--- /dev/null
+++ b/pollenmount/gateway/prompt_guard.py
@@ -0,0 +1,133 @@
+"""Keeps prompts that crash targets from being sent to one target after the other.
+
+It reports responses that broke off as they began, answers the reports of other VMs on
+parts that were served here, and tells which prompts are in quarantine.
+"""
+
+import collections
+
+from pollenmount.fleet.leaving import RESPONSE
+from pollenmount.fleet.messages import PartsServed, PromptBroke
+from pollenmount.gateway.attempt import FailedResponseError
+from pollenmount.gateway.hop import HopRefusedError
+from pollenmount.log import get_logger
+from pollenmount.wire.errors import PeerUnreachableError, ResponseTimeoutError
+
+__all__ = ["VERDICT_WAIT_MS", "PromptGuard"]
+
+MAX_SERVED_PARTS = 8192
+SERVED_TTL_MS = 60_000
+# A round trip to control VMs of other regions, and on to their entry VMs.
+VERDICT_WAIT_MS = 300
+MAX_REPORTS = 20
+REPORT_WINDOW_MS = 1000
+
+logger = get_logger("prompts")
+
+
+class PromptGuard:
+    """Evidence of this VM on prompt parts, beside `fleet.quarantine`.
+
+    `served_at` has when this VM saw an event of a response to a prompt with a part,
+    the oldest first.
+    """
+
+    def __init__(self, fleet, clock, metrics):
+        self.fleet = fleet
+        self.clock = clock
+        self.metrics = metrics
+        self.served_at = collections.OrderedDict()
+        self.reported_at = collections.deque(maxlen=MAX_REPORTS)
+        fleet.listeners.append(self.answer_report)
+
+    def record_served(self, prompt):
+        """Record that the response to a prompt has begun."""
+        parts = shared_ids(prompt)
+        for part in parts:
+            self.served_at[part] = self.clock.now()
+            self.served_at.move_to_end(part)
+            if len(self.served_at) > MAX_SERVED_PARTS:
+                self.served_at.popitem(last=False)
+        if self.fleet.quarantine.is_suspected(parts):
+            self.fleet.handle(PartsServed(parts), RESPONSE)
+
+    def was_served(self, part):
+        """Return whether this VM saw a part served lately."""
+        served_at = self.served_at.get(part)
+        return served_at is not None and self.clock.now() - served_at < SERVED_TTL_MS
+
+    def unproven_parts(self, prompt):
+        """Return the shared parts that this VM has not seen served lately."""
+        return tuple(p for p in shared_ids(prompt) if not self.was_served(p))
+
+    def answer_report(self, message, source):
+        """Report parts that were served here, if another VM suspects them."""
+        if not isinstance(message, PromptBroke) or source == RESPONSE:
+            return
+        served = tuple(part for part in message.parts if self.was_served(part))
+        if served:
+            self.fleet.handle(PartsServed(served), RESPONSE)
+
+    def record_break(self, prompt, destination, progress, error):
+        """Report an attempt whose response broke off as it began."""
+        if not (destination.target_id and may_be_crash(progress, error)):
+            return
+        parts = self.unproven_parts(prompt)
+        if not parts or self.has_reported_enough():
+            return
+        self.reported_at.append(self.clock.now())
+        report = PromptBroke(
+            destination.target_id, destination.incarnation, prompt.parts[-1].id, parts
+        )
+        self.fleet.handle(report, RESPONSE)
+
+    def has_reported_enough(self):
+        """Return whether this VM has sent as many reports lately as it may."""
+        if len(self.reported_at) < MAX_REPORTS:
+            return False
+        return self.clock.now() - self.reported_at[0] < REPORT_WINDOW_MS
+
+    def needs_verdict(self, prompt, progress, error):
+        """Return whether an attempt may have crashed its target by an unproven part."""
+        return may_be_crash(progress, error) and bool(self.unproven_parts(prompt))
+
+    def is_suspected(self, prompt):
+        """Return whether there is evidence on a part of a prompt."""
+        return self.fleet.quarantine.is_suspected(shared_ids(prompt))
+
+    def left_ms(self, prompt):
+        """Return for how long a prompt is in quarantine, 0 if it is not."""
+        return self.fleet.quarantine.left_ms(shared_ids(prompt))
+
+    def record_refusal(self, call, left_ms):
+        """Log and count a call that is refused because of its prompt."""
+        self.metrics.quarantined.labels(call.service).inc()
+        logger.info(
+            "prompt refused",
+            extra={
+                "request": call.id,
+                "service": call.service,
+                "parts": shared_ids(call.info.prompt),
+                "left_ms": left_ms,
+            },
+        )
+
+
+def shared_ids(prompt):
+    """Return the ids of a prompt's shared parts, none without a prompt."""
+    return prompt.shared_ids() if prompt else ()
+
+
+def may_be_crash(progress, error):
+    """Return whether a target may have ended when it began to respond.
+
+    Of a hop only this is known: that it may have run, and brought no event.
+    """
+    if progress.attempt_served or error.not_run:
+        return False
+    if isinstance(error, HopRefusedError):
+        return True
+    is_other = isinstance(
+        error, FailedResponseError | ResponseTimeoutError | PeerUnreachableError
+    )
+    return progress.attempt_headed and not is_other
--- a/pollenmount/gateway/roles/entry.py
+++ b/pollenmount/gateway/roles/entry.py
@@ -12,6 +12,7 @@
 from pollenmount.gateway.dispatch import Dispatcher
 from pollenmount.gateway.lag import LagTracker
 from pollenmount.gateway.load import LoadTracker
+from pollenmount.gateway.prompt_guard import PromptGuard
 from pollenmount.gateway.replies import empty_reply
 from pollenmount.gateway.routing_context import RoutingContext
 from pollenmount.gateway.target_notices import TargetNotices
@@ -62,6 +63,7 @@
             lags=LagTracker(clock),
             pauses=pauses,
             notices=TargetNotices(node.fleet, pool, pauses, node.metrics),
+            guard=PromptGuard(node.fleet, clock, node.metrics),
         )
         node.budget = RetryBudget(
             clock, settings.bounds.retry_limits, node.fleet.entry_counter.share
--- a/pollenmount/gateway/routing_context.py
+++ b/pollenmount/gateway/routing_context.py
@@ -45,6 +45,7 @@
         self.lags = trackers["lags"]
         self.pauses = trackers["pauses"]
         self.notices = trackers["notices"]
+        self.guard = trackers["guard"]
 
     def is_learning(self):
         """Return whether this VM may not know yet what can be served."""
--- a/tests/gateway_harness.py
+++ b/tests/gateway_harness.py
@@ -32,6 +32,7 @@
 from pollenmount.gateway.load import LoadTracker
 from pollenmount.gateway.metrics import GatewayMetrics
 from pollenmount.gateway.progress import Progress
+from pollenmount.gateway.prompt_guard import PromptGuard
 from pollenmount.gateway.routing_context import LEARNING_MS, RoutingContext
 from pollenmount.gateway.settings import Bounds, GatewaySettings, Listen
 from pollenmount.gateway.target_notices import TargetNotices
@@ -159,6 +160,7 @@
             lags=LagTracker(self.clock),
             pauses=pauses,
             notices=TargetNotices(self.fleet, pool, pauses, self.metrics),
+            guard=PromptGuard(self.fleet, self.clock, self.metrics),
         )
         self.budget = RetryBudget(
             self.clock, BOUNDS.retry_limits, self.fleet.entry_counter.share
--- /dev/null
+++ b/tests/test_deadly_prompts.py
@@ -0,0 +1,180 @@
+"""Prompts of which one part crashes each target that begins a response to them.
+
+Several entry VMs, without network; what one observes reaches the others at once.
+"""
+
+import pytest
+
+from pollenmount.fleet.leaving import RESPONSE
+from pollenmount.gateway.call import ErrorResponse, ResponseHead
+from pollenmount.gateway.dialect import Prompt, PromptPart, ResponseInfo
+from pollenmount.gateway.dispatch import BrokenResponseError
+from pollenmount.gateway.progress import Progress
+from pollenmount.routes.plan import RetryMode
+from pollenmount.wire.errors import MalformedResponseError
+from tests.gateway_harness import EntryHarness, make_route
+
+INFO = ResponseInfo("id-1", True, False, False, None, ())
+ROUTE = make_route(RetryMode.STREAM, "engine", attempts=2, resumable=True)
+TARGETS = "abcdefghi"
+DEADLY = "deadly"
+# The users' bounds: requests with such a part after the fifth crash, and `contact_ms`.
+MAX_REQUESTS_AFTER = 3
+CONTACT_MS = 5000
+REQUEST_INTERVAL_MS = 400
+
+
+class Engines:
+    """Targets behind the VMs of one fleet; `arrivals` has (time, target, prompt)."""
+
+    def __init__(self):
+        self.arrivals = []
+        self.crashes = []
+        self.down = ()
+
+    def run(self, attempt):
+        """Crash after the head of a deadly prompt, else serve two events."""
+        observer, prompt = attempt.observer, attempt.call.info.prompt
+        target = attempt.destination.target_id
+        self.arrivals.append((self.clock.now(), target, prompt))
+        observer.on_head(200, INFO)
+        if DEADLY in [part.id for part in prompt.parts] or target in self.down:
+            self.crashes.append(self.clock.now())
+            self.restart(target, len(self.crashes) + 1)
+            raise MalformedResponseError("the response ended early")
+        yield ResponseHead(200, (), target, "west")
+        for number in (1, 2):
+            yield b"event"
+            observer.on_delivered(number)
+
+
+class Vms:
+    """Entry VMs with one clock and one set of targets."""
+
+    def __init__(self, count=4):
+        self.engines = Engines()
+        self.all = [EntryHarness() for _ in range(count)]
+        self.clock = self.engines.clock = self.all[0].clock
+        for vm in self.all:
+            vm.add_engines(*TARGETS)
+            vm.clock = vm.dispatcher.clock = vm.context.clock = self.clock
+            vm.fleet.clock = vm.context.breakers.clock = self.clock
+            for owner in (vm.fleet, vm.context):
+                for part in vars(owner).values():
+                    if hasattr(part, "clock"):
+                        part.clock = self.clock
+            vm.dispatcher.sleep = self.clock.advance
+            vm.dispatcher.retries.clock = vm.budget.clock = self.clock
+            vm.dispatcher.sender = self.engines
+            vm.fleet.listeners.append(self.make_link(vm))
+        self.engines.restart = self.restart
+
+    def restart(self, target, born):
+        """Let a target have started again."""
+        for vm in self.all:
+            vm.add_target(target, service="engine", slots=128, born=born)
+
+    def make_link(self, vm):
+        """Return a listener that tells the other VMs what this one observes."""
+
+        def report(message, source):
+            for other in self.all:
+                if source == RESPONSE and other is not vm:
+                    other.fleet.handle(message, "c")
+
+        return report
+
+    def serve(self, vm, *parts, number=0):
+        """Serve a prompt with these shared parts; return the head it ended with."""
+        own = PromptPart(f"own-{parts}-{number}", 100)
+        shared = tuple(PromptPart(part, 1000) for part in parts)
+        prompt = Prompt("m", 1100, 50, (*shared, own))
+        call = self.all[vm].make_call(ROUTE, prompt)
+        self.all[vm].update_capacities()
+        response = self.all[vm].dispatcher.serve(call, Progress(call))
+        try:
+            return list(response)[0]
+        except BrokenResponseError:
+            return None
+
+
+@pytest.fixture
+def vms():
+    return Vms()
+
+
+def status(head):
+    return head.status if head else 0
+
+
+# Requests with one part crashed target after target: each VM saw few of the crashes,
+# and sent a request that had crashed one target to the next.
+def test_a_part_that_crashes_targets_soon_reaches_no_more(vms):
+    for number in range(60):
+        vms.serve(number % 4, "first", DEADLY, number=number)
+        vms.serve(number % 4, "first", "sound", number=number)
+        vms.clock.advance(REQUEST_INTERVAL_MS)
+    crashes = vms.engines.crashes
+    bound_at = crashes[4] + CONTACT_MS if len(crashes) > 4 else vms.clock.now()
+    late = [
+        at
+        for at, _, prompt in vms.engines.arrivals
+        if at > bound_at and DEADLY in [part.id for part in prompt.parts]
+    ]
+    assert len(late) <= MAX_REQUESTS_AFTER
+
+
+# A quarantine that also takes the parts beside the deadly one stops the whole route.
+def test_sound_prompts_with_the_same_other_parts_are_served(vms):
+    statuses = []
+    for number in range(40):
+        vms.serve(number % 4, "first", "second", DEADLY, number=number)
+        statuses.append(status(vms.serve((number + 1) % 4, "first", "second")))
+        vms.clock.advance(REQUEST_INTERVAL_MS)
+    assert statuses.count(200) >= 38
+
+
+# A second attempt of the request that crashed one target crashed the next.
+def test_a_request_that_may_have_crashed_a_target_is_sent_to_no_other(vms):
+    head = vms.serve(0, "first", DEADLY)
+    assert (len(vms.engines.arrivals), status(head)) == (1, 502)
+
+
+# Not sending a request again must not cost sound ones their second attempt.
+def test_a_request_whose_parts_were_served_elsewhere_gets_its_second_attempt(vms):
+    vms.serve(1, "first", "second")
+    served_by = vms.engines.arrivals[0][1]
+    vms.engines.down = (served_by,)
+    vms.all[0].context.cache.record(
+        served_by, Prompt("m", 1000, 50, (PromptPart("first", 1000),))
+    )
+    heads = [vms.serve(0, "first", "second", number=n) for n in range(1, 12)]
+    assert vms.engines.crashes, "no request met the target that is down"
+    assert {status(head) for head in heads} == {200}
+
+
+def test_the_refusal_says_truly_when_to_come_back(vms):
+    for number in range(4):
+        vms.serve(number, "first", DEADLY, number=number)
+        vms.clock.advance(REQUEST_INTERVAL_MS)
+    arrivals = len(vms.engines.arrivals)
+    head = vms.serve(3, "first", DEADLY, number=9)
+    assert isinstance(head, ErrorResponse) and head.status == 503
+    assert len(vms.engines.arrivals) == arrivals
+    vms.clock.advance(head.retry_after_ms - 1)
+    assert status(vms.serve(3, "first", DEADLY, number=10)) == 503
+    vms.clock.advance(2)
+    vms.serve(3, "first", DEADLY, number=11)
+    assert len(vms.engines.arrivals) == arrivals + 1
+
+
+# A zone that loses power ends several targets, with whatever they were reading.
+def test_targets_lost_at_one_moment_quarantine_nothing(vms):
+    vms.engines.down = TARGETS
+    for number in range(4):
+        vms.all[number].dispatcher.sleep = lambda ms: None
+        vms.all[number].dispatcher.may_crash_again = lambda *_: True
+        vms.serve(number, "new", number=number)
+    vms.engines.down = ()
+    vms.clock.advance(6000)
+    assert status(vms.serve(0, "new")) == 200
