Take a stream without framing as broken if it ends inside an event

A target's stream may have neither a length nor chunks and end with its connection. One that ended inside an event, or before its first, was passed on as if it were whole: callers got part of an event, or an empty success, and the stream was not resumed.

Such a stream is now an attempt that failed, and goes on at another target where the route allows it.

--- a/pollenmount/gateway/attempt.py
+++ b/pollenmount/gateway/attempt.py
@@ -214,12 +214,17 @@
                 call.route.retry_mode is RetryMode.STREAM
                 and head.status < MULTIPLE_CHOICES
             ):
-                yield from self.read_events(response_head, parts, attempt)
+                yield from self.read_events(
+                    response_head, parts, attempt, head.is_framed
+                )
             else:
                 yield from read_complete(response_head, parts, attempt)
 
-    def read_events(self, head, parts, attempt):
-        """Yield the head and the complete events of a stream as they arrive."""
+    def read_events(self, head, parts, attempt, is_framed):
+        """Yield the head and the complete events of a stream as they arrive.
+
+        A stream that ends with its connection, and not after an event, was broken off.
+        """
         resume_after = attempt.resume_after
         splitter = EventSplitter(parse_decimal(resume_after))
         started = False
@@ -232,6 +237,8 @@
             if events:
                 yield events
                 attempt.observer.on_delivered(splitter.last_id)
+        if not is_framed and (splitter.pending or not started):
+            raise ExchangeError("the stream ended inside an event")
         if not started:
             yield head
         if splitter.pending:
--- a/pollenmount/wire/connection.py
+++ b/pollenmount/wire/connection.py
@@ -64,6 +64,11 @@
         values = (value for key, value in self.headers if key.lower() == name)
         return next(values, "")
 
+    @property
+    def is_framed(self):
+        """Return whether the body's own framing tells where it ends."""
+        return bool(self.header("transfer-encoding") or self.header("content-length"))
+
 
 def connect(address, timeout_ms):
     """Return a `Connection` to `IP:port`, or raise `ConnectError`."""
@@ -237,12 +242,12 @@
         """Yield the body that follows `head` in parts, as they arrive."""
         if method == "HEAD" or head.status in (NO_CONTENT, NOT_MODIFIED):
             parts = ()
+        elif not head.is_framed:
+            parts = self.read_until_close(remaining_ms)
         elif head.header("transfer-encoding"):
             parts = self.read_chunked(head, remaining_ms)
-        elif head.header("content-length"):
-            parts = self.read_counted(parse_length(head), remaining_ms)
         else:
-            parts = self.read_until_close(remaining_ms)
+            parts = self.read_counted(parse_length(head), remaining_ms)
         yield from parts
         self.reusable = not (head.closes or self.eof_received or self.unsent_bytes)
 
