--- a/pollenmount/bridge/control.py
+++ b/pollenmount/bridge/control.py
@@ -174,7 +174,7 @@
         if code is grpc.StatusCode.DEADLINE_EXCEEDED:
             self.handle_silence(channel)
         elif code is not grpc.StatusCode.CANCELLED:
-            channel.record_reply()
+            channel.record_end()
         if code is not grpc.StatusCode.OK:
             return Err(
                 TransportError(address, code.name, code not in NOT_HANDLED_CODES)
--- a/pollenmount/bridge/peer_channel.py
+++ b/pollenmount/bridge/peer_channel.py
@@ -39,8 +39,8 @@
         invoke = self.channel.unary_unary(path)
         return invoke.future(data, timeout=timeout_s, metadata=metadata)
 
-    def record_reply(self):
-        """Record that the peer replied to a call."""
+    def record_end(self):
+        """Record that a call ended by a reply, or by an error that gRPC has seen."""
         self.silent_since = None
 
     def record_silence(self):
--- a/pollenmount/fleet/part_quarantine.py
+++ b/pollenmount/fleet/part_quarantine.py
@@ -52,7 +52,8 @@
         known = self.breaks.get(part, ())
         if any(old[:3] == added[:3] for old in known):
             return False
-        self.breaks[part] = (*known, added)[-MAX_BREAKS:]
+        in_order = sorted((*known, added), key=lambda known_break: known_break.at)
+        self.breaks[part] = tuple(in_order[-MAX_BREAKS:])
         self.breaks.move_to_end(part)
         if len(self.breaks) > MAX_PARTS:
             self.breaks.popitem(last=False)
--- a/pollenmount/gateway/dispatch.py
+++ b/pollenmount/gateway/dispatch.py
@@ -20,7 +20,6 @@
 from pollenmount.gateway.choose import TargetChoice, is_long_stream, no_remote_options
 from pollenmount.gateway.hop import HopRefusedError, PeerNotReadyError, encode_hop
 from pollenmount.gateway.progress import CallObserver
-from pollenmount.gateway.prompt_guard import VERDICT_WAIT_MS
 from pollenmount.gateway.retry_policy import RetryPolicy
 from pollenmount.gateway.target_pauses import MAX_REGION_PAUSE_MS, spread_wait_ms
 from pollenmount.log import get_logger
@@ -45,7 +44,6 @@
 # Share of the caller's time that a call may wait for a VM that has just started.
 MAX_LEARNING_SHARE = 0.25
 LEARNING_INTERVAL_MS = 50
-VERDICT_INTERVAL_MS = 20
 # The VM that sends a hop counts the runs of the call; the receiving VM does not know of
 # the others.
 MAX_RUNS_PER_HOP = 1
@@ -118,25 +116,11 @@
 
     def reason_to_stop(self, call, progress, error):
         """Return why no further attempt follows a failed one, or None."""
-        if self.may_crash_again(call, progress, error):
+        prompt = call.info.prompt
+        if self.context.guard.may_crash_again(prompt, progress, error, self.sleep):
             return "a part of the prompt may have crashed the target"
         return self.retries.reason_to_stop(call, progress, error)
 
-    def may_crash_again(self, call, progress, error):
-        """Return whether the prompt is under suspicion, after time for a verdict.
-
-        VMs that served its parts say so; until then it must not crash another target.
-        """
-        guard, prompt = self.context.guard, call.info.prompt
-        if not guard.needs_verdict(prompt, progress, error):
-            return False
-        asked_at = self.clock.now()
-        while self.clock.now() - asked_at < VERDICT_WAIT_MS:
-            if progress.destination.target_id and not guard.is_suspected(prompt):
-                return False
-            self.sleep(VERDICT_INTERVAL_MS)
-        return guard.is_suspected(prompt)
-
     def choose(self, call, progress, may_hop):
         """Return the chooser's decision for the options at this moment."""
         options = self.context.options(call, progress.tried)
--- a/pollenmount/gateway/prompt_guard.py
+++ b/pollenmount/gateway/prompt_guard.py
@@ -13,12 +13,13 @@
 from pollenmount.log import get_logger
 from pollenmount.wire.errors import PeerUnreachableError, ResponseTimeoutError
 
-__all__ = ["VERDICT_WAIT_MS", "PromptGuard"]
+__all__ = ["PromptGuard"]
 
 MAX_SERVED_PARTS = 8192
 SERVED_TTL_MS = 60_000
 # A round trip to control VMs of other regions, and on to their entry VMs.
 VERDICT_WAIT_MS = 300
+VERDICT_INTERVAL_MS = 20
 MAX_REPORTS = 20
 REPORT_WINDOW_MS = 1000
 
@@ -87,9 +88,21 @@
             return False
         return self.clock.now() - self.reported_at[0] < REPORT_WINDOW_MS
 
-    def needs_verdict(self, prompt, progress, error):
-        """Return whether an attempt may have crashed its target by an unproven part."""
-        return may_be_crash(progress, error) and bool(self.unproven_parts(prompt))
+    def may_crash_again(self, prompt, progress, error, sleep):
+        """Return whether the prompt of a failed attempt is under suspicion.
+
+        Other VMs get time to say that they served its parts: until one has, the prompt
+        must not crash another target. `sleep` waits for a number of milliseconds.
+        """
+        if not (may_be_crash(progress, error) and self.unproven_parts(prompt)):
+            return False
+        asked_at = self.clock.now()
+        while self.clock.now() - asked_at < VERDICT_WAIT_MS:
+            # The report of a hop comes from the VM that received it, and later.
+            if progress.destination.target_id and not self.is_suspected(prompt):
+                return False
+            sleep(VERDICT_INTERVAL_MS)
+        return self.is_suspected(prompt)
 
     def is_suspected(self, prompt):
         """Return whether there is evidence on a part of a prompt."""
--- a/tests/fleet_model.py
+++ b/tests/fleet_model.py
@@ -175,6 +175,15 @@
         }
         self.sequence = 0
 
+    @classmethod
+    @contextlib.contextmanager
+    def started(cls, entries=12):
+        """Yield a fleet with a plan in force, of six control VMs and some entry VMs."""
+        with contextlib.closing(cls(entries)) as model:
+            model.put_plan(1)
+            model.run(6000)
+            yield model
+
     def close(self):
         self.stack.close()
 
--- a/tests/test_fleet_links.py
+++ b/tests/test_fleet_links.py
@@ -18,9 +18,7 @@
 @pytest.fixture
 def model():
     """Yield a started fleet of six control VMs and 12 entry VMs."""
-    with contextlib.closing(FleetModel(12)) as model:
-        model.put_plan(1)
-        model.run(6000)
+    with FleetModel.started() as model:
         yield model
 
 
--- a/tests/test_part_quarantine.py
+++ b/tests/test_part_quarantine.py
@@ -1,7 +1,5 @@
 """Evidence on prompt parts: what counts as a crash, and how it spreads over a fleet."""
 
-import contextlib
-
 import pytest
 
 from pollenmount.clock import ManualClock
@@ -81,9 +79,7 @@
 @pytest.fixture
 def model():
     """Yield a started fleet of six control VMs and 12 entry VMs."""
-    with contextlib.closing(FleetModel(12)) as model:
-        model.put_plan(1)
-        model.run(6000)
+    with FleetModel.started() as model:
         yield model
 
 
--- a/tests/test_target_notices.py
+++ b/tests/test_target_notices.py
@@ -316,9 +316,7 @@
 @pytest.fixture
 def model():
     """Yield a started fleet of six control VMs and 12 entry VMs."""
-    with contextlib.closing(FleetModel(12)) as model:
-        model.put_plan(1)
-        model.run(6000)
+    with FleetModel.started() as model:
         model.reset_counters()
         yield model
 
