Pass on what members observe in one place

Notices of targets that leave and evidence on prompt parts went from a member to the other control VMs by two ways, one of them a special case beside the other. Both are observations now, sent on by the same rule; the source that marks a VM's own ones no longer lives with the targets that leave. No change of what is sent to whom; the tests of both are unchanged but for an import.

--- a/pollenmount/fleet/client.py
+++ b/pollenmount/fleet/client.py
@@ -7,7 +7,6 @@
 
 from pollenmount import task
 from pollenmount.fleet.channel import Channel, ChannelError
-from pollenmount.fleet.leaving import RESPONSE
 from pollenmount.fleet.messages import (
     CONTROL,
     LINK_PROTOCOL,
@@ -15,10 +14,8 @@
     Loads,
     MemberHeartbeat,
     MemberRecord,
-    PartsServed,
-    PromptBroke,
-    TargetLeaving,
 )
+from pollenmount.fleet.observations import OBSERVATIONS, RESPONSE
 from pollenmount.fleet.totals import LOAD_INTERVAL_MS, changed_loads
 from pollenmount.log import get_logger
 
@@ -274,8 +271,7 @@
 
     def report_observation(self, message, source):
         """Send a change on all links if this VM observed it in a target's response."""
-        is_observation = isinstance(message, TargetLeaving | PromptBroke | PartsServed)
-        if not is_observation or source != RESPONSE:
+        if not isinstance(message, OBSERVATIONS) or source != RESPONSE:
             return
         for channel in [*self.channels.values()]:
             if channel is not None:
--- a/pollenmount/fleet/leaving.py
+++ b/pollenmount/fleet/leaving.py
@@ -1,9 +1,7 @@
 """Incarnations of targets that said in a response that they leave."""
 
-__all__ = ["RESPONSE", "LeavingTargets"]
+__all__ = ["LeavingTargets"]
 
-# Source of what this VM read in a target's response itself.
-RESPONSE = "response"
 MAX_LEAVING_TARGETS = 4096
 
 
--- /dev/null
+++ b/pollenmount/fleet/observations.py
@@ -0,0 +1,13 @@
+"""What a VM observes in a target's response itself, and tells all other VMs.
+
+Unlike that a VM is there, it stays true, so any VM may pass it on: an entry VM tells
+the control VMs that it is linked to, and each of those tells the others.
+"""
+
+from pollenmount.fleet.messages import PartsServed, PromptBroke, TargetLeaving
+
+__all__ = ["OBSERVATIONS", "RESPONSE"]
+
+# Source of what this VM observed itself.
+RESPONSE = "response"
+OBSERVATIONS = (TargetLeaving, PromptBroke, PartsServed)
--- a/pollenmount/fleet/server.py
+++ b/pollenmount/fleet/server.py
@@ -25,13 +25,11 @@
     MemberDown,
     MemberHeartbeat,
     MemberUp,
-    PartsServed,
-    PromptBroke,
     RoutesChanged,
-    TargetLeaving,
     TargetSeen,
     encode,
 )
+from pollenmount.fleet.observations import OBSERVATIONS
 from pollenmount.fleet.selection import (
     is_available,
     select_cold_senders,
@@ -167,9 +165,7 @@
         """Handle one message of a member."""
         if isinstance(message, Loads) and self.sessions.get(session.name) is session:
             self.totals.report(session.name, message.loads)
-        if isinstance(message, TargetLeaving):
-            self.handle_target_leaving(message, session.name)
-        if isinstance(message, PromptBroke | PartsServed):
+        if isinstance(message, OBSERVATIONS):
             self.fleet.handle(message, session.name)
         if not isinstance(message, MemberHeartbeat):
             return
@@ -322,7 +318,10 @@
             session.channel.push(routes)
 
     def forward_change(self, message, source):
-        """Send a change to the members that it concerns."""
+        """Send a change to the members that it concerns.
+
+        What a member observed goes on to the other control VMs.
+        """
         data = encode(message)
         is_plan = isinstance(message, RoutesChanged)
         for session in [*self.sessions.values()]:
@@ -330,8 +329,7 @@
                 session.channel.push_encoded(data)
                 if is_plan:
                     session.routes_revision = message.revision
-        if isinstance(message, PromptBroke | PartsServed) and source in self.sessions:
-            # Control VMs are all linked, so each of them passes on its members' news.
+        if isinstance(message, OBSERVATIONS) and source in self.sessions:
             self.push_encoded_to(CONTROL, data)
 
     def push_to_entry_vms(self, message):
@@ -370,14 +368,6 @@
         message = self.fleet.targets.handle_leave(id_, DIRECT)
         self.push_to_control_vms(message)
 
-    def handle_target_leaving(self, message, source):
-        """Pass on what a member read in a target's response, if it is news.
-
-        Unlike that a VM is there, this stays true, so it may be passed on by any VM.
-        """
-        if self.fleet.targets.handle_leaving(message, source):
-            self.push_to_control_vms(message)
-
     def sweep_targets(self, silence_ms):
         """Mark targets silent that this VM has not heard for `silence_ms`."""
         for message in self.fleet.targets.sweep(silence_ms, DIRECT):
--- a/pollenmount/gateway/prompt_guard.py
+++ b/pollenmount/gateway/prompt_guard.py
@@ -6,8 +6,8 @@
 
 import collections
 
-from pollenmount.fleet.leaving import RESPONSE
 from pollenmount.fleet.messages import PartsServed, PromptBroke
+from pollenmount.fleet.observations import RESPONSE
 from pollenmount.gateway.attempt import FailedResponseError
 from pollenmount.gateway.hop import HopRefusedError
 from pollenmount.log import get_logger
--- a/pollenmount/gateway/target_notices.py
+++ b/pollenmount/gateway/target_notices.py
@@ -6,8 +6,8 @@
 
 import math
 
-from pollenmount.fleet.leaving import RESPONSE
 from pollenmount.fleet.messages import TargetLeaving
+from pollenmount.fleet.observations import RESPONSE
 from pollenmount.gateway.attempt import connection_key
 from pollenmount.gateway.target_pauses import MAX_PAUSE_MS, bounded_pause_ms
 from pollenmount.log import get_logger
--- a/tests/test_deadly_prompts.py
+++ b/tests/test_deadly_prompts.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from pollenmount.fleet.leaving import RESPONSE
+from pollenmount.fleet.observations import RESPONSE
 from pollenmount.gateway.call import ErrorResponse, ResponseHead
 from pollenmount.gateway.dialect import Prompt, PromptPart, ResponseInfo
 from pollenmount.gateway.dispatch import BrokenResponseError
--- a/tests/test_part_quarantine.py
+++ b/tests/test_part_quarantine.py
@@ -3,8 +3,8 @@
 import pytest
 
 from pollenmount.clock import ManualClock
-from pollenmount.fleet.leaving import RESPONSE
 from pollenmount.fleet.messages import ENTRY, PartsServed, PromptBroke
+from pollenmount.fleet.observations import RESPONSE
 from pollenmount.fleet.part_quarantine import (
     EVIDENCE_TTL_MS,
     MAX_PARTS,
