Say what arrived of a response, and decide once what a success is

headed and served became head_arrived and event_arrived, in the code and in the log line attempt failed. The status range of a success and the ids of a prompt's shared parts each stood twice.

--- a/pollenmount/gateway/attempt.py
+++ b/pollenmount/gateway/attempt.py
@@ -23,6 +23,7 @@
     "Sender",
     "TargetPauseError",
     "connection_key",
+    "is_success",
 ]
 
 MISDIRECTED_REQUEST = 421
@@ -202,7 +203,7 @@
             if info.not_run or head.status == MISDIRECTED_REQUEST:
                 discard(parts)
                 raise not_run_error(head.status, info)
-            if OK <= head.status < MULTIPLE_CHOICES and not info.stamped:
+            if is_success(head.status) and not info.stamped:
                 raise MalformedResponseError(
                     "a success without the target's response stamp"
                 )
@@ -245,6 +246,11 @@
             yield bytes(splitter.pending)
 
 
+def is_success(status):
+    """Return whether a status says that the request succeeded."""
+    return OK <= status < MULTIPLE_CHOICES
+
+
 def discard(parts):
     """Read a body to its end without keeping it.
 
--- a/pollenmount/gateway/dialect.py
+++ b/pollenmount/gateway/dialect.py
@@ -19,6 +19,7 @@
     "Prompt",
     "PromptPart",
     "ResponseInfo",
+    "shared_ids",
 ]
 
 
@@ -50,9 +51,13 @@
         """Return the expected output tokens; most outputs stay far below the limit."""
         return self.hint or self.output_tokens // OUTPUT_LIMIT_PER_OUTPUT
 
-    def shared_ids(self):
-        """Return the ids of the parts that other prompts may share: not the last."""
-        return tuple(part.id for part in self.parts[:-1])
+
+def shared_ids(prompt):
+    """Return the ids of the parts that other prompts may share: all but the last.
+
+    There are none without a prompt.
+    """
+    return tuple(part.id for part in prompt.parts[:-1]) if prompt else ()
 
 
 class CallerInfo(NamedTuple):
--- a/pollenmount/gateway/dispatch.py
+++ b/pollenmount/gateway/dispatch.py
@@ -18,6 +18,7 @@
 )
 from pollenmount.gateway.call import AttemptFailure, ErrorResponse, ResponseHead
 from pollenmount.gateway.choose import TargetChoice, is_long_stream, no_remote_options
+from pollenmount.gateway.dialect import shared_ids
 from pollenmount.gateway.hop import HopRefusedError, PeerNotReadyError, encode_hop
 from pollenmount.gateway.progress import CallObserver
 from pollenmount.gateway.retry_policy import RetryPolicy
@@ -223,7 +224,7 @@
                         progress.head = part
                         yield part
         self.context.breakers.record_success(destination.name)
-        if not progress.attempt_served:
+        if not progress.event_arrived:
             self.context.guard.record_served(call.info.prompt)
 
     def may_replace_attempt(self, call, progress, may_hop, stalled_ms):
@@ -242,7 +243,7 @@
             # A hop is counted by the VM that receives it and sends it to a target.
             self.retries.budget.record_request(call.service)
         progress.sends += 1
-        progress.attempt_headed = progress.attempt_served = False
+        progress.head_arrived = progress.event_arrived = False
         progress.destination = destination
         progress.expected_ms = round(expected_ms)
         progress.tried.add(destination.name)
@@ -312,9 +313,9 @@
                 "sends": progress.sends,
                 "last_gap_ms": progress.last_gap_ms(self.clock.now()),
                 "last_event": progress.last_id,
-                "parts": call.info.prompt.shared_ids() if call.info.prompt else (),
-                "headed": progress.attempt_headed,
-                "served": progress.attempt_served,
+                "parts": shared_ids(call.info.prompt),
+                "head_arrived": progress.head_arrived,
+                "event_arrived": progress.event_arrived,
             },
         )
 
--- a/pollenmount/gateway/progress.py
+++ b/pollenmount/gateway/progress.py
@@ -1,12 +1,9 @@
 """Progress of one call, and the observer that records it from the response."""
 
-from pollenmount.gateway.attempt import ResponseObserver
+from pollenmount.gateway.attempt import ResponseObserver, is_success
 
 __all__ = ["CallObserver", "Progress"]
 
-OK = 200
-MULTIPLE_CHOICES = 300
-
 
 class Progress:
     """State of one call across its attempts.
@@ -22,8 +19,8 @@
     that were written to the caller. `retry_reserved` tells whether the retry budget
     keeps a retry for an attempt that would replace the present one. `pause_ms` is as
     in `ErrorResponse`, and `quarantine_ms` for how long the prompt is in quarantine.
-    `attempt_headed` and `attempt_served` tell of the last attempt
-    whether the head of a success and an event have arrived.
+    `head_arrived` and `event_arrived` tell whether the head of a success, and an event,
+    have arrived in the last attempt.
     """
 
     def __init__(self, call):
@@ -45,8 +42,8 @@
         self.delivered_bytes = 0
         self.retry_reserved = False
         self.quarantine_ms = 0
-        self.attempt_headed = False
-        self.attempt_served = False
+        self.head_arrived = False
+        self.event_arrived = False
 
     def last_gap_ms(self, now):
         """Return the time since the last chunk of the response, None before one."""
@@ -88,8 +85,7 @@
         """Handle what the target says of itself, before the body arrives."""
         notices = self.dispatcher.context.notices
         notices.handle_head(self.call, self.destination, status, info)
-        is_success = OK <= status < MULTIPLE_CHOICES
-        self.progress.attempt_headed = is_success and not info.not_run
+        self.progress.head_arrived = is_success(status) and not info.not_run
 
     def on_chunk(self):
         """Update the trackers on the first chunk, and release a reserved retry."""
@@ -103,8 +99,8 @@
     def on_delivered(self, event_id):
         """Record the event after which another target would resume the stream."""
         self.progress.last_id = event_id
-        if not self.progress.attempt_served:
-            self.progress.attempt_served = True
+        if not self.progress.event_arrived:
+            self.progress.event_arrived = True
             self.dispatcher.context.guard.record_served(self.call.info.prompt)
 
     def may_abandon(self, stalled_ms):
--- a/pollenmount/gateway/prompt_guard.py
+++ b/pollenmount/gateway/prompt_guard.py
@@ -9,6 +9,7 @@
 from pollenmount.fleet.messages import PartsServed, PromptBroke
 from pollenmount.fleet.observations import RESPONSE
 from pollenmount.gateway.attempt import FailedResponseError
+from pollenmount.gateway.dialect import shared_ids
 from pollenmount.gateway.hop import HopRefusedError
 from pollenmount.log import get_logger
 from pollenmount.wire.errors import PeerUnreachableError, ResponseTimeoutError
@@ -126,21 +127,16 @@
         )
 
 
-def shared_ids(prompt):
-    """Return the ids of a prompt's shared parts, none without a prompt."""
-    return prompt.shared_ids() if prompt else ()
-
-
 def may_be_crash(progress, error):
     """Return whether a target may have ended when it began to respond.
 
     Of a hop only this is known: that it may have run, and brought no event.
     """
-    if progress.attempt_served or error.not_run:
+    if progress.event_arrived or error.not_run:
         return False
     if isinstance(error, HopRefusedError):
         return True
     is_other = isinstance(
         error, FailedResponseError | ResponseTimeoutError | PeerUnreachableError
     )
-    return progress.attempt_headed and not is_other
+    return progress.head_arrived and not is_other
--- a/tests/test_prompt_parts_log.py
+++ b/tests/test_prompt_parts_log.py
@@ -17,4 +17,8 @@
     call = harness.make_call(STREAM, make_prompt("s"))
     harness.serve(call, [HEAD, MalformedResponseError("ended early")])
     (line,) = [r.fields for r in caplog.records if r.msg == "attempt failed"]
-    assert (line["parts"], line["headed"], line["served"]) == (("s",), True, False)
+    assert (line["parts"], line["head_arrived"], line["event_arrived"]) == (
+        ("s",),
+        True,
+        False,
+    )
