Log what a VM believes of a cold target, and what it sends there

The report of a flooded cold target could not be traced: a change of a target had neither its start time nor its warm-up nor the VMs that may send, and no line told that a request went to a cold target. Now a request that reaches a target before the sender knows it to be cold has a 'call ended' without a 'cold target used', beside a later 'fleet changed' of the same target with cold_ms (hypothesis 1); one sent by a VM that should not has other senders in its line than the VM that hears the target (2); several lines of one VM closer than the rate allows show the third.

--- a/pollenmount/fleet/fleet.py
+++ b/pollenmount/fleet/fleet.py
@@ -201,7 +201,10 @@
             "service": target.service,
             "address": target.address,
             "draining": target.draining,
+            "born": target.born,
             "sequence": target.sequence,
             "age_ms": message.age_ms,
+            "cold_ms": target.cold_ms,
+            "cold_senders": message.cold_senders,
         }
     return {name: getattr(message, name) for name in message.__struct_fields__}
--- a/pollenmount/gateway/dispatch.py
+++ b/pollenmount/gateway/dispatch.py
@@ -161,9 +161,26 @@
         if chosen is None:
             return None, 0
         if isinstance(chosen, TargetChoice):
+            self.log_cold_target(call, chosen.target_id)
             return self.target_destination(chosen.target_id), chosen.expected_ms
         return self.hop_destination(call, progress, chosen.region), chosen.expected_ms
 
+    def log_cold_target(self, call, id_):
+        """Log that a target gets a request while it is cold, and why from this VM."""
+        target, now = self.context.fleet.targets.by_id[id_], self.clock.now()
+        if target.is_cold(now):
+            logger.info(
+                "cold target used",
+                extra={
+                    "request": call.id,
+                    "target": id_,
+                    "born": target.record.born,
+                    "sequence": target.record.sequence,
+                    "cold_left_ms": target.cold_until - now,
+                    "senders": target.cold_senders,
+                },
+            )
+
     def target_destination(self, id_):
         """Return the destination for a target of this region."""
         target = self.context.fleet.targets.by_id[id_]
