--- a/tests/gateway_harness.py
+++ b/tests/gateway_harness.py
@@ -91,6 +91,28 @@
     return Prompt("m", shared + own, 50, parts)
 
 
+def make_context(settings, fleet, loads, metrics):
+    """Return the `RoutingContext` of an entry VM with a fleet's view of the targets."""
+    clock = fleet.clock
+    pool = ConnectionPool(clock)
+    pauses = TargetPauses(clock)
+    return RoutingContext(
+        settings,
+        clock,
+        fleet,
+        fleet.store,
+        loads=loads,
+        cache=PrefixCacheTracker(clock),
+        breakers=CircuitBreakers(clock),
+        warmup=WarmupLimiter(clock, settings.name),
+        pool=pool,
+        lags=LagTracker(clock),
+        pauses=pauses,
+        notices=TargetNotices(fleet, pool, pauses, metrics),
+        guard=PromptGuard(fleet, clock, metrics),
+    )
+
+
 class TargetHead(NamedTuple):
     """Status and `ResponseInfo` of a target's response."""
 
@@ -145,23 +167,7 @@
         self.loads = LoadTracker(lambda: self.reported)
         self.reported = {}
         self.metrics = GatewayMetrics()
-        pool = ConnectionPool(self.clock)
-        pauses = TargetPauses(self.clock)
-        self.context = RoutingContext(
-            self.settings,
-            self.clock,
-            self.fleet,
-            self.store,
-            loads=self.loads,
-            cache=PrefixCacheTracker(self.clock),
-            breakers=CircuitBreakers(self.clock),
-            warmup=WarmupLimiter(self.clock, self.settings.name),
-            pool=pool,
-            lags=LagTracker(self.clock),
-            pauses=pauses,
-            notices=TargetNotices(self.fleet, pool, pauses, self.metrics),
-            guard=PromptGuard(self.fleet, self.clock, self.metrics),
-        )
+        self.context = make_context(self.settings, self.fleet, self.loads, self.metrics)
         self.budget = RetryBudget(
             self.clock, BOUNDS.retry_limits, self.fleet.entry_counter.share
         )
