Treat a target as cold while nobody can know that it is warm

Cause: an entry VM took each target for warm until a record said otherwise. A target that restarts under its id, or turns cold in an evacuated failure domain, got the requests of all entry VMs of its region until news of it had reached each. Change: a target is doubted when its heartbeat is overdue by half an interval or the evacuation of its failure domain ends, until a newer heartbeat is heard, 10 s at most; a doubted target is treated as a cold one. The control VM that heard it says so and names the senders; the next heartbeat clears the doubt at all VMs. Not covered: a restart within 1.8 s of the last heartbeat.

--- a/pollenmount/fleet/capacity.py
+++ b/pollenmount/fleet/capacity.py
@@ -98,7 +98,7 @@
     return (
         target.is_heard
         and not record.draining
-        and not target.is_cold(now)
+        and not target.may_be_cold(now)
         and record.failure_domain not in evacuated
     )
 
--- a/pollenmount/fleet/fleet.py
+++ b/pollenmount/fleet/fleet.py
@@ -15,6 +15,7 @@
     PartsServed,
     PromptBroke,
     RoutesChanged,
+    TargetDoubted,
     TargetGone,
     TargetLeaving,
     TargetSeen,
@@ -81,6 +82,10 @@
     def _(self, message: TargetSeen, source):
         self.targets.handle_seen(message, source)
 
+    @handle.register
+    def _(self, message: TargetDoubted, source):
+        self.targets.handle_doubted(message, source)
+
     @handle.register
     def _(self, message: TargetSilent, source):
         self.targets.handle_silent(message, source)
@@ -154,7 +159,11 @@
     @handle.register
     def _(self, message: EvacuationsChanged, source):
         if message.revision > self.evacuations.revision:
+            before = self.evacuations.failure_domains
             self.evacuations = message
+            # Targets may have turned cold meanwhile, and the news come later.
+            for failure_domain in {*before} - {*message.failure_domains}:
+                self.targets.doubt_domain(failure_domain)
             self.notify(message, source)
 
     def region_of(self, failure_domain):
--- a/pollenmount/fleet/messages.py
+++ b/pollenmount/fleet/messages.py
@@ -26,6 +26,7 @@
     "PromptBroke",
     "RoutesChanged",
     "ServiceCapacity",
+    "TargetDoubted",
     "TargetGone",
     "TargetLeaving",
     "TargetLoad",
@@ -39,7 +40,7 @@
 ENTRY = "entry"
 CONTROL = "control"
 # Incremented when VMs of two builds would misunderstand each other.
-LINK_PROTOCOL = 4
+LINK_PROTOCOL = 5
 
 
 class MemberRecord(NamedTuple):
@@ -166,6 +167,19 @@
     cold_senders: tuple[str, ...] = ()
 
 
+class TargetDoubted(Message, frozen=True, array_like=True, tag=True):
+    """A target may have turned cold since its newest heartbeat.
+
+    `born` and `sequence` identify that heartbeat. Until there is a newer one, only the
+    entry VMs named in `cold_senders` may send to the target, as to a cold one.
+    """
+
+    id: str
+    born: int
+    sequence: int
+    cold_senders: tuple[str, ...] = ()
+
+
 class TargetSilent(Message, frozen=True, array_like=True, tag=True):
     """A target has missed several heartbeats."""
 
@@ -262,6 +276,7 @@
     | MemberUp
     | MemberDown
     | TargetSeen
+    | TargetDoubted
     | TargetSilent
     | TargetGone
     | TargetLeaving
--- a/pollenmount/fleet/server.py
+++ b/pollenmount/fleet/server.py
@@ -20,6 +20,7 @@
     LINK_PROTOCOL,
     Capacities,
     EntryCounts,
+    EvacuationsChanged,
     LinkHello,
     Loads,
     MemberDown,
@@ -36,6 +37,7 @@
     select_hop_peers,
 )
 from pollenmount.fleet.session import Session, concerns
+from pollenmount.fleet.targets import make_target_doubted
 from pollenmount.fleet.totals import LOAD_INTERVAL_MS, LoadTotals
 from pollenmount.log import get_logger
 
@@ -87,7 +89,7 @@
         self.hop_peers_version = None
         self.hop_peers_at = clock.now()
         self.ticks = 0
-        fleet.listeners.append(self.forward_change)
+        fleet.listeners += [self.forward_change, self.name_cold_senders]
         self.socket = task.listen(address, LISTEN_BACKLOG)
         self.thread = task.spawn(self.accept_links)
         self.ticker = task.PeriodicTask(self.tick, TICK_INTERVAL_MS)
@@ -348,7 +350,8 @@
 
     def handle_target_heartbeat(self, record):
         """Handle a heartbeat that a target sent to this VM."""
-        message = TargetSeen(record, 0, self.pick_cold_senders(record))
+        cold_senders = self.pick_cold_senders(record) if record.cold_ms > 0 else ()
+        message = TargetSeen(record, 0, cold_senders)
         if self.fleet.targets.handle_seen(message, DIRECT):
             self.push_to_control_vms(message)
 
@@ -356,7 +359,7 @@
         """Return the names of the entry VMs that may send to a target while cold."""
         plan = self.fleet.store.plan
         limits = plan.services.get(record.service) if plan else None
-        if limits is None or record.cold_ms <= 0:
+        if limits is None or limits.cold_per_s <= 0:
             return ()
         region = self.fleet.region_of(record.failure_domain)
         members = self.fleet.members.live_in(ENTRY, region)
@@ -368,6 +371,26 @@
         message = self.fleet.targets.handle_leave(id_, DIRECT)
         self.push_to_control_vms(message)
 
+    def doubt_overdue_targets(self, overdue_ms):
+        """Tell all VMs of targets that may have restarted since they were heard."""
+        for known in self.fleet.targets.overdue(overdue_ms, DIRECT):
+            self.doubt_target(known)
+
+    def name_cold_senders(self, message, source):
+        """Name the VMs that may send to targets whose evacuation has just ended."""
+        if not isinstance(message, EvacuationsChanged):
+            return
+        now = self.clock.now()
+        for known in [*self.fleet.targets.by_id.values()]:
+            if DIRECT in known.heard_by and known.is_doubted(now):
+                self.doubt_target(known)
+
+    def doubt_target(self, known):
+        """Tell all VMs that a target may be cold until it is heard again."""
+        message = make_target_doubted(known, self.pick_cold_senders(known.record))
+        self.fleet.targets.handle_doubted(message, DIRECT)
+        self.push_to_control_vms(message)
+
     def sweep_targets(self, silence_ms):
         """Mark targets silent that this VM has not heard for `silence_ms`."""
         for message in self.fleet.targets.sweep(silence_ms, DIRECT):
--- a/pollenmount/fleet/session.py
+++ b/pollenmount/fleet/session.py
@@ -12,6 +12,7 @@
     PartsServed,
     PromptBroke,
     RoutesChanged,
+    TargetDoubted,
     TargetGone,
     TargetLeaving,
     TargetSeen,
@@ -118,6 +119,7 @@
     return fleet.region_of_target(message.target.id) == session.record.region
 
 
+@concerns_entry.register(TargetDoubted)
 @concerns_entry.register(TargetSilent)
 @concerns_entry.register(TargetGone)
 @concerns_entry.register(TargetLeaving)
--- a/pollenmount/fleet/targets.py
+++ b/pollenmount/fleet/targets.py
@@ -11,6 +11,7 @@
 
 from pollenmount.fleet.leaving import LeavingTargets
 from pollenmount.fleet.messages import (
+    TargetDoubted,
     TargetGone,
     TargetLeaving,
     TargetRecord,
@@ -19,7 +20,13 @@
 )
 from pollenmount.fleet.versioned_cache import VersionedCache
 
-__all__ = ["DEFAULT_SLOTS", "Target", "TargetTable"]
+__all__ = [
+    "DEFAULT_SLOTS",
+    "Doubt",
+    "Target",
+    "TargetTable",
+    "make_target_doubted",
+]
 
 # Assumed for a target that doesn't report its number.
 DEFAULT_SLOTS = 16
@@ -30,18 +37,27 @@
 # Smaller differences in the end of a warm-up come from transmission delays.
 COLD_CHANGE_MS = 250
 ANY_INCARNATION = -1
+# Longer than targets take to start and warm up.
+DOUBT_TTL_MS = 10_000
 # Stands for sources that were lost; a target may turn to another control VM meanwhile.
 LOST_SOURCES = "lost"
 LOST_SOURCES_GRACE_MS = 5000
 
 
+class Doubt(NamedTuple):
+    """A target may be cold until `until`, or until a record newer than `order_key`."""
+
+    order_key: tuple[int, int]
+    until: int
+
+
 class Target(NamedTuple):
     """A target known to this VM; times are in milliseconds of this VM's clock.
 
     `heard_at` is when the newest heartbeat arrived, on an entry VM that of the newest
     change, or when a source was lost. `heard_by` are the sources that receive its
-    heartbeats, `cold_until` is the end of its warm-up. Until then only the entry VMs
-    named in `cold_senders` may send to it.
+    heartbeats, `cold_until` is the end of its warm-up. Until then, and while there is a
+    `doubt`, only the entry VMs named in `cold_senders` may send to it.
     """
 
     record: TargetRecord
@@ -49,6 +65,7 @@
     cold_until: int
     heard_by: frozenset[str]
     cold_senders: tuple[str, ...] = ()
+    doubt: Doubt | None = None
 
     @property
     def id(self):
@@ -60,9 +77,13 @@
         """Return whether at least one source receives its heartbeats."""
         return bool(self.heard_by)
 
-    def is_cold(self, now):
-        """Return whether the target is still warming up at `now`."""
-        return now < self.cold_until
+    def is_doubted(self, now):
+        """Return whether the target may have turned cold since its last heartbeat."""
+        return self.doubt is not None and now < self.doubt.until
+
+    def may_be_cold(self, now):
+        """Return whether the target is warming up at `now`, or may be."""
+        return now < self.cold_until or self.is_doubted(now)
 
 
 class Tombstone(NamedTuple):
@@ -121,6 +142,8 @@
         target = Target(
             record, heard_at, cold_until, frozenset(heard_by), message.cold_senders
         )
+        if known and known.doubt and record.order_key <= known.doubt.order_key:
+            target = target._replace(doubt=known.doubt, cold_senders=known.cold_senders)
         is_changed = known is None or must_notify(known, target)
         if known and not is_newer:
             target = target._replace(heard_at=max(known.heard_at, heard_at))
@@ -146,6 +169,55 @@
             return age_ms < ANY_INCARNATION_TOMBSTONE_TTL_MS
         return record.born <= tombstone.born
 
+    def handle_doubted(self, message, source):
+        """Note that a target may be cold until it is heard again; notify if it is new.
+
+        It is no news to a VM that has heard it since.
+        """
+        known = self.by_id.get(message.id)
+        order_key = (message.born, message.sequence)
+        if known is None or known.record.order_key > order_key:
+            return
+        now = self.clock.now()
+        if known.is_doubted(now) and known.cold_senders == message.cold_senders:
+            return
+        doubt = Doubt(order_key, now + DOUBT_TTL_MS)
+        self.by_id[message.id] = known._replace(
+            doubt=doubt, cold_senders=message.cold_senders
+        )
+        self.version += 1
+        self.on_change(message, source)
+
+    def doubt_domain(self, failure_domain):
+        """Doubt the targets of a failure domain until they are heard again."""
+        until = self.clock.now() + DOUBT_TTL_MS
+        for known in self.of_domain(failure_domain):
+            doubt = Doubt(known.record.order_key, until)
+            self.by_id[known.id] = known._replace(doubt=doubt)
+        self.version += 1
+
+    def of_domain(self, failure_domain):
+        """Return the targets of a failure domain, as a list."""
+        return [
+            known
+            for known in self.by_id.values()
+            if known.record.failure_domain == failure_domain
+        ]
+
+    def overdue(self, overdue_ms, source):
+        """Return the targets of which `source` has heard nothing for `overdue_ms`.
+
+        Those that are doubted already are left out.
+        """
+        now = self.clock.now()
+        return [
+            known
+            for known in self.by_id.values()
+            if source in known.heard_by
+            and now - known.heard_at > overdue_ms
+            and not known.is_doubted(now)
+        ]
+
     def handle_silent(self, message, source):
         """Remove a source that no longer hears a target; notify if it was the last."""
         known = self.by_id.get(message.id)
@@ -274,6 +346,8 @@
         for id_, known in self.by_id.items():
             if source is None or source in known.heard_by:
                 yield make_target_seen(known, now)
+            if known.is_doubted(now):
+                yield make_target_doubted(known, known.cold_senders)
             if source is None and not known.is_heard:
                 yield TargetSilent(id_)
         yield from self.leaving_messages()
@@ -285,6 +359,12 @@
     return TargetSeen(known.record, age_ms, known.cold_senders)
 
 
+def make_target_doubted(known, cold_senders):
+    """Return the `TargetDoubted` of a known target for other VMs."""
+    record = known.record
+    return TargetDoubted(record.id, record.born, record.sequence, cold_senders)
+
+
 def must_notify(known, new):
     """Return whether other VMs must be notified of the change at once."""
     old, record = known.record, new.record
@@ -293,4 +373,5 @@
         record.cold_ms > 0 and new.cold_until > known.cold_until + COLD_CHANGE_MS
     )
     senders_changed = record.cold_ms > 0 and new.cold_senders != known.cold_senders
-    return not same or turned_cold or senders_changed or not known.heard_by
+    cleared = known.doubt is not None and new.doubt is None
+    return not same or turned_cold or senders_changed or cleared or not known.heard_by
--- a/pollenmount/gateway/dispatch.py
+++ b/pollenmount/gateway/dispatch.py
@@ -168,7 +168,7 @@
     def log_cold_target(self, call, id_):
         """Log that a target gets a request while it is cold, and why from this VM."""
         target, now = self.context.fleet.targets.by_id[id_], self.clock.now()
-        if target.is_cold(now):
+        if target.may_be_cold(now):
             logger.info(
                 "cold target used",
                 extra={
@@ -176,7 +176,8 @@
                     "target": id_,
                     "born": target.record.born,
                     "sequence": target.record.sequence,
-                    "cold_left_ms": target.cold_until - now,
+                    "cold_left_ms": max(0, target.cold_until - now),
+                    "doubted": target.is_doubted(now),
                     "senders": target.cold_senders,
                 },
             )
@@ -186,7 +187,7 @@
         target = self.context.fleet.targets.by_id[id_]
         record = target.record
         self.context.breakers.start_probe(id_, record.born)
-        if target.is_cold(self.clock.now()):
+        if target.may_be_cold(self.clock.now()):
             self.context.warmup.record(id_)
         region = self.context.settings.region
         return AttemptDestination(id_, record.address, record.born, region, id_)
--- a/pollenmount/gateway/roles/control.py
+++ b/pollenmount/gateway/roles/control.py
@@ -10,6 +10,8 @@
 __all__ = ["ControlRole"]
 
 SWEEP_INTERVAL_MS = 300
+# A heartbeat may be somewhat late; a target that restarted has missed one.
+OVERDUE_HEARTBEATS = 1.5
 MISSED_HEARTBEATS = 3.5
 STOP_TIMEOUT_MS = 700
 POLL_INTERVAL_MS = 20
@@ -44,9 +46,10 @@
             node.serve(settings.listen.directory, DirectoryApi(node).handle)
 
     def sweep(self):
-        """Mark targets that have missed several heartbeats as silent."""
-        silence_ms = MISSED_HEARTBEATS * self.node.settings.heartbeat_ms
-        self.server.sweep_targets(silence_ms)
+        """Doubt targets that have missed a heartbeat; several make them silent."""
+        heartbeat_ms = self.node.settings.heartbeat_ms
+        self.server.doubt_overdue_targets(OVERDUE_HEARTBEATS * heartbeat_ms)
+        self.server.sweep_targets(MISSED_HEARTBEATS * heartbeat_ms)
 
     def stop(self, requested_at):
         """Hand over leadership and finish running calls.
--- a/pollenmount/gateway/routing_context.py
+++ b/pollenmount/gateway/routing_context.py
@@ -158,7 +158,7 @@
         service_limits = self.store.plan.services.get(record.service)
         if service_limits is None:
             return False
-        is_cold = target.is_cold(self.clock.now()) and service_limits.cold_per_s > 0
+        is_cold = target.may_be_cold(self.clock.now()) and service_limits.cold_per_s > 0
         if is_cold and not self.warmup.may_send(
             record.id, service_limits.cold_per_s, target.cold_senders
         ):
--- a/tests/fleet_model.py
+++ b/tests/fleet_model.py
@@ -30,6 +30,7 @@
 ROUND_MS = 250
 STEP_MS = 50
 HEARTBEAT_MS = 1200
+OVERDUE_MS = 1800
 SILENCE_MS = 4200
 SERVICES = {"engine": ServiceLimits("engine", 620, 2.7, None)}
 
@@ -327,6 +328,7 @@
         node.client.run_round()
         if node.server:
             node.server.tick()
+            node.server.doubt_overdue_targets(OVERDUE_MS)
             node.server.sweep_targets(SILENCE_MS)
 
 
--- a/tests/test_cold_targets_log.py
+++ b/tests/test_cold_targets_log.py
@@ -25,6 +25,7 @@
         "born": 7,
         "sequence": 4,
         "cold_left_ms": 2500,
+        "doubted": False,
         "senders": ("west-1",),
     }
 
