--- a/pollenmount/gateway/dialect.py
+++ b/pollenmount/gateway/dialect.py
@@ -96,8 +96,10 @@
     is present, and `not_run` whether the target reports that it did not run the
     request. `leaving` tells that the target is about to end, and `retry_after_s` how
     long it wants no requests: None if it doesn't say, NaN if that is unreadable.
-    `headers` are passed on, also those of `leaving` and `retry_after_s`: the response
-    stays the target's.
+    `limit_per_s` is how many requests a second it takes from all VMs together, in the
+    same manner.
+    `headers` are passed on, also those with what the target says of itself: the
+    response stays the target's.
     """
 
     id: str
@@ -106,6 +108,7 @@
     leaving: bool
     retry_after_s: float | None
     headers: tuple[tuple[str, str], ...]
+    limit_per_s: float | None = None
 
 
 class ControlRequestKind(StrEnum):
--- a/pollenmount/gateway/target_notices.py
+++ b/pollenmount/gateway/target_notices.py
@@ -18,6 +18,7 @@
 UNAVAILABLE = 503
 MS_PER_S = 1000
 MAX_WARNED = 4096
+MAX_LIMITS = 4096
 
 logger = get_logger("targets")
 
@@ -26,7 +27,7 @@
     """Handles the notices in responses, and those that other VMs have read.
 
     `warned` has the targets, by id and incarnation, of which a pause out of range was
-    logged.
+    logged, and `limits` the limits in the newest responses read here.
     """
 
     def __init__(self, fleet, pool, pauses, metrics):
@@ -35,6 +36,7 @@
         self.pauses = pauses
         self.metrics = metrics
         self.warned = set()
+        self.limits = {}
         fleet.listeners.append(self.handle_change)
 
     def handle_head(self, call, destination, status, info):
@@ -45,6 +47,27 @@
             self.handle_leaving(call, destination, status)
         if status == UNAVAILABLE and info.retry_after_s is not None:
             self.handle_pause(call, destination, info.retry_after_s)
+        self.log_limit(call, destination, info.limit_per_s)
+
+    def log_limit(self, call, destination, per_s):
+        """Log a limit that an incarnation names, changes, or names no more."""
+        key = (destination.target_id, destination.incarnation)
+        if str(per_s) == str(self.limits.get(key)):
+            return
+        if per_s is None:
+            del self.limits[key]
+        elif len(self.limits) < MAX_LIMITS:
+            self.limits[key] = per_s
+        logger.info(
+            "target names a limit" if per_s is not None else "target names no limit",
+            extra={
+                "request": call.id,
+                "target": destination.target_id,
+                "born": destination.incarnation,
+                "service": call.service,
+                "per_s": str(per_s),
+            },
+        )
 
     def handle_leaving(self, call, destination, status):
         """Stop sending to a target that leaves, in the incarnation that was asked."""
