Keep the limit that a target names, by all VMs together

Cause: no VM read the limit; the head of the response passed through. Change: a limit is restricted as a warm-up is, by one mechanism: the limiter of warm-ups takes any number of rates with their senders (RateLimit), and a target may have both. The VM that reads a limit stops, and tells the control VMs, which select who may send. A response without it, to a request sent after it was heard last, ends it. Hops, retries and resumed streams take the same way. The two tests of a limit's end use the chooser random: the others' choice need not return to that target while no load is modelled. Not tried: shares of all VMs by count, which for one request a second and 200 VMs would leave each a request in minutes.

--- a/pollenmount/fleet/capacity.py
+++ b/pollenmount/fleet/capacity.py
@@ -66,7 +66,9 @@
     groups = collections.defaultdict(list)
     for target in fleet.targets.by_id.values():
         record = target.record
-        usable = is_usable(target, fleet.evacuations.failure_domains, now)
+        usable = is_usable(
+            target, fleet.evacuations.failure_domains, now
+        ) and not fleet.targets.limit_of(target)
         group = groups[fleet.region_of(record.failure_domain), record.service]
         if usable:
             load = totals.get(record.id) or TargetLoad(record.id, 0, 0)
--- a/pollenmount/fleet/fleet.py
+++ b/pollenmount/fleet/fleet.py
@@ -18,6 +18,7 @@
     TargetDoubted,
     TargetGone,
     TargetLeaving,
+    TargetLimited,
     TargetSeen,
     TargetSilent,
 )
@@ -98,6 +99,10 @@
     def _(self, message: TargetLeaving, source):
         self.targets.handle_leaving(message, source)
 
+    @handle.register
+    def _(self, message: TargetLimited, source):
+        self.targets.handle_limited(message, source)
+
     @handle.register
     def _(self, message: PromptBroke, source):
         if self.quarantine.record_break(message):
--- a/pollenmount/fleet/messages.py
+++ b/pollenmount/fleet/messages.py
@@ -29,6 +29,7 @@
     "TargetDoubted",
     "TargetGone",
     "TargetLeaving",
+    "TargetLimited",
     "TargetLoad",
     "TargetRecord",
     "TargetSeen",
@@ -40,7 +41,7 @@
 ENTRY = "entry"
 CONTROL = "control"
 # Incremented when VMs of two builds would misunderstand each other.
-LINK_PROTOCOL = 5
+LINK_PROTOCOL = 6
 
 
 class MemberRecord(NamedTuple):
@@ -203,6 +204,20 @@
     born: int
 
 
+class TargetLimited(Message, frozen=True, array_like=True, tag=True):
+    """An incarnation of a target names a limit in its responses, or none any more.
+
+    It takes `per_s` requests a second from all VMs together; only the entry VMs named
+    in `senders` may send to it. An entry VM that read the limit leaves them empty, and
+    the control VM that it tells selects them.
+    """
+
+    id: str
+    born: int
+    per_s: float | None
+    senders: tuple[str, ...] = ()
+
+
 class PromptBroke(Message, frozen=True, array_like=True, tag=True):
     """A target ended a response as it began; a part of the prompt may have crashed it.
 
@@ -280,6 +295,7 @@
     | TargetSilent
     | TargetGone
     | TargetLeaving
+    | TargetLimited
     | PromptBroke
     | PartsServed
     | RoutesChanged
--- a/pollenmount/fleet/observations.py
+++ b/pollenmount/fleet/observations.py
@@ -4,10 +4,15 @@
 the control VMs that it is linked to, and each of those tells the others.
 """
 
-from pollenmount.fleet.messages import PartsServed, PromptBroke, TargetLeaving
+from pollenmount.fleet.messages import (
+    PartsServed,
+    PromptBroke,
+    TargetLeaving,
+    TargetLimited,
+)
 
 __all__ = ["OBSERVATIONS", "RESPONSE"]
 
 # Source of what this VM observed itself.
 RESPONSE = "response"
-OBSERVATIONS = (TargetLeaving, PromptBroke, PartsServed)
+OBSERVATIONS = (TargetLeaving, TargetLimited, PromptBroke, PartsServed)
--- a/pollenmount/fleet/selection.py
+++ b/pollenmount/fleet/selection.py
@@ -3,7 +3,7 @@
 from pollenmount.fleet.messages import ENTRY
 from pollenmount.rendezvous import top_by_rendezvous
 
-__all__ = ["is_available", "select_cold_senders", "select_hop_peers"]
+__all__ = ["is_available", "select_senders", "select_hop_peers"]
 
 MAX_SENDERS_PER_TARGET = 3
 HOP_PEERS_PER_REGION = 4
@@ -19,8 +19,8 @@
     )
 
 
-def select_cold_senders(id_, rate_per_s, names):
-    """Return the names of the entry VMs that may send to a cold target, as a tuple.
+def select_senders(id_, rate_per_s, names):
+    """Return the names of the entry VMs that share a target's rate, as a tuple.
 
     If each of many VMs had a small share of the target's rate, their requests could
     coincide and exceed it.
--- a/pollenmount/fleet/server.py
+++ b/pollenmount/fleet/server.py
@@ -10,6 +10,8 @@
 import contextlib
 from typing import NamedTuple
 
+import msgspec
+
 from pollenmount import task
 from pollenmount.fleet.capacity import CapacityReports, summarize_capacities
 from pollenmount.fleet.channel import Channel, ChannelError
@@ -27,14 +29,15 @@
     MemberHeartbeat,
     MemberUp,
     RoutesChanged,
+    TargetLimited,
     TargetSeen,
     encode,
 )
 from pollenmount.fleet.observations import OBSERVATIONS
 from pollenmount.fleet.selection import (
     is_available,
-    select_cold_senders,
     select_hop_peers,
+    select_senders,
 )
 from pollenmount.fleet.session import Session, concerns
 from pollenmount.fleet.targets import make_target_doubted
@@ -167,6 +170,8 @@
         """Handle one message of a member."""
         if isinstance(message, Loads) and self.sessions.get(session.name) is session:
             self.totals.report(session.name, message.loads)
+        if isinstance(message, TargetLimited) and session.is_entry:
+            message = self.with_senders(message)
         if isinstance(message, OBSERVATIONS):
             self.fleet.handle(message, session.name)
         if not isinstance(message, MemberHeartbeat):
@@ -223,6 +228,7 @@
         is_slow_tick = self.ticks % SLOW_TICKS == 0
         self.update_capacities()
         self.send_hop_peers()
+        self.update_limit_senders()
         for session in [*self.sessions.values()]:
             self.send_changes(session, is_slow_tick)
             if session.is_entry:
@@ -361,10 +367,29 @@
         limits = plan.services.get(record.service) if plan else None
         if limits is None or limits.cold_per_s <= 0:
             return ()
+        return self.pick_senders(record, limits.cold_per_s)
+
+    def pick_senders(self, record, per_s):
+        """Return the names of the entry VMs that share the rate of a target."""
         region = self.fleet.region_of(record.failure_domain)
         members = self.fleet.members.live_in(ENTRY, region)
         names = [member.name for member in members if is_available(member)]
-        return select_cold_senders(record.id, limits.cold_per_s, names)
+        return select_senders(record.id, per_s, names)
+
+    def with_senders(self, message):
+        """Return a `TargetLimited` with the VMs that may send to the target now."""
+        known = self.fleet.targets.by_id.get(message.id)
+        if known is None or message.per_s is None:
+            return message
+        senders = self.pick_senders(known.record, message.per_s)
+        return msgspec.structs.replace(message, senders=senders)
+
+    def update_limit_senders(self):
+        """Replace the VMs that may send to a limited target if some have gone."""
+        for message in [*self.fleet.targets.limits.messages()]:
+            selected = self.with_senders(message)
+            if selected.senders != message.senders:
+                self.fleet.targets.handle_limited(selected, DIRECT)
 
     def handle_target_leave(self, id_):
         """Handle a target's own notice that it leaves."""
--- a/pollenmount/fleet/session.py
+++ b/pollenmount/fleet/session.py
@@ -15,6 +15,7 @@
     TargetDoubted,
     TargetGone,
     TargetLeaving,
+    TargetLimited,
     TargetSeen,
     TargetSilent,
 )
@@ -123,5 +124,6 @@
 @concerns_entry.register(TargetSilent)
 @concerns_entry.register(TargetGone)
 @concerns_entry.register(TargetLeaving)
+@concerns_entry.register(TargetLimited)
 def _(message, session, fleet):
     return fleet.region_of_target(message.id) in (None, session.record.region)
--- a/pollenmount/fleet/targets.py
+++ b/pollenmount/fleet/targets.py
@@ -18,6 +18,7 @@
     TargetSeen,
     TargetSilent,
 )
+from pollenmount.fleet.target_limits import TargetLimits
 from pollenmount.fleet.versioned_cache import VersionedCache
 
 __all__ = [
@@ -112,6 +113,7 @@
         self.by_id = {}
         self.tombstones = {}
         self.leaving = LeavingTargets()
+        self.limits = TargetLimits(clock)
         self.version = 0
         self.cache = VersionedCache(lambda: self.version)
 
@@ -239,6 +241,7 @@
         now = self.clock.now()
         self.tombstones[message.id] = Tombstone(message.born, now, domain)
         self.by_id.pop(message.id, None)
+        self.limits.forget(message.id)
         self.version += 1
         if is_change:
             self.on_change(message, source)
@@ -264,11 +267,24 @@
             self.on_change(message, source)
         return is_news
 
-    def leaving_messages(self):
-        """Yield a `TargetLeaving` for each known target that leaves."""
+    def handle_limited(self, message, source):
+        """Store the limit of an incarnation, or its end, and notify if it is news."""
+        known = self.by_id.get(message.id)
+        if known and message.born < known.record.born:
+            return
+        if self.limits.update(message):
+            self.on_change(message, source)
+
+    def limit_of(self, target):
+        """Return the `TargetLimit` in force for a target, or None."""
+        return self.limits.get(target.id, target.record.born)
+
+    def observations(self):
+        """Yield what VMs have read in responses of the targets known here."""
         for known in self.by_id.values():
             if self.leaving.has(known.record):
                 yield TargetLeaving(known.id, known.record.born)
+        yield from self.limits.messages()
 
     def handle_leave(self, id_, source):
         """Remove a target that announced its leave; return the message about it."""
@@ -350,7 +366,7 @@
                 yield make_target_doubted(known, known.cold_senders)
             if source is None and not known.is_heard:
                 yield TargetSilent(id_)
-        yield from self.leaving_messages()
+        yield from self.observations()
 
 
 def make_target_seen(known, now):
--- a/pollenmount/gateway/dispatch.py
+++ b/pollenmount/gateway/dispatch.py
@@ -187,8 +187,8 @@
         target = self.context.fleet.targets.by_id[id_]
         record = target.record
         self.context.breakers.start_probe(id_, record.born)
-        if target.may_be_cold(self.clock.now()):
-            self.context.warmup.record(id_)
+        if any(self.context.rate_limits(target)):
+            self.context.rates.record(id_)
         region = self.context.settings.region
         return AttemptDestination(id_, record.address, record.born, region, id_)
 
@@ -226,6 +226,7 @@
                 destination,
                 call,
                 end_prefill=end_prefill,
+                sent_at=sent_at,
                 expected_at=sent_at + expected_ms,
                 may_hop=may_hop,
             )
--- a/pollenmount/gateway/progress.py
+++ b/pollenmount/gateway/progress.py
@@ -69,6 +69,7 @@
         call,
         *,
         end_prefill,
+        sent_at,
         expected_at,
         may_hop,
     ):
@@ -77,6 +78,7 @@
         self.destination = destination
         self.call = call
         self.end_prefill = end_prefill
+        self.sent_at = sent_at
         self.expected_at = expected_at
         self.may_hop = may_hop
         self.has_begun = False
@@ -84,7 +86,7 @@
     def on_head(self, status, info):
         """Handle what the target says of itself, before the body arrives."""
         notices = self.dispatcher.context.notices
-        notices.handle_head(self.call, self.destination, status, info)
+        notices.handle_head(self.call, self.destination, status, info, self.sent_at)
         self.progress.head_arrived = is_success(status) and not info.not_run
 
     def on_chunk(self):
--- a/pollenmount/gateway/roles/entry.py
+++ b/pollenmount/gateway/roles/entry.py
@@ -13,11 +13,11 @@
 from pollenmount.gateway.lag import LagTracker
 from pollenmount.gateway.load import LoadTracker
 from pollenmount.gateway.prompt_guard import PromptGuard
+from pollenmount.gateway.rate_limiter import RateLimiter
 from pollenmount.gateway.replies import empty_reply
 from pollenmount.gateway.routing_context import RoutingContext
 from pollenmount.gateway.target_notices import TargetNotices
 from pollenmount.gateway.target_pauses import TargetPauses
-from pollenmount.gateway.warmup import WarmupLimiter
 from pollenmount.log import get_logger
 from pollenmount.plugin import register
 from pollenmount.retry_budget import RetryBudget
@@ -58,7 +58,7 @@
             loads=self.loads,
             cache=PrefixCacheTracker(clock),
             breakers=CircuitBreakers(clock),
-            warmup=WarmupLimiter(clock, settings.name),
+            rates=RateLimiter(clock, settings.name),
             pool=pool,
             lags=LagTracker(clock),
             pauses=pauses,
--- a/pollenmount/gateway/routing_context.py
+++ b/pollenmount/gateway/routing_context.py
@@ -7,6 +7,7 @@
 from pollenmount.fleet.targets import DEFAULT_SLOTS
 from pollenmount.gateway.attempt import connection_key
 from pollenmount.gateway.choose import Options, TargetOption
+from pollenmount.gateway.rate_limiter import RateLimit
 
 __all__ = ["LEARNING_MS", "SILENT_RETRY_MS", "RoutingContext"]
 
@@ -40,7 +41,7 @@
         self.loads = trackers["loads"]
         self.cache = trackers["cache"]
         self.breakers = trackers["breakers"]
-        self.warmup = trackers["warmup"]
+        self.rates = trackers["rates"]
         self.pool = trackers["pool"]
         self.lags = trackers["lags"]
         self.pauses = trackers["pauses"]
@@ -136,7 +137,7 @@
     def forget(self, id_):
         """Drop all state of a target that has left."""
         self.cache.forget(id_)
-        self.warmup.forget(id_)
+        self.rates.forget(id_)
         self.breakers.forget(id_)
         self.lags.forget(id_)
         self.pauses.forget(id_)
@@ -158,13 +159,26 @@
         service_limits = self.store.plan.services.get(record.service)
         if service_limits is None:
             return False
-        is_cold = target.may_be_cold(self.clock.now()) and service_limits.cold_per_s > 0
-        if is_cold and not self.warmup.may_send(
-            record.id, service_limits.cold_per_s, target.cold_senders
-        ):
+        if not self.rates.may_send(record.id, self.rate_limits(target)):
             return False
         return self.has_free_connection(record.id, service_limits, sharers)
 
+    def rate_limits(self, target):
+        """Yield the `RateLimit`s of a target: of its warm-up, and what it names."""
+        service_limits = self.store.plan.services.get(target.record.service)
+        is_cold = target.may_be_cold(self.clock.now())
+        if is_cold and service_limits and service_limits.cold_per_s > 0:
+            yield RateLimit(service_limits.cold_per_s, target.cold_senders)
+        limit = self.fleet.targets.limit_of(target)
+        if limit is None:
+            return
+        if limit.senders or self.fleet.quorums:
+            yield RateLimit(limit.per_s, limit.senders)
+        else:
+            # No control VM is linked that could select the senders.
+            entries = self.fleet.entry_counter.entries(self.settings.region)
+            yield RateLimit(limit.per_s / entries, (self.settings.name,))
+
     def is_presumed_gone(self, target):
         """Return whether a target failed here lately, and no control VM hears it.
 
--- a/pollenmount/gateway/target_notices.py
+++ b/pollenmount/gateway/target_notices.py
@@ -6,7 +6,7 @@
 
 import math
 
-from pollenmount.fleet.messages import TargetLeaving
+from pollenmount.fleet.messages import TargetLeaving, TargetLimited
 from pollenmount.fleet.observations import RESPONSE
 from pollenmount.gateway.attempt import connection_key
 from pollenmount.gateway.target_pauses import MAX_PAUSE_MS, bounded_pause_ms
@@ -19,6 +19,9 @@
 MS_PER_S = 1000
 MAX_WARNED = 4096
 MAX_LIMITS = 4096
+# Without a request now and then nobody would learn that a limit has ended.
+MIN_LIMIT_PER_S = 0.1
+MAX_LIMIT_PER_S = 1e6
 
 logger = get_logger("targets")
 
@@ -39,15 +42,36 @@
         self.limits = {}
         fleet.listeners.append(self.handle_change)
 
-    def handle_head(self, call, destination, status, info):
-        """Handle the status and the `ResponseInfo` of a response to an attempt."""
+    def handle_head(self, call, destination, status, info, sent_at=0):
+        """Handle the status and `ResponseInfo` of a response to an attempt.
+
+        `sent_at` is when the attempt was sent, 0 if that is unknown.
+        """
         if not destination.target_id:
             return
         if info.leaving:
             self.handle_leaving(call, destination, status)
         if status == UNAVAILABLE and info.retry_after_s is not None:
             self.handle_pause(call, destination, info.retry_after_s)
-        self.log_limit(call, destination, info.limit_per_s)
+        if status != MISDIRECTED_REQUEST:
+            self.log_limit(call, destination, info.limit_per_s)
+            self.handle_limit(destination, info.limit_per_s, sent_at)
+
+    def handle_limit(self, destination, per_s, sent_at):
+        """Keep the limit that a target names, or its end, here and at other VMs.
+
+        A response to a request sent before the limit was named last does not end it,
+        nor does one whose limit is not a valid number.
+        """
+        id_, born = destination.target_id, destination.incarnation
+        targets = self.fleet.targets
+        if per_s is None:
+            limit = targets.limits.get(id_, born)
+            if limit is not None and sent_at > limit.named_at:
+                targets.handle_limited(TargetLimited(id_, born, None), RESPONSE)
+        elif per_s >= 0:
+            bounded = min(max(per_s, MIN_LIMIT_PER_S), MAX_LIMIT_PER_S)
+            targets.handle_limited(TargetLimited(id_, born, bounded), RESPONSE)
 
     def log_limit(self, call, destination, per_s):
         """Log a limit that an incarnation names, changes, or names no more."""
--- a/tests/fleet_traffic.py
+++ b/tests/fleet_traffic.py
@@ -87,7 +87,8 @@
     and `cold_arrivals` those at a target that was cold at that moment.
     """
 
-    def __init__(self, entries, targets, seed=1):
+    def __init__(self, entries, targets, seed=1, chooser="expected_time"):
+        self.chooser = chooser
         self.fleet = FleetModel(entries, targets, seed)
         self.clock: ManualClock = self.fleet.clock
         self.random = random.Random(seed)
@@ -186,7 +187,7 @@
         budget = RetryBudget(
             self.clock, BOUNDS.retry_limits, node.fleet.entry_counter.share
         )
-        chooser = make_chooser(settings.chooser)
+        chooser = make_chooser(self.chooser)
         sender = Sender(self, node.name)
         return Dispatcher(context, chooser, sender, budget, self.clock, lambda ms: None)
 
--- a/tests/gateway_harness.py
+++ b/tests/gateway_harness.py
@@ -17,7 +17,7 @@
     TargetRecord,
     TargetSeen,
 )
-from pollenmount.fleet.selection import select_cold_senders
+from pollenmount.fleet.selection import select_senders
 from pollenmount.gateway.cache import PrefixCacheTracker
 from pollenmount.gateway.call import Call, ResponseHead
 from pollenmount.gateway.choose import make_chooser
@@ -33,11 +33,11 @@
 from pollenmount.gateway.metrics import GatewayMetrics
 from pollenmount.gateway.progress import Progress
 from pollenmount.gateway.prompt_guard import PromptGuard
+from pollenmount.gateway.rate_limiter import RateLimiter
 from pollenmount.gateway.routing_context import LEARNING_MS, RoutingContext
 from pollenmount.gateway.settings import Bounds, GatewaySettings, Listen
 from pollenmount.gateway.target_notices import TargetNotices
 from pollenmount.gateway.target_pauses import TargetPauses
-from pollenmount.gateway.warmup import WarmupLimiter
 from pollenmount.retry_budget import RetryBudget
 from pollenmount.routes.plan import (
     DEFAULT_LIMITS,
@@ -104,7 +104,7 @@
         loads=loads,
         cache=PrefixCacheTracker(clock),
         breakers=CircuitBreakers(clock),
-        warmup=WarmupLimiter(clock, settings.name),
+        rates=RateLimiter(clock, settings.name),
         pool=pool,
         lags=LagTracker(clock),
         pauses=pauses,
@@ -208,7 +208,7 @@
         record = record._replace(**changes)
         names = [m.name for m in self.control.members.live_in(ENTRY, region)]
         rate = self.store.plan.services[record.service].cold_per_s
-        message = TargetSeen(record, 0, select_cold_senders(id_, rate, names))
+        message = TargetSeen(record, 0, select_senders(id_, rate, names))
         self.control.handle(message, "c")
         if region == self.settings.region:
             self.fleet.handle(message, "c")
--- a/tests/scripted_vm.py
+++ b/tests/scripted_vm.py
@@ -1,6 +1,6 @@
 """An entry VM that reads the bytes of scripted responses with the real sender."""
 
-from pollenmount.fleet.messages import TargetLeaving
+from pollenmount.fleet.messages import TargetLeaving, TargetLimited
 from pollenmount.gateway.attempt import Sender
 from pollenmount.gateway.progress import Progress
 from pollenmount.routes.plan import RetryMode
@@ -74,6 +74,10 @@
         """Let the VM hear that a target leaves."""
         self.harness.fleet.handle(TargetLeaving(id_, born), source)
 
+    def hear_limit(self, per_s, *senders, id_="a", born=1):
+        """Let the VM hear of a target's limit, and who may send there."""
+        self.harness.fleet.handle(TargetLimited(id_, born, per_s, senders), "c")
+
     def usable(self, **changes):
         """Return the names of the targets that a call may be sent to."""
         call = self.harness.make_call(**changes)
--- a/tests/test_limited_arrivals.py
+++ b/tests/test_limited_arrivals.py
@@ -32,9 +32,9 @@
     """Yield a function that makes a `FleetTraffic` and limits its busiest target."""
     with contextlib.ExitStack() as stack:
 
-        def make(size, per_s):
+        def make(size, per_s, **options):
             entries, targets, calls_per_s = size
-            traffic = FleetTraffic(entries, targets)
+            traffic = FleetTraffic(entries, targets, **options)
             stack.enter_context(contextlib.closing(traffic))
             traffic.run(2000, calls_per_s)
             counts = collections.Counter(a.target for a in traffic.arrivals)
@@ -95,7 +95,7 @@
 # A limit is in force for as long as the target names it, and no longer.
 @SIZES
 def test_a_target_that_names_no_limit_any_more_is_in_full_use_again(make_traffic, size):
-    traffic, limited = make_traffic(size, 2.0)
+    traffic, limited = make_traffic(size, 2.0, chooser="random")
     traffic.run(SETTLE_MS, size[2])
     assert len(arrivals_at(traffic, limited)) > 0
     traffic.processes[limited].limit_per_s = None
@@ -107,7 +107,7 @@
 
 # A limit of an incarnation that has ended must not bind the next one.
 def test_a_limit_ends_with_its_incarnation(make_traffic):
-    traffic, limited = make_traffic(SMALL, 0.5)
+    traffic, limited = make_traffic(SMALL, 0.5, chooser="random")
     traffic.run(SETTLE_MS, SMALL[2])
     traffic.processes[limited].limit_per_s = None
     traffic.restart(limited, 0, 0)
