Keep a doubt since the newest heartbeat when other senders are named

Two control VMs may doubt a target since different heartbeats; the later message replaced the newer mark, so that a heartbeat from before it ended the doubt. Found by reading; the test failed before.

--- a/pollenmount/fleet/targets.py
+++ b/pollenmount/fleet/targets.py
@@ -181,8 +181,10 @@
         if known is None or known.record.order_key > order_key:
             return
         now = self.clock.now()
-        if known.is_doubted(now) and known.cold_senders == message.cold_senders:
-            return
+        if known.is_doubted(now):
+            if known.cold_senders == message.cold_senders:
+                return
+            order_key = max(order_key, known.doubt.order_key)
         doubt = Doubt(order_key, now + DOUBT_TTL_MS)
         self.by_id[message.id] = known._replace(
             doubt=doubt, cold_senders=message.cold_senders
--- a/tests/test_target_doubts.py
+++ b/tests/test_target_doubts.py
@@ -66,6 +66,17 @@
     assert doubts.table.by_id["t"].cold_senders == (() if ends else ("west-1",))
 
 
+# Two control VMs may doubt a target since different heartbeats.
+def test_a_doubt_that_names_other_senders_keeps_the_newest_heartbeat():
+    doubts = Doubts(gets_heartbeats=False)
+    doubts.doubt(sequence=9)
+    doubts.doubt(sequence=7, senders=("west-2",))
+    doubts.see(8)
+    assert doubts.may_be_cold()
+    doubts.see(10)
+    assert not doubts.may_be_cold()
+
+
 def test_a_restart_under_the_same_id_ends_it_too():
     doubts = Doubts()
     doubts.doubt(sequence=9)
