Log a limit once for each value, and what is no valid limit

The lines about limits kept a table of their own, whose entries outlived their targets; once it was full each response of another target logged a line. The limits in force tell now what is new. A value that can't be a limit is warned of as a pause out of range is.

--- a/pollenmount/gateway/target_notices.py
+++ b/pollenmount/gateway/target_notices.py
@@ -18,7 +18,6 @@
 UNAVAILABLE = 503
 MS_PER_S = 1000
 MAX_WARNED = 4096
-MAX_LIMITS = 4096
 # Without a request now and then nobody would learn that a limit has ended.
 MIN_LIMIT_PER_S = 0.1
 MAX_LIMIT_PER_S = 1e6
@@ -29,8 +28,7 @@
 class TargetNotices:
     """Handles the notices in responses, and those that other VMs have read.
 
-    `warned` has the targets, by id and incarnation, of which a pause out of range was
-    logged, and `limits` the limits in the newest responses read here.
+    `warned` has the warnings that were logged, with the target's id and incarnation.
     """
 
     def __init__(self, fleet, pool, pauses, metrics):
@@ -39,7 +37,6 @@
         self.pauses = pauses
         self.metrics = metrics
         self.warned = set()
-        self.limits = {}
         fleet.listeners.append(self.handle_change)
 
     def handle_head(self, call, destination, status, info, sent_at=0):
@@ -54,42 +51,38 @@
         if status == UNAVAILABLE and info.retry_after_s is not None:
             self.handle_pause(call, destination, info.retry_after_s)
         if status != MISDIRECTED_REQUEST:
-            self.log_limit(call, destination, info.limit_per_s)
-            self.handle_limit(destination, info.limit_per_s, sent_at)
+            self.handle_limit(call, destination, info.limit_per_s, sent_at)
 
-    def handle_limit(self, destination, per_s, sent_at):
+    def handle_limit(self, call, destination, per_s, sent_at):
         """Keep the limit that a target names, or its end, here and at other VMs.
 
         A response to a request sent before the limit was named last does not end it,
         nor does one whose limit is not a valid number.
         """
         id_, born = destination.target_id, destination.incarnation
-        targets = self.fleet.targets
+        known = self.fleet.targets.limits.get(id_, born)
         if per_s is None:
-            limit = targets.limits.get(id_, born)
-            if limit is not None and sent_at > limit.named_at:
-                targets.handle_limited(TargetLimited(id_, born, None), RESPONSE)
+            if known is None or sent_at <= known.named_at:
+                return
         elif per_s >= 0:
-            bounded = min(max(per_s, MIN_LIMIT_PER_S), MAX_LIMIT_PER_S)
-            targets.handle_limited(TargetLimited(id_, born, bounded), RESPONSE)
+            per_s = min(max(per_s, MIN_LIMIT_PER_S), MAX_LIMIT_PER_S)
+        else:
+            self.warn_once("limit out of range", destination, per_s=str(per_s))
+            return
+        if per_s != (known.per_s if known else None):
+            self.log_limit(call, destination, per_s)
+        self.fleet.targets.handle_limited(TargetLimited(id_, born, per_s), RESPONSE)
 
     def log_limit(self, call, destination, per_s):
-        """Log a limit that an incarnation names, changes, or names no more."""
-        key = (destination.target_id, destination.incarnation)
-        if str(per_s) == str(self.limits.get(key)):
-            return
-        if per_s is None:
-            del self.limits[key]
-        elif len(self.limits) < MAX_LIMITS:
-            self.limits[key] = per_s
+        """Log a limit that a response names, None if it names none any more."""
         logger.info(
-            "target names a limit" if per_s is not None else "target names no limit",
+            "target names no limit" if per_s is None else "target names a limit",
             extra={
                 "request": call.id,
                 "target": destination.target_id,
                 "born": destination.incarnation,
                 "service": call.service,
-                "per_s": str(per_s),
+                "per_s": per_s,
             },
         )
 
@@ -136,7 +129,12 @@
         """Send nothing to the target for as long as it asks, within bounds."""
         pause_ms = bounded_pause_ms(seconds)
         if not is_in_range(seconds):
-            self.warn_once(destination, seconds, pause_ms)
+            self.warn_once(
+                "pause out of range",
+                destination,
+                asked_s=str(seconds),
+                pause_ms=pause_ms,
+            )
         if not pause_ms:
             return
         id_, born = destination.target_id, destination.incarnation
@@ -153,21 +151,14 @@
                 },
             )
 
-    def warn_once(self, destination, seconds, pause_ms):
-        """Log a pause out of range, once for each incarnation of a target."""
-        key = (destination.target_id, destination.incarnation)
+    def warn_once(self, warning, destination, **fields):
+        """Log a value out of range, once for each incarnation of a target."""
+        id_, born = destination.target_id, destination.incarnation
+        key = (warning, id_, born)
         if key in self.warned or len(self.warned) >= MAX_WARNED:
             return
         self.warned.add(key)
-        logger.warning(
-            "pause out of range",
-            extra={
-                "target": destination.target_id,
-                "born": destination.incarnation,
-                "asked_s": str(seconds),
-                "pause_ms": pause_ms,
-            },
-        )
+        logger.warning(warning, extra={"target": id_, "born": born, **fields})
 
 
 def is_in_range(seconds):
--- a/tests/test_target_limits.py
+++ b/tests/test_target_limits.py
@@ -43,18 +43,20 @@
             vm.hear_limit(limit.per_s, "west-1")
         vm.harness.clock.advance(10_000)
     assert limit_lines(caplog) == [
-        ("target names a limit", "1.7"),
-        ("target names a limit", "2.0"),
-        ("target names no limit", "None"),
+        ("target names a limit", 1.7),
+        ("target names a limit", 2.0),
+        ("target names no limit", None),
     ]
 
 
-def test_a_limit_that_is_no_number_is_logged_once(make_vm, caplog):
+def test_a_limit_that_is_no_valid_number_is_logged_once(make_vm, caplog):
     caplog.set_level("INFO", "pollenmount")
     vm = make_vm("a")
-    for _ in range(2):
-        vm.serve(limited("many"), route=PLAIN)
-    assert limit_lines(caplog) == [("target names a limit", "nan")]
+    for value in ("many", "many", "-3"):
+        vm.serve(limited(value), route=PLAIN)
+    lines = [r.fields for r in caplog.records if r.msg == "limit out of range"]
+    assert lines == [{"target": "a", "born": 1, "per_s": "nan"}]
+    assert limit_lines(caplog) == []
 
 
 def limit_of(vm, id_="a", born=1):
