Split the types of a target and the selection of senders from the table and the links

No change of behaviour: the types of a target and what other VMs must hear of it are in target.py, who shares a target's rate in sender_selection.py.

--- a/pollenmount/fleet/server.py
+++ b/pollenmount/fleet/server.py
@@ -10,8 +10,6 @@
 import contextlib
 from typing import NamedTuple
 
-import msgspec
-
 from pollenmount import task
 from pollenmount.fleet.capacity import CapacityReports, summarize_capacities
 from pollenmount.fleet.channel import Channel, ChannelError
@@ -34,13 +32,10 @@
     encode,
 )
 from pollenmount.fleet.observations import OBSERVATIONS
-from pollenmount.fleet.selection import (
-    is_available,
-    select_hop_peers,
-    select_senders,
-)
+from pollenmount.fleet.selection import is_available, select_hop_peers
+from pollenmount.fleet.sender_selection import SenderSelection
 from pollenmount.fleet.session import Session, concerns
-from pollenmount.fleet.targets import make_target_doubted
+from pollenmount.fleet.target import make_target_doubted
 from pollenmount.fleet.totals import LOAD_INTERVAL_MS, LoadTotals
 from pollenmount.log import get_logger
 
@@ -86,6 +81,7 @@
         self.started_at = clock.now()
         self.sessions = {}
         self.lost_links = {}
+        self.senders = SenderSelection(fleet)
         self.totals = LoadTotals(fleet.region_of_target)
         self.capacities = CapacityReports()
         self.entry_counts = EntryCounts({}, False, False)
@@ -171,7 +167,7 @@
         if isinstance(message, Loads) and self.sessions.get(session.name) is session:
             self.totals.report(session.name, message.loads)
         if isinstance(message, TargetLimited) and session.is_entry:
-            message = self.with_senders(message)
+            message = self.senders.complete(message)
         if isinstance(message, OBSERVATIONS):
             self.fleet.handle(message, session.name)
         if not isinstance(message, MemberHeartbeat):
@@ -356,38 +352,15 @@
 
     def handle_target_heartbeat(self, record):
         """Handle a heartbeat that a target sent to this VM."""
-        cold_senders = self.pick_cold_senders(record) if record.cold_ms > 0 else ()
+        cold_senders = self.senders.of_cold(record) if record.cold_ms > 0 else ()
         message = TargetSeen(record, 0, cold_senders)
         if self.fleet.targets.handle_seen(message, DIRECT):
             self.push_to_control_vms(message)
 
-    def pick_cold_senders(self, record):
-        """Return the names of the entry VMs that may send to a target while cold."""
-        plan = self.fleet.store.plan
-        limits = plan.services.get(record.service) if plan else None
-        if limits is None or limits.cold_per_s <= 0:
-            return ()
-        return self.pick_senders(record, limits.cold_per_s)
-
-    def pick_senders(self, record, per_s):
-        """Return the names of the entry VMs that share the rate of a target."""
-        region = self.fleet.region_of(record.failure_domain)
-        members = self.fleet.members.live_in(ENTRY, region)
-        names = [member.name for member in members if is_available(member)]
-        return select_senders(record.id, per_s, names)
-
-    def with_senders(self, message):
-        """Return a `TargetLimited` with the VMs that may send to the target now."""
-        known = self.fleet.targets.by_id.get(message.id)
-        if known is None or message.per_s is None:
-            return message
-        senders = self.pick_senders(known.record, message.per_s)
-        return msgspec.structs.replace(message, senders=senders)
-
     def update_limit_senders(self):
         """Replace the VMs that may send to a limited target if some have gone."""
         for message in [*self.fleet.targets.limits.messages()]:
-            selected = self.with_senders(message)
+            selected = self.senders.complete(message)
             if selected.senders != message.senders:
                 self.fleet.targets.handle_limited(selected, DIRECT)
 
@@ -412,7 +385,7 @@
 
     def doubt_target(self, known):
         """Tell all VMs that a target may be cold until it is heard again."""
-        message = make_target_doubted(known, self.pick_cold_senders(known.record))
+        message = make_target_doubted(known, self.senders.of_cold(known.record))
         self.fleet.targets.handle_doubted(message, DIRECT)
         self.push_to_control_vms(message)
 
