--- a/tests/test_limited_arrivals.py
+++ b/tests/test_limited_arrivals.py
@@ -11,6 +11,7 @@
 import pytest
 
 from pollenmount.fleet.messages import ENTRY
+from pollenmount.fleet.target_limits import LIMIT_TTL_MS
 from tests.fleet_traffic import DOMAIN, REGION, FleetTraffic, most_in_window
 
 # When the users' bound on a limited target begins, and over which time it is counted.
@@ -81,6 +82,30 @@
     assert 0 < most_in_window(found, WINDOW_MS) <= most_allowed(2.0)
 
 
+# A limit lapses when the VMs that may send have no call for long, and all may send.
+def test_a_limit_lasts_while_nothing_is_sent(make_traffic):
+    traffic, limited = make_traffic(LARGE, 1.0)
+    traffic.run(SETTLE_MS, LARGE[2])
+    traffic.run(LIMIT_TTL_MS + SETTLE_MS, 0)
+    traffic.arrivals.clear()
+    traffic.run(WINDOW_MS, LARGE[2])
+    found = arrivals_at(traffic, limited)
+    assert most_in_window(found, WINDOW_MS) <= most_allowed(1.0)
+
+
+# A VM that is cut off while a limit ends must not keep it for good.
+def test_a_vm_that_missed_the_end_of_a_limit_forgets_it(make_traffic):
+    traffic, limited = make_traffic(SMALL, 2.0, chooser="random")
+    traffic.run(SETTLE_MS, SMALL[2])
+    node = next(n for n in traffic.fleet.of_role(ENTRY) if n.region == REGION)
+    message = next(node.fleet.targets.limits.messages())
+    traffic.processes[limited].limit_per_s = None
+    traffic.run(SETTLE_MS, SMALL[2])
+    node.fleet.handle(message, "late")
+    traffic.run(LIMIT_TTL_MS, SMALL[2])
+    assert [*node.fleet.targets.limits.messages()] == []
+
+
 # A cold target that names a limit as well keeps both.
 def test_a_limit_and_a_warm_up_hold_together(make_traffic):
     traffic, limited = make_traffic(LARGE, 0.5)
