Test the limit of a target with real VMs

Three entry VMs send some 100 requests a second to two targets, one of which takes 2 a second; it got more than 17 in 4 s on, which does not read the limit, and keeps within them now. All callers are served.

--- a/tests/faults/notices.py
+++ b/tests/faults/notices.py
@@ -1,4 +1,4 @@
-"""Real VMs, and targets that say in responses that they leave or want a pause.
+"""Real VMs, and targets that say in responses that they leave, want a pause or a limit.
 
 `python -m tests.faults.notices --network=N --folder=F` runs the scenario and prints a
 JSON document with what callers and targets saw. Times are in seconds from its start.
@@ -33,7 +33,9 @@
 DOMAIN_TO_EVACUATE = "south-a"
 LEAVING = "i-model-west"
 PAUSING = "i-desk-west"
-NOTICE_MODES = ("pausing", "leaving")
+LIMITED = "i-desk-west-2"
+LIMIT_PER_S = 2.0
+NOTICE_MODES = ("pausing", "leaving", "limited")
 
 
 class Answer(NamedTuple):
@@ -71,6 +73,8 @@
             self.send_header("Retry-After", str(PAUSE_S))
         elif mode == "leaving":
             self.send_header("Server-Leaving", "1")
+        elif mode == "limited":
+            self.send_header("Server-Limit", str(LIMIT_PER_S))
 
     def run_request(self, mode, id_):
         """Run a request as usual while the replica says that it leaves."""
@@ -105,9 +109,10 @@
         for region in ("east", "south"):
             self.by_name[f"i-model-{region}"].muted = True
         second = NoticeReplica(
-            "i-desk-west-2", "desk", "west-a", self.ip(1, 103), self.operator_addresses
+            LIMITED, "desk", "west-a", self.ip(1, 103), self.operator_addresses
         )
         self.close_on_exit(second)
+        self.by_name[LIMITED] = second
         self.west = [name for name in self.entry_ips if "west" in name]
 
 
@@ -142,7 +147,30 @@
             self.stopping.set()
         for result in results:
             result.result()
-        return self.document(began, leaving, pausing)
+        document = self.document(began, leaving, pausing)
+        return document | {"limited": self.load_a_limited_target(pausing)}
+
+    def load_a_limited_target(self, other):
+        """Send to two targets, one with a limit; return the times of its arrivals.
+
+        They count from when all VMs have been told.
+        """
+        limited = self.fleet.by_name[LIMITED]
+        limited.mode, other.mode = "limited", "ok"
+        self.answers.clear()
+        self.stopping.clear()
+        with concurrent.futures.ThreadPoolExecutor(MAX_THREADS) as pool:
+            results = self.start_load(pool, "read", LOAD_INTERVAL_S)
+            time.sleep(TOLD_WITHIN_S)
+            told_at = time.monotonic()
+            time.sleep(LOAD_S)
+            self.stopping.set()
+        for result in results:
+            result.result()
+        return {
+            "arrivals": [at - told_at for _, at in limited.vm_arrivals if at > told_at],
+            "statuses": [answer.status for answer in self.answers["read"]],
+        }
 
     def wait_until_ready(self):
         """Wait for the VMs, and forget what was seen until then."""
--- a/tests/faults/test_notices.py
+++ b/tests/faults/test_notices.py
@@ -4,7 +4,7 @@
 import subprocess
 import sys
 
-from tests.faults.notices import LEAVING, PAUSE_S, PAUSING
+from tests.faults.notices import LEAVING, LIMIT_PER_S, PAUSE_S, PAUSING
 from tests.soak.fleet import ROOT
 
 TIMEOUT_S = 60
@@ -12,6 +12,9 @@
 GRACE_S = 0.5
 MAX_ARRIVALS_IN_PAUSE = 2
 SLOWEST_REFUSAL_S = 1
+# The users' bound on what a limited target gets in this time.
+LIMIT_WINDOW_S = 4
+MAX_LIMITED_ARRIVALS = 1.5 * LIMIT_PER_S * LIMIT_WINDOW_S + 5
 
 
 def run_scenario(folder, network):
@@ -41,6 +44,7 @@
     check_that_a_pause_is_kept(seen)
     check_that_callers_are_served_elsewhere(seen)
     check_that_orders_were_accepted_meanwhile(seen)
+    check_that_a_limit_is_kept(seen["limited"])
 
 
 def check_that_a_leaving_target_gets_nothing_more(seen):
@@ -86,3 +90,14 @@
     """Check that plans and the evacuation went on."""
     assert len(seen["orders"]) > 5
     assert set(seen["orders"]) == {200}
+
+
+def check_that_a_limit_is_kept(limited):
+    """Check that all VMs together keep it, and callers are served by the other one."""
+    times = limited["arrivals"]
+    assert times
+    for start in times:
+        in_window = [at for at in times if start <= at < start + LIMIT_WINDOW_S]
+        assert len(in_window) <= MAX_LIMITED_ARRIVALS
+    assert len(limited["statuses"]) > 100
+    assert set(limited["statuses"]) == {200}
