Log a digest by which the same request is known when it comes again

Callers' requests that crash targets come again under other ids, so no two lines could be told to be of one request. The digest covers method, host, path with query, and body; it stands in `attempt failed` and `call ended`.

--- a/pollenmount/gateway/call.py
+++ b/pollenmount/gateway/call.py
@@ -1,12 +1,22 @@
 """Types for a request in the gateway and for its response."""
 
+import hashlib
 from typing import NamedTuple
 
 from pollenmount.gateway.dialect import CallerInfo
 from pollenmount.routes.plan import Route
 from pollenmount.wire.numbers import parse_decimal
 
-__all__ = ["AttemptFailure", "Call", "ErrorResponse", "Response", "ResponseHead"]
+__all__ = [
+    "AttemptFailure",
+    "Call",
+    "ErrorResponse",
+    "Response",
+    "ResponseHead",
+    "digest_request",
+]
+
+DIGEST_BYTES = 12
 
 
 class Call(NamedTuple):
@@ -76,3 +86,15 @@
     reason: str
     retry_after_ms: int = 0
     pause_ms: int = 0
+
+
+def digest_request(call):
+    """Return a digest that is the same whenever the same request comes again.
+
+    It covers the method, the host, the path and query, and the body, not the id. The
+    host tells client accounts apart.
+    """
+    head = f"{call.method} {call.info.host} {call.request_target}\n".encode()
+    digest = hashlib.blake2b(head, digest_size=DIGEST_BYTES)
+    digest.update(call.body)
+    return digest.hexdigest()
--- a/pollenmount/gateway/callers.py
+++ b/pollenmount/gateway/callers.py
@@ -281,6 +281,7 @@
             "call ended",
             extra={
                 "request": call.id,
+                "digest": progress.digest,
                 "route": call.route.name,
                 "service": call.service,
                 "hop": not self.may_hop,
--- a/pollenmount/gateway/dispatch.py
+++ b/pollenmount/gateway/dispatch.py
@@ -325,6 +325,7 @@
             "attempt failed",
             extra={
                 "request": call.id,
+                "digest": progress.digest,
                 "place": destination.name,
                 "address": destination.address,
                 "problem": str(error),
--- a/pollenmount/gateway/progress.py
+++ b/pollenmount/gateway/progress.py
@@ -1,6 +1,7 @@
 """Progress of one call, and the observer that records it from the response."""
 
 from pollenmount.gateway.attempt import ResponseObserver, is_success
+from pollenmount.gateway.call import digest_request
 
 __all__ = ["CallObserver", "Progress"]
 
@@ -20,10 +21,11 @@
     keeps a retry for an attempt that would replace the present one. `pause_ms` is as
     in `ErrorResponse`, and `quarantine_ms` for how long the prompt is in quarantine.
     `head_arrived` and `event_arrived` tell whether the head of a success, and an event,
-    have arrived in the last attempt.
+    have arrived in the last attempt. `digest` is that of `digest_request`.
     """
 
     def __init__(self, call):
+        self.digest = digest_request(call)
         self.runs = 0
         self.sends = 0
         self.tried = set()
