--- a/tests/test_deadly_prompts.py
+++ b/tests/test_deadly_prompts.py
@@ -5,14 +5,12 @@
 
 import pytest
 
-from pollenmount.fleet.observations import RESPONSE
 from pollenmount.gateway.call import ErrorResponse, ResponseHead
 from pollenmount.gateway.dialect import Prompt, PromptPart, ResponseInfo
-from pollenmount.gateway.dispatch import BrokenResponseError
-from pollenmount.gateway.progress import Progress
 from pollenmount.routes.plan import RetryMode
 from pollenmount.wire.errors import MalformedResponseError
-from tests.gateway_harness import EntryHarness, make_route
+from tests.gateway_harness import make_route
+from tests.linked_vms import LinkedVms
 
 INFO = ResponseInfo("id-1", True, False, False, None, ())
 ROUTE = make_route(RetryMode.STREAM, "engine", attempts=2, resumable=True)
@@ -48,54 +46,19 @@
             observer.on_delivered(number)
 
 
-class Vms:
-    """Entry VMs with one clock and one set of targets."""
+class Vms(LinkedVms):
+    """Entry VMs that serve prompts."""
 
-    def __init__(self, count=4):
+    def __init__(self):
         self.engines = Engines()
-        self.all = [EntryHarness() for _ in range(count)]
-        self.clock = self.engines.clock = self.all[0].clock
-        for vm in self.all:
-            vm.add_engines(*TARGETS)
-            vm.clock = vm.dispatcher.clock = vm.context.clock = self.clock
-            vm.fleet.clock = vm.context.breakers.clock = self.clock
-            for owner in (vm.fleet, vm.context):
-                for part in vars(owner).values():
-                    if hasattr(part, "clock"):
-                        part.clock = self.clock
-            vm.dispatcher.sleep = self.clock.advance
-            vm.dispatcher.retries.clock = vm.budget.clock = self.clock
-            vm.dispatcher.sender = self.engines
-            vm.fleet.listeners.append(self.make_link(vm))
-        self.engines.restart = self.restart
-
-    def restart(self, target, born):
-        """Let a target have started again."""
-        for vm in self.all:
-            vm.add_target(target, service="engine", slots=128, born=born)
-
-    def make_link(self, vm):
-        """Return a listener that tells the other VMs what this one observes."""
-
-        def report(message, source):
-            for other in self.all:
-                if source == RESPONSE and other is not vm:
-                    other.fleet.handle(message, "c")
-
-        return report
+        super().__init__(self.engines, "engine", TARGETS)
 
     def serve(self, vm, *parts, number=0):
         """Serve a prompt with these shared parts; return the head it ended with."""
         own = PromptPart(f"own-{parts}-{number}", 100)
         shared = tuple(PromptPart(part, 1000) for part in parts)
         prompt = Prompt("m", 1100, 50, (*shared, own))
-        call = self.all[vm].make_call(ROUTE, prompt)
-        self.all[vm].update_capacities()
-        response = self.all[vm].dispatcher.serve(call, Progress(call))
-        try:
-            return list(response)[0]
-        except BrokenResponseError:
-            return None
+        return self.run_call(self.all[vm], self.all[vm].make_call(ROUTE, prompt))
 
 
 @pytest.fixture
