Keep evidence on what crashes targets by any key, not by prompt parts only

PartQuarantine becomes Quarantine with its durations given; what was seen lately and how often a VM reports are small types of their own. No behaviour changes; the tests are the same.

--- a/pollenmount/fleet/fleet.py
+++ b/pollenmount/fleet/fleet.py
@@ -22,7 +22,7 @@
     TargetSeen,
     TargetSilent,
 )
-from pollenmount.fleet.part_quarantine import PartQuarantine
+from pollenmount.fleet.quarantine import PART_QUARANTINE_MS, Crash, Quarantine
 from pollenmount.fleet.targets import TargetTable
 from pollenmount.log import get_logger
 
@@ -51,7 +51,7 @@
         self.listeners = []
         self.targets = TargetTable(clock, self.notify, is_control)
         self.members = MemberTable(clock, self.notify)
-        self.quarantine = PartQuarantine(clock)
+        self.part_quarantine = Quarantine(clock, PART_QUARANTINE_MS)
         self.evacuations = EvacuationsChanged(0, ())
         self.routes = RoutesChanged(0, 0, b"")
         self.loads = {}
@@ -105,12 +105,14 @@
 
     @handle.register
     def _(self, message: PromptBroke, source):
-        if self.quarantine.record_break(message):
+        at = self.clock.now() - message.age_ms
+        crash = Crash(message.target, message.born, message.prompt, at)
+        if self.part_quarantine.record(crash, message.parts):
             self.notify(message, source)
 
     @handle.register
     def _(self, message: PartsServed, source):
-        cleared = self.quarantine.record_served(message.parts)
+        cleared = self.part_quarantine.clear(message.parts)
         if cleared:
             self.notify(PartsServed(cleared), source)
 
@@ -171,6 +173,12 @@
                 self.targets.doubt_domain(failure_domain)
             self.notify(message, source)
 
+    def crash_reports(self):
+        """Yield the evidence on what crashes targets, for a VM that has none yet."""
+        now = self.clock.now()
+        for crash, parts in self.part_quarantine.by_crash().items():
+            yield PromptBroke(*crash[:3], tuple(parts), now - crash.at)
+
     def region_of(self, failure_domain):
         """Return the region of a failure domain."""
         return self.regions.get(failure_domain, failure_domain)
--- a/pollenmount/fleet/server.py
+++ b/pollenmount/fleet/server.py
@@ -154,12 +154,12 @@
             yield from fleet.members.snapshot(DIRECT)
             yield from fleet.targets.snapshot(DIRECT)
             yield Capacities(self.capacities.own)
-            yield from fleet.quarantine.messages()
+            yield from fleet.crash_reports()
             return
         yield from self.orders(session)
         changes = (*fleet.members.snapshot(), *fleet.targets.snapshot())
         yield from (m for m in changes if concerns(m, session, fleet))
-        yield from fleet.quarantine.messages()
+        yield from fleet.crash_reports()
         yield self.entry_counts
 
     def handle(self, session, message):
--- a/pollenmount/gateway/prompt_guard.py
+++ b/pollenmount/gateway/prompt_guard.py
@@ -4,13 +4,12 @@
 parts that were served here, and tells which prompts are in quarantine.
 """
 
-import collections
-
 from pollenmount.fleet.messages import PartsServed, PromptBroke
 from pollenmount.fleet.observations import RESPONSE
 from pollenmount.gateway.attempt import FailedResponseError
 from pollenmount.gateway.dialect import shared_ids
 from pollenmount.gateway.hop import HopRefusedError
+from pollenmount.gateway.recent_keys import RecentKeys, ReportLimit
 from pollenmount.log import get_logger
 from pollenmount.wire.errors import PeerUnreachableError, ResponseTimeoutError
 
@@ -28,45 +27,36 @@
 
 
 class PromptGuard:
-    """Evidence of this VM on prompt parts, beside `fleet.quarantine`.
+    """Evidence of this VM on prompt parts, beside `fleet.part_quarantine`.
 
-    `served_at` has when this VM saw an event of a response to a prompt with a part,
-    the oldest first.
+    `served` has the parts of prompts of which this VM saw an event of a response.
     """
 
     def __init__(self, fleet, clock, metrics):
         self.fleet = fleet
         self.clock = clock
         self.metrics = metrics
-        self.served_at = collections.OrderedDict()
-        self.reported_at = collections.deque(maxlen=MAX_REPORTS)
+        self.served = RecentKeys(clock, MAX_SERVED_PARTS, SERVED_TTL_MS)
+        self.reports = ReportLimit(clock, MAX_REPORTS, REPORT_WINDOW_MS)
         fleet.listeners.append(self.answer_report)
 
     def record_served(self, prompt):
         """Record that the response to a prompt has begun."""
         parts = shared_ids(prompt)
         for part in parts:
-            self.served_at[part] = self.clock.now()
-            self.served_at.move_to_end(part)
-            if len(self.served_at) > MAX_SERVED_PARTS:
-                self.served_at.popitem(last=False)
-        if self.fleet.quarantine.is_suspected(parts):
+            self.served.add(part)
+        if self.fleet.part_quarantine.is_suspected(parts):
             self.fleet.handle(PartsServed(parts), RESPONSE)
 
-    def was_served(self, part):
-        """Return whether this VM saw a part served lately."""
-        served_at = self.served_at.get(part)
-        return served_at is not None and self.clock.now() - served_at < SERVED_TTL_MS
-
     def unproven_parts(self, prompt):
         """Return the shared parts that this VM has not seen served lately."""
-        return tuple(p for p in shared_ids(prompt) if not self.was_served(p))
+        return tuple(p for p in shared_ids(prompt) if p not in self.served)
 
     def answer_report(self, message, source):
         """Report parts that were served here, if another VM suspects them."""
         if not isinstance(message, PromptBroke) or source == RESPONSE:
             return
-        served = tuple(part for part in message.parts if self.was_served(part))
+        served = tuple(part for part in message.parts if part in self.served)
         if served:
             self.fleet.handle(PartsServed(served), RESPONSE)
 
@@ -75,20 +65,13 @@
         if not (destination.target_id and may_be_crash(progress, error)):
             return
         parts = self.unproven_parts(prompt)
-        if not parts or self.has_reported_enough():
+        if not parts or not self.reports.try_acquire():
             return
-        self.reported_at.append(self.clock.now())
         report = PromptBroke(
             destination.target_id, destination.incarnation, prompt.parts[-1].id, parts
         )
         self.fleet.handle(report, RESPONSE)
 
-    def has_reported_enough(self):
-        """Return whether this VM has sent as many reports lately as it may."""
-        if len(self.reported_at) < MAX_REPORTS:
-            return False
-        return self.clock.now() - self.reported_at[0] < REPORT_WINDOW_MS
-
     def may_crash_again(self, prompt, progress, error, sleep):
         """Return whether the prompt of a failed attempt is under suspicion.
 
@@ -107,11 +90,11 @@
 
     def is_suspected(self, prompt):
         """Return whether there is evidence on a part of a prompt."""
-        return self.fleet.quarantine.is_suspected(shared_ids(prompt))
+        return self.fleet.part_quarantine.is_suspected(shared_ids(prompt))
 
     def left_ms(self, prompt):
         """Return for how long a prompt is in quarantine, 0 if it is not."""
-        return self.fleet.quarantine.left_ms(shared_ids(prompt))
+        return self.fleet.part_quarantine.left_ms(shared_ids(prompt))
 
     def record_refusal(self, call, left_ms):
         """Log and count a call that is refused because of its prompt."""
--- a/tests/test_part_quarantine.py
+++ b/tests/test_quarantine.py
@@ -5,12 +5,13 @@
 from pollenmount.clock import ManualClock
 from pollenmount.fleet.messages import ENTRY, PartsServed, PromptBroke
 from pollenmount.fleet.observations import RESPONSE
-from pollenmount.fleet.part_quarantine import (
+from pollenmount.fleet.quarantine import (
     EVIDENCE_TTL_MS,
-    MAX_PARTS,
-    QUARANTINE_MS,
+    MAX_KEYS,
+    PART_QUARANTINE_MS,
     SAME_MOMENT_MS,
-    PartQuarantine,
+    Crash,
+    Quarantine,
 )
 from tests.fleet_model import FleetModel
 
@@ -22,16 +23,21 @@
 
 @pytest.fixture
 def quarantine(clock):
-    return PartQuarantine(clock)
+    return Quarantine(clock, PART_QUARANTINE_MS)
 
 
 def broke(target="a", prompt="p1", *parts, born=1):
     return PromptBroke(target, born, prompt, parts or ("x",))
 
 
+def add(quarantine, clock, report):
+    crash = Crash(report.target, report.born, report.prompt, clock.now())
+    quarantine.record(crash, report.parts)
+
+
 def record(quarantine, clock, *reports):
     for report in reports:
-        quarantine.record_break(report)
+        add(quarantine, clock, report)
         clock.advance(SAME_MOMENT_MS)
 
 
@@ -39,7 +45,7 @@
     record(quarantine, clock, broke("a", "p1"))
     assert quarantine.left_ms(("x",)) == 0
     record(quarantine, clock, broke("b", "p2"))
-    assert quarantine.left_ms(("y", "x")) == QUARANTINE_MS[2] - SAME_MOMENT_MS
+    assert quarantine.left_ms(("y", "x")) == PART_QUARANTINE_MS[2] - SAME_MOMENT_MS
 
 
 @pytest.mark.parametrize(
@@ -58,12 +64,12 @@
 def test_each_further_crash_lengthens_the_quarantine(quarantine, clock):
     for number in range(7):
         record(quarantine, clock, broke(f"t{number}", f"p{number}"))
-    assert quarantine.left_ms(("x",)) == QUARANTINE_MS[4] - SAME_MOMENT_MS
+    assert quarantine.left_ms(("x",)) == PART_QUARANTINE_MS[4] - SAME_MOMENT_MS
 
 
 def test_a_part_that_was_served_is_cleared(quarantine, clock):
     record(quarantine, clock, broke("a", "p1"), broke("b", "p2"))
-    assert quarantine.record_served(("x", "y")) == ("x",)
+    assert quarantine.clear(("x", "y")) == ("x",)
     assert quarantine.left_ms(("x",)) == 0
 
 
@@ -71,9 +77,9 @@
     record(quarantine, clock, broke("a", "p1"))
     clock.advance(EVIDENCE_TTL_MS)
     assert not quarantine.is_suspected(("x",))
-    for number in range(MAX_PARTS + 5):
-        quarantine.record_break(broke("a", "p1", f"part{number}"))
-    assert len(quarantine.breaks) == MAX_PARTS
+    for number in range(MAX_KEYS + 5):
+        add(quarantine, clock, broke("a", "p1", f"part{number}"))
+    assert len(quarantine.crashes) == MAX_KEYS
 
 
 @pytest.fixture
@@ -85,7 +91,7 @@
 
 def left(model):
     """Return for how long each entry VM keeps the part in quarantine."""
-    return [node.fleet.quarantine.left_ms(("x",)) for node in model.of_role(ENTRY)]
+    return [node.fleet.part_quarantine.left_ms(("x",)) for node in model.of_role(ENTRY)]
 
 
 # Each VM sees few of the crashes, so all must hear of them, in all regions.
