Put a request that crashes targets in quarantine

Cause: no VM remembered what a target had been running when it crashed. The request was sent on by the retry of its call, and again whenever it came.

Change: the same evidence, exchange and bounds, by a digest of the whole request. A broken attempt is evidence if its target takes no connections right afterwards; any answer of a target clears the digest. The check also comes after a call has waited for a target.

Ruled out by tests: connections that are only reset, a loss of power at one moment, a target that leaves, a popular request beside the deadly one.

--- a/pollenmount/fleet/fleet.py
+++ b/pollenmount/fleet/fleet.py
@@ -14,6 +14,8 @@
     MemberUp,
     PartsServed,
     PromptBroke,
+    RequestsAnswered,
+    RequestsCrashed,
     RoutesChanged,
     TargetDoubted,
     TargetGone,
@@ -22,7 +24,7 @@
     TargetSeen,
     TargetSilent,
 )
-from pollenmount.fleet.quarantine import PART_QUARANTINE_MS, Crash, Quarantine
+from pollenmount.fleet.quarantine import Crash, PartQuarantine, RequestQuarantine
 from pollenmount.fleet.targets import TargetTable
 from pollenmount.log import get_logger
 
@@ -51,7 +53,8 @@
         self.listeners = []
         self.targets = TargetTable(clock, self.notify, is_control)
         self.members = MemberTable(clock, self.notify)
-        self.part_quarantine = Quarantine(clock, PART_QUARANTINE_MS)
+        self.part_quarantine = PartQuarantine(clock)
+        self.request_quarantine = RequestQuarantine(clock)
         self.evacuations = EvacuationsChanged(0, ())
         self.routes = RoutesChanged(0, 0, b"")
         self.loads = {}
@@ -116,6 +119,19 @@
         if cleared:
             self.notify(PartsServed(cleared), source)
 
+    @handle.register
+    def _(self, message: RequestsCrashed, source):
+        at = self.clock.now() - message.age_ms
+        crash = Crash(message.target, message.born, message.call, at)
+        if self.request_quarantine.record(crash, message.digests):
+            self.notify(message, source)
+
+    @handle.register
+    def _(self, message: RequestsAnswered, source):
+        cleared = self.request_quarantine.clear(message.digests)
+        if cleared:
+            self.notify(RequestsAnswered(cleared), source)
+
     @handle.register
     def _(self, message: MemberUp, source):
         self.members.handle_up(message, source)
@@ -178,6 +194,8 @@
         now = self.clock.now()
         for crash, parts in self.part_quarantine.by_crash().items():
             yield PromptBroke(*crash[:3], tuple(parts), now - crash.at)
+        for crash, digests in self.request_quarantine.by_crash().items():
+            yield RequestsCrashed(*crash[:3], tuple(digests), now - crash.at)
 
     def region_of(self, failure_domain):
         """Return the region of a failure domain."""
--- a/pollenmount/fleet/messages.py
+++ b/pollenmount/fleet/messages.py
@@ -24,6 +24,8 @@
     "MemberUp",
     "PartsServed",
     "PromptBroke",
+    "RequestsAnswered",
+    "RequestsCrashed",
     "RoutesChanged",
     "ServiceCapacity",
     "TargetDoubted",
@@ -41,7 +43,7 @@
 ENTRY = "entry"
 CONTROL = "control"
 # Incremented when VMs of two builds would misunderstand each other.
-LINK_PROTOCOL = 6
+LINK_PROTOCOL = 7
 
 
 class MemberRecord(NamedTuple):
@@ -238,6 +240,26 @@
     parts: tuple[str, ...]
 
 
+class RequestsCrashed(Message, frozen=True, array_like=True, tag=True):
+    """A target crashed while it had these requests, of which it answered none.
+
+    They are known by their digests; `call` is the id of the call that it broke off. It
+    was `age_ms` ago.
+    """
+
+    target: str
+    born: int
+    call: str
+    digests: tuple[str, ...]
+    age_ms: int = 0
+
+
+class RequestsAnswered(Message, frozen=True, array_like=True, tag=True):
+    """Targets answered requests with these digests, so they crash no target."""
+
+    digests: tuple[str, ...]
+
+
 class RoutesChanged(Message, frozen=True, array_like=True, tag=True):
     """A new plan of routes; `document` is compressed with zlib."""
 
@@ -298,6 +320,8 @@
     | TargetLimited
     | PromptBroke
     | PartsServed
+    | RequestsCrashed
+    | RequestsAnswered
     | RoutesChanged
     | EvacuationsChanged
     | Loads
--- a/pollenmount/fleet/observations.py
+++ b/pollenmount/fleet/observations.py
@@ -7,6 +7,8 @@
 from pollenmount.fleet.messages import (
     PartsServed,
     PromptBroke,
+    RequestsAnswered,
+    RequestsCrashed,
     TargetLeaving,
     TargetLimited,
 )
@@ -15,4 +17,11 @@
 
 # Source of what this VM observed itself.
 RESPONSE = "response"
-OBSERVATIONS = (TargetLeaving, TargetLimited, PromptBroke, PartsServed)
+OBSERVATIONS = (
+    TargetLeaving,
+    TargetLimited,
+    PromptBroke,
+    PartsServed,
+    RequestsCrashed,
+    RequestsAnswered,
+)
--- a/pollenmount/fleet/quarantine.py
+++ b/pollenmount/fleet/quarantine.py
@@ -8,26 +8,26 @@
 import collections
 from typing import NamedTuple
 
-__all__ = ["PART_QUARANTINE_MS", "Crash", "Quarantine"]
+__all__ = ["Crash", "PartQuarantine", "Quarantine", "RequestQuarantine"]
 
-MAX_KEYS = 1024
+MAX_KEYS = 2048
 MAX_CRASHES_KEPT = 8
 # Targets that end at one moment have a common cause, such as a loss of power.
 SAME_MOMENT_MS = 100
-# Time after the last crash, by the number of crashes.
-PART_QUARANTINE_MS = {2: 30_000, 3: 120_000, 4: 600_000}
-EVIDENCE_TTL_MS = 900_000
+# Evidence outlasts the longest quarantine, so that another crash renews that.
+EXTRA_TTL_MS = 300_000
 
 
 class Crash(NamedTuple):
-    """What may have been a crash: at which start of a target, of which prompt, when.
+    """What may have been a crash: at which start of a target, of what, when.
 
-    `prompt` is '' if the key is that of the whole request.
+    `cause` is the id of the prompt if the key is one of its parts, and that of the call
+    if the key is the whole request.
     """
 
     target: str
     born: int
-    prompt: str
+    cause: str
     at: int
 
 
@@ -38,9 +38,11 @@
     of crashes.
     """
 
-    def __init__(self, clock, durations_ms):
+    durations_ms = {}
+
+    def __init__(self, clock):
         self.clock = clock
-        self.durations_ms = durations_ms
+        self.evidence_ttl_ms = max(self.durations_ms.values()) + EXTRA_TTL_MS
         self.crashes = collections.OrderedDict()
 
     def record(self, crash, keys):
@@ -51,7 +53,7 @@
     def add(self, key, crash):
         """Add a crash to the evidence on one key; return whether it is news."""
         known = self.crashes.get(key, ())
-        if any(old[:3] == crash[:3] for old in known):
+        if any(self.is_same(old, crash) for old in known):
             return False
         in_order = sorted((*known, crash), key=lambda known_crash: known_crash.at)
         self.crashes[key] = tuple(in_order[-MAX_CRASHES_KEPT:])
@@ -71,7 +73,7 @@
     def evidence(self, key):
         """Return the evidence on a key that has not expired."""
         known = self.crashes.get(key, ())
-        if known and self.clock.now() - known[-1].at >= EVIDENCE_TTL_MS:
+        if known and self.clock.now() - known[-1].at >= self.evidence_ttl_ms:
             del self.crashes[key]
             return ()
         return known
@@ -83,11 +85,19 @@
     def key_left_ms(self, key):
         """Return for how long a key is not served, 0 if it is."""
         known = self.evidence(key)
-        count = min(count_crashes(known), max(self.durations_ms))
+        count = min(self.count(known), max(self.durations_ms))
         if count < min(self.durations_ms):
             return 0
         return max(0, known[-1].at + self.durations_ms[count] - self.clock.now())
 
+    def is_same(self, known, crash):
+        """Return whether a crash adds nothing to a known one."""
+        raise NotImplementedError
+
+    def count(self, crashes):
+        """Return how many crashes the evidence on a key proves."""
+        raise NotImplementedError
+
     def by_crash(self):
         """Return the keys of each `Crash`, for a VM that has no evidence yet."""
         keys = collections.defaultdict(list)
@@ -97,17 +107,64 @@
         return keys
 
 
-def count_crashes(crashes):
-    """Return how many crashes the evidence proves.
+class PartQuarantine(Quarantine):
+    """Evidence on parts of prompts, by their ids.
 
     Further attempts of one prompt, further prompts at one target and crashes at one
     moment count once.
     """
-    targets = {(crash.target, crash.born) for crash in crashes}
-    prompts = {crash.prompt for crash in crashes if crash.prompt}
-    moments, last_at = 0, None
+
+    durations_ms = {2: 30_000, 3: 120_000, 4: 600_000}
+
+    def is_same(self, known, crash):
+        """Return whether a crash is of the same prompt at the same target."""
+        return known[:3] == crash[:3]
+
+    def count(self, crashes):
+        """Return how many crashes the evidence on a part proves."""
+        prompts = {crash.cause for crash in crashes}
+        moments = count_moments(crashes, lambda crash, last: False)
+        return min(count_targets(crashes), len(prompts), moments)
+
+
+class RequestQuarantine(Quarantine):
+    """Evidence on whole requests, by their digests.
+
+    Crashes at one moment count once, but not those of one call: its attempts follow
+    each other.
+    """
+
+    # From the third crash on nobody misses a request that no target survives.
+    durations_ms = {2: 30_000, 3: 3_600_000, 4: 86_400_000}
+
+    def is_same(self, known, crash):
+        """Return whether a crash is of the same start of a target."""
+        return known[:2] == crash[:2]
+
+    def count(self, crashes):
+        """Return how many crashes the evidence on a request proves."""
+        moments = count_moments(crashes, lambda crash, last: crash.cause == last.cause)
+        return min(count_targets(crashes), moments)
+
+
+def count_targets(crashes):
+    """Return at how many starts of targets the crashes were."""
+    return len({(crash.target, crash.born) for crash in crashes})
+
+
+def count_moments(crashes, are_separate):
+    """Return at how many moments the crashes were, which are in order of time.
+
+    `are_separate` tells of two that follow each other closely that they were not at one
+    moment.
+    """
+    moments, last = 0, None
     for crash in crashes:
-        if last_at is None or crash.at - last_at >= SAME_MOMENT_MS:
+        if (
+            last is None
+            or crash.at - last.at >= SAME_MOMENT_MS
+            or are_separate(crash, last)
+        ):
             moments += 1
-            last_at = crash.at
-    return min(len(targets), len(prompts) or len(targets), moments)
+            last = crash
+    return moments
--- a/pollenmount/fleet/session.py
+++ b/pollenmount/fleet/session.py
@@ -11,6 +11,8 @@
     MemberUp,
     PartsServed,
     PromptBroke,
+    RequestsAnswered,
+    RequestsCrashed,
     RoutesChanged,
     TargetDoubted,
     TargetGone,
@@ -93,6 +95,8 @@
 @concerns_entry.register(EvacuationsChanged)
 @concerns_entry.register(PromptBroke)
 @concerns_entry.register(PartsServed)
+@concerns_entry.register(RequestsCrashed)
+@concerns_entry.register(RequestsAnswered)
 def _(message, session, fleet):
     return True
 
--- /dev/null
+++ b/pollenmount/gateway/crash_guard.py
@@ -0,0 +1,42 @@
+"""Keeps calls that crash targets from being sent on, by their request or its prompt."""
+
+__all__ = ["CrashGuard"]
+
+
+class CrashGuard:
+    """The `PromptGuard` and the `RequestGuard` of this VM."""
+
+    def __init__(self, prompts, requests):
+        self.prompts = prompts
+        self.requests = requests
+
+    def record_answered(self, call, progress):
+        """Record that a target has answered a call, or begun to."""
+        self.prompts.record_served(call.info.prompt)
+        self.requests.record_answered(progress.digest)
+
+    def record_failure(self, call, progress, destination, error):
+        """Report a failed attempt that may have crashed its target."""
+        self.prompts.record_break(call.info.prompt, destination, progress, error)
+        self.requests.record_failure(call, progress, destination, error)
+
+    def may_crash_again(self, call, progress, error, sleep):
+        """Return whether the prompt of a failed attempt may crash another target.
+
+        `sleep` waits for a number of milliseconds.
+        """
+        return self.prompts.may_crash_again(call.info.prompt, progress, error, sleep)
+
+    def find_quarantine(self, call, progress):
+        """Return why a call is in quarantine, or ''; log it and note for how long."""
+        left_ms = self.requests.left_ms(progress.digest)
+        if left_ms:
+            progress.quarantine_ms = left_ms
+            self.requests.record_refusal(call, progress.digest, left_ms)
+            return "the request is in quarantine"
+        left_ms = self.prompts.left_ms(call.info.prompt)
+        if left_ms:
+            progress.quarantine_ms = left_ms
+            self.prompts.record_refusal(call, left_ms)
+            return "a part of the prompt is in quarantine"
+        return ""
--- a/pollenmount/gateway/dispatch.py
+++ b/pollenmount/gateway/dispatch.py
@@ -85,15 +85,10 @@
         Raises `BrokenResponseError` if the response breaks off.
         """
         while True:
-            if self.is_quarantined(call, progress):
-                problem = "a part of the prompt is in quarantine"
-                yield from self.end_without_response(call, progress, problem, may_hop)
-                return
             destination, expected_ms = self.pick_destination(call, progress, may_hop)
             if destination is None:
-                yield from self.end_without_response(
-                    call, progress, "no target can take it", may_hop
-                )
+                problem = progress.quarantine or "no target can take it"
+                yield from self.end_without_response(call, progress, problem, may_hop)
                 return
             try:
                 yield from self.run_attempt(
@@ -107,18 +102,9 @@
                 yield from self.end_without_response(call, progress, problem, may_hop)
                 return
 
-    def is_quarantined(self, call, progress):
-        """Return whether the prompt is in quarantine; record the refusal if so."""
-        left_ms = self.context.guard.left_ms(call.info.prompt)
-        if left_ms:
-            progress.quarantine_ms = left_ms
-            self.context.guard.record_refusal(call, left_ms)
-        return left_ms > 0
-
     def reason_to_stop(self, call, progress, error):
         """Return why no further attempt follows a failed one, or None."""
-        prompt = call.info.prompt
-        if self.context.guard.may_crash_again(prompt, progress, error, self.sleep):
+        if self.context.guard.may_crash_again(call, progress, error, self.sleep):
             return "a part of the prompt may have crashed the target"
         return self.retries.reason_to_stop(call, progress, error)
 
@@ -134,9 +120,13 @@
         """Return the chooser's decision, after waiting while it is better to wait.
 
         The chooser may advise to defer. A VM that has just started may not know the
-        targets yet, so it can't tell that nothing serves the call.
+        targets yet, so it can't tell that nothing serves the call. There is none for
+        a call in quarantine, which may begin while the call waits.
         """
         while True:
+            progress.quarantine = self.context.guard.find_quarantine(call, progress)
+            if progress.quarantine:
+                return None
             chosen = self.choose(call, progress, may_hop)
             interval_ms = self.wait_interval_ms(call, chosen)
             if not interval_ms:
@@ -244,7 +234,7 @@
                         yield part
         self.context.breakers.record_success(destination.name)
         if not progress.event_arrived:
-            self.context.guard.record_served(call.info.prompt)
+            self.context.guard.record_answered(call, progress)
 
     def may_replace_attempt(self, call, progress, may_hop, stalled_ms):
         """Return whether another attempt can replace one that makes no progress."""
@@ -316,7 +306,7 @@
                 logger.warning("region lost", extra={"ran_in": destination.region})
         if not error.not_run:
             progress.runs += 1
-        self.context.guard.record_break(call.info.prompt, destination, progress, error)
+        self.context.guard.record_failure(call, progress, destination, error)
         if isinstance(error, HopRefusedError):
             progress.retry_after_ms = error.retry_after_ms
             self.record_refused_hop(call, destination, error)
--- a/pollenmount/gateway/metrics.py
+++ b/pollenmount/gateway/metrics.py
@@ -57,6 +57,12 @@
             ("service",),
             registry=self.registry,
         )
+        self.requests_quarantined = Counter(
+            "pollenmount_requests_quarantined_total",
+            "Calls refused because their request is in quarantine",
+            ("service",),
+            registry=self.registry,
+        )
         self.plan_version = Gauge(
             "pollenmount_plan_version",
             "Version of the plan of routes in force",
--- a/pollenmount/gateway/progress.py
+++ b/pollenmount/gateway/progress.py
@@ -19,7 +19,8 @@
     was expected of the last attempt. `delivered_bytes` counts the bytes of a stream
     that were written to the caller. `retry_reserved` tells whether the retry budget
     keeps a retry for an attempt that would replace the present one. `pause_ms` is as
-    in `ErrorResponse`, and `quarantine_ms` for how long the prompt is in quarantine.
+    in `ErrorResponse`. `quarantine` is why the call is in quarantine, '' if it is not,
+    and `quarantine_ms` for how long.
     `head_arrived` and `event_arrived` tell whether the head of a success, and an event,
     have arrived in the last attempt. `digest` is that of `digest_request`.
     """
@@ -43,6 +44,7 @@
         self.expected_ms = None
         self.delivered_bytes = 0
         self.retry_reserved = False
+        self.quarantine = ""
         self.quarantine_ms = 0
         self.head_arrived = False
         self.event_arrived = False
@@ -105,7 +107,7 @@
         self.progress.last_id = event_id
         if not self.progress.event_arrived:
             self.progress.event_arrived = True
-            self.dispatcher.context.guard.record_served(self.call.info.prompt)
+            self.dispatcher.context.guard.record_answered(self.call, self.progress)
 
     def may_abandon(self, stalled_ms):
         """Return whether another attempt can replace this one."""
--- /dev/null
+++ b/pollenmount/gateway/request_guard.py
@@ -0,0 +1,97 @@
+"""Keeps a request that crashes targets from being sent to one target after the other.
+
+It reports the requests that a target had when it crashed, answers the reports of other
+VMs on requests that were answered here, and tells which requests are in quarantine.
+"""
+
+from pollenmount.fleet.messages import RequestsAnswered, RequestsCrashed
+from pollenmount.fleet.observations import RESPONSE
+from pollenmount.gateway.attempt import FailedResponseError
+from pollenmount.gateway.recent_keys import RecentKeys, ReportLimit
+from pollenmount.log import get_logger
+from pollenmount.wire.errors import PeerUnreachableError, ResponseTimeoutError
+
+__all__ = ["RequestGuard"]
+
+MAX_ANSWERED = 8192
+ANSWERED_TTL_MS = 60_000
+MAX_REPORTS = 200
+REPORT_WINDOW_MS = 1000
+
+logger = get_logger("requests")
+
+
+class RequestGuard:
+    """Evidence of this VM on whole requests, beside `fleet.request_quarantine`.
+
+    `probe` tells whether a target has crashed. `answered` has the digests of requests
+    that targets answered here lately, be it with a failure.
+    """
+
+    def __init__(self, fleet, clock, metrics, probe):
+        self.fleet = fleet
+        self.metrics = metrics
+        self.probe = probe
+        self.answered = RecentKeys(clock, MAX_ANSWERED, ANSWERED_TTL_MS)
+        self.reports = ReportLimit(clock, MAX_REPORTS, REPORT_WINDOW_MS)
+        fleet.listeners.append(self.answer_report)
+
+    def record_answered(self, digest):
+        """Record that a target has answered a request, or begun to."""
+        self.answered.add(digest)
+        if self.fleet.request_quarantine.is_suspected((digest,)):
+            self.fleet.handle(RequestsAnswered((digest,)), RESPONSE)
+
+    def answer_report(self, message, source):
+        """Report requests that were answered here, if another VM suspects them."""
+        if not isinstance(message, RequestsCrashed) or source == RESPONSE:
+            return
+        answered = tuple(d for d in message.digests if d in self.answered)
+        if answered:
+            self.fleet.handle(RequestsAnswered(answered), RESPONSE)
+
+    def record_failure(self, call, progress, destination, error):
+        """Report a failed attempt if its target crashed, or that it answered."""
+        digest = progress.digest
+        if isinstance(error, FailedResponseError):
+            self.record_answered(digest)
+            return
+        if (
+            may_be_crash(progress, destination, error)
+            and digest not in self.answered
+            and not self.is_leaving(destination)
+            and self.probe.has_crashed(destination)
+            and self.reports.try_acquire()
+        ):
+            id_, born = destination.target_id, destination.incarnation
+            report = RequestsCrashed(id_, born, call.id, (digest,))
+            self.fleet.handle(report, RESPONSE)
+
+    def is_leaving(self, destination):
+        """Return whether a target was about to end, so it ends without a crash."""
+        known = self.fleet.targets.by_id.get(destination.target_id)
+        return known is None or known.record.draining
+
+    def left_ms(self, digest):
+        """Return for how long a request is in quarantine, 0 if it is not."""
+        return self.fleet.request_quarantine.left_ms((digest,))
+
+    def record_refusal(self, call, digest, left_ms):
+        """Log and count a call that is refused because its request is in quarantine."""
+        self.metrics.requests_quarantined.labels(call.service).inc()
+        logger.info(
+            "request refused",
+            extra={
+                "request": call.id,
+                "digest": digest,
+                "service": call.service,
+                "left_ms": left_ms,
+            },
+        )
+
+
+def may_be_crash(progress, destination, error):
+    """Return whether a target may have crashed before it answered an attempt."""
+    if not destination.target_id or progress.event_arrived or error.not_run:
+        return False
+    return not isinstance(error, ResponseTimeoutError | PeerUnreachableError)
--- a/pollenmount/gateway/roles/entry.py
+++ b/pollenmount/gateway/roles/entry.py
@@ -9,12 +9,15 @@
 from pollenmount.gateway.cache import PrefixCacheTracker
 from pollenmount.gateway.callers import CallersApi, HopsApi
 from pollenmount.gateway.choose import make_chooser
+from pollenmount.gateway.crash_guard import CrashGuard
+from pollenmount.gateway.crash_probe import CrashProbe
 from pollenmount.gateway.dispatch import Dispatcher
 from pollenmount.gateway.lag import LagTracker
 from pollenmount.gateway.load import LoadTracker
 from pollenmount.gateway.prompt_guard import PromptGuard
 from pollenmount.gateway.rate_limiter import RateLimiter
 from pollenmount.gateway.replies import empty_reply
+from pollenmount.gateway.request_guard import RequestGuard
 from pollenmount.gateway.routing_context import RoutingContext
 from pollenmount.gateway.target_notices import TargetNotices
 from pollenmount.gateway.target_pauses import TargetPauses
@@ -63,7 +66,10 @@
             lags=LagTracker(clock),
             pauses=pauses,
             notices=TargetNotices(node.fleet, pool, pauses, node.metrics),
-            guard=PromptGuard(node.fleet, clock, node.metrics),
+            guard=CrashGuard(
+                PromptGuard(node.fleet, clock, node.metrics),
+                RequestGuard(node.fleet, clock, node.metrics, CrashProbe(pool)),
+            ),
         )
         node.budget = RetryBudget(
             clock, settings.bounds.retry_limits, node.fleet.entry_counter.share
--- a/pollenmount/wire/connection.py
+++ b/pollenmount/wire/connection.py
@@ -12,6 +12,7 @@
 from pollenmount import task
 from pollenmount.wire.errors import (
     ConnectError,
+    ConnectRefusedError,
     ExchangeError,
     MalformedResponseError,
     PeerUnreachableError,
@@ -80,6 +81,8 @@
         # The time-out above is for connecting; a request may take longer to send.
         connected_socket.settimeout(None)
         set_socket_options(connected_socket)
+    except ConnectionRefusedError as error:
+        raise ConnectRefusedError(f"can't connect to {address}: {error}") from error
     except (OSError, ValueError) as error:
         raise ConnectError(f"can't connect to {address}: {error}") from error
     return Connection(connected_socket)
--- a/pollenmount/wire/errors.py
+++ b/pollenmount/wire/errors.py
@@ -2,6 +2,7 @@
 
 __all__ = [
     "ConnectError",
+    "ConnectRefusedError",
     "PeerUnreachableError",
     "ExchangeError",
     "ResponseTimeoutError",
@@ -21,6 +22,10 @@
     not_run = True
 
 
+class ConnectRefusedError(ConnectError):
+    """The peer's machine runs, but no process listens at the address."""
+
+
 class PeerUnreachableError(ExchangeError):
     """The peer stopped acknowledging data; what was sent may have run."""
 
--- a/pollenmount/wire/pool.py
+++ b/pollenmount/wire/pool.py
@@ -87,6 +87,10 @@
         now = self.clock.now()
         idle.append(IdleConnection(connection, now, now + idle_limit_ms(head)))
 
+    def has_live_idle(self, key):
+        """Return whether an idle connection of a key is still open."""
+        return any(entry.connection.is_alive() for entry in self.idle.get(key, ()))
+
     def discard(self, key, connection):
         """Close a connection that was acquired or is idle."""
         connection.close()
--- a/tests/gateway_harness.py
+++ b/tests/gateway_harness.py
@@ -21,6 +21,8 @@
 from pollenmount.gateway.cache import PrefixCacheTracker
 from pollenmount.gateway.call import Call, ResponseHead
 from pollenmount.gateway.choose import make_chooser
+from pollenmount.gateway.crash_guard import CrashGuard
+from pollenmount.gateway.crash_probe import CrashProbe
 from pollenmount.gateway.dialect import (
     CallerInfo,
     Prompt,
@@ -34,6 +36,7 @@
 from pollenmount.gateway.progress import Progress
 from pollenmount.gateway.prompt_guard import PromptGuard
 from pollenmount.gateway.rate_limiter import RateLimiter
+from pollenmount.gateway.request_guard import RequestGuard
 from pollenmount.gateway.routing_context import LEARNING_MS, RoutingContext
 from pollenmount.gateway.settings import Bounds, GatewaySettings, Listen
 from pollenmount.gateway.target_notices import TargetNotices
@@ -109,7 +112,10 @@
         lags=LagTracker(clock),
         pauses=pauses,
         notices=TargetNotices(fleet, pool, pauses, metrics),
-        guard=PromptGuard(fleet, clock, metrics),
+        guard=CrashGuard(
+            PromptGuard(fleet, clock, metrics),
+            RequestGuard(fleet, clock, metrics, CrashProbe(pool)),
+        ),
     )
 
 
--- a/tests/linked_vms.py
+++ b/tests/linked_vms.py
@@ -33,10 +33,12 @@
         """Let all parts of a VM use the one clock."""
         vm.clock = vm.dispatcher.clock = vm.context.clock = self.clock
         vm.fleet.clock = vm.context.breakers.clock = self.clock
-        for owner in (vm.fleet, vm.context):
+        guard = vm.context.guard
+        for owner in (vm.fleet, vm.context, guard.prompts, guard.requests):
             for part in vars(owner).values():
                 if hasattr(part, "clock"):
                     part.clock = self.clock
+        guard.prompts.clock = self.clock
         vm.dispatcher.sleep = self.clock.advance
         vm.dispatcher.retries.clock = vm.budget.clock = self.clock
 
--- a/tests/test_deadly_prompts.py
+++ b/tests/test_deadly_prompts.py
@@ -135,7 +135,7 @@
 def test_targets_lost_at_one_moment_quarantine_nothing(vms):
     vms.engines.down = TARGETS
     for number in range(4):
-        vms.all[number].context.guard.may_crash_again = lambda *_: True
+        vms.all[number].context.guard.prompts.may_crash_again = lambda *_: True
         vms.serve(number, "new", number=number)
     vms.engines.down = ()
     vms.clock.advance(6000)
--- a/tests/test_deadly_requests.py
+++ b/tests/test_deadly_requests.py
@@ -9,7 +9,16 @@
 
 import pytest
 
-from pollenmount.gateway.call import ResponseHead
+from pollenmount.fleet.messages import (
+    RequestsCrashed,
+    TargetGone,
+    TargetLeaving,
+)
+from pollenmount.fleet.observations import RESPONSE
+from pollenmount.fleet.quarantine import Crash
+from pollenmount.gateway.attempt import AttemptDestination
+from pollenmount.gateway.call import ResponseHead, digest_request
+from pollenmount.gateway.progress import Progress
 from pollenmount.wire.errors import ConnectError, ExchangeError
 from tests.gateway_harness import make_route
 from tests.linked_vms import LinkedVms
@@ -58,6 +67,10 @@
         yield ResponseHead(200, (), target, "west")
         yield b"done"
 
+    def has_crashed(self, destination):
+        """Stand in for `CrashProbe`."""
+        return destination.target_id in self.back_at
+
     def crash(self, target):
         """Let a target take no connections for a while."""
         self.crashes.append(self.clock.now())
@@ -78,6 +91,8 @@
         self.desks = Desks()
         self.random = random.Random(seed)
         super().__init__(self.desks, "desk", TARGETS)
+        for vm in self.all:
+            vm.context.guard.requests.probe = self.desks
 
     def serve(self, body, vm=None, route=ROUTE):
         """Serve a request with this body; return the head it ended with."""
@@ -109,3 +124,112 @@
 # remembered what had been in flight when one crashed.
 def test_a_request_that_crashes_targets_soon_reaches_no_more():
     assert max(late_sends(seed) for seed in range(8)) <= MAX_SENDS_AFTER
+
+
+def crash_two(vms):
+    """Let a deadly request crash two targets, by one call."""
+    head = vms.serve(DEADLY, vm=0)
+    assert len(vms.desks.crashes) == 2
+    return head
+
+
+def test_the_refusal_is_true_and_comes_at_once(vms):
+    crash_two(vms)
+    head, arrivals = vms.serve(DEADLY, vm=2), len(vms.desks.arrivals)
+    assert (head.status, head.retry_after_ms) == (503, 30_000)
+    vms.clock.advance(head.retry_after_ms - 1)
+    assert vms.serve(DEADLY, vm=3).status == 503
+    assert len(vms.desks.arrivals) == arrivals
+
+
+# A call that has crashed targets may have run, which a 503 would deny.
+def test_the_call_that_crashed_targets_is_not_told_that_it_has_not_run(vms):
+    assert crash_two(vms).status == 502
+
+
+def test_after_a_third_crash_nobody_tries_again_for_an_hour(vms):
+    crash_two(vms)
+    vms.clock.advance(30_000)
+    assert vms.serve(DEADLY).status == 502
+    assert len(vms.desks.crashes) == 3
+    vms.clock.advance(3_600_000 - 1000)
+    assert vms.serve(DEADLY).status == 503
+
+
+# A quarantine of all that has the same caller and path would stop the route.
+def test_other_requests_of_the_caller_are_served(vms):
+    crash_two(vms)
+    vms.clock.advance(RESTART_MS)
+    assert {vms.serve(b"sound %d" % n).status for n in range(20)} == {200}
+
+
+# A crash takes along what the target had beside the request that caused it.
+def test_a_popular_request_beside_the_deadly_one_is_served_on(vms):
+    vms.serve(b"popular", vm=1)
+    for target in "ab":
+        vms.desks.crash(target)
+        report = RequestsCrashed(
+            target, vms.clock.now(), target, (digest(vms, b"popular"),)
+        )
+        vms.all[0].fleet.handle(report, RESPONSE)
+        vms.clock.advance(RESTART_MS)
+    assert vms.serve(b"popular", vm=0).status == 200
+
+
+# Targets close connections when they are idle, and reset those beyond their limit.
+def test_targets_that_only_reset_connections_quarantine_nothing(vms):
+    vms.desks.resetting = TARGETS
+    for _ in range(4):
+        vms.serve(b"sound")
+    vms.desks.resetting = ()
+    vms.clock.advance(RESTART_MS)
+    assert vms.serve(b"sound").status == 200
+
+
+# A failure domain that loses power ends its targets with whatever they had.
+def test_targets_lost_at_one_moment_quarantine_nothing(vms):
+    for target in TARGETS:
+        vms.desks.crash(target)
+        report = RequestsCrashed(target, 1, target, (digest(vms, b"sound"),))
+        vms.all[0].fleet.handle(report, RESPONSE)
+    vms.clock.advance(RESTART_MS)
+    assert vms.serve(b"sound", vm=0).status == 200
+
+
+# A target that leaves ends as a crashed one does, and takes no connections then.
+def test_a_target_that_leaves_is_no_evidence(vms):
+    vms.desks.resetting = TARGETS
+    for target in TARGETS:
+        vms.desks.back_at[target] = vms.clock.now() + 1
+        for vm in vms.all:
+            vm.fleet.handle(TargetLeaving(target, 1), RESPONSE)
+    destination = AttemptDestination("a", "a:1", 1, "west", "a")
+    guard, call = vms.all[0].context.guard, vms.all[0].make_call(body=b"sound")
+    guard.record_failure(call, Progress(call), destination, ExchangeError("closed"))
+    assert not vms.all[0].fleet.request_quarantine.crashes
+
+
+# The news may come while a call waits for a better target.
+def test_a_call_that_waits_while_the_quarantine_begins_is_not_sent(vms):
+    vm = vms.all[0]
+    vm.restart()
+    for target in TARGETS:
+        vm.fleet.handle(TargetGone(target, 1), "c")
+
+    def sleep(ms):
+        vms.clock.advance(ms)
+        if not vm.fleet.request_quarantine.crashes:
+            for target in "de":
+                at = vms.clock.now() + (target == "e") * 1000
+                crash = Crash(target, 1, "", at)
+                vm.fleet.request_quarantine.record(crash, (digest(vms, DEADLY),))
+            vm.add_target("f")
+
+    vm.dispatcher.sleep = sleep
+    assert vms.serve(DEADLY, vm=0).status == 503
+    assert not vms.desks.arrivals
+
+
+def digest(vms, body):
+    """Return the digest of the request with this body."""
+    return digest_request(vms.all[0].make_call(body=body))
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -1,17 +1,22 @@
-"""Evidence on prompt parts: what counts as a crash, and how it spreads over a fleet."""
+"""Evidence on what crashes targets: what counts as a crash, and how it spreads."""
 
 import pytest
 
 from pollenmount.clock import ManualClock
-from pollenmount.fleet.messages import ENTRY, PartsServed, PromptBroke
+from pollenmount.fleet.messages import (
+    ENTRY,
+    PartsServed,
+    PromptBroke,
+    RequestsAnswered,
+    RequestsCrashed,
+)
 from pollenmount.fleet.observations import RESPONSE
 from pollenmount.fleet.quarantine import (
-    EVIDENCE_TTL_MS,
     MAX_KEYS,
-    PART_QUARANTINE_MS,
     SAME_MOMENT_MS,
     Crash,
-    Quarantine,
+    PartQuarantine,
+    RequestQuarantine,
 )
 from tests.fleet_model import FleetModel
 
@@ -23,7 +28,7 @@
 
 @pytest.fixture
 def quarantine(clock):
-    return Quarantine(clock, PART_QUARANTINE_MS)
+    return PartQuarantine(clock)
 
 
 def broke(target="a", prompt="p1", *parts, born=1):
@@ -45,7 +50,10 @@
     record(quarantine, clock, broke("a", "p1"))
     assert quarantine.left_ms(("x",)) == 0
     record(quarantine, clock, broke("b", "p2"))
-    assert quarantine.left_ms(("y", "x")) == PART_QUARANTINE_MS[2] - SAME_MOMENT_MS
+    assert (
+        quarantine.left_ms(("y", "x"))
+        == PartQuarantine.durations_ms[2] - SAME_MOMENT_MS
+    )
 
 
 @pytest.mark.parametrize(
@@ -64,7 +72,7 @@
 def test_each_further_crash_lengthens_the_quarantine(quarantine, clock):
     for number in range(7):
         record(quarantine, clock, broke(f"t{number}", f"p{number}"))
-    assert quarantine.left_ms(("x",)) == PART_QUARANTINE_MS[4] - SAME_MOMENT_MS
+    assert quarantine.left_ms(("x",)) == PartQuarantine.durations_ms[4] - SAME_MOMENT_MS
 
 
 def test_a_part_that_was_served_is_cleared(quarantine, clock):
@@ -75,7 +83,7 @@
 
 def test_evidence_expires_and_is_bounded(quarantine, clock):
     record(quarantine, clock, broke("a", "p1"))
-    clock.advance(EVIDENCE_TTL_MS)
+    clock.advance(quarantine.evidence_ttl_ms)
     assert not quarantine.is_suspected(("x",))
     for number in range(MAX_KEYS + 5):
         add(quarantine, clock, broke("a", "p1", f"part{number}"))
@@ -116,3 +124,59 @@
     model.add("late", ENTRY, "west-a")
     model.run(2000)
     assert all(left(model))
+
+
+@pytest.fixture
+def requests(clock):
+    return RequestQuarantine(clock)
+
+
+def crash(target, call="c1", born=1, at=1000):
+    return Crash(target, born, call, at)
+
+
+@pytest.mark.parametrize(
+    ("crashes", "count"),
+    [
+        ([crash("a")], 1),
+        ([crash("a"), crash("a", "c2", at=5000)], 1),
+        ([crash("a"), crash("a", born=2, at=5000)], 2),
+        # A loss of power ends targets under several copies of one request at once.
+        ([crash("a"), crash("b", "c2", at=1050)], 1),
+        ([crash("a"), crash("b", "c2", at=1100)], 2),
+        # The second attempt of a call follows the first within milliseconds.
+        ([crash("a"), crash("b", at=1010)], 2),
+    ],
+)
+def test_what_counts_as_a_crash_by_a_request(requests, crashes, count):
+    for each in crashes:
+        requests.record(each, ("d",))
+    assert requests.count(requests.crashes["d"]) == count
+
+
+# Many calls of one request at each crash must not push out those of other targets.
+def test_many_calls_at_one_crash_count_once_and_keep_the_others(requests):
+    requests.record(crash("a"), ("d",))
+    for number in range(20):
+        requests.record(crash("b", f"c{number}", at=5000), ("d",))
+    assert requests.count(requests.crashes["d"]) == 2
+
+
+def request_left(model):
+    """Return for how long each entry VM keeps the request in quarantine."""
+    nodes = model.of_role(ENTRY)
+    return [node.fleet.request_quarantine.left_ms(("d",)) for node in nodes]
+
+
+# Each VM sees few of the crashes, and one that starts has seen none.
+def test_all_vms_hear_of_requests_that_crash_targets(model):
+    first, second, *_ = model.of_role(ENTRY)
+    for node, target in ((first, "a"), (second, "b")):
+        node.fleet.handle(RequestsCrashed(target, 1, "c", ("d",)), RESPONSE)
+        model.run(500)
+    model.add("late", ENTRY, "west-a")
+    model.run(2000)
+    assert all(request_left(model))
+    second.fleet.handle(RequestsAnswered(("d",)), RESPONSE)
+    model.run(500)
+    assert not any(request_left(model))
