Tell control VMs what crashes targets when a link opens

What callers would see: after a loss of all control VMs, entry VMs that start know nothing of a quarantine, and let the request or part crash targets again. Cause: a VM told on a new link which targets leave or are limited, not what crashes them, so control VMs that had lost it had nothing to pass on. Before: test_evidence_outlasts_a_restart_of_all_control_vms, the VM that started had none. Now all have it, for requests and for parts of prompts.

--- a/pollenmount/fleet/client.py
+++ b/pollenmount/fleet/client.py
@@ -213,7 +213,7 @@
         record = self.describe()
         self.last_heartbeats[address] = LastHeartbeat(record, 0)
         channel.push(LinkHello(record, LINK_PROTOCOL))
-        for message in self.fleet.targets.observations():
+        for message in self.fleet.observations():
             channel.push(message)
 
     def forget_link(self, address):
--- a/pollenmount/fleet/fleet.py
+++ b/pollenmount/fleet/fleet.py
@@ -189,6 +189,11 @@
                 self.targets.doubt_domain(failure_domain)
             self.notify(message, source)
 
+    def observations(self):
+        """Yield what this VM observed or was told of targets, for one that has not."""
+        yield from self.targets.observations()
+        yield from self.crash_reports()
+
     def crash_reports(self):
         """Yield the evidence on what crashes targets, for a VM that has none yet."""
         now = self.clock.now()
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -4,6 +4,7 @@
 
 from pollenmount.clock import ManualClock
 from pollenmount.fleet.messages import (
+    CONTROL,
     ENTRY,
     PartsServed,
     PromptBroke,
@@ -180,3 +181,23 @@
     second.fleet.handle(RequestsAnswered(("d",)), RESPONSE)
     model.run(500)
     assert not any(request_left(model))
+
+
+# The control VMs had lost what entry VMs knew, and told one that started nothing.
+def test_evidence_outlasts_a_restart_of_all_control_vms(model):
+    node = model.of_role(ENTRY)[0]
+    for target in "ab":
+        node.fleet.handle(RequestsCrashed(target, 1, "c", ("d",)), RESPONSE)
+        node.fleet.handle(PromptBroke(target, 1, f"p{target}", ("x",)), RESPONSE)
+        model.run(500)
+    controls = model.of_role(CONTROL)
+    for control in controls:
+        model.kill(control)
+    model.run(500)
+    for control in controls:
+        control.start()
+    model.run(8000)
+    model.add("late", ENTRY, "west-a")
+    model.run(2000)
+    assert all(request_left(model))
+    assert all(left(model))
