Keep no region out because one request is in quarantine there

What callers would see: a VM that has not yet heard of a quarantine sends the request on by a hop; the refusal kept the whole region out for that service, for all callers. Cause: a refusal of one request was handled as one of the region. Before: test_a_request_in_quarantine_there_keeps_out_no_other failed; the hop tells now that it is a quarantine and for how long, in a header of its own, and the sender stops with that.

--- a/pollenmount/gateway/call.py
+++ b/pollenmount/gateway/call.py
@@ -79,13 +79,15 @@
 
     A `status` of 503 or 429 guarantees that no target ran the request; 502 and 504
     guarantee nothing. `retry_after_ms` is 0 if a retry cannot help. `pause_ms` is when
-    the first target may be used again if all ask for a pause, else 0.
+    the first target may be used again if all ask for a pause, else 0, and
+    `quarantine_ms` for how long the call is in quarantine.
     """
 
     status: int
     reason: str
     retry_after_ms: int = 0
     pause_ms: int = 0
+    quarantine_ms: int = 0
 
 
 def digest_request(call):
--- a/pollenmount/gateway/crash_guard.py
+++ b/pollenmount/gateway/crash_guard.py
@@ -27,6 +27,12 @@
         """
         return self.prompts.may_crash_again(call.info.prompt, progress, error, sleep)
 
+    def record_refused_hop(self, progress, error):
+        """Note that another region's VM knows of a quarantine before this one does."""
+        if error.quarantine_ms:
+            progress.quarantine = "another region has the request in quarantine"
+            progress.quarantine_ms = error.quarantine_ms
+
     def find_quarantine(self, call, progress):
         """Return why a call is in quarantine, or ''; log it and note for how long."""
         left_ms = self.requests.left_ms(progress.digest)
--- a/pollenmount/gateway/dispatch.py
+++ b/pollenmount/gateway/dispatch.py
@@ -104,6 +104,8 @@
 
     def reason_to_stop(self, call, progress, error):
         """Return why no further attempt follows a failed one, or None."""
+        if progress.quarantine:
+            return progress.quarantine
         if self.context.guard.may_crash_again(call, progress, error, self.sleep):
             return "a part of the prompt may have crashed the target"
         return self.retries.reason_to_stop(call, progress, error)
@@ -309,6 +311,7 @@
         self.context.guard.record_failure(call, progress, destination, error)
         if isinstance(error, HopRefusedError):
             progress.retry_after_ms = error.retry_after_ms
+            self.context.guard.record_refused_hop(progress, error)
             self.record_refused_hop(call, destination, error)
         progress.failures.append(AttemptFailure(str(error), error.not_run))
         logger.info(
@@ -330,7 +333,12 @@
         )
 
     def record_refused_hop(self, call, destination, error):
-        """Keep the region out for this service: for as long as asked, or a while."""
+        """Keep the region out for this service: for as long as asked, or a while.
+
+        A refusal of this one request says nothing of others.
+        """
+        if error.quarantine_ms:
+            return
         key = (destination.region, call.service)
         if error.pause_ms:
             pause_ms = min(error.pause_ms, MAX_REGION_PAUSE_MS)
@@ -354,7 +362,13 @@
         if all(failure.not_run for failure in progress.failures):
             reason = "all targets ask for a pause" if progress.pause_ms else problem
             retry_after_ms = self.suggest_retry_after_ms(call, progress)
-            return ErrorResponse(UNAVAILABLE, reason, retry_after_ms, progress.pause_ms)
+            return ErrorResponse(
+                UNAVAILABLE,
+                reason,
+                retry_after_ms,
+                progress.pause_ms,
+                progress.quarantine_ms,
+            )
         if self.clock.now() >= call.deadline:
             return ErrorResponse(
                 GATEWAY_TIMEOUT, "the deadline of the request has passed"
--- a/pollenmount/gateway/hop.py
+++ b/pollenmount/gateway/hop.py
@@ -30,6 +30,7 @@
 HOP_TARGET = "Pollenmount-Hop-Target"
 # Headers of their own, which VMs of builds before ignore.
 HOP_PAUSE_MS = "Pollenmount-Hop-Pause-Ms"
+HOP_QUARANTINE_MS = "Pollenmount-Hop-Quarantine-Ms"
 HOP_NOT_READY = "Pollenmount-Hop-Not-Ready"
 HEADER_PREFIX = "pollenmount-hop"
 MS_PER_S = 1000
@@ -66,15 +67,17 @@
     """The entry VM of the other region returned no response of a target.
 
     `pause_ms` is when the first target there may be used again if all have asked that
-    VM for a pause, else 0.
+    VM for a pause, else 0, and `quarantine_ms` for how long the request is in
+    quarantine.
     """
 
-    def __init__(self, refusal, pause_ms=0):
+    def __init__(self, refusal, pause_ms=0, quarantine_ms=0):
         super().__init__(f"the other region refused: {refusal.reason}")
         self.not_run = refusal.not_run
         self.retry_after_ms = refusal.retry_after_ms
         self.sends = refusal.sends
         self.pause_ms = pause_ms
+        self.quarantine_ms = quarantine_ms
 
 
 class PeerNotReadyError(ExchangeError):
@@ -145,6 +148,8 @@
     headers = [(HOP_REFUSED, msgspec.json.encode(refusal).decode())]
     if error_response.pause_ms:
         headers.append((HOP_PAUSE_MS, str(error_response.pause_ms)))
+    if error_response.quarantine_ms:
+        headers.append((HOP_QUARANTINE_MS, str(error_response.quarantine_ms)))
     if not is_ready:
         headers.append((HOP_NOT_READY, "1"))
     return headers
@@ -161,14 +166,18 @@
         return
     try:
         refusal = msgspec.json.decode(text, type=HopRefusal)
-        pause_ms = msgspec.json.decode(
-            head.header(HOP_PAUSE_MS.lower()) or "0", type=int
-        )
+        pause_ms = read_milliseconds(head, HOP_PAUSE_MS)
+        quarantine_ms = read_milliseconds(head, HOP_QUARANTINE_MS)
     except msgspec.DecodeError as error:
         raise MalformedResponseError(f"malformed refusal: {error}") from error
     if head.header(HOP_NOT_READY.lower()):
         raise PeerNotReadyError(refusal)
-    raise HopRefusedError(refusal, pause_ms)
+    raise HopRefusedError(refusal, pause_ms, quarantine_ms)
+
+
+def read_milliseconds(head, name):
+    """Return the number in a header of a refusal, 0 if it is absent."""
+    return msgspec.json.decode(head.header(name.lower()) or "0", type=int)
 
 
 def is_hop_header(name):
--- a/tests/test_hop_refusals.py
+++ b/tests/test_hop_refusals.py
@@ -6,6 +6,8 @@
 import msgspec
 import pytest
 
+from pollenmount.fleet.quarantine import Crash
+from pollenmount.gateway.call import digest_request
 from pollenmount.gateway.hop import HopRefusal, PeerNotReadyError
 from pollenmount.gateway.progress import Progress
 from pollenmount.gateway.retry_policy import may_have_arrived
@@ -111,6 +113,20 @@
     assert soonest <= refusal.retry_after_ms <= 1.25 * soonest
 
 
+# A quarantine that the receiver heard of first kept the whole region out.
+def test_a_request_in_quarantine_there_keeps_out_no_other(sender, receiver):
+    call = sender.harness.make_call(ONCE)
+    for target, at in (("e", 0), ("f", 1000)):
+        crash = Crash(target, 1, "c", receiver.clock.now() + at)
+        receiver.fleet.request_quarantine.record(crash, (digest_request(call),))
+    refusal_bytes = refuse(receiver, sender)
+    (refusal,) = sender.serve(refusal_bytes, timeout_ms=LONG_MS)
+    assert (refusal.status, refusal.retry_after_ms) == (503, 31_000)
+    assert len(sender.opened) == 1
+    head, *_ = sender.serve(response_bytes(), timeout_ms=LONG_MS)
+    assert head.status == 200
+
+
 # One VM that stopped kept its whole region out, and the request was refused.
 def test_a_vm_that_stops_is_replaced_by_another_of_its_region(sender, receiver):
     stopping = refuse(receiver, sender, stopping=True)
