--- a/pollenmount/gateway/attempt.py
+++ b/pollenmount/gateway/attempt.py
@@ -74,7 +74,7 @@
 
     `name` is the key for loads and circuit breakers, and `incarnation` identifies the
     process start that is expected there. `target_id` is '' for an entry VM, to which
-    `headers` are sent in addition.
+    `headers` are sent in addition. `version` is that of the target's software.
     """
 
     name: str
@@ -83,6 +83,7 @@
     region: str
     target_id: str
     headers: tuple[tuple[str, str], ...] = ()
+    version: str = ""
 
     @property
     def connection_key(self):
--- a/pollenmount/gateway/callers.py
+++ b/pollenmount/gateway/callers.py
@@ -282,6 +282,7 @@
             extra={
                 "request": call.id,
                 "digest": progress.digest,
+                "resumes": call.info.resumes,
                 "route": call.route.name,
                 "service": call.service,
                 "hop": not self.may_hop,
@@ -298,6 +299,7 @@
                 "delivered_bytes": progress.delivered_bytes,
                 "last_event": progress.last_id,
                 "place": destination.name if destination else "",
+                "version": destination.version if destination else "",
                 "ran_in": destination.region if destination else "",
                 "sends": progress.sends,
                 "runs": progress.runs,
--- a/pollenmount/gateway/dialect.py
+++ b/pollenmount/gateway/dialect.py
@@ -65,7 +65,8 @@
 
     `id` identifies the request; a retry of the caller has another one. `timeout_ms` is
     the caller's timeout, None if it sent none. `resume_after` is the number of the last
-    event that the caller has, '' for none. `headers` are passed on unchanged.
+    event that the caller has, '' for none. `headers` are passed on unchanged. `resumes`
+    is the id of the request that brought a resumed stream's first event, '' for none.
     """
 
     id: str
@@ -74,6 +75,7 @@
     resume_after: str
     prompt: Prompt | None
     headers: tuple[tuple[str, str], ...]
+    resumes: str = ""
 
 
 class AttemptInfo(NamedTuple):
--- a/pollenmount/gateway/dispatch.py
+++ b/pollenmount/gateway/dispatch.py
@@ -182,7 +182,9 @@
         if any(self.context.rate_limits(target)):
             self.context.rates.record(id_)
         region = self.context.settings.region
-        return AttemptDestination(id_, record.address, record.born, region, id_)
+        return AttemptDestination(
+            id_, record.address, record.born, region, id_, version=record.version
+        )
 
     def hop_destination(self, call, progress, region):
         """Return the destination for a hop: the least loaded entry VM of a region."""
@@ -320,6 +322,7 @@
                 "request": call.id,
                 "digest": progress.digest,
                 "place": destination.name,
+                "version": destination.version,
                 "address": destination.address,
                 "problem": str(error),
                 "not_run": error.not_run,
--- a/tests/test_prompt_parts_log.py
+++ b/tests/test_attempts_log.py
@@ -1,4 +1,4 @@
-"""What the log says of a prompt whose response broke off."""
+"""What the log says of an attempt whose response broke off."""
 
 from pollenmount.gateway.dialect import ResponseInfo
 from pollenmount.routes.plan import RetryMode
@@ -22,3 +22,14 @@
         True,
         False,
     )
+
+
+# Nothing told at which version of a target's software a stream had been going on.
+def test_a_failed_attempt_is_logged_with_the_version_of_the_target(caplog):
+    caplog.set_level("INFO", "pollenmount")
+    harness = EntryHarness()
+    harness.add_target("a", service="engine", version="v2")
+    call = harness.make_call(STREAM, make_prompt("s"))
+    harness.serve(call, [HEAD, MalformedResponseError("ended early")])
+    (line,) = [r.fields for r in caplog.records if r.msg == "attempt failed"]
+    assert line["version"] == "v2"
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -192,8 +192,10 @@
             ("X-Pollenmount-Token-Count", "1460,80"),
             ("X-Pollenmount-Prompt-Prefix", "5c:800,91:410,e4:250"),
             ("Last-Event-Id", "12"),
+            ("Resumes", "id-of-before"),
         )
     )
+    assert info.resumes == "id-of-before"
     assert (info.id, info.host, info.timeout_ms) == ("id", "h.example", 5000)
     assert info.resume_after == "12"
     assert (info.prompt.tokens, info.prompt.output_tokens) == (1460, 80)
