--- a/tests/fleet_model.py
+++ b/tests/fleet_model.py
@@ -66,7 +66,7 @@
             if not end.closed:
                 end.closed = True
                 end.inbox.clear()
-                self.model.ends.discard(end)
+                self.model.ends.pop(end, None)
                 if end.node.alive:
                     end.on_close()
 
@@ -161,7 +161,8 @@
             ):
                 patch = mock.patch.object(module.task, name, replacement)
                 self.stack.enter_context(patch)
-        self.ends = set()
+        # In a fixed order, so that a seed tells what is played.
+        self.ends = {}
         self.cut_zones = set()
         self.revision = 0
         zones = sorted(ZONES)
@@ -231,7 +232,7 @@
             lambda: node.client.forget_link(address),
         )
         client_end.peer, server_end.peer = server_end, client_end
-        self.ends |= {client_end, server_end}
+        self.ends |= dict.fromkeys((client_end, server_end))
         node.client.open_link(address, client_end)
 
     def reaches(self, one, other):
--- /dev/null
+++ b/tests/test_stream_versions.py
@@ -0,0 +1,81 @@
+"""A stream goes on only at the version of a target's software that began it.
+
+Several versions are in service beside each other, VMs and targets die, and callers take
+their streams up again at any VM, over a fleet without network.
+"""
+
+import contextlib
+import functools
+from typing import NamedTuple
+
+import pytest
+
+from pollenmount.fleet.messages import ENTRY
+from tests.stream_traffic import StreamTraffic
+
+SEEDS = range(6)
+ROUNDS = 40
+ACTS = 40
+# The users count from as many on.
+MIN_TAKEN_UP = 12
+# The users' bound: half of the share of new streams that begin.
+MIN_SHARE = 0.5
+
+
+def play(traffic, kill_all_entries):
+    """Let versions change, targets crash and VMs die while streams go on."""
+    for round_ in range(ROUNDS):
+        for _ in range(ACTS):
+            traffic.act()
+        traffic.fleet.run(100)
+        running = sorted(traffic.versions)
+        if round_ % 3 == 0:
+            version = f"v{traffic.random.randint(1, 3)}"
+            traffic.release(traffic.random.choice(running), version)
+        entries = traffic.fleet.of_role(ENTRY)
+        if kill_all_entries and round_ % 20 == 10:
+            traffic.kill_entries(entries)
+        elif round_ % 7 == 5:
+            traffic.kill_entries([traffic.random.choice(entries)])
+
+
+class Outcome(NamedTuple):
+    """Streams joined from two versions; those taken up again, and that went on."""
+
+    joined: int
+    taken_up: int
+    gone_on: int
+
+
+def outcome(seed, kill_all_entries):
+    """Return the `Outcome` of one play."""
+    with contextlib.closing(StreamTraffic(seed=seed)) as traffic:
+        play(traffic, kill_all_entries)
+        assert not traffic.gaps()
+        return Outcome(len(traffic.joined()), traffic.taken_up, traffic.gone_on)
+
+
+@functools.cache
+def total(kill_all_entries):
+    """Return the sum of the `Outcome`s over all seeds."""
+    outcomes = [outcome(seed, kill_all_entries) for seed in SEEDS]
+    return Outcome(*map(sum, zip(*outcomes, strict=True)))
+
+
+# A target was chosen for the rest of a stream without regard to its version: within one
+# answer, behind a hop, and when the caller took it up at another VM.
+def test_no_stream_is_joined_from_two_versions():
+    assert total(False).joined == 0
+
+
+# With all entry VMs the memory of which version began a stream was gone.
+def test_no_stream_is_joined_after_all_entry_vms_were_killed():
+    assert total(True).joined == 0
+
+
+# To refuse whatever is not known would join no streams either.
+@pytest.mark.parametrize("kill_all_entries", [False, True])
+def test_streams_of_a_version_that_is_in_service_go_on(kill_all_entries):
+    result = total(kill_all_entries)
+    assert result.taken_up >= MIN_TAKEN_UP
+    assert result.gone_on >= MIN_SHARE * result.taken_up
