Let a stream go on only at the version that began it

Cause: a target for the rest of a stream was chosen by service, load and place only. The version was known in the table of targets and asked for nowhere; behind a hop, and at the VM that a caller came to next, it could not be known. Class of fault: a decision on later parts of one piece of work without the condition under which it began.

Change: the origin of a stream, service and version, is recorded before its first event is delivered, kept by all control VMs, and required of each further attempt: within a response, by a hop, and when a caller takes the stream up. Unknown: refused, nothing has run. A split route may draw another service for a take-up: it stays at its own now.

A test of resumption names the version in its scripted response now, as the sender does; it checks as much.

Ruled out: to infer the version from what serves now, or to refuse whatever the VM itself does not know (docs/design/fleet.md).

--- a/pollenmount/fleet/capacity.py
+++ b/pollenmount/fleet/capacity.py
@@ -16,10 +16,11 @@
 
 
 class UsableTarget(NamedTuple):
-    """The slots of a target that accepts new work, and its load."""
+    """The slots, load and version of a target that accepts new work."""
 
     slots: int
     load: TargetLoad
+    version: str
 
 
 class CapacityReports:
@@ -72,7 +73,8 @@
         group = groups[fleet.region_of(record.failure_domain), record.service]
         if usable:
             load = totals.get(record.id) or TargetLoad(record.id, 0, 0)
-            group.append(UsableTarget(record.slots or DEFAULT_SLOTS, load))
+            slots = record.slots or DEFAULT_SLOTS
+            group.append(UsableTarget(slots, load, record.version))
     for (region, service), members in groups.items():
         members.sort(key=lambda member: (member.load.tokens, member.load.requests))
         typical = members[: math.ceil(len(members) / 2)]
@@ -85,6 +87,7 @@
             mean(member.load.tokens for member in typical),
             mean(member.load.streams for member in typical),
             reporters.get(region, 0),
+            tuple(sorted({member.version for member in members})),
         )
 
 
--- a/pollenmount/fleet/client.py
+++ b/pollenmount/fleet/client.py
@@ -14,6 +14,8 @@
     Loads,
     MemberHeartbeat,
     MemberRecord,
+    StreamAsked,
+    StreamsBegan,
 )
 from pollenmount.fleet.observations import OBSERVATIONS, RESPONSE
 from pollenmount.fleet.totals import LOAD_INTERVAL_MS, changed_loads
@@ -93,8 +95,9 @@
         self.known_control_vms = {}
         self.quorum_seen_at = clock.now()
         fleet.listeners.append(self.report_observation)
+        fleet.origins.ask = self.ask_stream
         self.task = task.PeriodicTask(self.run_round, ROUND_INTERVAL_MS)
-        self.load_task = task.PeriodicTask(self.send_loads, LOAD_INTERVAL_MS)
+        self.load_task = task.PeriodicTask(self.send_news, LOAD_INTERVAL_MS)
 
     def run_round(self):
         """Send heartbeats, expire old state, and open and close links."""
@@ -213,7 +216,7 @@
         record = self.describe()
         self.last_heartbeats[address] = LastHeartbeat(record, 0)
         channel.push(LinkHello(record, LINK_PROTOCOL))
-        for message in self.fleet.observations():
+        for message in (*self.fleet.observations(), *self.fleet.streams_begun()):
             channel.push(message)
 
     def forget_link(self, address):
@@ -260,6 +263,22 @@
             if channel is not None:
                 self.send_heartbeat(address, channel)
 
+    def send_news(self):
+        """Send what is sent in short intervals: loads, and streams that have begun."""
+        self.send_loads()
+        for origin, keys in self.fleet.origins.take_unsent():
+            self.push_to_all(StreamsBegan(*origin, keys))
+
+    def ask_stream(self, key):
+        """Ask all linked control VMs at which version a stream began."""
+        self.push_to_all(StreamAsked(key))
+
+    def push_to_all(self, message):
+        """Send a message on all links that are open."""
+        for channel in [*self.channels.values()]:
+            if channel is not None:
+                channel.push(message)
+
     def send_loads(self):
         """Send on each link what changed of this VM's load since it was last sent."""
         loads = {load.id: load for load in self.get_loads()}
@@ -273,9 +292,7 @@
         """Send a change on all links if this VM observed it in a target's response."""
         if not isinstance(message, OBSERVATIONS) or source != RESPONSE:
             return
-        for channel in [*self.channels.values()]:
-            if channel is not None:
-                channel.push(message)
+        self.push_to_all(message)
 
     def close(self):
         """Close all links."""
--- a/pollenmount/fleet/fleet.py
+++ b/pollenmount/fleet/fleet.py
@@ -17,6 +17,7 @@
     RequestsAnswered,
     RequestsCrashed,
     RoutesChanged,
+    StreamsBegan,
     TargetDoubted,
     TargetGone,
     TargetLeaving,
@@ -25,6 +26,7 @@
     TargetSilent,
 )
 from pollenmount.fleet.quarantine import Crash, PartQuarantine, RequestQuarantine
+from pollenmount.fleet.stream_origins import StreamOrigin, StreamOrigins
 from pollenmount.fleet.targets import TargetTable
 from pollenmount.log import get_logger
 
@@ -55,6 +57,7 @@
         self.members = MemberTable(clock, self.notify)
         self.part_quarantine = PartQuarantine(clock)
         self.request_quarantine = RequestQuarantine(clock)
+        self.origins = StreamOrigins(clock)
         self.evacuations = EvacuationsChanged(0, ())
         self.routes = RoutesChanged(0, 0, b"")
         self.loads = {}
@@ -132,6 +135,12 @@
         if cleared:
             self.notify(RequestsAnswered(cleared), source)
 
+    @handle.register
+    def _(self, message: StreamsBegan, source):
+        origin = StreamOrigin(message.service, message.version)
+        for key in message.keys:
+            self.origins.add(key, origin)
+
     @handle.register
     def _(self, message: MemberUp, source):
         self.members.handle_up(message, source)
@@ -189,6 +198,11 @@
                 self.targets.doubt_domain(failure_domain)
             self.notify(message, source)
 
+    def streams_begun(self):
+        """Yield the origins of all streams known here, for a VM that knows none."""
+        for origin, keys in self.origins.all_by_origin():
+            yield StreamsBegan(*origin, keys)
+
     def observations(self):
         """Yield what this VM observed or was told of targets, for one that has not."""
         yield from self.targets.observations()
@@ -220,9 +234,10 @@
         self.capacity_rows.pop(source, None)
 
     def sweep(self):
-        """Remove expired members, targets and tombstones."""
+        """Remove expired members, targets, tombstones and origins of streams."""
         self.members.sweep()
         self.targets.sweep(0)
+        self.origins.sweep()
 
 
 def log_fields(message):
@@ -244,6 +259,7 @@
         return {
             "target": target.id,
             "service": target.service,
+            "version": target.version,
             "address": target.address,
             "draining": target.draining,
             "born": target.born,
--- a/pollenmount/fleet/messages.py
+++ b/pollenmount/fleet/messages.py
@@ -28,6 +28,8 @@
     "RequestsCrashed",
     "RoutesChanged",
     "ServiceCapacity",
+    "StreamAsked",
+    "StreamsBegan",
     "TargetDoubted",
     "TargetGone",
     "TargetLeaving",
@@ -43,7 +45,7 @@
 ENTRY = "entry"
 CONTROL = "control"
 # Incremented when VMs of two builds would misunderstand each other.
-LINK_PROTOCOL = 7
+LINK_PROTOCOL = 8
 
 
 class MemberRecord(NamedTuple):
@@ -111,7 +113,8 @@
 
     `targets` counts those that accept new work now. `slots`, `requests`, `tokens` and
     `streams` are the means of the less loaded half, among which a VM of the region
-    would choose. `reporters` is the number of entry VMs whose load is included.
+    would choose. `reporters` is the number of entry VMs whose load is included, and
+    `versions` are those of the targets' software, in order.
     """
 
     region: str
@@ -122,6 +125,7 @@
     tokens: int
     streams: int
     reporters: int
+    versions: tuple[str, ...] = ()
 
 
 class Message(msgspec.Struct, frozen=True, array_like=True, tag=True):
@@ -260,6 +264,23 @@
     digests: tuple[str, ...]
 
 
+class StreamsBegan(Message, frozen=True, array_like=True, tag=True):
+    """Streams with these keys began at a version of a service's software."""
+
+    service: str
+    version: str
+    keys: tuple[int, ...]
+
+
+class StreamAsked(Message, frozen=True, array_like=True, tag=True):
+    """An entry VM asks a control VM at which version a stream began.
+
+    If the control VM knows, `StreamsBegan` is the answer.
+    """
+
+    key: int
+
+
 class RoutesChanged(Message, frozen=True, array_like=True, tag=True):
     """A new plan of routes; `document` is compressed with zlib."""
 
@@ -322,6 +343,8 @@
     | PartsServed
     | RequestsCrashed
     | RequestsAnswered
+    | StreamsBegan
+    | StreamAsked
     | RoutesChanged
     | EvacuationsChanged
     | Loads
--- a/pollenmount/fleet/server.py
+++ b/pollenmount/fleet/server.py
@@ -27,6 +27,8 @@
     MemberHeartbeat,
     MemberUp,
     RoutesChanged,
+    StreamAsked,
+    StreamsBegan,
     TargetLimited,
     TargetSeen,
     encode,
@@ -35,6 +37,7 @@
 from pollenmount.fleet.selection import is_available, select_hop_peers
 from pollenmount.fleet.sender_selection import SenderSelection
 from pollenmount.fleet.session import Session, concerns
+from pollenmount.fleet.stream_origins import StreamOrigin
 from pollenmount.fleet.target import make_target_doubted
 from pollenmount.fleet.totals import LOAD_INTERVAL_MS, LoadTotals
 from pollenmount.log import get_logger
@@ -170,6 +173,10 @@
             message = self.senders.complete(message)
         if isinstance(message, OBSERVATIONS):
             self.fleet.handle(message, session.name)
+        if isinstance(message, StreamsBegan):
+            self.handle_streams(session, message)
+        if isinstance(message, StreamAsked):
+            self.answer_stream(session, message)
         if not isinstance(message, MemberHeartbeat):
             return
         self.set_primary(session, message.is_primary)
@@ -177,6 +184,20 @@
             session.record = message.member
             self.handle_record(message.member)
 
+    def handle_streams(self, session, message):
+        """Store which streams have begun; those of an entry VM go to control VMs."""
+        origin = StreamOrigin(message.service, message.version)
+        origins = self.fleet.origins
+        store = origins.record if session.is_entry else origins.add
+        for key in message.keys:
+            store(key, origin)
+
+    def answer_stream(self, session, message):
+        """Tell a member at which version a stream began, if that is known."""
+        origin = self.fleet.origins.find(message.key)
+        if origin is not None:
+            session.channel.push(StreamsBegan(*origin, (message.key,)))
+
     def set_primary(self, session, is_primary):
         """Send a member all that goes over its primary link once this one is it."""
         if not session.set_primary(is_primary) or not is_primary:
--- a/pollenmount/gateway/attempt.py
+++ b/pollenmount/gateway/attempt.py
@@ -5,7 +5,7 @@
 
 from pollenmount.gateway.call import Call, Response, ResponseHead
 from pollenmount.gateway.dialect import AttemptInfo
-from pollenmount.gateway.hop import raise_if_refused
+from pollenmount.gateway.hop import HOP_VERSION, is_hop_header, raise_if_refused
 from pollenmount.gateway.target_pauses import bounded_pause_ms
 from pollenmount.routes.plan import RetryMode
 from pollenmount.wire.connection import encode_request
@@ -208,10 +208,7 @@
                 raise MalformedResponseError(
                     "a success without the target's response stamp"
                 )
-            destination = attempt.destination
-            response_head = ResponseHead(
-                head.status, info.headers, destination.target_id, destination.region
-            )
+            response_head = make_response_head(head, info, attempt.destination)
             if (
                 call.route.retry_mode is RetryMode.STREAM
                 and head.status < MULTIPLE_CHOICES
@@ -252,6 +249,17 @@
     return OK <= status < MULTIPLE_CHOICES
 
 
+def make_response_head(head, info, destination):
+    """Return the `ResponseHead` for the caller; the VM of a hop tells the version."""
+    return ResponseHead(
+        head.status,
+        tuple(header for header in info.headers if not is_hop_header(header[0])),
+        destination.target_id,
+        destination.region,
+        destination.version or head.header(HOP_VERSION.lower()),
+    )
+
+
 def discard(parts):
     """Read a body to its end without keeping it.
 
--- a/pollenmount/gateway/call.py
+++ b/pollenmount/gateway/call.py
@@ -24,7 +24,8 @@
 
     `deadline` is when the caller's or the route's timeout expires, by this VM's clock.
     `request_target` is the path and query as sent. `service` is the one picked from the
-    route's splits.
+    route's splits. `version` is that of the target software that began the stream, if
+    another VM has sent it along with the call, else None.
     """
 
     info: CallerInfo
@@ -36,6 +37,7 @@
     received_at: int
     deadline: int
     plan_version: int
+    version: str | None = None
 
     @property
     def id(self):
@@ -49,12 +51,16 @@
 
 
 class ResponseHead(NamedTuple):
-    """Head of a response to the caller, and the target and region that sent it."""
+    """Head of a response to the caller, and the target and region that sent it.
+
+    `version` is that of the target's software.
+    """
 
     status: int
     headers: tuple[tuple[str, str], ...]
     target_id: str
     region: str
+    version: str = ""
 
 
 class Response(NamedTuple):
--- a/pollenmount/gateway/callers.py
+++ b/pollenmount/gateway/callers.py
@@ -15,6 +15,7 @@
 )
 from pollenmount.gateway.hop import (
     HOP_REQUEST,
+    HOP_VERSION,
     decode_hop,
     hop_route,
     is_hop_header,
@@ -169,6 +170,7 @@
             received_at,
             received_at + hop.remaining_ms,
             hop.plan_version,
+            hop.version,
         )
         request.cancel_on_disconnect()
         return CallResponder(self.node, request, call, may_hop=False).reply()
@@ -207,7 +209,10 @@
     def start_response(self, head, parts, stack):
         """Return the reply for a response whose head has arrived."""
         if self.call.route.retry_mode is RetryMode.STREAM and head.status < BAD_REQUEST:
-            return Reply(head.status, head.headers, self.stream(parts, stack))
+            headers = head.headers
+            if not self.may_hop:
+                headers = (*headers, (HOP_VERSION, head.version))
+            return Reply(head.status, headers, self.stream(parts, stack))
         with stack:
             body = b"".join(parts)
         self.finish("answered", head)
--- a/pollenmount/gateway/dispatch.py
+++ b/pollenmount/gateway/dispatch.py
@@ -15,6 +15,7 @@
     FailedResponseError,
     MisdirectedError,
     NotRunError,
+    is_success,
 )
 from pollenmount.gateway.call import AttemptFailure, ErrorResponse, ResponseHead
 from pollenmount.gateway.choose import TargetChoice, is_long_stream, no_remote_options
@@ -24,6 +25,7 @@
 from pollenmount.gateway.retry_policy import RetryPolicy
 from pollenmount.gateway.target_pauses import MAX_REGION_PAUSE_MS, spread_wait_ms
 from pollenmount.log import get_logger
+from pollenmount.routes.plan import RetryMode
 from pollenmount.wire.errors import (
     ConnectError,
     ExchangeError,
@@ -84,10 +86,14 @@
 
         Raises `BrokenResponseError` if the response breaks off.
         """
+        call, problem = self.find_origin(call, progress)
+        if problem:
+            yield from self.end_without_response(call, progress, problem, may_hop)
+            return
         while True:
             destination, expected_ms = self.pick_destination(call, progress, may_hop)
             if destination is None:
-                problem = progress.quarantine or "no target can take it"
+                problem = progress.quarantine or missing_target(progress)
                 yield from self.end_without_response(call, progress, problem, may_hop)
                 return
             try:
@@ -102,6 +108,19 @@
                 yield from self.end_without_response(call, progress, problem, may_hop)
                 return
 
+    def find_origin(self, call, progress):
+        """Return a call, of the service that began its stream, and '' or a problem."""
+        resumption = self.context.resumption
+        if not resumption.needs_origin(call):
+            return call, ""
+        origin = resumption.find_origin(call, self.sleep)
+        if origin is None:
+            return call, "it is not known which version began the stream"
+        if origin.service not in [split.service for split in call.route.splits]:
+            return call, "the service that began the stream is no longer on the route"
+        progress.version = origin.version
+        return call._replace(service=origin.service), ""
+
     def reason_to_stop(self, call, progress, error):
         """Return why no further attempt follows a failed one, or None."""
         if progress.quarantine:
@@ -112,7 +131,7 @@
 
     def choose(self, call, progress, may_hop):
         """Return the chooser's decision for the options at this moment."""
-        options = self.context.options(call, progress.tried)
+        options = self.context.options(call, progress.tried, progress.version)
         if not may_hop:
             options = options._replace(remote=no_remote_options)
         prompt = call.info.prompt
@@ -200,7 +219,7 @@
         member = min(members, key=load_key)
         self.context.breakers.start_probe(member.name, member.incarnation)
         remaining_ms = max(1, call.deadline - self.clock.now())
-        header = encode_hop(call, remaining_ms, MAX_RUNS_PER_HOP)
+        header = encode_hop(call, remaining_ms, MAX_RUNS_PER_HOP, progress.version)
         return AttemptDestination(
             member.name, member.hop_address, member.incarnation, region, "", (header,)
         )
@@ -234,12 +253,18 @@
                         progress.record_chunk(self.clock.now())
                         yield part
                     elif progress.head is None:
-                        progress.head = part
+                        self.begin_response(call, progress, part)
                         yield part
         self.context.breakers.record_success(destination.name)
         if not progress.event_arrived:
             self.context.guard.record_answered(call, progress)
 
+    def begin_response(self, call, progress, head):
+        """Note which response a call gets; the rest of a stream has to fit to it."""
+        progress.head = head
+        if call.route.retry_mode is RetryMode.STREAM and is_success(head.status):
+            self.context.resumption.record_begin(call, progress, head.version)
+
     def may_replace_attempt(self, call, progress, may_hop, stalled_ms):
         """Return whether another attempt can replace one that makes no progress."""
 
@@ -314,7 +339,7 @@
         if isinstance(error, HopRefusedError):
             progress.retry_after_ms = error.retry_after_ms
             self.context.guard.record_refused_hop(progress, error)
-            self.record_refused_hop(call, destination, error)
+            self.record_refused_hop(call, progress, destination, error)
         progress.failures.append(AttemptFailure(str(error), error.not_run))
         logger.info(
             "attempt failed",
@@ -335,12 +360,12 @@
             },
         )
 
-    def record_refused_hop(self, call, destination, error):
+    def record_refused_hop(self, call, progress, destination, error):
         """Keep the region out for this service: for as long as asked, or a while.
 
-        A refusal of this one request says nothing of others.
+        A refusal of this one request, or of one version, says nothing of others.
         """
-        if error.quarantine_ms:
+        if error.quarantine_ms or progress.version is not None:
             return
         key = (destination.region, call.service)
         if error.pause_ms:
@@ -357,7 +382,9 @@
             yield progress.failed_response.head
             yield progress.failed_response.body
             return
-        progress.pause_ms = self.context.soonest_pause_ms(call, may_hop)
+        progress.pause_ms = self.context.soonest_pause_ms(
+            call, may_hop, progress.version
+        )
         yield self.make_error_response(call, progress, problem)
 
     def make_error_response(self, call, progress, problem):
@@ -391,6 +418,16 @@
         if progress.pause_ms:
             wait_ms = spread_wait_ms(progress.pause_ms, self.context.random)
             return max(1, min(wait_ms, (call.deadline - now) // 3))
-        started_at = self.outage_since.setdefault((call.service, call.route.homes), now)
+        started_at = now
+        if progress.version is None:
+            key = (call.service, call.route.homes)
+            started_at = self.outage_since.setdefault(key, now)
         wait_ms = max(MIN_RETRY_AFTER_MS, progress.retry_after_ms, now - started_at)
         return max(1, min(wait_ms, MAX_RETRY_AFTER_MS, (call.deadline - now) // 3))
+
+
+def missing_target(progress):
+    """Return the problem of a call that no target can take."""
+    if progress.version is None:
+        return "no target can take it"
+    return "no target of the version that began the stream can take it"
--- a/pollenmount/gateway/hop.py
+++ b/pollenmount/gateway/hop.py
@@ -13,6 +13,7 @@
 
 __all__ = [
     "HOP_REQUEST",
+    "HOP_VERSION",
     "HopRefusal",
     "HopRefusedError",
     "HopRequest",
@@ -31,13 +32,18 @@
 # Headers of their own, which VMs of builds before ignore.
 HOP_PAUSE_MS = "Pollenmount-Hop-Pause-Ms"
 HOP_QUARANTINE_MS = "Pollenmount-Hop-Quarantine-Ms"
+# The version of the software of the target that responds.
+HOP_VERSION = "Pollenmount-Hop-Version"
 HOP_NOT_READY = "Pollenmount-Hop-Not-Ready"
 HEADER_PREFIX = "pollenmount-hop"
 MS_PER_S = 1000
 
 
 class HopRequest(NamedTuple):
-    """Data that the receiving entry VM needs in addition to the request."""
+    """Data that the receiving entry VM needs in addition to the request.
+
+    `version` is the only one of the target software that may run it, None if all may.
+    """
 
     service: str
     retry_mode: RetryMode
@@ -47,6 +53,7 @@
     slo_ms: int
     remaining_ms: int
     plan_version: int
+    version: str | None = None
 
 
 class HopRefusal(NamedTuple):
@@ -92,8 +99,11 @@
         super().__init__(f"the other VM is not ready: {refusal.reason}")
 
 
-def encode_hop(call, remaining_ms, attempts):
-    """Return the header, as (name, value), for a call sent to another region."""
+def encode_hop(call, remaining_ms, attempts, version=None):
+    """Return the header, as (name, value), for a call sent to another region.
+
+    `version` is that of `HopRequest`.
+    """
     route = call.route
     request = HopRequest(
         call.service,
@@ -104,6 +114,7 @@
         route.slo_ms,
         remaining_ms,
         call.plan_version,
+        version,
     )
     return (HOP_REQUEST, msgspec.json.encode(request).decode())
 
--- a/pollenmount/gateway/progress.py
+++ b/pollenmount/gateway/progress.py
@@ -23,10 +23,13 @@
     and `quarantine_ms` for how long.
     `head_arrived` and `event_arrived` tell whether the head of a success, and an event,
     have arrived in the last attempt. `digest` is that of `digest_request`.
+    `version` is the only version of the target software that may run further attempts,
+    None as long as any may.
     """
 
     def __init__(self, call):
         self.digest = digest_request(call)
+        self.version = call.version
         self.runs = 0
         self.sends = 0
         self.tried = set()
--- a/pollenmount/gateway/roles/entry.py
+++ b/pollenmount/gateway/roles/entry.py
@@ -19,6 +19,7 @@
 from pollenmount.gateway.replies import empty_reply
 from pollenmount.gateway.request_guard import RequestGuard
 from pollenmount.gateway.routing_context import RoutingContext
+from pollenmount.gateway.stream_resumption import StreamResumption
 from pollenmount.gateway.target_notices import TargetNotices
 from pollenmount.gateway.target_pauses import TargetPauses
 from pollenmount.log import get_logger
@@ -66,6 +67,7 @@
             lags=LagTracker(clock),
             pauses=pauses,
             notices=TargetNotices(node.fleet, pool, pauses, node.metrics),
+            resumption=StreamResumption(node.fleet, clock),
             guard=CrashGuard(
                 PromptGuard(node.fleet, clock, node.metrics),
                 RequestGuard(node.fleet, clock, node.metrics, CrashProbe(pool)),
--- a/pollenmount/gateway/routing_context.py
+++ b/pollenmount/gateway/routing_context.py
@@ -47,22 +47,26 @@
         self.pauses = trackers["pauses"]
         self.notices = trackers["notices"]
         self.guard = trackers["guard"]
+        self.resumption = trackers["resumption"]
 
     def is_learning(self):
         """Return whether this VM may not know yet what can be served."""
         return self.clock.now() - self.started_at < LEARNING_MS
 
-    def options(self, call, tried):
-        """Return the `Options` of a call; `tried` has the names tried before."""
+    def options(self, call, tried, version=None):
+        """Return the `Options` of a call; `tried` has the names tried before.
+
+        `version` is the only one that may run the call, None if all may.
+        """
         entries = self.fleet.entry_counter.entries(self.settings.region)
-        targets = {t.id: t for t in self.eligible_targets(call, tried)}
+        targets = {t.id: t for t in self.eligible_targets(call, tried, version)}
         prompt = call.info.prompt
         spread = self.cache.spread(prompt, targets, entries) if prompt else None
         local = tuple(
             self.make_option(target, prompt, spread)
             for target in self.shortlist(targets, spread, entries)
         )
-        return Options(local, lambda: self.remote_options(call, tried))
+        return Options(local, lambda: self.remote_options(call, tried, version))
 
     def shortlist(self, targets, spread, entries):
         """Yield the targets to choose from, of eligible ones by id."""
@@ -74,11 +78,11 @@
             if id_ not in preferred or self.may_send(targets[id_], entries):
                 yield targets[id_]
 
-    def eligible_targets(self, call, tried):
+    def eligible_targets(self, call, tried, version=None):
         """Yield the targets of this region that the call may be sent to.
 
-        Excludes draining, evacuated and tried targets. There are none if the region is
-        no home of the route.
+        Excludes draining, evacuated and tried targets, and those of other versions if
+        one is given. There are none if the region is no home of the route.
         """
         if not is_allowed_in(call.route, self.settings.region):
             return
@@ -89,11 +93,12 @@
                 record.draining
                 or record.failure_domain in evacuated
                 or record.id in tried
+                or version not in (None, record.version)
                 or self.fleet.region_of(record.failure_domain) != self.settings.region
             ):
                 yield target
 
-    def remote_options(self, call, tried):
+    def remote_options(self, call, tried, version=None):
         """Return an option for each other region that may run the call.
 
         It stands for a typical target there; the entry VM that receives the hop picks
@@ -101,36 +106,40 @@
         """
         return tuple(
             make_region_option(row, call.info.prompt)
-            for row in self.remote_capacities(call)
+            for row in self.remote_capacities(call, version)
             if not self.pauses.left_ms((row.region, row.service))
             and not self.breakers.is_open((row.region, row.service))
             and not self.breakers.is_open(row.region)
             and self.hop_candidates(row.region, tried)
         )
 
-    def remote_capacities(self, call):
-        """Yield the `ServiceCapacity` of each other region that may run the call."""
+    def remote_capacities(self, call, version=None):
+        """Yield the `ServiceCapacity` of each other region that may run the call.
+
+        `version` is as in `options`.
+        """
         for row in (self.fleet.capacities or {}).values():
             if (
                 row.service == call.service
                 and row.targets
+                and (version is None or version in row.versions)
                 and is_allowed_in(call.route, row.region)
             ):
                 yield row
 
-    def soonest_pause_ms(self, call, may_hop):
+    def soonest_pause_ms(self, call, may_hop, version=None):
         """Return when the first pause ends if all that may run the call ask for one.
 
-        It is 0 if any does not, or if there is none.
+        It is 0 if any does not, or if there is none. `version` is as in `options`.
         """
         left = [
             self.pauses.left_ms(target.id, target.record.born)
-            for target in self.eligible_targets(call, ())
+            for target in self.eligible_targets(call, (), version)
         ]
         if may_hop:
             left += (
                 self.pauses.left_ms((row.region, row.service))
-                for row in self.remote_capacities(call)
+                for row in self.remote_capacities(call, version)
             )
         return min(left, default=0)
 
--- a/tests/fleet_model.py
+++ b/tests/fleet_model.py
@@ -336,6 +336,6 @@
 def send_loads(nodes):
     """Let VMs report their loads, and the control VMs send the totals on."""
     for node in nodes:
-        node.client.send_loads()
+        node.client.send_news()
         if node.server:
             node.server.send_loads()
--- a/tests/gateway_harness.py
+++ b/tests/gateway_harness.py
@@ -39,6 +39,7 @@
 from pollenmount.gateway.request_guard import RequestGuard
 from pollenmount.gateway.routing_context import LEARNING_MS, RoutingContext
 from pollenmount.gateway.settings import Bounds, GatewaySettings, Listen
+from pollenmount.gateway.stream_resumption import StreamResumption
 from pollenmount.gateway.target_notices import TargetNotices
 from pollenmount.gateway.target_pauses import TargetPauses
 from pollenmount.retry_budget import RetryBudget
@@ -112,6 +113,7 @@
         lags=LagTracker(clock),
         pauses=pauses,
         notices=TargetNotices(fleet, pool, pauses, metrics),
+        resumption=StreamResumption(fleet, clock),
         guard=CrashGuard(
             PromptGuard(fleet, clock, metrics),
             RequestGuard(fleet, clock, metrics, CrashProbe(pool)),
--- a/tests/stream_traffic.py
+++ b/tests/stream_traffic.py
@@ -97,7 +97,8 @@
     def release(self, key, connection, head):
         pass
 
-    discard = release
+    def discard(self, key, connection):
+        pass
 
 
 class Stream:
--- a/tests/test_gateway_dispatch.py
+++ b/tests/test_gateway_dispatch.py
@@ -95,7 +95,7 @@
 
 def test_a_broken_stream_goes_on_after_the_last_event_delivered(harness):
     call = harness.make_call(STREAM)
-    start = ResponseHead(200, (), "a", "west")
+    start = ResponseHead(200, (), "a", "west", "v1")
     broken = [start, b"id: 1\n\n", 1, ExchangeError("cut")]
     parts, progress = harness.serve(call, broken, [start, b"id: 2\n\n", 2])
     assert parts == [start, b"id: 1\n\n", b"id: 2\n\n"]
