Ask a region once for a version that none of its targets has

Cause: a refusal for want of a version keeps no region out for others, and so did not keep it out for this call either. Before: test_a_region_without_the_version_is_asked_once, two connections in place of one.

--- a/pollenmount/gateway/dispatch.py
+++ b/pollenmount/gateway/dispatch.py
@@ -366,6 +366,7 @@
         A refusal of this one request, or of one version, says nothing of others.
         """
         if error.quarantine_ms or progress.version is not None:
+            progress.tried.add(destination.region)
             return
         key = (destination.region, call.service)
         if error.pause_ms:
--- a/pollenmount/gateway/progress.py
+++ b/pollenmount/gateway/progress.py
@@ -10,7 +10,8 @@
     """State of one call across its attempts.
 
     `sends` counts all attempts, `runs` those that may have run on a target. `tried`
-    holds the names of the targets and VMs that were tried. `failed_response` is the
+    holds the names of the targets and VMs that were tried, and of regions that have
+    refused this call only. `failed_response` is the
     last error response of a target, `head` the response head sent to the caller, and
     `last_id` the number of the last event delivered. `first_chunk_at` and
     `last_chunk_at` are the times of the first and the last chunk of the response;
--- a/pollenmount/gateway/routing_context.py
+++ b/pollenmount/gateway/routing_context.py
@@ -107,7 +107,8 @@
         return tuple(
             make_region_option(row, call.info.prompt)
             for row in self.remote_capacities(call, version)
-            if not self.pauses.left_ms((row.region, row.service))
+            if row.region not in tried
+            and not self.pauses.left_ms((row.region, row.service))
             and not self.breakers.is_open((row.region, row.service))
             and not self.breakers.is_open(row.region)
             and self.hop_candidates(row.region, tried)
--- a/tests/test_hop_refusals.py
+++ b/tests/test_hop_refusals.py
@@ -12,7 +12,8 @@
 from pollenmount.gateway.progress import Progress
 from pollenmount.gateway.retry_policy import may_have_arrived
 from pollenmount.gateway.target_pauses import MAX_PAUSE_MS, MAX_REGION_PAUSE_MS
-from tests.gateway_harness import EntryHarness
+from pollenmount.routes.plan import RetryMode
+from tests.gateway_harness import EntryHarness, make_route
 from tests.scripted_vm import NOT_RUN, ONCE, Vm, response_bytes
 from tests.test_gateway_joining import receive_hop
 from tests.test_gateway_sender import STAMP
@@ -200,3 +201,13 @@
     vm = Vm(monkeypatch, "a")
     vm.serve(response_bytes(503, f"{NOT_RUN}Retry-After: 3\r\n"))
     assert [*vm.harness.context.pauses.ends] == [("a", 1)]
+
+
+# Each VM of a region was asked in turn for a version that none of its targets has.
+def test_a_region_without_the_version_is_asked_once(sender, receiver):
+    stream = make_route(RetryMode.STREAM, resumable=True)
+    call = receiver.make_call(stream, version="v2")
+    refusal = reply_bytes(receive_hop(receiver, call))
+    (head,) = sender.serve(refusal, refusal, route=stream, version="v1")
+    assert (head.status, len(sender.opened)) == (503, 1)
+    assert not sender.harness.context.breakers.is_open(("east", "desk"))
