--- a/pollenmount/gateway/dispatch.py
+++ b/pollenmount/gateway/dispatch.py
@@ -6,12 +6,10 @@
 """
 
 import contextlib
-import zlib
 
 from pollenmount import task
 from pollenmount.gateway.attempt import (
     Attempt,
-    AttemptDestination,
     FailedResponseError,
     MisdirectedError,
     NotRunError,
@@ -19,8 +17,9 @@
 )
 from pollenmount.gateway.call import AttemptFailure, ErrorResponse, ResponseHead
 from pollenmount.gateway.choose import TargetChoice, is_long_stream, no_remote_options
+from pollenmount.gateway.destinations import Destinations
 from pollenmount.gateway.dialect import shared_ids
-from pollenmount.gateway.hop import HopRefusedError, PeerNotReadyError, encode_hop
+from pollenmount.gateway.hop import HopRefusedError, PeerNotReadyError
 from pollenmount.gateway.progress import CallObserver
 from pollenmount.gateway.retry_policy import RetryPolicy
 from pollenmount.gateway.target_pauses import MAX_REGION_PAUSE_MS, spread_wait_ms
@@ -47,9 +46,6 @@
 # Share of the caller's time that a call may wait for a VM that has just started.
 MAX_LEARNING_SHARE = 0.25
 LEARNING_INTERVAL_MS = 50
-# The VM that sends a hop counts the runs of the call; the receiving VM does not know of
-# the others.
-MAX_RUNS_PER_HOP = 1
 MIN_RETRY_AFTER_MS = 250
 MAX_RETRY_AFTER_MS = 4000
 UNAVAILABLE = 503
@@ -77,6 +73,7 @@
         self.chooser = chooser
         self.sender = sender
         self.retries = RetryPolicy(budget, clock)
+        self.destinations = Destinations(context, clock)
         self.clock = clock
         self.sleep = sleep
         self.outage_since = {}
@@ -171,58 +168,7 @@
         chosen = self.choose_with_deferral(call, progress, may_hop)
         if chosen is None:
             return None, 0
-        if isinstance(chosen, TargetChoice):
-            self.log_cold_target(call, chosen.target_id)
-            return self.target_destination(chosen.target_id), chosen.expected_ms
-        return self.hop_destination(call, progress, chosen.region), chosen.expected_ms
-
-    def log_cold_target(self, call, id_):
-        """Log that a target gets a request while it is cold, and why from this VM."""
-        target, now = self.context.fleet.targets.by_id[id_], self.clock.now()
-        if target.may_be_cold(now):
-            logger.info(
-                "cold target used",
-                extra={
-                    "request": call.id,
-                    "target": id_,
-                    "born": target.record.born,
-                    "sequence": target.record.sequence,
-                    "cold_left_ms": max(0, target.cold_until - now),
-                    "doubted": target.is_doubted(now),
-                    "senders": target.cold_senders,
-                },
-            )
-
-    def target_destination(self, id_):
-        """Return the destination for a target of this region."""
-        target = self.context.fleet.targets.by_id[id_]
-        record = target.record
-        self.context.breakers.start_probe(id_, record.born)
-        if any(self.context.rate_limits(target)):
-            self.context.rates.record(id_)
-        region = self.context.settings.region
-        return AttemptDestination(
-            id_, record.address, record.born, region, id_, version=record.version
-        )
-
-    def hop_destination(self, call, progress, region):
-        """Return the destination for a hop: the least loaded entry VM of a region."""
-        members = self.context.hop_candidates(region, progress.tried)
-        loads = self.context.loads.local
-
-        def load_key(member):
-            # The hash spreads calls over VMs with the same load.
-            tie_break = zlib.crc32(f"{call.id} {member.name}".encode())
-            local = loads.get(member.name)
-            return (local.requests if local else 0), tie_break
-
-        member = min(members, key=load_key)
-        self.context.breakers.start_probe(member.name, member.incarnation)
-        remaining_ms = max(1, call.deadline - self.clock.now())
-        header = encode_hop(call, remaining_ms, MAX_RUNS_PER_HOP, progress.version)
-        return AttemptDestination(
-            member.name, member.hop_address, member.incarnation, region, "", (header,)
-        )
+        return self.destinations.make(call, progress, chosen), chosen.expected_ms
 
     def run_attempt(self, call, progress, destination, expected_ms, may_hop=True):
         """Yield the head and body of the response to one attempt."""
--- a/tests/linked_vms.py
+++ b/tests/linked_vms.py
@@ -41,6 +41,7 @@
         guard.prompts.clock = self.clock
         vm.dispatcher.sleep = self.clock.advance
         vm.dispatcher.retries.clock = vm.budget.clock = self.clock
+        vm.dispatcher.destinations.clock = self.clock
 
     def restart(self, target, born):
         """Let a target have started again."""
--- a/tests/test_gateway_choose.py
+++ b/tests/test_gateway_choose.py
@@ -149,7 +149,7 @@
         call = harness.make_call(STREAM, make_prompt())
         for _ in range(1000):
             if harness.choose(call) is not None:
-                harness.dispatcher.target_destination("a")
+                harness.dispatcher.destinations.of_target("a")
                 sent += 1
             harness.clock.advance(1)
     assert 1 <= sent <= 2.7 * 1.5 + 3
--- a/tests/test_gateway_dispatch.py
+++ b/tests/test_gateway_dispatch.py
@@ -215,7 +215,7 @@
     harness.add_target("e", service="engine")
     call = harness.make_call(route)
     harness.dispatcher.record_first_byte(
-        harness.dispatcher.target_destination("e"), call, 0
+        harness.dispatcher.destinations.of_target("e"), call, 0
     )
     harness.fleet.targets.handle_leave("e", "c")
     again, _ = harness.serve(harness.make_call(route, timeout_ms=15_000))
--- a/tests/test_hop_refusals.py
+++ b/tests/test_hop_refusals.py
@@ -96,7 +96,7 @@
     receiver.context.pauses.start("e", 1, 5000)
     sender.serve(refuse(receiver, sender))
     call = sender.harness.make_call(ONCE)
-    destination = sender.harness.dispatcher.hop_destination(
+    destination = sender.harness.dispatcher.destinations.of_hop(
         call, Progress(call), "east"
     )
     sender.harness.dispatcher.record_first_byte(destination, call, 0)
--- a/tests/test_target_limits.py
+++ b/tests/test_target_limits.py
@@ -119,7 +119,7 @@
 def test_a_response_to_an_earlier_request_does_not_end_a_limit(make_vm):
     vm = make_vm("a")
     harness = vm.harness
-    destination = harness.dispatcher.target_destination("a")
+    destination = harness.dispatcher.destinations.of_target("a")
     info = DIALECT.read_response(HttpResponseHead(200, (), False))
     for sent_before_ms, expected in ((1, 2.0), (0, 2.0), (-1, None)):
         vm.hear_limit(2.0, "west-1")
--- a/tests/test_target_notices.py
+++ b/tests/test_target_notices.py
@@ -282,7 +282,7 @@
     vm.harness.fleet.listeners.append(lambda message, source: told.append(source))
     response = response_bytes(extra=STAMP + LEAVING)
     call = vm.harness.make_call(ONCE)
-    destination = vm.harness.dispatcher.target_destination("a")
+    destination = vm.harness.dispatcher.destinations.of_target("a")
     for _ in range(3):
         vm.scripts = [[response]]
         [*vm.harness.dispatcher.run_attempt(call, Progress(call), destination, 0)]
--- a/tests/test_target_pauses.py
+++ b/tests/test_target_pauses.py
@@ -175,7 +175,7 @@
 def test_any_value_is_bounded(make_vm, seconds, ms):
     head = HttpResponseHead(503, (("Retry-After", seconds),), False)
     vm = make_vm("a")
-    destination = vm.harness.dispatcher.target_destination("a")
+    destination = vm.harness.dispatcher.destinations.of_target("a")
     info = DIALECT.read_response(head)
     vm.harness.context.notices.handle_head(
         vm.harness.make_call(ONCE), destination, 503, info
@@ -201,7 +201,7 @@
     caplog.set_level("INFO", "pollenmount")
     vm = make_vm("a")
     call = vm.harness.make_call(ONCE)
-    destination = vm.harness.dispatcher.target_destination("a")
+    destination = vm.harness.dispatcher.destinations.of_target("a")
     for _ in range(3):
         vm.scripts = [[pause(3, NOT_RUN + "Connection: close\r\n")]]
         with pytest.raises(TargetPauseError):
@@ -225,7 +225,7 @@
 # The last words of the start before came after the heartbeat of the next one.
 def test_a_late_response_does_not_pause_the_next_start(make_vm):
     vm = make_vm("a")
-    destination = vm.harness.dispatcher.target_destination("a")
+    destination = vm.harness.dispatcher.destinations.of_target("a")
     vm.harness.add_target("a", born=2)
     vm.scripts = [[pause(9)]]
     call = vm.harness.make_call(ONCE)
