--- a/pollenmount/fleet/server.py
+++ b/pollenmount/fleet/server.py
@@ -20,7 +20,6 @@
     LINK_PROTOCOL,
     Capacities,
     EntryCounts,
-    EvacuationsChanged,
     LinkHello,
     Loads,
     MemberDown,
@@ -30,7 +29,6 @@
     StreamAsked,
     StreamsBegan,
     TargetLimited,
-    TargetSeen,
     encode,
 )
 from pollenmount.fleet.observations import OBSERVATIONS
@@ -38,13 +36,12 @@
 from pollenmount.fleet.sender_selection import SenderSelection
 from pollenmount.fleet.session import Session, concerns
 from pollenmount.fleet.stream_origins import StreamOrigin
-from pollenmount.fleet.target import make_target_doubted
+from pollenmount.fleet.target_reports import DIRECT, TargetReports
 from pollenmount.fleet.totals import LOAD_INTERVAL_MS, LoadTotals
 from pollenmount.log import get_logger
 
 __all__ = ["DIRECT", "LinkServer"]
 
-DIRECT = "direct"
 TICK_INTERVAL_MS = 250
 # Every this many ticks, all links get a heartbeat, and what may be a little older.
 SLOW_TICKS = 3
@@ -71,7 +68,8 @@
 class LinkServer:
     """Accepts links on `address` and sends changes of the fleet to linked members.
 
-    `has_quorum` returns whether this VM is in touch with the leader of the log.
+    `has_quorum` returns whether this VM is in touch with the leader of the log, and
+    `targets` handles what targets report here.
     `sessions` are the linked members by name, `lost_links` those whose link was lost
     less than `RECONNECT_GRACE_MS` ago, `totals` the load of targets, and `capacities`
     what this VM and other control VMs know of the services in each region.
@@ -91,7 +89,8 @@
         self.hop_peers_version = None
         self.hop_peers_at = clock.now()
         self.ticks = 0
-        fleet.listeners += [self.forward_change, self.name_cold_senders]
+        fleet.listeners.append(self.forward_change)
+        self.targets = TargetReports(fleet, self.senders, self.push_to_control_vms)
         self.socket = task.listen(address, LISTEN_BACKLOG)
         self.thread = task.spawn(self.accept_links)
         self.ticker = task.PeriodicTask(self.tick, TICK_INTERVAL_MS)
@@ -245,7 +244,7 @@
         is_slow_tick = self.ticks % SLOW_TICKS == 0
         self.update_capacities()
         self.send_hop_peers()
-        self.update_limit_senders()
+        self.targets.update_limit_senders()
         for session in [*self.sessions.values()]:
             self.send_changes(session, is_slow_tick)
             if session.is_entry:
@@ -371,50 +370,6 @@
             if session.record.role == role:
                 session.channel.push_encoded(data)
 
-    def handle_target_heartbeat(self, record):
-        """Handle a heartbeat that a target sent to this VM."""
-        cold_senders = self.senders.of_cold(record) if record.cold_ms > 0 else ()
-        message = TargetSeen(record, 0, cold_senders)
-        if self.fleet.targets.handle_seen(message, DIRECT):
-            self.push_to_control_vms(message)
-
-    def update_limit_senders(self):
-        """Replace the VMs that may send to a limited target if some have gone."""
-        for message in [*self.fleet.targets.limits.messages()]:
-            selected = self.senders.complete(message)
-            if selected.senders != message.senders:
-                self.fleet.targets.handle_limited(selected, DIRECT)
-
-    def handle_target_leave(self, id_):
-        """Handle a target's own notice that it leaves."""
-        message = self.fleet.targets.handle_leave(id_, DIRECT)
-        self.push_to_control_vms(message)
-
-    def doubt_overdue_targets(self, overdue_ms):
-        """Tell all VMs of targets that may have restarted since they were heard."""
-        for known in self.fleet.targets.overdue(overdue_ms, DIRECT):
-            self.doubt_target(known)
-
-    def name_cold_senders(self, message, source):
-        """Name the VMs that may send to targets whose evacuation has just ended."""
-        if not isinstance(message, EvacuationsChanged):
-            return
-        now = self.clock.now()
-        for known in [*self.fleet.targets.by_id.values()]:
-            if DIRECT in known.heard_by and known.is_doubted(now):
-                self.doubt_target(known)
-
-    def doubt_target(self, known):
-        """Tell all VMs that a target may be cold until it is heard again."""
-        message = make_target_doubted(known, self.senders.of_cold(known.record))
-        self.fleet.targets.handle_doubted(message, DIRECT)
-        self.push_to_control_vms(message)
-
-    def sweep_targets(self, silence_ms):
-        """Mark targets silent that this VM has not heard for `silence_ms`."""
-        for message in self.fleet.targets.sweep(silence_ms, DIRECT):
-            self.push_to_control_vms(message)
-
     def close(self):
         """Stop accepting links and close them all."""
         self.load_ticker.close()
--- a/pollenmount/gateway/control.py
+++ b/pollenmount/gateway/control.py
@@ -134,12 +134,12 @@
             return self.reject(
                 "heartbeat refused", error_response, target=control_request.name
             )
-        self.server.handle_target_heartbeat(record)
+        self.server.targets.handle_heartbeat(record)
         return document_reply(self.node.dialect.write_heartbeat_reply())
 
     def handle_leave(self, request, control_request):
         """Handle a target's announcement that it leaves."""
-        self.server.handle_target_leave(control_request.name)
+        self.server.targets.handle_leave(control_request.name)
         logger.info("target leaves", extra={"target": control_request.name})
         return document_reply(EMPTY_DOCUMENT)
 
--- a/pollenmount/gateway/roles/control.py
+++ b/pollenmount/gateway/roles/control.py
@@ -48,8 +48,8 @@
     def sweep(self):
         """Doubt targets that have missed a heartbeat; several make them silent."""
         heartbeat_ms = self.node.settings.heartbeat_ms
-        self.server.doubt_overdue_targets(OVERDUE_HEARTBEATS * heartbeat_ms)
-        self.server.sweep_targets(MISSED_HEARTBEATS * heartbeat_ms)
+        self.server.targets.doubt_overdue(OVERDUE_HEARTBEATS * heartbeat_ms)
+        self.server.targets.sweep(MISSED_HEARTBEATS * heartbeat_ms)
 
     def stop(self, requested_at):
         """Hand over leadership and finish running calls.
--- a/tests/fleet_model.py
+++ b/tests/fleet_model.py
@@ -269,7 +269,7 @@
             *(id_, 1, self.sequence, "engine", f"{id_}:1", self.targets[id_]),
             *("v", 16, False, 0),
         )
-        control.server.handle_target_heartbeat(record._replace(**changes))
+        control.server.targets.handle_heartbeat(record._replace(**changes))
 
     def beat_all(self):
         """Send a heartbeat of each target to a control VM that it reaches."""
@@ -329,8 +329,8 @@
         node.client.run_round()
         if node.server:
             node.server.tick()
-            node.server.doubt_overdue_targets(OVERDUE_MS)
-            node.server.sweep_targets(SILENCE_MS)
+            node.server.targets.doubt_overdue(OVERDUE_MS)
+            node.server.targets.sweep(SILENCE_MS)
 
 
 def send_loads(nodes):
