--- a/pollenmount/gateway/callers.py
+++ b/pollenmount/gateway/callers.py
@@ -305,6 +305,7 @@
                 "last_event": progress.last_id,
                 "place": destination.name if destination else "",
                 "version": destination.version if destination else "",
+                "stream_version": progress.version,
                 "ran_in": destination.region if destination else "",
                 "sends": progress.sends,
                 "runs": progress.runs,
--- a/tests/test_attempts_log.py
+++ b/tests/test_attempts_log.py
@@ -4,6 +4,7 @@
 from pollenmount.routes.plan import RetryMode
 from pollenmount.wire.errors import MalformedResponseError
 from tests.gateway_harness import EntryHarness, TargetHead, make_prompt, make_route
+from tests.test_gateway_joining import receive_hop
 
 HEAD = TargetHead(200, ResponseInfo("id-1", True, False, False, None, ()))
 STREAM = make_route(RetryMode.STREAM, "engine", attempts=1)
@@ -33,3 +34,12 @@
     harness.serve(call, [HEAD, MalformedResponseError("ended early")])
     (line,) = [r.fields for r in caplog.records if r.msg == "attempt failed"]
     assert line["version"] == "v2"
+
+
+# A refusal for want of a version did not say of which.
+def test_a_call_is_logged_with_the_version_that_began_its_stream(caplog):
+    caplog.set_level("INFO", "pollenmount")
+    receiver = EntryHarness(name="east-1", region="east")
+    receive_hop(receiver, receiver.make_call(STREAM, version="v0"))
+    (line,) = [r.fields for r in caplog.records if r.msg == "call ended"]
+    assert line["stream_version"] == "v0"
