Let a kill leave the size that the soak recorded before

Cause: a VM was killed between the truncation and the write of the file that has the size of another file at its last sync. Change: the size is written beside and renamed. Before: test_a_kill_while_a_size_is_recorded_leaves_the_one_before read another size.

--- a/tests/soak/start.py
+++ b/tests/soak/start.py
@@ -16,6 +16,14 @@
 OPERATORS_PREFIX = "/-/"
 
 
+def record_size(path):
+    """Record the size of a file beside it, at once: a kill leaves the one before."""
+    folder, name = path.parent, path.name
+    new_path = folder / f"{name}.new{SYNCED_SUFFIX}"
+    new_path.write_text(str(path.stat().st_size))
+    os.replace(new_path, folder / f"{name}{SYNCED_SUFFIX}")
+
+
 def record_synced_sizes():
     """Record the size of each file at its last sync."""
     from pollenmount.consensus.disk import Disk
@@ -24,8 +32,7 @@
 
     def sync_and_record(disk, name):
         sync(disk, name)
-        path = disk.folder / name
-        (disk.folder / f"{name}{SYNCED_SUFFIX}").write_text(str(path.stat().st_size))
+        record_size(disk.folder / name)
 
     def rename_and_record(disk, old, new):
         rename(disk, old, new)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -1,8 +1,11 @@
 """A short run of the soak test, and tests of its check for violations."""
 
 import collections
+import contextlib
+import os
 import subprocess
 import sys
+from pathlib import Path
 
 import pytest
 
@@ -11,6 +14,7 @@
 from tests.soak.lost import LostFinder, Work
 from tests.soak.notices import Arrival, NoticeChecker
 from tests.soak.replica import EVENT_COUNT, Run, expected_body, expected_event
+from tests.soak.start import SYNCED_SUFFIX, record_size
 
 DURATION_S = 8
 TIMEOUT_S = 150
@@ -47,6 +51,23 @@
     assert "cut:" not in completed.stdout
 
 
+# A VM killed as it recorded a size left an empty file, on which the soak failed.
+def test_a_kill_while_a_size_is_recorded_leaves_the_one_before(tmp_path, monkeypatch):
+    path = tmp_path / "log"
+    path.write_bytes(b"synced")
+    record_size(path)
+    path.write_bytes(b"synced and more")
+
+    def kill(*paths):
+        raise SystemExit
+
+    monkeypatch.setattr(os, "replace", kill)
+    monkeypatch.setattr(Path, "write_text", kill)
+    with contextlib.suppress(SystemExit):
+        record_size(path)
+    assert (tmp_path / f"log{SYNCED_SUFFIX}").read_text() == "6"
+
+
 def test_planted_cut_is_found(tmp_path, network):
     arguments = ["--seed=1", "--seconds=4", f"--network={network}"]
     planted = ["--faults=planned", "--work=plan", "--fault=plan"]
