Let only the VM that a caller is connected to record how its stream began

What callers would see: text joined from two versions, if a hop breaks after the receiving VM has sent the first event and before it arrives: the sending VM may go on at any version then, and control VMs kept what the other had recorded first. Before: test_only_the_vm_of_the_caller_records_a_stream.

--- a/pollenmount/gateway/dispatch.py
+++ b/pollenmount/gateway/dispatch.py
@@ -199,17 +199,22 @@
                         progress.record_chunk(self.clock.now())
                         yield part
                     elif progress.head is None:
-                        self.begin_response(call, progress, part)
+                        self.begin_response(call, progress, part, may_hop)
                         yield part
         self.context.breakers.record_success(destination.name)
         if not progress.event_arrived:
             self.context.guard.record_answered(call, progress)
 
-    def begin_response(self, call, progress, head):
-        """Note which response a call gets; the rest of a stream has to fit to it."""
+    def begin_response(self, call, progress, head, may_hop):
+        """Note which response a call gets; the rest of a stream has to fit to it.
+
+        The VM that sent a hop may not get what this one sends, so that one records it.
+        """
         progress.head = head
         if call.route.retry_mode is RetryMode.STREAM and is_success(head.status):
-            self.context.resumption.record_begin(call, progress, head.version)
+            progress.version = head.version
+            if may_hop:
+                self.context.resumption.record_begin(call, head.version)
 
     def may_replace_attempt(self, call, progress, may_hop, stalled_ms):
         """Return whether another attempt can replace one that makes no progress."""
--- a/pollenmount/gateway/stream_resumption.py
+++ b/pollenmount/gateway/stream_resumption.py
@@ -23,9 +23,8 @@
         self.fleet = fleet
         self.clock = clock
 
-    def record_begin(self, call, progress, version):
+    def record_begin(self, call, version):
         """Record at which version a stream begins, before an event is delivered."""
-        progress.version = version
         if call.route.resumable and call.resume_after is None:
             origin = StreamOrigin(call.service, version)
             self.fleet.origins.record(stream_key(call.info.host, call.id), origin)
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -14,6 +14,7 @@
 )
 from pollenmount.gateway.call import ErrorResponse
 from pollenmount.gateway.dialect import CallerInfo
+from pollenmount.gateway.progress import Progress
 from pollenmount.routes.plan import RetryMode, Split
 from pollenmount.wire.errors import ExchangeError
 from tests.gateway_harness import EntryHarness, make_route, ok
@@ -163,3 +164,14 @@
     ]
     assert not [*origins.take_unsent()]
     assert len([*origins.all_by_origin()]) == 3
+
+
+# A hop broke after its first event had been sent and before it arrived; the VM that had
+# sent it went on elsewhere, and what the other had recorded was taken for the origin.
+@pytest.mark.parametrize(("may_hop", "count"), [(True, 1), (False, 0)])
+def test_only_the_vm_of_the_caller_records_a_stream(harness, may_hop, count):
+    call = harness.make_call(STREAM)
+    harness.update_capacities()
+    harness.sender.script = [ok()]
+    list(harness.dispatcher.serve(call, Progress(call), may_hop))
+    assert len(harness.fleet.origins.known) == count
