--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -14,6 +14,7 @@
 from pollenmount.wire.connection import HttpResponseHead
 
 sys.path.insert(0, str(Path(__file__).parent.parent / "platform"))
+from fleetport import documents  # noqa: E402
 from fleetport.dialect import FleetDialect  # noqa: E402
 
 DIALECT = FleetDialect()
@@ -302,3 +303,16 @@
     text = json.dumps(document).replace("Infinity", "1e400")
     with pytest.raises(SheetError):
         DIALECT.read_plan(text.encode())
+
+
+# VMs send versions to each other in headers, which take neither line ends nor most
+# letters, and have a bound.
+@pytest.mark.parametrize("version", ["v1\r\nX: 1", "v\u20ac", "v" * 500, "v\ud800"])
+def test_an_odd_version_is_kept_apart_in_printable_letters(version):
+    names = {documents.version_name(text) for text in (version, "v1", f"{version}2")}
+    assert len(names) == 3
+    assert all(n.isascii() and n.isprintable() and len(n) <= 80 for n in names)
+
+
+def test_an_ordinary_version_is_kept_as_it_is():
+    assert documents.version_name("v1.2-rc3") == "v1.2-rc3"
