--- a/review/harness.py
+++ b/review/harness.py
@@ -34,6 +34,7 @@
 CALL_TIMEOUT_S = 1
 START_LIMIT_S = 20
 MS_PER_S = 1000
+POLL_S = 0.02
 # The bounds that the template of the settings passes on, as on the small site.
 BOUNDS = {
     "stop_grace_s": 8,
@@ -377,7 +378,9 @@
         self.server = ReplicaServer((host, int(port)), ReplicaHandler)
         self.server.replica = self
         self.sequence = 0
-        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+        threading.Thread(
+            target=self.server.serve_forever, args=(POLL_S,), daemon=True
+        ).start()
         threading.Thread(
             target=self.send_heartbeats, args=(self.stopping, late_s), daemon=True
         ).start()
