Let the cold replica of the review's case 5 crash above its bound

Cause: the case showed too many requests, but not what becomes of them. An unexpected error in a script also ended with the status of a broken rule.

Unexpected errors end with the status of a case that could not run.

--- a/review/harness.py
+++ b/review/harness.py
@@ -10,6 +10,7 @@
 import http.client
 import http.server
 import json
+import math
 import os
 import random
 import shutil
@@ -22,6 +23,7 @@
 import threading
 import time
 import tomllib
+import traceback
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -76,9 +78,12 @@
     record(f"trouble: {'yes' if trouble else 'no'}")
     try:
         broken = case(record, trouble)
-    except CaseError as error:
-        record(f"the case could not run: {error}")
-        print(f"the case could not run: {error}")
+    except Exception as error:
+        problem = str(error)
+        if not isinstance(error, CaseError):
+            problem = "".join(traceback.format_exception(error))
+        record(f"the case could not run: {problem}")
+        print(f"the case could not run: {problem}")
         sys.exit(NOT_RUN)
     outcome = f"rule broken: {broken}" if broken else "the rule held"
     record(outcome)
@@ -368,6 +373,8 @@
         self.work_s = 0.02
         self.born = int(time.time() * MS_PER_S)
         self.cold_until = 0.0
+        self.tolerated_per_s = math.inf
+        self.stopping = threading.Event()
         self.arrivals = []
         self.start(0)
 
@@ -387,8 +394,10 @@
 
     def crash(self):
         """Stop at once: nothing listens any more, and all connections are reset."""
-        self.record(f"replica {self.id} crashes")
+        if self.stopping.is_set():
+            return
         self.stopping.set()
+        self.record(f"replica {self.id} crashes")
         self.server.socket.close()
         for connection in [*self.server.open_connections]:
             with contextlib.suppress(OSError):
@@ -407,8 +416,12 @@
 
     def add_arrival(self, id_, peer):
         """Record a request that is run."""
-        self.arrivals.append(Arrival(time.monotonic(), id_, self.id, peer))
+        now = time.monotonic()
+        self.arrivals.append(Arrival(now, id_, self.id, peer))
         self.record(f"replica {self.id} runs {id_} from {peer}")
+        lately = sum(now - arrival.at < 1 for arrival in self.arrivals[-100:])
+        if now < self.cold_until and lately > self.tolerated_per_s:
+            self.crash()
 
     def send_heartbeats(self, stopping, late_s):
         """Send heartbeats; after a failure, to the next node."""
