--- a/review/1/case.py
+++ b/review/1/case.py
@@ -143,7 +143,7 @@
         record(f"versions read back: {versions}")
     if not versions:
         return (
-            f"LOST: version {SECOND_VERSION} was acknowledged, and no VM returned a "
+            f"CONFIG: version {SECOND_VERSION} was acknowledged, and no VM returned a "
             f"configuration from {RECOVERY_S} to {RECOVERY_S + CONTACT_S} s after all "
             "VMs were back"
         )
