Use a target that refuses connections as a cold one until it is heard

Cause: an entry VM whose connections were refused, and which then reached the target again, took it for warm until a control VM missed its heartbeat or heard a new one. Its own evidence of a crash was told to nobody. Ruled out: that broken responses alone are evidence, as some targets reset connections and do not restart; a target that is full but keeps connections open is not taken for a crashed one. Change: a refused connection, while none to that start of the target is open, is told to control VMs (TargetRefused) and doubts the target, as an overdue heartbeat does; the control VM that hears it names who may send. Without links the VMs of the region share the rate.

--- a/pollenmount/fleet/fleet.py
+++ b/pollenmount/fleet/fleet.py
@@ -22,6 +22,7 @@
     TargetGone,
     TargetLeaving,
     TargetLimited,
+    TargetRefused,
     TargetSeen,
     TargetSilent,
 )
@@ -93,6 +94,10 @@
     def _(self, message: TargetDoubted, source):
         self.targets.handle_doubted(message, source)
 
+    @handle.register
+    def _(self, message: TargetRefused, source):
+        self.targets.handle_refused(message, source)
+
     @handle.register
     def _(self, message: TargetSilent, source):
         self.targets.handle_silent(message, source)
--- a/pollenmount/fleet/messages.py
+++ b/pollenmount/fleet/messages.py
@@ -36,6 +36,7 @@
     "TargetLimited",
     "TargetLoad",
     "TargetRecord",
+    "TargetRefused",
     "TargetSeen",
     "TargetSilent",
     "decode",
@@ -45,7 +46,7 @@
 ENTRY = "entry"
 CONTROL = "control"
 # Incremented when VMs of two builds would misunderstand each other.
-LINK_PROTOCOL = 8
+LINK_PROTOCOL = 9
 
 
 class MemberRecord(NamedTuple):
@@ -187,6 +188,17 @@
     cold_senders: tuple[str, ...] = ()
 
 
+class TargetRefused(Message, frozen=True, array_like=True, tag=True):
+    """No process listened at the address of an incarnation of a target.
+
+    It may have crashed, and be cold when it answers again. Sent by the entry VM whose
+    connection was refused, and passed on once by each control VM.
+    """
+
+    id: str
+    born: int
+
+
 class TargetSilent(Message, frozen=True, array_like=True, tag=True):
     """A target has missed several heartbeats."""
 
@@ -335,6 +347,7 @@
     | MemberDown
     | TargetSeen
     | TargetDoubted
+    | TargetRefused
     | TargetSilent
     | TargetGone
     | TargetLeaving
--- a/pollenmount/fleet/observations.py
+++ b/pollenmount/fleet/observations.py
@@ -1,4 +1,4 @@
-"""What a VM observes in a target's response itself, and tells all other VMs.
+"""What a VM observes of a target itself, and tells all other VMs.
 
 Unlike that a VM is there, it stays true, so any VM may pass it on: an entry VM tells
 the control VMs that it is linked to, and each of those tells the others.
@@ -11,6 +11,7 @@
     RequestsCrashed,
     TargetLeaving,
     TargetLimited,
+    TargetRefused,
 )
 
 __all__ = ["OBSERVATIONS", "RESPONSE"]
@@ -20,6 +21,7 @@
 OBSERVATIONS = (
     TargetLeaving,
     TargetLimited,
+    TargetRefused,
     PromptBroke,
     PartsServed,
     RequestsCrashed,
--- a/pollenmount/fleet/session.py
+++ b/pollenmount/fleet/session.py
@@ -18,6 +18,7 @@
     TargetGone,
     TargetLeaving,
     TargetLimited,
+    TargetRefused,
     TargetSeen,
     TargetSilent,
 )
@@ -129,5 +130,6 @@
 @concerns_entry.register(TargetGone)
 @concerns_entry.register(TargetLeaving)
 @concerns_entry.register(TargetLimited)
+@concerns_entry.register(TargetRefused)
 def _(message, session, fleet):
     return fleet.region_of_target(message.id) in (None, session.record.region)
--- a/pollenmount/fleet/target_reports.py
+++ b/pollenmount/fleet/target_reports.py
@@ -1,6 +1,6 @@
 """What a control VM hears from targets themselves, and tells the other control VMs."""
 
-from pollenmount.fleet.messages import EvacuationsChanged, TargetSeen
+from pollenmount.fleet.messages import EvacuationsChanged, TargetRefused, TargetSeen
 from pollenmount.fleet.target import make_target_doubted
 
 __all__ = ["DIRECT", "TargetReports"]
@@ -48,8 +48,8 @@
             self.doubt(known)
 
     def name_cold_senders(self, message, source):
-        """Name the VMs that may send to targets whose evacuation has just ended."""
-        if not isinstance(message, EvacuationsChanged):
+        """Name the VMs that may send to targets that have just come into doubt."""
+        if not isinstance(message, EvacuationsChanged | TargetRefused):
             return
         now = self.clock.now()
         for known in [*self.fleet.targets.by_id.values()]:
--- a/pollenmount/fleet/targets.py
+++ b/pollenmount/fleet/targets.py
@@ -146,6 +146,19 @@
         self.version += 1
         self.on_change(message, source)
 
+    def handle_refused(self, message, source):
+        """Doubt an incarnation that refused a connection; notify if that is news.
+
+        An entry VM does not send to it until it is told who may.
+        """
+        known, now = self.by_id.get(message.id), self.clock.now()
+        if known is None or known.record.born != message.born or known.is_doubted(now):
+            return
+        doubt = Doubt(known.record.order_key, now + DOUBT_TTL_MS)
+        self.by_id[message.id] = known._replace(doubt=doubt, cold_senders=())
+        self.version += 1
+        self.on_change(message, source)
+
     def doubt_domain(self, failure_domain):
         """Doubt the targets of a failure domain until they are heard again."""
         until = self.clock.now() + DOUBT_TTL_MS
--- a/pollenmount/gateway/dispatch.py
+++ b/pollenmount/gateway/dispatch.py
@@ -287,6 +287,7 @@
         if not error.not_run:
             progress.runs += 1
         self.context.guard.record_failure(call, progress, destination, error)
+        self.context.notices.handle_failure(destination, error)
         if isinstance(error, HopRefusedError):
             progress.retry_after_ms = error.retry_after_ms
             self.context.guard.record_refused_hop(progress, error)
--- a/pollenmount/gateway/routing_context.py
+++ b/pollenmount/gateway/routing_context.py
@@ -178,16 +178,20 @@
         service_limits = self.store.plan.services.get(target.record.service)
         is_cold = target.may_be_cold(self.clock.now())
         if is_cold and service_limits and service_limits.cold_per_s > 0:
-            yield RateLimit(service_limits.cold_per_s, target.cold_senders)
+            yield self.shared_limit(service_limits.cold_per_s, target.cold_senders)
         limit = self.fleet.targets.limit_of(target)
-        if limit is None:
-            return
-        if limit.senders or self.fleet.quorums:
-            yield RateLimit(limit.per_s, limit.senders)
-        else:
-            # No control VM is linked that could select the senders.
-            entries = self.fleet.entry_counter.entries(self.settings.region)
-            yield RateLimit(limit.per_s / entries, (self.settings.name,))
+        if limit is not None:
+            yield self.shared_limit(limit.per_s, limit.senders)
+
+    def shared_limit(self, per_s, senders):
+        """Return the `RateLimit` of a rate that the VMs in `senders` share.
+
+        If no control VM is linked that could select them, all VMs of the region do.
+        """
+        if senders or self.fleet.quorums:
+            return RateLimit(per_s, senders)
+        entries = self.fleet.entry_counter.entries(self.settings.region)
+        return RateLimit(per_s / entries, (self.settings.name,))
 
     def is_presumed_gone(self, target):
         """Return whether a target failed here lately, and no control VM hears it.
--- a/pollenmount/gateway/target_notices.py
+++ b/pollenmount/gateway/target_notices.py
@@ -1,4 +1,4 @@
-"""What targets say of themselves in the head of a response.
+"""What targets say of themselves in a response's head, or by refusing a connection.
 
 The head of a response to a hop is that of another region's target, which the entry VM
 there handles.
@@ -6,11 +6,12 @@
 
 import math
 
-from pollenmount.fleet.messages import TargetLeaving, TargetLimited
+from pollenmount.fleet.messages import TargetLeaving, TargetLimited, TargetRefused
 from pollenmount.fleet.observations import RESPONSE
 from pollenmount.gateway.attempt import connection_key
 from pollenmount.gateway.target_pauses import MAX_PAUSE_MS, bounded_pause_ms
 from pollenmount.log import get_logger
+from pollenmount.wire.errors import ConnectRefusedError
 
 __all__ = ["TargetNotices"]
 
@@ -53,6 +54,18 @@
         if status != MISDIRECTED_REQUEST:
             self.handle_limit(call, destination, info.limit_per_s, sent_at)
 
+    def handle_failure(self, destination, error):
+        """Tell all VMs of a target that refused a connection: it may have crashed.
+
+        One that keeps other connections open only takes no more of them.
+        """
+        if not destination.target_id or not isinstance(error, ConnectRefusedError):
+            return
+        if self.pool.has_live_idle(destination.connection_key):
+            return
+        refused = TargetRefused(destination.target_id, destination.incarnation)
+        self.fleet.handle(refused, RESPONSE)
+
     def handle_limit(self, call, destination, per_s, sent_at):
         """Keep the limit that a target names, or its end, here and at other VMs.
 
--- a/tests/fleet_traffic.py
+++ b/tests/fleet_traffic.py
@@ -20,7 +20,7 @@
 from pollenmount.gateway.routing_context import LEARNING_MS
 from pollenmount.retry_budget import RetryBudget
 from pollenmount.routes.plan import RetryMode
-from pollenmount.wire.errors import ConnectError
+from pollenmount.wire.errors import ConnectRefusedError
 from tests.fleet_model import SERVICES, STEP_MS, ZONES, FleetModel
 from tests.gateway_harness import (
     BOUNDS,
@@ -72,7 +72,7 @@
         id_ = attempt.destination.target_id
         process = self.traffic.processes[id_]
         if not process.up:
-            raise ConnectError("connection refused")
+            raise ConnectRefusedError("connection refused")
         self.traffic.record_arrival(id_, self.name)
         info = ResponseInfo("id-1", True, False, False, None, (), process.limit_per_s)
         attempt.observer.on_head(200, info)
--- a/tests/test_cold_arrivals.py
+++ b/tests/test_cold_arrivals.py
@@ -10,6 +10,7 @@
 import pytest
 
 from pollenmount.fleet.messages import ENTRY
+from tests.fleet_model import HEARTBEAT_MS
 from tests.fleet_traffic import (
     DOMAIN,
     MAX_COLD_PER_S,
@@ -49,6 +50,25 @@
     assert most_in_window(traffic.cold_arrivals) <= MAX_COLD_PER_S
 
 
+# VMs that were refused by a target went on at full rate once it answered again: it was
+# back under its id, cold, before its heartbeat was overdue.
+@pytest.mark.parametrize(("entries", "targets", "per_s"), [LARGE, SMALL])
+@pytest.mark.parametrize("silent_ms", [200, 1000, 1500])
+def test_a_target_that_is_back_before_it_is_missed_is_not_flooded(
+    make_traffic, entries, targets, per_s, silent_ms
+):
+    traffic = make_traffic(entries, targets)
+    traffic.run(HEARTBEAT_MS - traffic.clock.now() % HEARTBEAT_MS + 200, per_s)
+    crashed = traffic.targets_in(DOMAIN)[::2]
+    for id_ in crashed:
+        traffic.crash(id_)
+    traffic.run(500, per_s)
+    for id_ in crashed:
+        traffic.restart(id_, COLD_MS, silent_ms)
+    traffic.run(COLD_MS, per_s)
+    assert most_in_window(traffic.cold_arrivals) <= MAX_COLD_PER_S
+
+
 # Targets may be cold when an evacuation ends, and the news of it later than its end.
 @pytest.mark.parametrize(("entries", "targets", "per_s"), [LARGE, SMALL])
 @pytest.mark.parametrize("silent_ms", [0, 200, 1000])
--- a/tests/test_target_doubts.py
+++ b/tests/test_target_doubts.py
@@ -3,7 +3,12 @@
 import pytest
 
 from pollenmount.clock import ManualClock
-from pollenmount.fleet.messages import TargetDoubted, TargetRecord, TargetSeen
+from pollenmount.fleet.messages import (
+    TargetDoubted,
+    TargetRecord,
+    TargetRefused,
+    TargetSeen,
+)
 from pollenmount.fleet.targets import DOUBT_TTL_MS, TargetTable
 
 OVERDUE_MS = 1800
@@ -109,3 +114,30 @@
     doubts.doubt()
     messages = [type(message) for message in doubts.table.snapshot()]
     assert messages == [TargetSeen, TargetDoubted]
+
+
+# A target that crashed was sent to at full rate until its heartbeat was overdue.
+def test_a_refused_connection_is_news_once_and_names_no_senders():
+    doubts = Doubts(gets_heartbeats=False)
+    for _ in range(2):
+        doubts.table.handle_refused(TargetRefused("t", 1), "response")
+    assert doubts.may_be_cold()
+    assert doubts.table.by_id["t"].cold_senders == ()
+    assert [type(message) for message in doubts.notified] == [TargetRefused]
+
+
+# The refusal may be told after the next start has been heard.
+@pytest.mark.parametrize("born", [0, 2])
+def test_a_refused_connection_says_nothing_of_another_start(born):
+    doubts = Doubts()
+    doubts.table.handle_refused(TargetRefused("t", born), "response")
+    assert not doubts.may_be_cold()
+
+
+def test_the_control_vm_that_hears_a_refusal_names_who_may_send():
+    doubts = Doubts(gets_heartbeats=False)
+    doubts.table.handle_refused(TargetRefused("t", 1), "response")
+    doubts.doubt(sequence=9, senders=("west-1",))
+    assert doubts.table.by_id["t"].cold_senders == ("west-1",)
+    doubts.see(10)
+    assert not doubts.may_be_cold()
--- a/tests/test_target_notices.py
+++ b/tests/test_target_notices.py
@@ -17,7 +17,7 @@
 from pollenmount.gateway.progress import Progress
 from pollenmount.wire import pool as wire_pool
 from pollenmount.wire.connection import HttpResponseHead
-from pollenmount.wire.errors import ConnectError
+from pollenmount.wire.errors import ConnectError, ConnectRefusedError
 from tests.fleet_model import FleetModel
 from tests.gateway_harness import make_prompt, make_route
 from tests.scripted_vm import (
@@ -406,6 +406,30 @@
     assert not vm.harness.fleet.targets.leaving.born_by_id
 
 
+# A target that is full refuses new connections only; it has not restarted.
+@pytest.mark.parametrize(
+    ("error", "keeps_one", "expected"),
+    [
+        (ConnectRefusedError, False, True),
+        (ConnectRefusedError, True, False),
+        (ConnectError, False, False),
+    ],
+)
+def test_only_a_target_that_refuses_every_connection_may_be_cold(
+    make_vm, monkeypatch, error, keeps_one, expected
+):
+    vm = make_vm("a")
+    if keeps_one:
+        vm.serve(response_bytes(extra=STAMP + KEEP_ALIVE))
+    target = vm.harness.fleet.targets.by_id["a"]
+    destination = AttemptDestination(
+        "a", target.record.address, target.record.born, "west", "a"
+    )
+    vm.harness.context.notices.handle_failure(destination, error("refused"))
+    now = vm.harness.clock.now()
+    assert vm.harness.fleet.targets.by_id["a"].may_be_cold(now) is expected
+
+
 @pytest.mark.parametrize(
     ("value", "expected"), [("1", True), ("0", False), ("", False)]
 )
