Keep the list of a log's first voters apart from the VMs that are asked

What callers saw: a control VM named as a seed was killed at the first start.

Cause: RoutesLog.propose added all known control VMs to the dictionary of addresses to ask, which was also the Joiner's list of first voters. A control VM with a lower address than all seeds then counted as the one that creates the group, and doesn't count itself among the first voters. Class of fault: one mutable object for two purposes.

Change: the Joiner copies its voters; the client has a dictionary of its own. Looked at for the same: the product passes its settings' groups to both as well, and adds to neither.

Before the change, the new test fails after 20 proposals over two real replicas: "the log 'routes' has no reachable leader". It passes with it.

--- a/pollenmount/consensus/joining.py
+++ b/pollenmount/consensus/joining.py
@@ -33,7 +33,7 @@
     def __init__(self, group, control, voters, may_bootstrap=True, **options):
         self.group = group
         self.control = control
-        self.voters = voters
+        self.voters = dict(voters)
         self.may_bootstrap = may_bootstrap
         self.interval_ms = options.get("interval_ms", JOIN_INTERVAL_MS)
         self.more_addresses = options.get("more_addresses", tuple)
--- a/pollenmount/gateway/routes_log.py
+++ b/pollenmount/gateway/routes_log.py
@@ -66,6 +66,9 @@
 class RoutesLog:
     """This control VM's replica of the log.
 
+    `seeds` has the consensus addresses of the seeds by IP, `proposal_addresses` those
+    of all control VMs known so far, to which proposals may be sent.
+
     After a disk failure the replica is closed and restarted from the data on disk,
     while the VM keeps running.
     """
@@ -77,7 +80,8 @@
         self.worker = node.manage(NativeWorker(self.loop_executor))
         self.control = node.manage(ControlClient(self.loop_executor, PEER_KEY))
         port = settings.first_port
-        self.voters = {ip: f"{ip}:{port}" for ip in settings.peer_ips()}
+        self.seeds = {ip: f"{ip}:{port}" for ip in settings.peer_ips()}
+        self.proposal_addresses = dict(self.seeds)
         self.stack = node.manage(contextlib.ExitStack())
         self.start_replica(Journal(self.open_disk()))
         handlers = {
@@ -107,7 +111,7 @@
         joiner = Joiner(
             self.group,
             self.control,
-            self.voters,
+            self.seeds,
             may_bootstrap=settings.first_start,
             interval_ms=HELLO_INTERVAL_MS,
             more_addresses=self.peer_addresses,
@@ -115,7 +119,7 @@
         self.joiner = self.stack.enter_context(contextlib.closing(joiner))
         self.client = GroupClient(
             self.control,
-            {GROUP: self.voters},
+            {GROUP: self.proposal_addresses},
             self.node.clock,
             {GROUP: self.group},
             settings.consensus,
@@ -202,7 +206,8 @@
     def propose(self, command):
         """Propose a command to the leader, on whichever VM it is."""
         for address in self.peer_addresses():
-            self.voters.setdefault(address.rpartition(":")[0], address)
+            ip = address.rpartition(":")[0]
+            self.proposal_addresses.setdefault(ip, address)
         return self.client.propose(GROUP, command, RoutesResult)
 
     def handle_proposal(self, request):
--- a/tests/test_gateway_routes_log.py
+++ b/tests/test_gateway_routes_log.py
@@ -1,5 +1,6 @@
 """The replicated log on one control VM: recovery from one disk failure."""
 
+import contextlib
 import types
 
 import pytest
@@ -7,8 +8,10 @@
 
 from pollenmount import task
 from pollenmount.clock import Clock
+from pollenmount.consensus import client
 from pollenmount.consensus.disk import Disk
 from pollenmount.fleet.fleet import Fleet
+from pollenmount.fleet.messages import CONTROL, MemberRecord, MemberUp
 from pollenmount.gateway.routes_log import RoutesLog
 from pollenmount.routes.store import RoutesStore
 from tests.gateway_harness import make_settings
@@ -37,14 +40,18 @@
             part.close()
 
 
+def make_node(ip, seed_ips, folder):
+    """Return the node of a control VM at the first start of the fleet."""
+    settings = make_settings(
+        f"control-{ip}", ip=ip, seeds=tuple(f"{seed}:90" for seed in seed_ips)
+    )
+    return Node(settings._replace(data_folder=str(folder), first_port=7410))
+
+
 @pytest.fixture
 def node(network, tmp_path):
     ip = f"127.{network}.8.1"
-    made = Node(
-        make_settings("control-1", ip=ip, seeds=(f"{ip}:90",))._replace(
-            data_folder=str(tmp_path), first_port=7410
-        )
-    )
+    made = make_node(ip, (ip,), tmp_path)
     yield made
     made.close()
 
@@ -81,3 +88,44 @@
     retry_until(lambda: log.accept(3, b"third"), is_ok)
     assert retry_until(log.read, is_ok).ok_value == b"third"
     assert not broken.left
+
+
+def add_control_vm(fleet, ip):
+    """Let a fleet know of one more control VM."""
+    places = {"region": "west", "failure_domain": "west-a"}
+    addresses = dict.fromkeys(("caller_address", "hop_address", "link_address"), "")
+    record = MemberRecord(
+        name=f"control-{ip}",
+        incarnation="1",
+        started=1,
+        sequence=1,
+        role=CONTROL,
+        **places,
+        **addresses,
+        consensus_address=f"{ip}:7410",
+        plan=0,
+        ready=True,
+        stopping=False,
+    )
+    fleet.handle(MemberUp(record), "link")
+
+
+# Guards against a log that is never started: an order that came before all seeds were
+# up added the other control VMs to the list of its first voters.
+def test_an_order_before_the_log_is_started_does_not_change_its_first_voters(
+    network, tmp_path, monkeypatch
+):
+    other, first, second = (f"127.{network}.8.{host}" for host in (2, 3, 4))
+    with contextlib.ExitStack() as stack:
+        logs = []
+        for ip in (first, second):
+            node = make_node(ip, (first, second), tmp_path / ip)
+            stack.callback(node.close)
+            add_control_vm(node.fleet, other)
+            logs.append(RoutesLog(node))
+            if ip == first:
+                monkeypatch.setattr(client, "PROPOSE_TIMEOUT_MS", STEP_MS)
+                assert isinstance(logs[0].accept(1, b"early"), Err)
+                monkeypatch.undo()
+        assert f"{other}:7410" in logs[0].client.addresses("routes")
+        assert is_ok(retry_until(lambda: logs[0].accept(2, b"first"), is_ok))
