Let a seed without data ask the leader even if it may create the log

Cause: of the seeds, the one that sorts first tried to create the group whenever another seed had been up since the first start. That failed, as the others belong to a group, and it asked to join at the seeds only. The request counts only at the leader, which may be none of them. Class of fault: two roles in one branch, so that one of them is never played.

Change: a replica without a leader always asks the leader that the replies name, or else all control VMs that it knows. Whether it creates the group is decided after that.

--- a/pollenmount/consensus/joining.py
+++ b/pollenmount/consensus/joining.py
@@ -62,14 +62,17 @@
         return self.group.me in state.configuration.voters and not is_silent
 
     def announce(self):
-        """Call all other voters; bootstrap the group if none of them belongs to one."""
+        """Call all other voters and the leader, or create the group if there is none.
+
+        A replica that may create the group asks to join one as well: some voters may
+        know of a group although others don't.
+        """
         me = self.group.me
         others = {n: a for n, a in self.voters.items() if n != me.name}
         replies = self.call_all(others)
+        self.announce_to_leader(replies, {*others.values(), me.address})
         if me.name == min(self.voters) and self.may_bootstrap_with(replies):
             self.bootstrap_group(others, replies)
-        else:
-            self.announce_to_leader(replies, {*others.values(), me.address})
 
     def may_bootstrap_with(self, replies):
         """Return whether the group may be created now.
