Log when a VM creates the replicated log, and who allowed it

The line `log created` comes at most once in the life of a fleet, and names the voters that said that there was none.

--- a/pollenmount/consensus/joining.py
+++ b/pollenmount/consensus/joining.py
@@ -129,10 +129,25 @@
             n for n, r in replies.items() if r.replica and not r.uninitialized
         ]
         if uninitialized.keys() == others.keys():
+            self.log_bootstrap(replies)
             self.group.bootstrap((self.group.me, *uninitialized.values()))
         elif not initialized:
             self.log_missing_voters(sorted(others.keys() - uninitialized.keys()))
 
+    def log_bootstrap(self, replies):
+        """Log that this replica creates the group, and which voters allow that."""
+        witnesses = [name for name, reply in replies.items() if reply.may_bootstrap]
+        if self.may_bootstrap:
+            witnesses.append(self.group.me.name)
+        logger.info(
+            "log created",
+            extra={
+                "group": self.group.name,
+                "voters": sorted(self.voters),
+                "witnesses": sorted(witnesses),
+            },
+        )
+
     def log_missing_voters(self, missing):
         """Log which first voters are missing, once in `LOG_EVERY_ROUNDS` rounds."""
         self.rounds += 1
