Create a replicated log only on proof that there is none yet

What callers saw: two control VMs lost their disks, as many as are to be borne, and the seeds named these two and one that never had a vote. The three created a second log beside the first.

Cause: that one seed had been up since the first start was taken as the proof that there is no log. A VM beyond the number of voters has no data and may have been up since then although there is a log; and so may a voter that was out of reach ever since. Class of fault: an absence of data taken for the proof of an absence.

Two of three witnesses prove that no log has committed anything. `Hello` carries the sender's first voters, its reply whether the VM knows of a log.

Two existing tests of tests/faults/test_groups_client.py had one witness of three and wanted the group at once; that is what allowed the second log.

--- a/pollenmount/consensus/calls.py
+++ b/pollenmount/consensus/calls.py
@@ -81,10 +81,14 @@
 
 
 class Hello(NamedTuple):
-    """Call: a replica without a group or a leader announces itself."""
+    """Call: a replica without a group or a leader announces itself.
+
+    `voters` are the names of the first voters in its settings.
+    """
 
     group: str
     replica: Replica
+    voters: tuple[str, ...] = ()
 
 
 class HelloReply(NamedTuple):
@@ -92,13 +96,15 @@
 
     `uninitialized` is set if that replica belongs to no group yet. `leader` is the
     address of the leader that it follows, '' for none. `may_bootstrap` is set if the
-    VM has been up since the fleet was started for the first time.
+    VM is a witness that the voters in the call have created no group. `knows_group` is
+    set if the VM has heard of a group, whether it belongs to it or not.
     """
 
     replica: Replica | None
     uninitialized: bool
     leader: str = ""
     may_bootstrap: bool = False
+    knows_group: bool = False
 
 
 register_call(Propose, ProposeReply)
--- a/pollenmount/consensus/joining.py
+++ b/pollenmount/consensus/joining.py
@@ -1,15 +1,15 @@
 """How a replica gets into its group: as one of the first voters, or by a join request.
 
 Of the first voters, the one whose name sorts first bootstraps the group, once every
-other has answered that it belongs to none, and at least one of them, itself included,
-has been up since the fleet was first started. A replica with an empty disk thus never
-bootstraps a group a second time while another voter still has its disk.
+other has answered that it belongs to none, and it is proved that there is none
+(`founding`). A replica with an empty disk thus never bootstraps a group a second time.
 """
 
 from result import Ok
 
 from pollenmount import task
 from pollenmount.consensus.calls import Hello, HelloReply
+from pollenmount.consensus.founding import NoGroupProof
 from pollenmount.log import get_logger
 
 __all__ = ["Joiner"]
@@ -25,18 +25,20 @@
 class Joiner:
     """Announces this replica to the voters named in the settings.
 
-    `voters` maps VM names to control addresses. `may_bootstrap` allows this replica to
-    create the group. `interval_ms` is how often a replica that is no voter asks to
-    join. `more_addresses` returns further nodes that may know the leader.
+    `voters` maps VM names to control addresses. `may_bootstrap` is whether this VM has
+    been up since the fleet was first started. `interval_ms` is how often a replica that
+    is no voter asks to join. `more_addresses` returns further nodes that may know the
+    leader. `group_seen` returns whether this VM knows otherwise that there is a group.
     """
 
     def __init__(self, group, control, voters, may_bootstrap=True, **options):
         self.group = group
         self.control = control
         self.voters = dict(voters)
-        self.may_bootstrap = may_bootstrap
+        self.proof = NoGroupProof(group.me.name, self.voters, may_bootstrap)
         self.interval_ms = options.get("interval_ms", JOIN_INTERVAL_MS)
         self.more_addresses = options.get("more_addresses", tuple)
+        self.group_seen = options.get("group_seen", lambda: False)
         self.rounds = 0
         self.last_hellos = ()
         self.task = task.spawn(self.run)
@@ -44,13 +46,10 @@
     def run(self):
         """Announce this replica whenever it is no voter or has lost its leader."""
         while True:
+            self.look_for_group(())
             if not self.is_voter():
                 self.announce()
-            is_bootstrapping = (
-                self.may_bootstrap
-                and self.group.state.is_uninitialized
-                and self.group.me.name in self.voters
-            )
+            is_bootstrapping = self.proof.is_witness(self.voters)
             task.sleep(BOOTSTRAP_INTERVAL_MS if is_bootstrapping else self.interval_ms)
 
     def is_voter(self):
@@ -70,24 +69,23 @@
         me = self.group.me
         others = {n: a for n, a in self.voters.items() if n != me.name}
         replies = self.call_all(others)
-        self.announce_to_leader(replies, {*others.values(), me.address})
-        if me.name == min(self.voters) and self.may_bootstrap_with(replies):
+        further = self.announce_to_leader(replies, {*others.values(), me.address})
+        self.look_for_group((*replies.values(), *further.values()))
+        if me.name == min(self.voters) and self.group.state.is_uninitialized:
             self.bootstrap_group(others, replies)
 
-    def may_bootstrap_with(self, replies):
-        """Return whether the group may be created now.
-
-        One voter that has been up since the first start is enough: others may have
-        restarted since then, and were told that the fleet had been started before.
-        """
-        voter_may_bootstrap = any(reply.may_bootstrap for reply in replies.values())
-        return self.group.state.is_uninitialized and (
-            self.may_bootstrap or voter_may_bootstrap
-        )
+    def look_for_group(self, replies):
+        """Record whether this VM or one that replied knows of a group."""
+        if (
+            not self.group.state.is_uninitialized
+            or self.group_seen()
+            or any(shows_group(reply) for reply in replies)
+        ):
+            self.proof.record_group()
 
     def call_all(self, addresses):
         """Send a `Hello` to nodes concurrently; return the replies by name of node."""
-        request = Hello(self.group.name, self.group.me)
+        request = Hello(self.group.name, self.group.me, tuple(self.voters))
         calls = {
             name: task.spawn(self.control.call, address, request, HELLO_TIMEOUT_MS)
             for name, address in addresses.items()
@@ -96,14 +94,14 @@
         return {n: r.ok_value for n, r in replies.items() if isinstance(r, Ok)}
 
     def announce_to_leader(self, replies, already_called):
-        """Announce this replica to the leader.
+        """Announce this replica to the leader; return the replies by address.
 
         If no reply names one, call the further nodes that may know it.
         """
         leaders = {reply.leader for reply in replies.values() if reply.leader}
         further = leaders or {*self.more_addresses()}
-        self.call_all({address: address for address in further - already_called})
         self.log_hellos(sorted(replies), sorted(leaders))
+        return self.call_all({address: address for address in further - already_called})
 
     def log_hellos(self, answered, leaders):
         """Log which nodes answered and the leaders they named, if that has changed."""
@@ -121,24 +119,24 @@
         self.last_hellos = hellos
 
     def bootstrap_group(self, others, replies):
-        """Bootstrap the group if every first voter is up and belongs to no group."""
+        """Bootstrap the group if every first voter is up, and there is no group."""
         uninitialized = {
             n: r.replica for n, r in replies.items() if r.replica and r.uninitialized
         }
-        initialized = [
-            n for n, r in replies.items() if r.replica and not r.uninitialized
-        ]
+        witnesses = {name for name, reply in replies.items() if reply.may_bootstrap}
+        if self.proof.is_witness(self.voters):
+            witnesses.add(self.group.me.name)
         if uninitialized.keys() == others.keys():
-            self.log_bootstrap(replies)
-            self.group.bootstrap((self.group.me, *uninitialized.values()))
-        elif not initialized:
+            if self.proof.record_round(witnesses):
+                self.log_bootstrap(witnesses)
+                self.group.bootstrap((self.group.me, *uninitialized.values()))
+            return
+        self.proof.restart()
+        if not self.proof.knows_group:
             self.log_missing_voters(sorted(others.keys() - uninitialized.keys()))
 
-    def log_bootstrap(self, replies):
+    def log_bootstrap(self, witnesses):
         """Log that this replica creates the group, and which voters allow that."""
-        witnesses = [name for name, reply in replies.items() if reply.may_bootstrap]
-        if self.may_bootstrap:
-            witnesses.append(self.group.me.name)
         logger.info(
             "log created",
             extra={
@@ -161,12 +159,23 @@
     def answer_hello(self, hello):
         """Answer the `Hello` of another replica, and queue its request to join."""
         self.group.request_join(hello.replica)
+        self.look_for_group(())
         state = self.group.state
         leader = state.leader.address if state.leader else ""
         return HelloReply(
-            self.group.me, state.is_uninitialized, leader, self.may_bootstrap
+            self.group.me,
+            state.is_uninitialized,
+            leader,
+            self.proof.is_witness(hello.voters),
+            self.proof.knows_group,
         )
 
     def close(self):
         """Stop the task."""
         self.task.kill()
+
+
+def shows_group(reply):
+    """Return whether the reply to a `Hello` shows that there is a group."""
+    is_member = reply.replica is not None and not reply.uninitialized
+    return is_member or bool(reply.leader) or reply.knows_group
--- a/pollenmount/fleet/messages.py
+++ b/pollenmount/fleet/messages.py
@@ -45,7 +45,7 @@
 ENTRY = "entry"
 CONTROL = "control"
 # Incremented when VMs of two builds would misunderstand each other.
-LINK_PROTOCOL = 8
+LINK_PROTOCOL = 9
 
 
 class MemberRecord(NamedTuple):
--- a/pollenmount/gateway/routes_log.py
+++ b/pollenmount/gateway/routes_log.py
@@ -82,6 +82,7 @@
         port = settings.first_port
         self.seeds = {ip: f"{ip}:{port}" for ip in settings.peer_ips()}
         self.proposal_addresses = dict(self.seeds)
+        self.may_bootstrap = settings.first_start
         self.stack = node.manage(contextlib.ExitStack())
         self.start_replica(Journal(self.open_disk()))
         handlers = {
@@ -112,9 +113,10 @@
             self.group,
             self.control,
             self.seeds,
-            may_bootstrap=settings.first_start,
+            may_bootstrap=self.may_bootstrap,
             interval_ms=HELLO_INTERVAL_MS,
             more_addresses=self.peer_addresses,
+            group_seen=self.is_log_seen,
         )
         self.joiner = self.stack.enter_context(contextlib.closing(joiner))
         self.client = GroupClient(
@@ -129,6 +131,7 @@
         """Restart the replica if it has failed."""
         if not self.group.failure:
             return
+        self.may_bootstrap = self.joiner.proof.may_bootstrap
         self.stack.close()
         try:
             journal = self.worker.run(rewrite_journal, self.open_disk)
@@ -178,6 +181,15 @@
             if member.role == CONTROL and member.consensus_address != own
         ]
 
+    def is_log_seen(self):
+        """Return whether the fleet has a plan or an evacuation, and so a log."""
+        fleet = self.node.fleet
+        return bool(
+            fleet.routes.revision
+            or fleet.evacuations.revision
+            or any(member.plan for member in fleet.members.known())
+        )
+
     def has_quorum(self):
         """Return whether this replica is in touch with the leader of the log."""
         return self.group.state.leader is not None
--- a/scripts/mutations.py
+++ b/scripts/mutations.py
@@ -34,6 +34,7 @@
 CLIENT = "pollenmount/consensus/client.py"
 DISK_FAULT_TESTS = "tests/faults/test_groups_disk.py"
 GROUP_CLIENT_TESTS = "tests/faults/test_groups_client.py"
+JOINING_TESTS = "tests/test_joining.py"
 RAFT_MODULE = "pollenmount/consensus/raft.py"
 
 
@@ -307,6 +308,20 @@
         "if uninitialized:",
         GROUP_CLIENT_TESTS,
     ),
+    Mutation(
+        "one witness of three proves that there is no group",
+        "pollenmount/consensus/founding.py",
+        "2 * others <= len(self.voters)",
+        "True",
+        JOINING_TESTS,
+    ),
+    Mutation(
+        "VM without a vote is a witness that there is no group",
+        "pollenmount/consensus/founding.py",
+        "self.may_bootstrap and self.me in self.voters and self.voters == {*voters}",
+        "self.may_bootstrap",
+        JOINING_TESTS,
+    ),
     Mutation(
         "unresponsive leader tried first",
         CLIENT,
--- a/tests/faults/test_groups_client.py
+++ b/tests/faults/test_groups_client.py
@@ -9,6 +9,7 @@
 from pollenmount.clock import ManualClock
 from pollenmount.consensus import client as c
 from pollenmount.consensus.calls import HelloReply, ProposalOutcome, ProposeReply
+from pollenmount.consensus.founding import FEW_WITNESSES_ROUNDS
 from pollenmount.consensus.joining import Joiner
 from pollenmount.consensus.messages import Replica
 from pollenmount.consensus.pending import PendingRequests
@@ -16,6 +17,7 @@
 from pollenmount.errors import TransportError
 
 A, B, C = (Replica(name, "1", "x", name) for name in "abc")
+WITNESS = Ok(HelloReply(B, True, "", True))
 UNSENT = Err(TransportError("a", "refused", sent=False))
 LOST = Err(TransportError("a", "timeout", sent=True))
 NOT_APPENDED = Ok(ProposeReply(False, b"", "", ProposalOutcome.NOT_APPENDED))
@@ -72,10 +74,10 @@
 @pytest.mark.parametrize(
     ("replies", "bootstraps"),
     [
-        ({"b": Ok(HelloReply(B, True)), "c": Ok(HelloReply(C, True))}, True),
-        ({"b": Ok(HelloReply(B, True)), "c": Ok(HelloReply(C, False))}, False),
-        ({"b": Ok(HelloReply(B, True)), "c": LOST}, False),
-        ({"b": Ok(HelloReply(B, True)), "c": Ok(HelloReply(None, True))}, False),
+        ({"b": WITNESS, "c": Ok(HelloReply(C, True))}, True),
+        ({"b": WITNESS, "c": Ok(HelloReply(C, False))}, False),
+        ({"b": WITNESS, "c": LOST}, False),
+        ({"b": WITNESS, "c": Ok(HelloReply(None, True))}, False),
     ],
 )
 def test_group_is_bootstrapped_only_when_every_first_voter_is_uninitialized(
@@ -96,15 +98,16 @@
 
 
 @pytest.mark.parametrize(
-    ("other_may_bootstrap", "bootstraps"), [(True, True), (False, False)]
+    ("witnesses", "rounds"), [("bc", 1), ("b", FEW_WITNESSES_ROUNDS), ("", None)]
 )
 def test_first_voter_restarted_during_the_first_start_still_bootstraps(
-    other_may_bootstrap, bootstraps
+    witnesses, rounds
 ):
-    """Guards against a group that is never created.
+    """Guards against a group that is never created, and against a second one.
 
     A first voter that restarts during the fleet's first start is told that the fleet
-    was started before. A voter that has been up since then allows the bootstrap.
+    was started before. Voters that have been up since then allow the bootstrap: at once
+    if the others are no majority, or else after several rounds.
     """
     bootstrapped = []
     group = SimpleNamespace(
@@ -114,11 +117,14 @@
         bootstrap=bootstrapped.append,
     )
     replies = {
-        "b": Ok(HelloReply(B, True, "", other_may_bootstrap)),
-        "c": Ok(HelloReply(C, True)),
+        "b": Ok(HelloReply(B, True, "", "b" in witnesses)),
+        "c": Ok(HelloReply(C, True, "", "c" in witnesses)),
     }
     control = SimpleNamespace(call=lambda address, *_: replies[address])
     joiner = Joiner(group, control, {name: name for name in "abc"}, may_bootstrap=False)
-    joiner.announce()
     joiner.close()
-    assert bootstrapped == ([(A, B, C)] if bootstraps else [])
+    for _ in range((rounds or 2 * FEW_WITNESSES_ROUNDS) - 1):
+        joiner.announce()
+    assert bootstrapped == []
+    joiner.announce()
+    assert bootstrapped == ([(A, B, C)] if rounds else [])
