--- a/pollenmount/gateway/routes_log.py
+++ b/pollenmount/gateway/routes_log.py
@@ -66,6 +66,9 @@
 class RoutesLog:
     """This control VM's replica of the log.
 
+    `seeds` has the consensus addresses of the seeds by IP, `proposal_addresses` those
+    of all control VMs known so far, to which proposals may be sent.
+
     After a disk failure the replica is closed and restarted from the data on disk,
     while the VM keeps running.
     """
@@ -77,7 +80,9 @@
         self.worker = node.manage(NativeWorker(self.loop_executor))
         self.control = node.manage(ControlClient(self.loop_executor, PEER_KEY))
         port = settings.first_port
-        self.voters = {ip: f"{ip}:{port}" for ip in settings.peer_ips()}
+        self.seeds = {ip: f"{ip}:{port}" for ip in settings.peer_ips()}
+        self.proposal_addresses = dict(self.seeds)
+        self.may_bootstrap = settings.first_start
         self.stack = node.manage(contextlib.ExitStack())
         self.start_replica(Journal(self.open_disk()))
         handlers = {
@@ -107,15 +112,16 @@
         joiner = Joiner(
             self.group,
             self.control,
-            self.voters,
-            may_bootstrap=settings.first_start,
+            self.seeds,
+            may_bootstrap=self.may_bootstrap,
             interval_ms=HELLO_INTERVAL_MS,
             more_addresses=self.peer_addresses,
+            group_seen=self.is_log_seen,
         )
         self.joiner = self.stack.enter_context(contextlib.closing(joiner))
         self.client = GroupClient(
             self.control,
-            {GROUP: self.voters},
+            {GROUP: self.proposal_addresses},
             self.node.clock,
             {GROUP: self.group},
             settings.consensus,
@@ -125,6 +131,7 @@
         """Restart the replica if it has failed."""
         if not self.group.failure:
             return
+        self.may_bootstrap = self.joiner.proof.may_bootstrap
         self.stack.close()
         try:
             journal = self.worker.run(rewrite_journal, self.open_disk)
@@ -174,6 +181,15 @@
             if member.role == CONTROL and member.consensus_address != own
         ]
 
+    def is_log_seen(self):
+        """Return whether the fleet has a plan or an evacuation, and so a log."""
+        fleet = self.node.fleet
+        return bool(
+            fleet.routes.revision
+            or fleet.evacuations.revision
+            or any(member.plan for member in fleet.members.known())
+        )
+
     def has_quorum(self):
         """Return whether this replica is in touch with the leader of the log."""
         return self.group.state.leader is not None
@@ -202,7 +218,8 @@
     def propose(self, command):
         """Propose a command to the leader, on whichever VM it is."""
         for address in self.peer_addresses():
-            self.voters.setdefault(address.rpartition(":")[0], address)
+            ip = address.rpartition(":")[0]
+            self.proposal_addresses.setdefault(ip, address)
         return self.client.propose(GROUP, command, RoutesResult)
 
     def handle_proposal(self, request):
