Log what is known of evacuations when an order comes and a request is sent

An order is logged when it arrives, with what the VM knows and whether its caller still waits, and again when it ends. `call ended` has `belief`. Evacuations that are ignored though they differ are logged once by source.

--- a/pollenmount/api/web.py
+++ b/pollenmount/api/web.py
@@ -94,6 +94,10 @@
         """Cancel the request as soon as its caller closes the connection."""
         self.environ["pollenmount.connection"].cancel_on_disconnect()
 
+    def has_caller(self):
+        """Return whether the caller has not closed the connection, as far as known."""
+        return self.environ["pollenmount.connection"].find_disconnect() is None
+
     def find_end(self):
         """Return the `End` of the response if its writing was interrupted, or None."""
         error = self.environ["pollenmount.connection"].wfile.error
--- a/pollenmount/fleet/fleet.py
+++ b/pollenmount/fleet/fleet.py
@@ -2,6 +2,7 @@
 
 import zlib
 from functools import singledispatchmethod
+from typing import NamedTuple
 
 from pollenmount.fleet.entry_counter import EntryCounter
 from pollenmount.fleet.members import MemberTable
@@ -30,13 +31,26 @@
 from pollenmount.fleet.targets import TargetTable
 from pollenmount.log import get_logger
 
-__all__ = ["Fleet"]
+__all__ = ["Belief", "Fleet"]
 
 CAPACITY_RETENTION_MS = 5000
 
 logger = get_logger("fleet")
 
 
+class Belief(NamedTuple):
+    """How much an entry VM's choice of a target rests on.
+
+    `evacuations` is the revision of the evacuations that it knows, `heard_ms` the age
+    of its newest message from a control VM, None before one, and `in_touch` the number
+    of linked control VMs that are in touch with the leader of the log.
+    """
+
+    evacuations: int
+    heard_ms: int | None
+    in_touch: int
+
+
 class Fleet:
     """Members, targets, routes and evacuations known to this VM.
 
@@ -59,6 +73,8 @@
         self.request_quarantine = RequestQuarantine(clock)
         self.origins = StreamOrigins(clock)
         self.evacuations = EvacuationsChanged(0, ())
+        self.ignored_evacuations = {}
+        self.heard_at = None
         self.routes = RoutesChanged(0, 0, b"")
         self.loads = {}
         self.capacities = None
@@ -197,6 +213,33 @@
             for failure_domain in {*before} - {*message.failure_domains}:
                 self.targets.doubt_domain(failure_domain)
             self.notify(message, source)
+        else:
+            self.log_ignored(message, source)
+
+    def log_ignored(self, message, source):
+        """Log evacuations that are not taken though they differ, once by source."""
+        known = self.evacuations
+        if (
+            message.failure_domains == known.failure_domains
+            or self.ignored_evacuations.get(source) == message
+        ):
+            return
+        self.ignored_evacuations[source] = message
+        extra = {
+            "source": source,
+            "revision": message.revision,
+            "failure_domains": message.failure_domains,
+            "known_revision": known.revision,
+            "known_failure_domains": known.failure_domains,
+        }
+        logger.info("evacuations ignored", extra=extra)
+
+    def belief(self):
+        """Return the `Belief` at this moment."""
+        heard_ms = None
+        if self.heard_at is not None:
+            heard_ms = self.clock.now() - self.heard_at
+        return Belief(self.evacuations.revision, heard_ms, sum(self.quorums.values()))
 
     def streams_begun(self):
         """Yield the origins of all streams known here, for a VM that knows none."""
@@ -231,6 +274,7 @@
         self.members.forget_source(source)
         self.loads.pop(source, None)
         self.quorums.pop(source, None)
+        self.ignored_evacuations.pop(source, None)
         self.capacity_rows.pop(source, None)
 
     def sweep(self):
--- a/pollenmount/gateway/callers.py
+++ b/pollenmount/gateway/callers.py
@@ -311,6 +311,7 @@
                 "runs": progress.runs,
                 "plan": call.plan_version,
                 "evacuations": self.node.fleet.evacuations.revision,
+                "belief": progress.belief._asdict() if progress.belief else None,
             },
         )
 
--- a/pollenmount/gateway/control.py
+++ b/pollenmount/gateway/control.py
@@ -96,31 +96,38 @@
 
     def evacuate(self, request, control_request):
         """Evacuate a failure domain."""
-        return self.set_evacuation(control_request.name, True)
+        return self.set_evacuation(request, control_request.name, True)
 
     def end_evacuation(self, request, control_request):
         """End the evacuation of a failure domain."""
-        return self.set_evacuation(control_request.name, False)
+        return self.set_evacuation(request, control_request.name, False)
 
-    def set_evacuation(self, failure_domain, evacuated):
+    def set_evacuation(self, request, failure_domain, evacuated):
         """Append the start or the end of an evacuation to the replicated log."""
         if failure_domain not in self.node.settings.failure_domains:
             return error_reply(ErrorResponse(NOT_FOUND, "unknown failure domain"))
+        fields = {"domain": failure_domain, "evacuated": evacuated}
+        received_at = self.node.clock.now()
+        self.log_order("order received", request, **fields)
         result = self.log.evacuate(failure_domain, evacuated)
+        fields["elapsed_ms"] = self.node.clock.now() - received_at
         if isinstance(result, Err):
-            return self.reject(
-                "evacuation not accepted", to_error_response(result.err_value)
-            )
-        logger.info(
-            "evacuation accepted",
-            extra={
-                "domain": failure_domain,
-                "evacuated": evacuated,
-                "revision": result.ok_value.revision,
-            },
-        )
+            error_response = to_error_response(result.err_value)
+            return self.reject("evacuation not accepted", error_response, **fields)
+        fields["revision"] = result.ok_value.revision
+        self.log_order("evacuation accepted", request, **fields)
         return document_reply(EMPTY_DOCUMENT)
 
+    def log_order(self, event, request, **fields):
+        """Log an order, what is known of evacuations, and whether its caller waits."""
+        extra = {
+            **fields,
+            "known_revision": self.node.fleet.evacuations.revision,
+            "in_touch": self.log.has_quorum(),
+            "caller_waits": request.has_caller(),
+        }
+        logger.info(event, extra=extra)
+
     def handle_heartbeat(self, request, control_request):
         """Handle a target's heartbeat."""
         body = request.read(MAX_HEARTBEAT_BYTES)
--- a/pollenmount/gateway/dispatch.py
+++ b/pollenmount/gateway/dispatch.py
@@ -232,6 +232,7 @@
             # A hop is counted by the VM that receives it and sends it to a target.
             self.retries.budget.record_request(call.service)
         progress.sends += 1
+        progress.belief = self.context.fleet.belief()
         progress.head_arrived = progress.event_arrived = False
         progress.destination = destination
         progress.expected_ms = round(expected_ms)
--- a/pollenmount/gateway/progress.py
+++ b/pollenmount/gateway/progress.py
@@ -25,7 +25,7 @@
     `head_arrived` and `event_arrived` tell whether the head of a success, and an event,
     have arrived in the last attempt. `digest` is that of `digest_request`.
     `version` is the only version of the target software that may run further attempts,
-    None as long as any may.
+    None as long as any may. `belief` is the `Belief` at the start of the last attempt.
     """
 
     def __init__(self, call):
@@ -52,6 +52,7 @@
         self.quarantine_ms = 0
         self.head_arrived = False
         self.event_arrived = False
+        self.belief = None
 
     def last_gap_ms(self, now):
         """Return the time since the last chunk of the response, None before one."""
--- /dev/null
+++ b/tests/control_vm.py
@@ -0,0 +1,88 @@
+"""A control VM on loopback with a replica of its own, for the tests of orders."""
+
+import contextlib
+
+import eventlet.patcher
+from eventlet.green import socket
+
+from pollenmount import task
+from pollenmount.api.web import WebServer, make_app
+from pollenmount.clock import Clock
+from pollenmount.fleet.fleet import Fleet
+from pollenmount.gateway.control import ControlApi
+from pollenmount.gateway.routes_log import RoutesLog
+from pollenmount.routes.store import RoutesStore
+from tests.gateway_harness import REGIONS, make_settings
+from tests.gateway_sockets import FleetDialect
+
+__all__ = ["ControlVm"]
+
+TRIES = 60
+STEP_MS = 50
+REPLY_BYTES = 65_536
+# It blocks: nothing else runs while it is used, as in a VM that stands still.
+blocking_socket = eventlet.patcher.original("socket")
+
+
+class ControlVm:
+    """The parts of a control VM that handle orders on evacuations."""
+
+    def __init__(self, ip, folder):
+        self.settings = make_settings("control-1", ip=ip, seeds=(f"{ip}:90",))._replace(
+            data_folder=str(folder), first_port=7410, failure_domains=REGIONS
+        )
+        self.clock = Clock()
+        self.stopping = False
+        self.stack = contextlib.ExitStack()
+        self.dialect = FleetDialect()
+        self.fleet = Fleet(self.clock, RoutesStore(lambda document: None), REGIONS)
+        self.log = RoutesLog(self)
+        self.address = (ip, 7420)
+        app = make_app(ControlApi(self, self.log, None).handle)
+        self.manage(WebServer(f"{ip}:7420", app))
+        self.wait_until(self.log.has_quorum)
+
+    def manage(self, part):
+        """Close a part with the VM; return it."""
+        self.stack.callback(part.close)
+        return part
+
+    def close(self):
+        """Close all parts."""
+        self.stack.close()
+
+    def wait_until(self, condition):
+        """Wait until a condition holds; fail after `TRIES` tries."""
+        for _ in range(TRIES):
+            if condition():
+                return
+            task.sleep(STEP_MS)
+        raise AssertionError(f"not so after {TRIES} tries")
+
+    def evacuated(self):
+        """Return the failure domains that are evacuated."""
+        return self.log.machine.state.evacuated
+
+    def call(self, method, failure_domain):
+        """Send an order and wait for the reply; return its status."""
+        sent = task.spawn(self.exchange, method, failure_domain)
+        return sent.wait()
+
+    def exchange(self, method, failure_domain):
+        """Send an order on a connection of its own; return the status."""
+        with contextlib.closing(socket.create_connection(self.address)) as peer:
+            peer.sendall(order_bytes(method, failure_domain))
+            return int(peer.recv(REPLY_BYTES).split()[1])
+
+    def send_and_leave(self, method, failure_domain):
+        """Send an order and close the connection, before this VM has read it."""
+        with contextlib.closing(
+            blocking_socket.create_connection(self.address)
+        ) as peer:
+            peer.sendall(order_bytes(method, failure_domain))
+
+
+def order_bytes(method, failure_domain):
+    """Return an order as bytes on the wire."""
+    path = f"/-/evacuate/{failure_domain}"
+    return f"{method} {path} HTTP/1.1\r\nHost: h\r\n\r\n".encode()
--- /dev/null
+++ b/tests/test_evacuation_orders.py
@@ -0,0 +1,72 @@
+"""Orders to evacuate failure domains, on a control VM with a replica of its own."""
+
+import contextlib
+
+import pytest
+
+from pollenmount import task
+from pollenmount.fleet.messages import EntryCounts, EvacuationsChanged, Loads
+from tests.control_vm import ControlVm
+from tests.gateway_harness import EntryHarness, ok
+from tests.test_gateway_joining import receive_hop
+
+DOMAIN = "west-a"
+
+
+@pytest.fixture
+def vm(network, tmp_path, caplog):
+    caplog.set_level("INFO", "pollenmount")
+    with contextlib.closing(ControlVm(f"127.{network}.8.1", tmp_path)) as control_vm:
+        yield control_vm
+
+
+def lines(caplog, message):
+    """Return the fields of the lines with a message."""
+    return [r.fields for r in caplog.records if r.msg == message]
+
+
+# Nothing told when an order had arrived, nor whether its caller still waited.
+def test_the_log_tells_when_an_order_arrived_and_how_it_ended(vm, caplog):
+    assert vm.call("POST", DOMAIN) == 200
+    (received,) = lines(caplog, "order received")
+    assert (received["domain"], received["evacuated"]) == (DOMAIN, True)
+    assert (received["caller_waits"], received["in_touch"]) == (True, True)
+    (accepted,) = lines(caplog, "evacuation accepted")
+    assert accepted["revision"] == received["known_revision"] + 1
+
+
+# Nothing told that a caller had left before its order was run.
+def test_the_log_tells_that_the_caller_of_an_order_has_left(vm, caplog):
+    vm.send_and_leave("POST", DOMAIN)
+    vm.wait_until(lambda: lines(caplog, "order received"))
+    assert not lines(caplog, "order received")[0]["caller_waits"]
+
+
+# An entry VM did not tell which evacuations it went by, nor how old its news were.
+def test_a_call_is_logged_with_what_its_choice_rested_on(caplog):
+    caplog.set_level("INFO", "pollenmount")
+    receiver = EntryHarness(name="east-1", region="east")
+    receiver.add_target("t", "east")
+    receiver.fleet.handle(EvacuationsChanged(7, ("west-a",)), "c")
+    receiver.fleet.handle(EntryCounts({"east": 1}, True, True), "c")
+    receiver.fleet.handle(EntryCounts({"east": 1}, False, False), "d")
+    receiver.fleet.heard_at = receiver.clock.now() - 300
+    receiver.sender.script = [ok("t")]
+    reply = receive_hop(receiver, receiver.make_call())
+    assert reply.status == 200
+    list(reply.body)
+    (line,) = lines(caplog, "call ended")
+    assert line["belief"] == {"evacuations": 7, "heard_ms": 300, "in_touch": 1}
+
+
+# Evacuations of a lower revision were ignored without a word.
+def test_evacuations_that_are_ignored_are_logged_once(caplog):
+    caplog.set_level("INFO", "pollenmount")
+    harness = EntryHarness()
+    harness.fleet.handle(EvacuationsChanged(7, ()), "c")
+    for _ in range(3):
+        harness.fleet.handle(EvacuationsChanged(2, ("west-a",)), "c")
+        harness.fleet.handle(Loads(()), "c")
+        task.sleep()
+    (line,) = lines(caplog, "evacuations ignored")
+    assert (line["revision"], line["known_revision"]) == (2, 7)
