--- a/tests/control_vm.py
+++ b/tests/control_vm.py
@@ -15,7 +15,7 @@
 from tests.gateway_harness import REGIONS, make_settings
 from tests.gateway_sockets import FleetDialect
 
-__all__ = ["ControlVm"]
+__all__ = ["ControlVm", "order_bytes"]
 
 TRIES = 60
 STEP_MS = 50
@@ -70,10 +70,14 @@
 
     def exchange(self, method, failure_domain):
         """Send an order on a connection of its own; return the status."""
-        with contextlib.closing(socket.create_connection(self.address)) as peer:
+        with contextlib.closing(self.connect()) as peer:
             peer.sendall(order_bytes(method, failure_domain))
             return int(peer.recv(REPLY_BYTES).split()[1])
 
+    def connect(self):
+        """Return a new connection for orders."""
+        return socket.create_connection(self.address)
+
     def send_and_leave(self, method, failure_domain):
         """Send an order and close the connection, before this VM has read it."""
         with contextlib.closing(
--- a/tests/test_evacuation_orders.py
+++ b/tests/test_evacuation_orders.py
@@ -3,14 +3,18 @@
 import contextlib
 
 import pytest
+from result import Err
 
 from pollenmount import task
+from pollenmount.errors import TransportError
 from pollenmount.fleet.messages import EntryCounts, EvacuationsChanged, Loads
-from tests.control_vm import ControlVm
+from tests.control_vm import ControlVm, order_bytes
 from tests.gateway_harness import EntryHarness, ok
 from tests.test_gateway_joining import receive_hop
 
 DOMAIN = "west-a"
+# Well above the time that an order takes.
+SETTLE_MS = 400
 
 
 @pytest.fixture
@@ -42,6 +46,68 @@
     assert not lines(caplog, "order received")[0]["caller_waits"]
 
 
+# A control VM that had stood still ended an evacuation that was newer than the order.
+def test_an_order_whose_caller_has_left_is_not_run(vm):
+    assert vm.call("POST", DOMAIN) == 200
+    vm.send_and_leave("DELETE", DOMAIN)
+    task.sleep(SETTLE_MS)
+    assert vm.evacuated() == (DOMAIN,)
+
+
+def stand_still(vm, *methods):
+    """Let the VM stand still before its next proposal, while newer orders are run."""
+    propose = vm.log.client.propose
+
+    def propose_late(*args, **options):
+        vm.log.client.propose = propose
+        assert [vm.call(method, DOMAIN) for method in methods] == [200] * len(methods)
+        return propose(*args, **options)
+
+    vm.log.client.propose = propose_late
+
+
+# An order that was proposed late ended an evacuation that was acknowledged meanwhile.
+@pytest.mark.parametrize("newer", [["DELETE", "POST"], ["POST"]])
+def test_an_order_proposed_after_a_newer_one_changes_nothing(vm, newer):
+    assert vm.call("POST", DOMAIN) == 200
+    stand_still(vm, *newer)
+    assert vm.call("DELETE", DOMAIN) == 503
+    assert vm.evacuated() == (DOMAIN,)
+
+
+# A proposal that was repeated after a lost reply ended an evacuation begun meanwhile.
+def test_an_order_proposed_again_changes_nothing_after_a_newer_one(vm):
+    ask = vm.log.client.ask
+
+    def lose_reply(address, request, timeout_ms):
+        vm.log.client.ask = ask
+        ask(address, request, timeout_ms)
+        assert vm.call("POST", DOMAIN) == 200
+        return Err(TransportError(address, "reset", True))
+
+    vm.log.client.ask = lose_reply
+    assert vm.call("DELETE", DOMAIN) == 503
+    assert vm.evacuated() == (DOMAIN,)
+
+
+# Orders were proposed for seconds after their callers had gone to other VMs.
+def test_an_order_is_not_proposed_any_more_once_its_caller_has_left(vm):
+    ask = vm.log.client.ask
+    vm.log.client.ask = lambda *args: Err(TransportError("", "no reply", False))
+    with contextlib.closing(vm.connect()) as peer:
+        peer.sendall(order_bytes("POST", DOMAIN))
+        task.sleep(SETTLE_MS)
+    vm.log.client.ask = ask
+    task.sleep(SETTLE_MS)
+    assert vm.evacuated() == ()
+
+
+def test_an_order_that_is_sent_again_is_acknowledged_again(vm):
+    for method in ("POST", "POST", "DELETE", "DELETE"):
+        assert vm.call(method, DOMAIN) == 200
+    assert vm.evacuated() == ()
+
+
 # An entry VM did not tell which evacuations it went by, nor how old its news were.
 def test_a_call_is_logged_with_what_its_choice_rested_on(caplog):
     caplog.set_level("INFO", "pollenmount")
