Let no order on evacuations take effect after a newer one

Cause: the state machine applied SetEvacuation whatever had come meanwhile, and GroupClient.propose repeats a command whose reply was lost, for up to 5 s. An end of the evacuation that was proposed late, or again, undid the evacuation that followed it. Class: commands that aren't idempotent once others come in between, repeated or delayed. Ruled out: that the order of the log is enough. An order that an old leader commits late stands before newer ones and does no harm, but its repetition stands behind them. Change: the state counts the orders on each failure domain. A control VM reads the count at the leader, confirmed by a quorum, before it proposes; an order that finds more than it knows of changes nothing, and is refused with 503 unless the newest one asks the same. Orders that change nothing count too, or one that was given before could undo what they acknowledged. An order ends after 2 s instead of 5 s.

--- a/pollenmount/consensus/client.py
+++ b/pollenmount/consensus/client.py
@@ -7,7 +7,7 @@
 from pollenmount.consensus.calls import ProposalOutcome, Propose
 from pollenmount.errors import Refusal, RefusalKind
 
-__all__ = ["GroupClient", "no_quorum_refusal"]
+__all__ = ["PROPOSE_TIMEOUT_MS", "GroupClient", "no_quorum_refusal"]
 
 PROPOSE_TIMEOUT_MS = 5000
 CALL_TIMEOUT_MS = 1000
@@ -33,7 +33,7 @@
         self.leaders = {}
         self.suspects = {}
 
-    def propose(self, group, command, answer_type):
+    def propose(self, group, command, answer_type, timeout_ms=PROPOSE_TIMEOUT_MS):
         """Return Ok(answer) or Err(Refusal).
 
         `not_run` is set in the refusal only if the command is certainly not in the log.
@@ -42,7 +42,7 @@
         """
         body = msgspec.msgpack.encode(command)
         request = Propose(group, type(command).__name__, body)
-        attempt = ProposalAttempt(self, request, self.clock.now() + PROPOSE_TIMEOUT_MS)
+        attempt = ProposalAttempt(self, request, self.clock.now() + timeout_ms)
         answer = attempt.run()
         if answer is None:
             return Err(
--- a/pollenmount/gateway/control.py
+++ b/pollenmount/gateway/control.py
@@ -112,9 +112,8 @@
         result = self.log.evacuate(failure_domain, evacuated)
         fields["elapsed_ms"] = self.node.clock.now() - received_at
         if isinstance(result, Err):
-            error_response = to_error_response(result.err_value)
-            return self.reject("evacuation not accepted", error_response, **fields)
-        fields["revision"] = result.ok_value.revision
+            return self.reject("evacuation not accepted", result.err_value, **fields)
+        fields |= result.ok_value._asdict()
         self.log_order("evacuation accepted", request, **fields)
         return document_reply(EMPTY_DOCUMENT)
 
--- /dev/null
+++ b/pollenmount/gateway/evacuation_orders.py
@@ -0,0 +1,92 @@
+"""Orders to evacuate failure domains: none takes effect after a newer one.
+
+The state machine counts the orders on each failure domain. An order carries the count
+of the moment at which it arrived, as confirmed by the leader; once more have been
+applied it changes nothing, however late or often it is proposed.
+"""
+
+from typing import NamedTuple
+
+from result import Err, Ok
+
+from pollenmount import task
+from pollenmount.bridge.control import register_call
+from pollenmount.consensus.client import no_quorum_refusal
+from pollenmount.gateway.call import ErrorResponse
+from pollenmount.routes.machine import GROUP, SetEvacuation
+
+__all__ = ["EvacuationOrders", "OrderResult", "ReadOrders"]
+
+# Operators go on to another VM after a second without a response.
+ORDER_TIMEOUT_MS = 2000
+READ_INTERVAL_MS = 100
+RETRY_AFTER_MS = 300
+UNAVAILABLE = 503
+
+
+class ReadOrders(NamedTuple):
+    """Call between nodes: return the number of orders on a failure domain so far."""
+
+    failure_domain: str
+
+
+class ReadOrdersReply(NamedTuple):
+    """That number; `confirmed` is false if the sender may not lead."""
+
+    confirmed: bool
+    count: int
+
+
+register_call(ReadOrders, ReadOrdersReply)
+
+
+class OrderResult(NamedTuple):
+    """The revision that includes an order, and the count that it was based on."""
+
+    revision: int
+    base: int
+
+
+class EvacuationOrders:
+    """Runs orders in the `RoutesLog` `log`."""
+
+    def __init__(self, log, clock):
+        self.log = log
+        self.clock = clock
+
+    def handle_read(self, request):
+        """Return the count if a quorum confirms that this replica leads."""
+        if not self.log.group.read_barrier():
+            return ReadOrdersReply(False, 0)
+        orders = self.log.machine.state.orders
+        return ReadOrdersReply(True, orders.get(request.failure_domain, 0))
+
+    def run(self, failure_domain, evacuated):
+        """Return Ok(OrderResult) once an order is durable, or Err(ErrorResponse)."""
+        deadline = self.clock.now() + ORDER_TIMEOUT_MS
+        base = self.read_base(failure_domain, deadline)
+        if base is None:
+            return to_error(no_quorum_refusal(GROUP, False))
+        command = SetEvacuation(failure_domain, evacuated, base)
+        result = self.log.propose(command, max(1, deadline - self.clock.now()))
+        if isinstance(result, Err):
+            return to_error(result.err_value)
+        if result.ok_value.superseded:
+            reason = "a newer order on this failure domain was applied meanwhile"
+            return Err(ErrorResponse(UNAVAILABLE, reason, RETRY_AFTER_MS))
+        return Ok(OrderResult(result.ok_value.revision, base))
+
+    def read_base(self, failure_domain, deadline):
+        """Return the count that the leader confirms, or None if none does in time."""
+        request = ReadOrders(failure_domain)
+        while self.clock.now() < deadline:
+            reply = self.log.ask_leader(request, self.handle_read)
+            if reply is not None:
+                return reply.count
+            task.sleep(READ_INTERVAL_MS)
+        return None
+
+
+def to_error(refusal):
+    """Return Err(ErrorResponse) for a `Refusal`."""
+    return Err(ErrorResponse(refusal.status, refusal.message, refusal.retry_after_ms))
--- a/pollenmount/gateway/routes_log.py
+++ b/pollenmount/gateway/routes_log.py
@@ -15,7 +15,11 @@
 from pollenmount.bridge.loop_executor import LoopExecutor
 from pollenmount.bridge.worker import NativeWorker
 from pollenmount.consensus.calls import Exchange, Hello, Propose
-from pollenmount.consensus.client import GroupClient, no_quorum_refusal
+from pollenmount.consensus.client import (
+    PROPOSE_TIMEOUT_MS,
+    GroupClient,
+    no_quorum_refusal,
+)
 from pollenmount.consensus.disk import Disk
 from pollenmount.consensus.group import Group
 from pollenmount.consensus.joining import Joiner
@@ -24,13 +28,13 @@
 from pollenmount.consensus.state import Timing
 from pollenmount.errors import PollenmountError
 from pollenmount.fleet.messages import CONTROL, EvacuationsChanged, RoutesChanged
+from pollenmount.gateway.evacuation_orders import EvacuationOrders, ReadOrders
 from pollenmount.log import get_logger
 from pollenmount.routes.machine import (
     GROUP,
     AcceptRoutes,
     RoutesMachine,
     RoutesResult,
-    SetEvacuation,
 )
 
 __all__ = ["RoutesLog"]
@@ -79,12 +83,14 @@
         port = settings.first_port
         self.voters = {ip: f"{ip}:{port}" for ip in settings.peer_ips()}
         self.stack = node.manage(contextlib.ExitStack())
+        self.orders = EvacuationOrders(self, node.clock)
         self.start_replica(Journal(self.open_disk()))
         handlers = {
             Propose: self.handle_proposal,
             Exchange: self.exchange,
             Hello: self.handle_hello,
             ReadRoutes: self.handle_read,
+            ReadOrders: self.orders.handle_read,
         }
         node.manage(
             ControlServer(self.loop_executor, settings.consensus, PEER_KEY, handlers)
@@ -196,14 +202,14 @@
         return self.propose(command)
 
     def evacuate(self, failure_domain, evacuated):
-        """Return Ok(RoutesResult) once an evacuation is durable, or Err(Refusal)."""
-        return self.propose(SetEvacuation(failure_domain, evacuated))
+        """Return Ok(OrderResult) once an order is durable, or Err(ErrorResponse)."""
+        return self.orders.run(failure_domain, evacuated)
 
-    def propose(self, command):
+    def propose(self, command, timeout_ms=PROPOSE_TIMEOUT_MS):
         """Propose a command to the leader, on whichever VM it is."""
         for address in self.peer_addresses():
             self.voters.setdefault(address.rpartition(":")[0], address)
-        return self.client.propose(GROUP, command, RoutesResult)
+        return self.client.propose(GROUP, command, RoutesResult, timeout_ms)
 
     def handle_proposal(self, request):
         """Return the reply to a proposal of another control VM."""
@@ -226,17 +232,25 @@
 
     def read(self):
         """Return Ok(document of the newest plan, b'' for none) or Err(Refusal)."""
+        reply = self.ask_leader(ReadRoutes(), self.handle_read)
+        if reply is None:
+            return Err(no_quorum_refusal(GROUP, False))
+        return Ok(zlib.decompress(reply.document) if reply.document else b"")
+
+    def ask_leader(self, request, handle):
+        """Return the leader's confirmed reply to a read, or None.
+
+        `handle` returns the reply if this replica leads.
+        """
         leader = self.group.state.leader
         if leader is None:
-            return Err(no_quorum_refusal(GROUP, False))
+            return None
         if leader == self.group.me:
-            reply = self.handle_read(ReadRoutes())
+            reply = handle(request)
         else:
-            result = self.control.call(leader.address, ReadRoutes(), READ_TIMEOUT_MS)
+            result = self.control.call(leader.address, request, READ_TIMEOUT_MS)
             reply = result.ok_value if isinstance(result, Ok) else None
-        if reply is None or not reply.confirmed:
-            return Err(no_quorum_refusal(GROUP, False))
-        return Ok(zlib.decompress(reply.document) if reply.document else b"")
+        return reply if reply is not None and reply.confirmed else None
 
 
 def rewrite_journal(open_disk):
--- a/pollenmount/routes/machine.py
+++ b/pollenmount/routes/machine.py
@@ -2,6 +2,10 @@
 
 A plan replaces one of a lower version; any other plan is acknowledged without effect,
 so proposals can be retried. `revision` counts the changes, identically on each replica.
+
+An order on evacuations carries the number of orders on its failure domain that it knows
+of. Once more have been applied it is superseded: it changes nothing, however late or
+often it is proposed.
 """
 
 from typing import NamedTuple
@@ -28,23 +32,34 @@
 
 
 class SetEvacuation(NamedTuple):
-    """Command: evacuate a failure domain, or end its evacuation."""
+    """Command: evacuate a failure domain, or end its evacuation.
+
+    `base` is the number of orders on the failure domain that were applied before this
+    one was given, None in entries of builds that counted none; these are not counted.
+    """
 
     failure_domain: str
     evacuated: bool
+    base: int | None = None
 
 
 class RoutesResult(NamedTuple):
-    """The revision that includes the command, and the newest plan version."""
+    """The revision that includes the command, and the newest plan version.
+
+    `superseded` is set if a newer order has the opposite effect, so that the command
+    changed nothing.
+    """
 
     revision: int
     version: int
+    superseded: bool = False
 
 
 class RoutesState(NamedTuple):
     """The document of the newest plan, and the evacuated failure domains.
 
     `plan_revision` and `evacuations_revision` are the revisions of their last change.
+    `orders` counts the orders on each failure domain, evacuated or not.
     """
 
     version: int = 0
@@ -52,6 +67,7 @@
     plan_revision: int = 0
     evacuated: tuple[str, ...] = ()
     evacuations_revision: int = 0
+    orders: dict[str, int] = {}
 
     @property
     def revision(self):
@@ -69,11 +85,15 @@
 
     def apply(self, command):
         """Apply one command; return its `RoutesResult`."""
+        superseded = False
         if isinstance(command, AcceptRoutes):
             self.accept_plan(command)
-        else:
+        elif self.count_order(command):
             self.set_evacuation(command)
-        return RoutesResult(self.state.revision, self.state.version)
+        else:
+            is_evacuated = command.failure_domain in self.state.evacuated
+            superseded = is_evacuated != command.evacuated
+        return RoutesResult(self.state.revision, self.state.version, superseded)
 
     def accept_plan(self, command):
         """Store a plan if its version is higher than the current one."""
@@ -85,6 +105,22 @@
             plan_revision=self.state.revision + 1,
         )
 
+    def count_order(self, command):
+        """Count an order; return false if more were applied than it knows of.
+
+        An order that changes nothing counts too: one that was given before must not
+        take effect after it has been acknowledged.
+        """
+        if command.base is None:
+            return True
+        orders = self.state.orders
+        count = orders.get(command.failure_domain, 0)
+        if count > command.base:
+            return False
+        orders = {**orders, command.failure_domain: count + 1}
+        self.state = self.state._replace(orders=orders)
+        return True
+
     def set_evacuation(self, command):
         """Add a failure domain to the evacuated ones, or remove it."""
         evacuated = {*self.state.evacuated} - {command.failure_domain}
