Drop an order on evacuations whose caller has left

Cause: a control VM that had stood still read an order from its socket whose caller had long gone to another VM, and ran it; and it went on proposing an order for seconds after its caller had left. Class: work done for a caller that no longer waits, whose wish may have changed since. Ruled out: that the count of orders covers it. It is read when the order is read, which here comes after the newer order. Change: the caller is looked for after the count has been read, and before each proposal; without it the order is dropped with a log line. What the caller gives elsewhere after that look comes after the count, and supersedes the order. So a VM that stands still between look and proposal is covered by the count, one that stands still before it by the look. Not covered: a caller whose end of connection comes more than a second late at a VM that also reads its order late.

--- a/pollenmount/consensus/client.py
+++ b/pollenmount/consensus/client.py
@@ -7,7 +7,7 @@
 from pollenmount.consensus.calls import ProposalOutcome, Propose
 from pollenmount.errors import Refusal, RefusalKind
 
-__all__ = ["PROPOSE_TIMEOUT_MS", "GroupClient", "no_quorum_refusal"]
+__all__ = ["PROPOSE_TIMEOUT_MS", "GroupClient", "is_always", "no_quorum_refusal"]
 
 PROPOSE_TIMEOUT_MS = 5000
 CALL_TIMEOUT_MS = 1000
@@ -16,6 +16,11 @@
 RETRY_AFTER_MS = 1000
 
 
+def is_always():
+    """Return that a proposal is wanted, whatever happens."""
+    return True
+
+
 class GroupClient:
     """Proposes commands to groups, wherever their leaders are.
 
@@ -33,16 +38,26 @@
         self.leaders = {}
         self.suspects = {}
 
-    def propose(self, group, command, answer_type, timeout_ms=PROPOSE_TIMEOUT_MS):
+    def propose(
+        self,
+        group,
+        command,
+        answer_type,
+        timeout_ms=PROPOSE_TIMEOUT_MS,
+        is_wanted=is_always,
+    ):
         """Return Ok(answer) or Err(Refusal).
 
+        The command is proposed for `timeout_ms`, as long as `is_wanted` returns true.
+
         `not_run` is set in the refusal only if the command is certainly not in the log.
         After a lost reply the command is proposed again, so it may be applied twice:
         state machines must apply commands idempotently.
         """
         body = msgspec.msgpack.encode(command)
         request = Propose(group, type(command).__name__, body)
-        attempt = ProposalAttempt(self, request, self.clock.now() + timeout_ms)
+        deadline = self.clock.now() + timeout_ms
+        attempt = ProposalAttempt(self, request, deadline, is_wanted)
         answer = attempt.run()
         if answer is None:
             return Err(
@@ -82,34 +97,36 @@
 
 
 class ProposalAttempt:
-    """One proposal, retried until its deadline.
+    """One proposal, retried until its deadline while `is_wanted` returns true.
 
     `maybe_appended` is set once a log may hold the command; `outcome` is the outcome in
     the newest reply.
     """
 
-    def __init__(self, client, request, deadline):
+    def __init__(self, client, request, deadline, is_wanted=is_always):
         self.client = client
         self.request = request
         self.deadline = deadline
+        self.is_wanted = is_wanted
         self.maybe_appended = False
         self.outcome = ProposalOutcome.NOT_APPENDED
 
     def run(self):
-        """Ask nodes until one answers, the disk is full or the deadline has passed."""
-        while self.client.clock.now() < self.deadline:
+        """Ask nodes while it may, until one answers or the disk is full."""
+        while self.may_ask():
             for address in self.client.addresses(self.request.group):
                 answer = self.ask(address)
                 if answer is not None:
                     return answer
-                if (
-                    self.outcome is ProposalOutcome.DISK_FULL
-                    or self.client.clock.now() >= self.deadline
-                ):
+                if self.outcome is ProposalOutcome.DISK_FULL or not self.may_ask():
                     return None
             task.sleep(RETRY_INTERVAL_MS)
         return None
 
+    def may_ask(self):
+        """Return whether the proposal is wanted and its deadline has not passed."""
+        return self.client.clock.now() < self.deadline and self.is_wanted()
+
     def ask(self, address, hops=2):
         """Ask one node, then the leader that it names; return the answer or None.
 
--- a/pollenmount/gateway/control.py
+++ b/pollenmount/gateway/control.py
@@ -109,7 +109,7 @@
         fields = {"domain": failure_domain, "evacuated": evacuated}
         received_at = self.node.clock.now()
         self.log_order("order received", request, **fields)
-        result = self.log.evacuate(failure_domain, evacuated)
+        result = self.log.evacuate(failure_domain, evacuated, request.has_caller)
         fields["elapsed_ms"] = self.node.clock.now() - received_at
         if isinstance(result, Err):
             return self.reject("evacuation not accepted", result.err_value, **fields)
--- a/pollenmount/gateway/evacuation_orders.py
+++ b/pollenmount/gateway/evacuation_orders.py
@@ -2,7 +2,8 @@
 
 The state machine counts the orders on each failure domain. An order carries the count
 of the moment at which it arrived, as confirmed by the leader; once more have been
-applied it changes nothing, however late or often it is proposed.
+applied it changes nothing, however late or often it is proposed. A caller that has left
+may have given a newer order elsewhere, before that moment: its order is dropped.
 """
 
 from typing import NamedTuple
@@ -61,14 +62,22 @@
         orders = self.log.machine.state.orders
         return ReadOrdersReply(True, orders.get(request.failure_domain, 0))
 
-    def run(self, failure_domain, evacuated):
-        """Return Ok(OrderResult) once an order is durable, or Err(ErrorResponse)."""
+    def run(self, failure_domain, evacuated, has_caller):
+        """Return Ok(OrderResult) once an order is durable, or Err(ErrorResponse).
+
+        `has_caller` returns whether the caller still waits. It is asked after the count
+        was read, so what it gives elsewhere once it has left comes after that count.
+        """
         deadline = self.clock.now() + ORDER_TIMEOUT_MS
-        base = self.read_base(failure_domain, deadline)
+        base = self.read_base(failure_domain, deadline, has_caller)
+        if not has_caller():
+            reason = "the caller has left; its order is dropped"
+            return Err(ErrorResponse(UNAVAILABLE, reason, RETRY_AFTER_MS))
         if base is None:
             return to_error(no_quorum_refusal(GROUP, False))
         command = SetEvacuation(failure_domain, evacuated, base)
-        result = self.log.propose(command, max(1, deadline - self.clock.now()))
+        timeout_ms = max(1, deadline - self.clock.now())
+        result = self.log.propose(command, timeout_ms, has_caller)
         if isinstance(result, Err):
             return to_error(result.err_value)
         if result.ok_value.superseded:
@@ -76,10 +85,10 @@
             return Err(ErrorResponse(UNAVAILABLE, reason, RETRY_AFTER_MS))
         return Ok(OrderResult(result.ok_value.revision, base))
 
-    def read_base(self, failure_domain, deadline):
+    def read_base(self, failure_domain, deadline, has_caller):
         """Return the count that the leader confirms, or None if none does in time."""
         request = ReadOrders(failure_domain)
-        while self.clock.now() < deadline:
+        while self.clock.now() < deadline and has_caller():
             reply = self.log.ask_leader(request, self.handle_read)
             if reply is not None:
                 return reply.count
--- a/pollenmount/gateway/routes_log.py
+++ b/pollenmount/gateway/routes_log.py
@@ -18,6 +18,7 @@
 from pollenmount.consensus.client import (
     PROPOSE_TIMEOUT_MS,
     GroupClient,
+    is_always,
     no_quorum_refusal,
 )
 from pollenmount.consensus.disk import Disk
@@ -201,15 +202,16 @@
         command = AcceptRoutes(version, zlib.compress(document))
         return self.propose(command)
 
-    def evacuate(self, failure_domain, evacuated):
+    def evacuate(self, failure_domain, evacuated, has_caller):
         """Return Ok(OrderResult) once an order is durable, or Err(ErrorResponse)."""
-        return self.orders.run(failure_domain, evacuated)
+        return self.orders.run(failure_domain, evacuated, has_caller)
 
-    def propose(self, command, timeout_ms=PROPOSE_TIMEOUT_MS):
+    def propose(self, command, timeout_ms=PROPOSE_TIMEOUT_MS, is_wanted=is_always):
         """Propose a command to the leader, on whichever VM it is."""
         for address in self.peer_addresses():
             self.voters.setdefault(address.rpartition(":")[0], address)
-        return self.client.propose(GROUP, command, RoutesResult, timeout_ms)
+        options = (timeout_ms, is_wanted)
+        return self.client.propose(GROUP, command, RoutesResult, *options)
 
     def handle_proposal(self, request):
         """Return the reply to a proposal of another control VM."""
