Let a control VM outside the group base an order on the leader's count

Seen by a test: since orders are based on a count that the leader confirms, a control VM without a replica in the group refused all orders with 503; before, it proposed them to the voters. Change: the count is asked for where proposals go, likely leaders first, and at the leader that a reply names.

--- a/pollenmount/consensus/client.py
+++ b/pollenmount/consensus/client.py
@@ -70,6 +70,10 @@
         local_group = self.local.get(request.group)
         if local_group is not None and address == self.own_address:
             return Ok(local_group.propose(request))
+        return self.call(address, request, timeout_ms)
+
+    def call(self, address, request, timeout_ms):
+        """Call a node, which is suspected for a while if it does not reply."""
         reply = self.control.call(address, request, timeout_ms)
         if isinstance(reply, Err):
             self.suspects[address] = self.clock.now()
--- a/pollenmount/gateway/evacuation_orders.py
+++ b/pollenmount/gateway/evacuation_orders.py
@@ -21,6 +21,8 @@
 # Operators go on to another VM after a second without a response.
 ORDER_TIMEOUT_MS = 2000
 READ_INTERVAL_MS = 100
+# Several round trips between regions; other nodes are asked after it.
+CALL_TIMEOUT_MS = 500
 RETRY_AFTER_MS = 300
 UNAVAILABLE = 503
 
@@ -32,10 +34,14 @@
 
 
 class ReadOrdersReply(NamedTuple):
-    """That number; `confirmed` is false if the sender may not lead."""
+    """That number; `confirmed` is false if the sender may not lead.
+
+    `leader` is the address of the leader that it follows, '' for none.
+    """
 
     confirmed: bool
     count: int
+    leader: str = ""
 
 
 register_call(ReadOrders, ReadOrdersReply)
@@ -57,8 +63,10 @@
 
     def handle_read(self, request):
         """Return the count if a quorum confirms that this replica leads."""
-        if not self.log.group.read_barrier():
-            return ReadOrdersReply(False, 0)
+        group = self.log.group
+        if not group.read_barrier():
+            leader = group.state.leader
+            return ReadOrdersReply(False, 0, leader.address if leader else "")
         orders = self.log.machine.state.orders
         return ReadOrdersReply(True, orders.get(request.failure_domain, 0))
 
@@ -88,13 +96,35 @@
     def read_base(self, failure_domain, deadline, has_caller):
         """Return the count that the leader confirms, or None if none does in time."""
         request = ReadOrders(failure_domain)
+        self.log.add_voters()
         while self.clock.now() < deadline and has_caller():
-            reply = self.log.ask_leader(request, self.handle_read)
-            if reply is not None:
-                return reply.count
+            for reply in self.ask_nodes(request, deadline, has_caller):
+                if reply.confirmed:
+                    return reply.count
             task.sleep(READ_INTERVAL_MS)
         return None
 
+    def ask_nodes(self, request, deadline, has_caller):
+        """Yield the replies of nodes that may lead, and of leaders that they name."""
+        asked, addresses = set(), self.log.client.addresses(GROUP)
+        while addresses and self.clock.now() < deadline and has_caller():
+            address = addresses.pop(0)
+            reply = None
+            if address not in asked:
+                reply = self.ask(address, request, deadline)
+            asked.add(address)
+            if reply is not None:
+                yield reply
+                addresses[:0] = [reply.leader] if reply.leader else []
+
+    def ask(self, address, request, deadline):
+        """Return the reply of one node, or None."""
+        if address == self.log.group.me.address:
+            return self.handle_read(request)
+        timeout_ms = min(CALL_TIMEOUT_MS, max(1, deadline - self.clock.now()))
+        result = self.log.client.call(address, request, timeout_ms)
+        return result.ok_value if isinstance(result, Ok) else None
+
 
 def to_error(refusal):
     """Return Err(ErrorResponse) for a `Refusal`."""
--- a/pollenmount/gateway/routes_log.py
+++ b/pollenmount/gateway/routes_log.py
@@ -208,11 +208,15 @@
 
     def propose(self, command, timeout_ms=PROPOSE_TIMEOUT_MS, is_wanted=is_always):
         """Propose a command to the leader, on whichever VM it is."""
-        for address in self.peer_addresses():
-            self.voters.setdefault(address.rpartition(":")[0], address)
+        self.add_voters()
         options = (timeout_ms, is_wanted)
         return self.client.propose(GROUP, command, RoutesResult, *options)
 
+    def add_voters(self):
+        """Add the other known control VMs to those that may be voters."""
+        for address in self.peer_addresses():
+            self.voters.setdefault(address.rpartition(":")[0], address)
+
     def handle_proposal(self, request):
         """Return the reply to a proposal of another control VM."""
         return self.group.propose(request)
@@ -234,25 +238,17 @@
 
     def read(self):
         """Return Ok(document of the newest plan, b'' for none) or Err(Refusal)."""
-        reply = self.ask_leader(ReadRoutes(), self.handle_read)
-        if reply is None:
-            return Err(no_quorum_refusal(GROUP, False))
-        return Ok(zlib.decompress(reply.document) if reply.document else b"")
-
-    def ask_leader(self, request, handle):
-        """Return the leader's confirmed reply to a read, or None.
-
-        `handle` returns the reply if this replica leads.
-        """
         leader = self.group.state.leader
         if leader is None:
-            return None
+            return Err(no_quorum_refusal(GROUP, False))
         if leader == self.group.me:
-            reply = handle(request)
+            reply = self.handle_read(ReadRoutes())
         else:
-            result = self.control.call(leader.address, request, READ_TIMEOUT_MS)
+            result = self.control.call(leader.address, ReadRoutes(), READ_TIMEOUT_MS)
             reply = result.ok_value if isinstance(result, Ok) else None
-        return reply if reply is not None and reply.confirmed else None
+        if reply is None or not reply.confirmed:
+            return Err(no_quorum_refusal(GROUP, False))
+        return Ok(zlib.decompress(reply.document) if reply.document else b"")
 
 
 def rewrite_journal(open_disk):
--- a/tests/control_vm.py
+++ b/tests/control_vm.py
@@ -25,10 +25,14 @@
 
 
 class ControlVm:
-    """The parts of a control VM that handle orders on evacuations."""
+    """The parts of a control VM that handle orders on evacuations.
 
-    def __init__(self, ip, folder):
-        self.settings = make_settings("control-1", ip=ip, seeds=(f"{ip}:90",))._replace(
+    With the address of a seed, it is not a member of the log that is there.
+    """
+
+    def __init__(self, ip, folder, seed_ip=None):
+        seeds = (f"{seed_ip or ip}:90",)
+        self.settings = make_settings("control-1", ip=ip, seeds=seeds)._replace(
             data_folder=str(folder), first_port=7410, failure_domains=REGIONS
         )
         self.clock = Clock()
@@ -40,7 +44,10 @@
         self.address = (ip, 7420)
         app = make_app(ControlApi(self, self.log, None).handle)
         self.manage(WebServer(f"{ip}:7420", app))
-        self.wait_until(self.log.has_quorum)
+        if seed_ip is None:
+            self.wait_until(self.log.has_quorum)
+        else:
+            self.log.joiner.close()
 
     def manage(self, part):
         """Close a part with the VM; return it."""
--- a/tests/test_evacuation_orders.py
+++ b/tests/test_evacuation_orders.py
@@ -102,6 +102,15 @@
     assert vm.evacuated() == ()
 
 
+# A control VM without a replica in the group refused all orders.
+def test_a_control_vm_outside_the_group_takes_orders(vm, network, tmp_path):
+    ip, seed_ip = f"127.{network}.8.2", f"127.{network}.8.1"
+    with contextlib.closing(ControlVm(ip, tmp_path / "outside", seed_ip)) as outside:
+        assert outside.call("POST", DOMAIN) == 200
+        assert not outside.log.has_quorum()
+    assert vm.evacuated() == (DOMAIN,)
+
+
 def test_an_order_that_is_sent_again_is_acknowledged_again(vm):
     for method in ("POST", "POST", "DELETE", "DELETE"):
         assert vm.call(method, DOMAIN) == 200
