Show by failing tests that control VMs take themselves for in touch

A replica without a vote keeps a leader that is gone, one that has failed or whose disk stands still keeps the one that it had: all say that they are in touch with the log. The tests fail on this code and are listed.

--- a/tests/test_gateway_routes_log.py
+++ b/tests/test_gateway_routes_log.py
@@ -2,18 +2,23 @@
 
 import types
 
+import eventlet.patcher
 import pytest
 from result import Err, Ok
 
 from pollenmount import task
 from pollenmount.clock import Clock
 from pollenmount.consensus.disk import Disk
+from pollenmount.consensus.messages import Configuration
+from pollenmount.consensus.state import Role
 from pollenmount.fleet.fleet import Fleet
 from pollenmount.gateway.routes_log import RoutesLog
 from pollenmount.routes.store import RoutesStore
 from tests.gateway_harness import make_settings
 
 TRIES = 20
+# Above the time after which a leader is given up.
+SILENCE_MS = 2000
 STEP_MS = 50
 
 
@@ -81,3 +86,54 @@
     retry_until(lambda: log.accept(3, b"third"), is_ok)
     assert retry_until(log.read, is_ok).ok_value == b"third"
     assert not broken.left
+
+
+@pytest.fixture
+def log(node):
+    """Return a log whose only replica leads."""
+    routes_log = RoutesLog(node)
+    retry_until(lambda: routes_log.accept(1, b"first"), is_ok)
+    assert routes_log.has_quorum()
+    return routes_log
+
+
+# A control VM without a vote kept its leader for good, and asked nobody for orders.
+def test_a_replica_without_a_vote_is_not_in_touch_with_a_silent_leader(log):
+    group = log.group
+    other = group.me._replace(name="other", address="127.0.0.1:1")
+    group.state = group.state._replace(
+        role=Role.FOLLOWER,
+        leader=other,
+        configuration=Configuration((other,), (), (group.me,)),
+        heard_at=group.clock.now(),
+    )
+    task.sleep(SILENCE_MS)
+    assert not log.has_quorum()
+
+
+# A control VM whose replica had failed told its entry VMs that it was in touch.
+def test_a_replica_that_has_failed_is_not_in_touch(log, monkeypatch):
+    def fail(disk, name):
+        raise OSError(5, "disk I/O error")
+
+    monkeypatch.setattr(Disk, "sync", fail)
+    assert isinstance(log.accept(2, b"second"), Err)
+    assert log.group.failure
+    assert not log.has_quorum()
+
+
+# A control VM whose disk stood still told its entry VMs that it was in touch.
+def test_a_replica_whose_disk_stands_still_is_not_in_touch(log, monkeypatch):
+    sync = Disk.sync
+
+    def sync_late(disk, name):
+        eventlet.patcher.original("time").sleep(1.5 * SILENCE_MS / task.MS_PER_S)
+        sync(disk, name)
+
+    monkeypatch.setattr(Disk, "sync", sync_late)
+    task.spawn(log.accept, 2, b"second")
+    task.sleep(SILENCE_MS)
+    assert not log.has_quorum()
+    monkeypatch.undo()
+    task.sleep(SILENCE_MS)
+    assert log.has_quorum()
