Let no control VM take itself for in touch with a log it does not hear

Cause: in touch meant that the replica named a leader. Only voters give up a silent leader, so a learner that was left out, or whose leader was lost, kept it for good; a failed replica and one whose disk stands still kept theirs. Such a VM asks no other for plans and evacuations, and its entry VMs open no further links. Class: a belief without the age of its evidence. Change: a replica is in touch only if it has not failed, its task has gone on and it has heard its leader within twice the election timeout, after which voters have given it up.

--- a/pollenmount/consensus/group.py
+++ b/pollenmount/consensus/group.py
@@ -78,6 +78,7 @@
             saved.commit,
         )
         self.commit_save_at = 0
+        self.processed_at = clock.now()
         self.apply()
         self.loop = task.spawn(self.run)
 
@@ -119,6 +120,21 @@
         """Create the group with its first voters."""
         self.inbox.put(m.Bootstrap(m.Configuration(tuple(replicas))))
 
+    def is_in_touch(self):
+        """Return whether this replica leads, or lately heard the leader, and goes on.
+
+        One that has failed, waits for its disk or has no vote keeps the leader that it
+        had. A voter gives up a silent leader after twice the election timeout at most.
+        """
+        state = self.state
+        if self.failure or state.leader is None:
+            return False
+        heard_at = self.processed_at
+        if state.role is not s.Role.LEADER:
+            heard_at = min(heard_at, state.heard_at)
+        silent_ms = self.clock.now() - heard_at
+        return silent_ms < 2 * self.timing.election_timeout_ms
+
     def submit(self, request, timeout_ms):
         """Queue a request; return what its `done` receives, or None on a timeout."""
         if self.failure:
@@ -189,6 +205,7 @@
         self.release_effects(transition, batch, proposals)
         self.compact()
         self.save_commit()
+        self.processed_at = self.clock.now()
 
     def step_item(self, transition, item):
         """Step through one item of the inbox; proposals are appended together later."""
--- a/pollenmount/gateway/routes_log.py
+++ b/pollenmount/gateway/routes_log.py
@@ -183,7 +183,7 @@
 
     def has_quorum(self):
         """Return whether this replica is in touch with the leader of the log."""
-        return self.group.state.leader is not None
+        return self.group.is_in_touch()
 
     def publish_state(self, machine):
         """Publish the newest plan and evacuations to the fleet."""
