--- a/pollenmount/gateway/routes_log.py
+++ b/pollenmount/gateway/routes_log.py
@@ -15,7 +15,12 @@
 from pollenmount.bridge.loop_executor import LoopExecutor
 from pollenmount.bridge.worker import NativeWorker
 from pollenmount.consensus.calls import Exchange, Hello, Propose
-from pollenmount.consensus.client import GroupClient, no_quorum_refusal
+from pollenmount.consensus.client import (
+    PROPOSE_TIMEOUT_MS,
+    GroupClient,
+    is_always,
+    no_quorum_refusal,
+)
 from pollenmount.consensus.disk import Disk
 from pollenmount.consensus.group import Group
 from pollenmount.consensus.joining import Joiner
@@ -24,13 +29,13 @@
 from pollenmount.consensus.state import Timing
 from pollenmount.errors import PollenmountError
 from pollenmount.fleet.messages import CONTROL, EvacuationsChanged, RoutesChanged
+from pollenmount.gateway.evacuation_orders import EvacuationOrders, ReadOrders
 from pollenmount.log import get_logger
 from pollenmount.routes.machine import (
     GROUP,
     AcceptRoutes,
     RoutesMachine,
     RoutesResult,
-    SetEvacuation,
 )
 
 __all__ = ["RoutesLog"]
@@ -84,12 +89,14 @@
         self.proposal_addresses = dict(self.seeds)
         self.may_bootstrap = settings.first_start
         self.stack = node.manage(contextlib.ExitStack())
+        self.orders = EvacuationOrders(self, node.clock)
         self.start_replica(Journal(self.open_disk()))
         handlers = {
             Propose: self.handle_proposal,
             Exchange: self.exchange,
             Hello: self.handle_hello,
             ReadRoutes: self.handle_read,
+            ReadOrders: self.orders.handle_read,
         }
         node.manage(
             ControlServer(self.loop_executor, settings.consensus, PEER_KEY, handlers)
@@ -192,7 +199,7 @@
 
     def has_quorum(self):
         """Return whether this replica is in touch with the leader of the log."""
-        return self.group.state.leader is not None
+        return self.group.is_in_touch()
 
     def publish_state(self, machine):
         """Publish the newest plan and evacuations to the fleet."""
@@ -211,16 +218,21 @@
         command = AcceptRoutes(version, zlib.compress(document))
         return self.propose(command)
 
-    def evacuate(self, failure_domain, evacuated):
-        """Return Ok(RoutesResult) once an evacuation is durable, or Err(Refusal)."""
-        return self.propose(SetEvacuation(failure_domain, evacuated))
+    def evacuate(self, failure_domain, evacuated, has_caller):
+        """Return Ok(OrderResult) once an order is durable, or Err(ErrorResponse)."""
+        return self.orders.run(failure_domain, evacuated, has_caller)
 
-    def propose(self, command):
+    def propose(self, command, timeout_ms=PROPOSE_TIMEOUT_MS, is_wanted=is_always):
         """Propose a command to the leader, on whichever VM it is."""
+        self.add_proposal_addresses()
+        options = (timeout_ms, is_wanted)
+        return self.client.propose(GROUP, command, RoutesResult, *options)
+
+    def add_proposal_addresses(self):
+        """Add the other known control VMs to those that are asked."""
         for address in self.peer_addresses():
             ip = address.rpartition(":")[0]
             self.proposal_addresses.setdefault(ip, address)
-        return self.client.propose(GROUP, command, RoutesResult)
 
     def handle_proposal(self, request):
         """Return the reply to a proposal of another control VM."""
--- a/tests/test_gateway_routes_log.py
+++ b/tests/test_gateway_routes_log.py
@@ -3,20 +3,25 @@
 import contextlib
 import types
 
+import eventlet.patcher
 import pytest
 from result import Err, Ok
 
 from pollenmount import task
 from pollenmount.clock import Clock
-from pollenmount.consensus import client
 from pollenmount.consensus.disk import Disk
+from pollenmount.consensus.messages import Configuration
+from pollenmount.consensus.state import Role
 from pollenmount.fleet.fleet import Fleet
 from pollenmount.fleet.messages import CONTROL, MemberRecord, MemberUp
 from pollenmount.gateway.routes_log import RoutesLog
+from pollenmount.routes.machine import AcceptRoutes
 from pollenmount.routes.store import RoutesStore
 from tests.gateway_harness import make_settings
 
 TRIES = 20
+# Above the time after which a leader is given up.
+SILENCE_MS = 2000
 STEP_MS = 50
 
 
@@ -113,7 +118,7 @@
 # Guards against a log that is never started: an order that came before all seeds were
 # up added the other control VMs to the list of its first voters.
 def test_an_order_before_the_log_is_started_does_not_change_its_first_voters(
-    network, tmp_path, monkeypatch
+    network, tmp_path
 ):
     other, first, second = (f"127.{network}.8.{host}" for host in (2, 3, 4))
     with contextlib.ExitStack() as stack:
@@ -124,8 +129,58 @@
             add_control_vm(node.fleet, other)
             logs.append(RoutesLog(node))
             if ip == first:
-                monkeypatch.setattr(client, "PROPOSE_TIMEOUT_MS", STEP_MS)
-                assert isinstance(logs[0].accept(1, b"early"), Err)
-                monkeypatch.undo()
+                early = AcceptRoutes(1, b"early")
+                assert isinstance(logs[0].propose(early, STEP_MS), Err)
         assert f"{other}:7410" in logs[0].client.addresses("routes")
         assert is_ok(retry_until(lambda: logs[0].accept(2, b"first"), is_ok))
+
+
+@pytest.fixture
+def log(node):
+    """Return a log whose only replica leads."""
+    routes_log = RoutesLog(node)
+    retry_until(lambda: routes_log.accept(1, b"first"), is_ok)
+    assert routes_log.has_quorum()
+    return routes_log
+
+
+# A control VM without a vote kept its leader for good, and asked nobody for orders.
+def test_a_replica_without_a_vote_is_not_in_touch_with_a_silent_leader(log):
+    group = log.group
+    other = group.me._replace(name="other", address="127.0.0.1:1")
+    group.state = group.state._replace(
+        role=Role.FOLLOWER,
+        leader=other,
+        configuration=Configuration((other,), (), (group.me,)),
+        heard_at=group.clock.now(),
+    )
+    task.sleep(SILENCE_MS)
+    assert not log.has_quorum()
+
+
+# A control VM whose replica had failed told its entry VMs that it was in touch.
+def test_a_replica_that_has_failed_is_not_in_touch(log, monkeypatch):
+    def fail(disk, name):
+        raise OSError(5, "disk I/O error")
+
+    monkeypatch.setattr(Disk, "sync", fail)
+    assert isinstance(log.accept(2, b"second"), Err)
+    assert log.group.failure
+    assert not log.has_quorum()
+
+
+# A control VM whose disk stood still told its entry VMs that it was in touch.
+def test_a_replica_whose_disk_stands_still_is_not_in_touch(log, monkeypatch):
+    sync = Disk.sync
+
+    def sync_late(disk, name):
+        eventlet.patcher.original("time").sleep(1.5 * SILENCE_MS / task.MS_PER_S)
+        sync(disk, name)
+
+    monkeypatch.setattr(Disk, "sync", sync_late)
+    task.spawn(log.accept, 2, b"second")
+    task.sleep(SILENCE_MS)
+    assert not log.has_quorum()
+    monkeypatch.undo()
+    task.sleep(SILENCE_MS)
+    assert log.has_quorum()
