Keep a VM alive when its settings file is odd

A VM reads its settings file again once a second. If that was nested a thousand deep, also under a name that no VM knows, the main loop got a RecursionError and the process ended with all its calls ('crashed'); the next start ended as well, without naming the file. Bounds of 1e308 or below 0 and ports out of range were taken.

The files of both programs are read through pollenmount/documents.py, bounds, ports and the heartbeat's interval have ranges, and a port is parsed in one place. 7 listed cases pass; two of tests/test_odd_documents were added here and failed before on the port of a listener.

--- a/pollenmount/gateway/settings.py
+++ b/pollenmount/gateway/settings.py
@@ -4,18 +4,29 @@
 that writes the file may add some.
 """
 
-from typing import NamedTuple
+from typing import Annotated, NamedTuple
 
 import msgspec
 
+from pollenmount.documents import (
+    MAX_DURATION_MS,
+    Count,
+    UnreadableDocumentError,
+    decode_json,
+)
 from pollenmount.errors import Fault, SettingsError
 from pollenmount.gateway.choose import FAMILY
 from pollenmount.plugin import load_family
 from pollenmount.retry_budget import RetryLimits
+from pollenmount.wire.numbers import MAX_PORT, parse_port
 
 __all__ = ["Bounds", "GatewaySettings", "Listen", "load_settings"]
 
 MS_PER_S = 1000
+MAX_BOUND = MAX_DURATION_MS // MS_PER_S
+Port = Annotated[int, msgspec.Meta(ge=1, le=MAX_PORT)]
+PortOrNone = Annotated[int, msgspec.Meta(ge=0, le=MAX_PORT)]
+HeartbeatMs = Annotated[int, msgspec.Meta(ge=1, le=MAX_DURATION_MS)]
 
 
 class Listen(NamedTuple):
@@ -109,15 +120,15 @@
     failure_domain: str
     failure_domains: dict[str, str]
     listen: dict[str, str]
-    first_port: int
-    last_port: int
+    first_port: Port
+    last_port: Port
     seeds: list[str]
     first_start: bool
-    lost_disks: int
-    heartbeat_ms: int
+    lost_disks: Count
+    heartbeat_ms: HeartbeatMs
     bounds: dict[str, float]
     data_folder: str = ""
-    metrics_port: int = 0
+    metrics_port: PortOrNone = 0
     chooser: str = "expected_time"
 
 
@@ -125,9 +136,9 @@
     """Return the settings in the JSON file at `path`, or raise `SettingsError`."""
     try:
         with open(path, "rb") as file:
-            document = msgspec.json.decode(file.read(), type=Document)
+            document = decode_json(file.read(), Document)
         return to_settings(document)
-    except (OSError, msgspec.DecodeError, TypeError, UnicodeDecodeError) as error:
+    except (OSError, UnreadableDocumentError, TypeError) as error:
         fault = Fault(
             str(path), str(error), "correct this key, or the template of the file"
         )
@@ -144,9 +155,24 @@
     missing = [name for name, value in bounds.items() if value is None]
     if missing:
         raise TypeError(f"bounds.{missing[0]} is missing")
+    outside = [name for name, value in bounds.items() if not 0 <= value <= MAX_BOUND]
+    if outside:
+        raise TypeError(f"bounds.{outside[0]} must be from 0 to {MAX_BOUND}")
+    check_ports(document)
     values["bounds"] = Bounds(**bounds)
     values["seeds"] = tuple(document.seeds)
     choosers = load_family(FAMILY)
     if document.chooser not in choosers:
         raise TypeError(f"chooser must be one of {', '.join(sorted(choosers))}")
     return GatewaySettings(**values)
+
+
+def check_ports(document):
+    """Raise `TypeError` for an address without a valid port."""
+    addresses = {
+        f"listen.{name}": document.listen.get(name, "") for name in Listen._fields
+    }
+    addresses |= {f"seeds.{n}": text for n, text in enumerate(document.seeds)}
+    for key, address in addresses.items():
+        if address and not parse_port(address.rpartition(":")[2]):
+            raise TypeError(f"{key} must end with a port from 1 to {MAX_PORT}")
--- a/pollenmount/settings.py
+++ b/pollenmount/settings.py
@@ -9,6 +9,7 @@
 
 from jsonschema import Draft202012Validator
 
+from pollenmount.documents import UnreadableDocumentError, check_depth
 from pollenmount.errors import Fault, SettingsError
 from pollenmount.settings_rules import MIN_KEY_CHARS, find_faults, read_peer_key
 
@@ -166,9 +167,11 @@
         return dict(pairs)
 
     try:
-        with open(path, encoding="utf-8") as file:
-            document = json.load(file, object_pairs_hook=collect_repeated_names)
-    except (OSError, ValueError, RecursionError) as error:
+        with open(path, "rb") as file:
+            data = file.read()
+        check_depth(data)
+        document = json.loads(data.decode(), object_pairs_hook=collect_repeated_names)
+    except (OSError, ValueError, UnreadableDocumentError) as error:
         fault = Fault(str(path), str(error), "give the path of a readable JSON file")
         raise SettingsError([fault]) from error
     if repeated:
--- a/pollenmount/settings_rules.py
+++ b/pollenmount/settings_rules.py
@@ -8,11 +8,11 @@
 import os
 
 from pollenmount.errors import Fault
+from pollenmount.wire.numbers import MAX_PORT, parse_port
 
 __all__ = ["MIN_KEY_CHARS", "find_faults", "read_peer_key"]
 
 MIN_KEY_CHARS = 16
-MAX_PORT = 65_535
 PLANS_GROUP = "plans"
 ACTIONS_GROUP_PREFIX = "actions/"
 
@@ -52,7 +52,7 @@
 def find_address_problem(address):
     """Return a description of the problem with an address, or None."""
     host, _, port = address.rpartition(":")
-    if not port.isdecimal() or not 1 <= int(port) <= MAX_PORT:
+    if parse_port(port) is None:
         return f"whose port is not between 1 and {MAX_PORT}"
     bracketed = host.startswith("[") and host.endswith("]")
     try:
--- a/pollenmount/wire/numbers.py
+++ b/pollenmount/wire/numbers.py
@@ -2,8 +2,9 @@
 
 import re
 
-__all__ = ["parse_decimal"]
+__all__ = ["MAX_PORT", "parse_decimal", "parse_port"]
 
+MAX_PORT = 65_535
 DECIMAL = re.compile(r"[0-9]{1,18}", re.ASCII)
 
 
@@ -13,3 +14,8 @@
         return None
     number = int(text)
     return None if limit is not None and number > limit else number
+
+
+def parse_port(text):
+    """Return the number of a TCP port, None if the text is none."""
+    return parse_decimal(text, MAX_PORT) or None
--- a/tests/test_odd_documents.py
+++ b/tests/test_odd_documents.py
@@ -47,6 +47,7 @@
 from pollenmount.targets.upstream import UpstreamError
 from pollenmount.wire.connection import HttpResponseHead, connect
 from pollenmount.wire.errors import ConnectError, MalformedResponseError
+from pollenmount.wire.numbers import parse_port
 from scripts.examples import INZIRA, make_settings
 from tests.gateway_harness import EntryHarness, make_route
 from tests.stateful.test_journal import FakeDisk
@@ -182,6 +183,18 @@
         return self.load(path)
 
 
+def load_and_use(path):
+    """Load the settings of a VM of the gateway and use their numbers."""
+    settings = load_gateway_settings(path)
+    for address in (*filter(None, settings.listen), settings.hops, settings.links):
+        assert parse_port(address.rpartition(":")[2])
+    assert settings.bounds.retry_limits.window_ms >= 0
+    with contextlib.closing(socket.socket()) as connection:
+        connection.settimeout(settings.heartbeat_ms / 1000)
+        connection.settimeout(settings.bounds.stop_grace_s)
+    return settings
+
+
 def announce(data):
     """Announce a target; return what is sent on to other VMs, or the status."""
     table = TargetTable(ManualClock(), 3000)
@@ -302,7 +315,7 @@
     ),
     "pause of a hop": Entrance(read_pause, (MalformedResponseError,), [1], ((0,),)),
     "gateway settings": Entrance(
-        FileReader(load_gateway_settings),
+        FileReader(load_and_use),
         (SettingsError,),
         GATEWAY_SETTINGS,
         GATEWAY_PATHS,
