Refuse numbers in the headers of a hop that nobody can mean

A refusal of another region with a negative pause or count was taken, and one with a pause or a time left of 400 digits as well: it can be neither logged nor sent on.

--- a/pollenmount/gateway/hop.py
+++ b/pollenmount/gateway/hop.py
@@ -8,6 +8,13 @@
 
 import msgspec
 
+from pollenmount.documents import (
+    Count,
+    DurationMs,
+    Integer,
+    UnreadableDocumentError,
+    decode_json,
+)
 from pollenmount.routes.plan import RetryMode, Route
 from pollenmount.wire.errors import ExchangeError, MalformedResponseError
 
@@ -48,11 +55,11 @@
     service: str
     retry_mode: RetryMode
     resumable: bool
-    priority: int
-    attempts: int
-    slo_ms: int
-    remaining_ms: int
-    plan_version: int
+    priority: Integer
+    attempts: Integer
+    slo_ms: Integer
+    remaining_ms: DurationMs
+    plan_version: Integer
     version: str | None = None
 
 
@@ -63,11 +70,11 @@
     the attempts at targets.
     """
 
-    status: int
+    status: Count
     reason: str
     not_run: bool
-    retry_after_ms: int
-    sends: int = 0
+    retry_after_ms: DurationMs
+    sends: Count = 0
 
 
 class HopRefusedError(ExchangeError):
@@ -122,8 +129,8 @@
 def decode_hop(text):
     """Return the `HopRequest` in a header, or None if it is invalid."""
     try:
-        return msgspec.json.decode(text, type=HopRequest)
-    except msgspec.DecodeError:
+        return decode_json(text, HopRequest)
+    except UnreadableDocumentError:
         return None
 
 
@@ -176,10 +183,10 @@
     if not text:
         return
     try:
-        refusal = msgspec.json.decode(text, type=HopRefusal)
+        refusal = decode_json(text, HopRefusal)
         pause_ms = read_milliseconds(head, HOP_PAUSE_MS)
         quarantine_ms = read_milliseconds(head, HOP_QUARANTINE_MS)
-    except msgspec.DecodeError as error:
+    except UnreadableDocumentError as error:
         raise MalformedResponseError(f"malformed refusal: {error}") from error
     if head.header(HOP_NOT_READY.lower()):
         raise PeerNotReadyError(refusal)
@@ -188,7 +195,7 @@
 
 def read_milliseconds(head, name):
     """Return the number in a header of a refusal, 0 if it is absent."""
-    return msgspec.json.decode(head.header(name.lower()) or "0", type=int)
+    return decode_json(head.header(name.lower()) or "0", DurationMs)
 
 
 def is_hop_header(name):
