End a link or a call by an error of its own when its data is odd

A message nested a thousand deep ended the task of a link with a RecursionError, one of a kind that a control VM doesn't take ended it with a TypeError, and a plan that couldn't be decompressed with a zlib.error: the log said 'background task failed', and after the reconnect the same plan ended the link again. A plan of 64 MB was unpacked whole.

All are read through pollenmount/documents.py now.

--- a/pollenmount/bridge/control.py
+++ b/pollenmount/bridge/control.py
@@ -16,6 +16,7 @@
 from pollenmount import task
 from pollenmount.bridge.peer_channel import PeerChannel
 from pollenmount.clock import Clock
+from pollenmount.documents import UnreadableDocumentError, decode_msgpack
 from pollenmount.errors import ListenError, TransportError
 from pollenmount.log import get_logger
 
@@ -107,10 +108,8 @@
     def serve_call(self, name, data, context):
         """Return the encoded reply; runs on a gRPC thread, the handler on the loop."""
         try:
-            request = msgspec.msgpack.decode(
-                data, type=CALL_TYPES_BY_NAME[name].request
-            )
-        except (msgspec.DecodeError, UnicodeDecodeError):
+            request = decode_msgpack(data, CALL_TYPES_BY_NAME[name].request)
+        except UnreadableDocumentError:
             message = "the message can't be decoded; run the same version on all VMs"
             context.abort(grpc.StatusCode.INVALID_ARGUMENT, message)
         reply_future = futures.Future()
@@ -180,8 +179,8 @@
                 TransportError(address, code.name, code not in NOT_HANDLED_CODES)
             )
         try:
-            return Ok(msgspec.msgpack.decode(future.result(), type=call_type.reply))
-        except (msgspec.DecodeError, UnicodeDecodeError):
+            return Ok(decode_msgpack(future.result(), call_type.reply))
+        except UnreadableDocumentError:
             return Err(TransportError(address, "unreadable reply", True))
 
     def handle_silence(self, channel):
--- a/pollenmount/consensus/journal.py
+++ b/pollenmount/consensus/journal.py
@@ -16,6 +16,7 @@
 from pollenmount.consensus import record
 from pollenmount.consensus.messages import Replica, Snapshot
 from pollenmount.consensus.state import NO_SNAPSHOT, Log, SaveEntries
+from pollenmount.documents import UnreadableDocumentError, decode_msgpack
 from pollenmount.errors import PollenmountError
 
 __all__ = [
@@ -101,8 +102,9 @@
         scanned = record.scan(data)
         if scanned.damaged or not scanned.contents:
             self.raise_damaged(JOURNAL, scanned.end)
-        header = msgspec.msgpack.decode(scanned.contents[0], type=JournalHeader)
-        saved = replay(header, scanned.contents[1:])
+        with self.report_unreadable(JOURNAL):
+            header = decode_msgpack(scanned.contents[0], JournalHeader)
+            saved = replay(header, scanned.contents[1:])
         snapshot = self.read_snapshot(snapshot_data, header)
         self.salt, self.size, self.incarnation = (
             scanned.salt,
@@ -141,17 +143,26 @@
             scanned = record.scan(data)
             if len(scanned.contents) != 1:
                 self.raise_damaged(SNAPSHOT, scanned.end)
-            snapshot = msgspec.msgpack.decode(scanned.contents[0], type=Snapshot)
+            with self.report_unreadable(SNAPSHOT):
+                snapshot = decode_msgpack(scanned.contents[0], Snapshot)
         if snapshot.index < header.snapshot_index:
             self.raise_damaged(SNAPSHOT, 0)
         return snapshot
 
-    def raise_damaged(self, name, position):
+    @contextlib.contextmanager
+    def report_unreadable(self, name):
+        """Turn the error of a record that can't be decoded into that of its file."""
+        try:
+            yield
+        except UnreadableDocumentError as error:
+            self.raise_damaged(name, 0, error)
+
+    def raise_damaged(self, name, position, cause=None):
         """Raise the error for a damaged file."""
         where = f"{getattr(self.disk, 'folder', '')}/{name}"
         raise JournalDamagedError(
             f"{where} is damaged at byte {position}; {DAMAGE_REMEDY}"
-        )
+        ) from cause
 
     def save(self, term, voted_for, saves=(), commit=0):
         """Append one record and sync it."""
@@ -229,7 +240,7 @@
     """Return the state after replaying the records of a journal."""
     saved = Saved(header.incarnation, log=Log(header.base_index, header.base_term))
     for content in contents:
-        saved_record = msgspec.msgpack.decode(content, type=Record)
+        saved_record = decode_msgpack(content, Record)
         log = saved.log
         for save in saved_record.saves:
             log = log.replaced_from(save.first_index, save.entries)
--- a/pollenmount/documents.py
+++ b/pollenmount/documents.py
@@ -26,6 +26,7 @@
     "check_depth",
     "decode_json",
     "decode_msgpack",
+    "decode_with",
     "decompress",
 ]
 
@@ -67,16 +68,21 @@
     """Return the `type_` in a JSON document, given as bytes or text."""
     try:
         encoded = data.encode() if isinstance(data, str) else data
-        check_depth(encoded)
-        return json_decoder(type_).decode(encoded)
-    except (msgspec.DecodeError, ValueError, RecursionError) as error:
+    except UnicodeEncodeError as error:
         raise UnreadableDocumentError(str(error)) from error
+    check_depth(encoded)
+    return decode_with(json_decoder(type_), encoded)
 
 
 def decode_msgpack(data, type_):
     """Return the `type_` in MessagePack data."""
+    return decode_with(msgpack_decoder(type_), data)
+
+
+def decode_with(decoder, data):
+    """Return what a decoder of msgspec reads, which may be far too deep for it."""
     try:
-        return msgpack_decoder(type_).decode(data)
+        return decoder.decode(data)
     except (msgspec.DecodeError, ValueError, RecursionError) as error:
         raise UnreadableDocumentError(str(error)) from error
 
--- a/pollenmount/fleet/channel.py
+++ b/pollenmount/fleet/channel.py
@@ -4,9 +4,8 @@
 import contextlib
 import struct
 
-import msgspec
-
 from pollenmount import task
+from pollenmount.documents import UnreadableDocumentError
 from pollenmount.fleet.messages import decode, encode
 
 __all__ = ["Channel", "ChannelError"]
@@ -74,7 +73,7 @@
             )
         try:
             return decode(self.read_exactly(size))
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        except UnreadableDocumentError as error:
             raise ChannelError(f"malformed message: {error}") from error
 
     def read_exactly(self, size):
--- a/pollenmount/fleet/client.py
+++ b/pollenmount/fleet/client.py
@@ -188,7 +188,7 @@
             connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             with contextlib.closing(Channel(connection)) as channel:
                 self.receive_messages(address, channel)
-        except OSError as error:
+        except (OSError, ValueError, OverflowError) as error:
             logger.info("no link", extra={"address": address, "problem": str(error)})
         finally:
             self.forget_link(address)
--- a/pollenmount/fleet/fleet.py
+++ b/pollenmount/fleet/fleet.py
@@ -1,8 +1,9 @@
 """A VM's view of the fleet, updated by messages from links and the log."""
 
-import zlib
 from functools import singledispatchmethod
 
+from pollenmount.documents import UnreadableDocumentError, decompress
+from pollenmount.fleet.channel import ChannelError
 from pollenmount.fleet.entry_counter import EntryCounter
 from pollenmount.fleet.members import MemberTable
 from pollenmount.fleet.messages import (
@@ -83,7 +84,7 @@
     @singledispatchmethod
     def handle(self, message, source):
         """Update the state from a message of `source`."""
-        raise TypeError(f"unexpected message on a link: {type(message).__name__}")
+        raise ChannelError(f"unexpected message: {type(message).__name__}")
 
     @handle.register
     def _(self, message: TargetSeen, source):
@@ -182,11 +183,17 @@
 
     @handle.register
     def _(self, message: RoutesChanged, source):
-        if message.revision > self.routes.revision:
-            document = zlib.decompress(message.document)
-            if self.store.update(message.version, document):
-                self.routes = message
-                self.notify(message, source)
+        if message.revision <= self.routes.revision:
+            return
+        try:
+            document = decompress(message.document)
+        except UnreadableDocumentError as error:
+            problem = {"version": message.version, "problem": str(error)}
+            logger.error("can't decompress the plan", extra=problem)
+            return
+        if self.store.update(message.version, document):
+            self.routes = message
+            self.notify(message, source)
 
     @handle.register
     def _(self, message: EvacuationsChanged, source):
--- a/pollenmount/fleet/messages.py
+++ b/pollenmount/fleet/messages.py
@@ -9,6 +9,8 @@
 
 import msgspec
 
+from pollenmount.documents import decode_with
+
 __all__ = [
     "CONTROL",
     "ENTRY",
@@ -361,5 +363,5 @@
 
 
 def decode(data):
-    """Return the decoded message, or raise `msgspec.DecodeError`."""
-    return DECODER.decode(data)
+    """Return the decoded message, or raise `UnreadableDocumentError`."""
+    return decode_with(DECODER, data)
--- a/pollenmount/wire/connection.py
+++ b/pollenmount/wire/connection.py
@@ -83,7 +83,7 @@
         set_socket_options(connected_socket)
     except ConnectionRefusedError as error:
         raise ConnectRefusedError(f"can't connect to {address}: {error}") from error
-    except (OSError, ValueError) as error:
+    except (OSError, ValueError, OverflowError) as error:
         raise ConnectError(f"can't connect to {address}: {error}") from error
     return Connection(connected_socket)
 
