Refuse odd documents of targets, callers and peers by name

An announcement nested a thousand deep got 500; one with a port out of range or a number of slots of 400 digits was taken, and calls that met it, and the reports to other VMs, ended by errors that nobody expects. A caller's prompt or a response with such a nesting did the same to its own call, a Retry-After of 5,000 digits too.

The product's own interface reads through pollenmount/documents.py as the gateway does, with ranges; an announced address has to be IP:port.

--- a/pollenmount/api/callers.py
+++ b/pollenmount/api/callers.py
@@ -9,6 +9,7 @@
 from pollenmount.api.call_runner import CallRunner
 from pollenmount.api.entries import list_entries
 from pollenmount.api.web import json_reply, refusal_reply
+from pollenmount.documents import UnreadableDocumentError, check_depth
 from pollenmount.errors import Refusal, RefusalKind
 from pollenmount.log import get_logger
 from pollenmount.plans.plan import (
@@ -248,12 +249,13 @@
     Duplicate keys are rejected: an engine might use the other value.
     """
     try:
+        check_depth(body)
         document = json.loads(
             body.decode(),
             object_pairs_hook=reject_duplicate_keys,
             parse_constant=reject_constant,
         )
-    except (ValueError, RecursionError):
+    except (ValueError, UnreadableDocumentError):
         return None
     is_valid_chat = (
         isinstance(document, dict)
--- a/pollenmount/api/targets.py
+++ b/pollenmount/api/targets.py
@@ -1,9 +1,9 @@
 """HTTP interface for targets: announce and leave."""
 
-import msgspec
-
 from pollenmount.api.web import json_reply, refusal_reply
+from pollenmount.documents import UnreadableDocumentError, decode_json
 from pollenmount.errors import Refusal, RefusalKind
+from pollenmount.settings_rules import find_address_problem
 from pollenmount.targets.table import Announcement, Leave
 
 __all__ = ["TargetsApi"]
@@ -17,10 +17,18 @@
     def __init__(self, table):
         self.table = table
         self.handlers = {
-            "/v1/announce": (Announcement, table.announce),
+            "/v1/announce": (Announcement, self.announce),
             "/v1/leave": (Leave, table.leave),
         }
 
+    def announce(self, announcement):
+        """Store an announcement; return a `Refusal` or None."""
+        problem = find_address_problem(announcement.address)
+        if problem:
+            message = f"announce an address IP:port, not one {problem}"
+            return Refusal(RefusalKind.BAD_REQUEST, message)
+        return self.table.announce(announcement)
+
     def handle(self, request):
         """Return the reply to one request of a target."""
         if request.path not in self.handlers or request.method != "POST":
@@ -31,8 +39,8 @@
         if isinstance(body, Refusal):
             return refusal_reply(body)
         try:
-            decoded = msgspec.json.decode(body, type=type_)
-        except msgspec.DecodeError as error:
+            decoded = decode_json(body, type_)
+        except UnreadableDocumentError as error:
             message = f"{error}; send the document described in docs/OPERATORS.md"
             return refusal_reply(Refusal(RefusalKind.BAD_REQUEST, message))
         refusal = apply(decoded)
--- a/pollenmount/routing/attempt.py
+++ b/pollenmount/routing/attempt.py
@@ -3,6 +3,7 @@
 import contextlib
 from functools import singledispatch
 
+from pollenmount.documents import MAX_DURATION_MS
 from pollenmount.plans.plan import INTERACTIVE
 from pollenmount.routing import forward
 from pollenmount.routing.headers import (
@@ -26,6 +27,7 @@
     read_body,
     set_read_timeout,
 )
+from pollenmount.wire.numbers import parse_decimal
 
 __all__ = ["HOP_BY_HOP_HEADERS", "Attempter", "strip_headers"]
 
@@ -42,6 +44,7 @@
 MS_PER_S = 1000
 # Used if a busy target or entry VM asks for no delay.
 DEFAULT_BUSY_MS = 500
+MAX_BUSY_S = MAX_DURATION_MS // MS_PER_S
 # A timeout after a shorter wait is due to the deadline of the call, not to the target.
 MIN_TIMEOUT_FAILURE_MS = 1000
 # Calls of other classes wait until their deadline.
@@ -218,8 +221,8 @@
 
 def retry_after_ms(response):
     """Return the delay that a target asks for in Retry-After, or the default."""
-    seconds = response.headers.get("Retry-After", "")
-    return int(seconds) * MS_PER_S if seconds.isdecimal() else DEFAULT_BUSY_MS
+    seconds = parse_decimal(response.headers.get("Retry-After", ""), MAX_BUSY_S)
+    return DEFAULT_BUSY_MS if seconds is None else seconds * MS_PER_S
 
 
 def read_checked(response, attempter, call, status):
--- a/pollenmount/routing/forward.py
+++ b/pollenmount/routing/forward.py
@@ -10,6 +10,12 @@
 
 import msgspec
 
+from pollenmount.documents import (
+    Count,
+    Integer,
+    UnreadableDocumentError,
+    decode_json,
+)
 from pollenmount.errors import Refusal, RefusalKind
 from pollenmount.routing.request import Call, Head, ModelRoute, offer_name
 from pollenmount.targets.upstream import UpstreamError
@@ -48,10 +54,10 @@
     path: str
     headers: tuple[tuple[str, str], ...]
     class_: str
-    remaining_ms: int
+    remaining_ms: Integer
     key: str
     stream: bool
-    resume_from: int = 0
+    resume_from: Count = 0
     attempt: str = ""
 
 
@@ -98,8 +104,8 @@
         return Refusal(RefusalKind.UNAUTHENTICATED, message)
     encoded = headers.get(CALL_HEADER, "").encode("latin-1")
     try:
-        return msgspec.json.decode(encoded, type=ForwardedCall)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+        return decode_json(encoded, ForwardedCall)
+    except UnreadableDocumentError:
         message = "the forwarded call can't be decoded; run the same version on all VMs"
         return Refusal(RefusalKind.BAD_REQUEST, message)
 
@@ -134,8 +140,8 @@
     if encoded is None:
         return
     response.close()
-    with contextlib.suppress(msgspec.DecodeError):
-        refusal = msgspec.json.decode(encoded, type=Refusal)
+    with contextlib.suppress(UnreadableDocumentError):
+        refusal = decode_json(encoded, Refusal)
         raise ForwardRefusedError(refusal)
     raise UpstreamError("the peer's refusal can't be decoded")
 
@@ -148,7 +154,7 @@
 def decode_head(response):
     """Return the `Head` that a peer's response carries."""
     try:
-        return msgspec.json.decode(response.headers[HEAD_HEADER], type=Head)
-    except (KeyError, msgspec.DecodeError) as error:
+        return decode_json(response.headers[HEAD_HEADER], Head)
+    except (KeyError, UnreadableDocumentError) as error:
         response.close()
         raise UpstreamError("the head from the peer can't be decoded") from error
--- a/pollenmount/routing/prefix.py
+++ b/pollenmount/routing/prefix.py
@@ -10,6 +10,8 @@
 
 import msgspec
 
+from pollenmount.documents import UnreadableDocumentError, decode_json
+
 __all__ = ["BLOCK_WORDS", "block_digests", "digest_prompt"]
 
 BLOCK_WORDS = 16
@@ -35,8 +37,8 @@
 def digest_prompt(body):
     """Return the block digests of a chat completion request, () for other bodies."""
     try:
-        prompt = msgspec.json.decode(body, type=Prompt)
-    except msgspec.DecodeError:
+        prompt = decode_json(body, Prompt)
+    except UnreadableDocumentError:
         return ()
     return block_digests(" ".join(str(m.content) for m in prompt.messages).split())
 
--- a/pollenmount/routing/tokens.py
+++ b/pollenmount/routing/tokens.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from pollenmount.documents import Count, UnreadableDocumentError, decode_json
+
 __all__ = ["count_tokens"]
 
 EVENT_END = b"\n\n"
@@ -11,7 +13,7 @@
 class Usage(msgspec.Struct):
     """Token usage that an engine reports."""
 
-    completion_tokens: int
+    completion_tokens: Count
 
 
 class Completion(msgspec.Struct):
@@ -29,6 +31,6 @@
     if call.stream:
         return data.count(EVENT_END)
     try:
-        return msgspec.json.decode(data, type=Completion).usage.completion_tokens
-    except msgspec.DecodeError:
+        return decode_json(data, Completion).usage.completion_tokens
+    except UnreadableDocumentError:
         return len(data) // BYTES_PER_TOKEN
--- a/pollenmount/targets/cache.py
+++ b/pollenmount/targets/cache.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from pollenmount.documents import Integer
+
 __all__ = ["CacheEvents", "CacheIndex"]
 
 MAX_BLOCKS_PER_TARGET = 65_536
@@ -20,7 +22,7 @@
     full list of the cached blocks.
     """
 
-    first: int
+    first: Integer
     stored: tuple[str, ...] = ()
     evicted: tuple[str, ...] = ()
     whole: bool = False
--- a/pollenmount/targets/table.py
+++ b/pollenmount/targets/table.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from pollenmount.documents import Count, Integer
 from pollenmount.errors import Refusal, RefusalKind
 from pollenmount.targets.cache import CacheEvents, CacheIndex
 
@@ -38,14 +39,14 @@
 
     name: str
     incarnation: str
-    sequence: int
+    sequence: Integer
     address: str
     kind: str
-    slots: int
+    slots: Count
     models: tuple[OfferedModel, ...] = ()
     services: tuple[str, ...] = ()
-    running: int = 0
-    waiting: int = 0
+    running: Count = 0
+    waiting: Count = 0
     draining: bool = False
     resume: bool = False
     cache: CacheEvents | None = None
