Leave out a message of a replica that can't be read

One message that could not be decoded, such as one of a newer build, failed the replica that got it ('internal error; report it'): it was closed and started again from its disk, and the next such message failed it again. It is logged and left out now, and the others of the same call hold. test_an_odd_message_of_a_replica_is_left_out failed before on all six cases (KeyError, DecodeError, ValidationError).

--- a/pollenmount/consensus/calls.py
+++ b/pollenmount/consensus/calls.py
@@ -8,6 +8,7 @@
 from pollenmount.bridge.control import register_call
 from pollenmount.consensus import messages
 from pollenmount.consensus.messages import Replica
+from pollenmount.documents import UnreadableDocumentError, decode_msgpack
 
 __all__ = [
     "EncodedMessage",
@@ -112,5 +113,7 @@
 
 
 def decode_message(encoded):
-    """Return the message in an `EncodedMessage`."""
-    return msgspec.msgpack.decode(encoded.body, type=MESSAGE_TYPES[encoded.kind])
+    """Return the message, or raise `UnreadableDocumentError`."""
+    if encoded.kind not in MESSAGE_TYPES:
+        raise UnreadableDocumentError(f"unknown message {encoded.kind!r}")
+    return decode_msgpack(encoded.body, MESSAGE_TYPES[encoded.kind])
--- a/pollenmount/consensus/group.py
+++ b/pollenmount/consensus/group.py
@@ -25,6 +25,7 @@
 from pollenmount.consensus.journal import JournalFailedError, JournalFullError
 from pollenmount.consensus.link import ReplicaLink
 from pollenmount.consensus.pending import PendingRequests
+from pollenmount.documents import UnreadableDocumentError
 from pollenmount.log import get_logger
 
 __all__ = ["Group", "no_quorum_refusal"]
@@ -194,10 +195,8 @@
         """Step through one item of the inbox; proposals are appended together later."""
         if isinstance(item, Incoming):
             if item.exchange.to == self.me:
-                for encoded in item.exchange.messages:
-                    transition.step(
-                        m.Receive(item.exchange.sender, decode_message(encoded))
-                    )
+                for message in read_messages(item.exchange):
+                    transition.step(m.Receive(item.exchange.sender, message))
         elif isinstance(item, ReadBarrier):
             transition.step(m.Read(self.pending.add_read(item.done)))
         elif not isinstance(item, Proposal):
@@ -352,6 +351,18 @@
         self.journal.close()
 
 
+def read_messages(exchange):
+    """Yield the messages of another replica, without those that can't be read."""
+    for encoded in exchange.messages:
+        try:
+            yield decode_message(encoded)
+        except UnreadableDocumentError as error:
+            extra = {"group": exchange.group, "replica": exchange.sender.name}
+            logger.warning(
+                "message of a replica left out", extra={**extra, "problem": str(error)}
+            )
+
+
 def encode_messages(messages):
     """Return messages encoded for the wire."""
     return tuple(encode_message(message) for message in messages)
--- a/tests/test_odd_documents.py
+++ b/tests/test_odd_documents.py
@@ -21,7 +21,15 @@
 from pollenmount.bridge.control import ControlServer
 from pollenmount.clock import ManualClock
 from pollenmount.consensus import journal, record
-from pollenmount.consensus.calls import Propose
+from pollenmount.consensus.batch import Incoming
+from pollenmount.consensus.calls import (
+    EncodedMessage,
+    Exchange,
+    Propose,
+    encode_message,
+)
+from pollenmount.consensus.group import Group
+from pollenmount.consensus.messages import Replica, TimeoutNow
 from pollenmount.errors import SettingsError, SheetError
 from pollenmount.fleet.channel import Channel, ChannelError
 from pollenmount.fleet.client import LinkClient
@@ -481,6 +489,21 @@
     assert caught.value.args == (grpc.StatusCode.INVALID_ARGUMENT,)
 
 
+# Guards against a replica that fails by a message of another replica.
+@pytest.mark.parametrize("kind", ["Append", "Unknown"])
+@pytest.mark.parametrize("name", ODD_RECORDS)
+def test_an_odd_message_of_a_replica_is_left_out(kind, name):
+    replicas = [Replica(n, "1", "x", "127.0.0.1:1") for n in "ab"]
+    steps = []
+    group = types.SimpleNamespace(me=replicas[0], name="g")
+    transition = types.SimpleNamespace(step=steps.append)
+    odd = EncodedMessage(kind, ODD_RECORDS[name])
+    sound = encode_message(TimeoutNow(3))
+    exchange = Exchange("g", replicas[1], replicas[0], (odd, sound))
+    Group.step_item(group, transition, Incoming(exchange, None))
+    assert [step.message for step in steps] == [TimeoutNow(3)]
+
+
 # Guards against a VM that ends at each start without naming the remedy.
 @pytest.mark.parametrize("file", [journal.JOURNAL, journal.SNAPSHOT])
 @pytest.mark.parametrize("name", ODD_RECORDS)
