--- a/pollenmount/gateway/dispatch.py
+++ b/pollenmount/gateway/dispatch.py
@@ -15,10 +15,10 @@
     NotRunError,
     is_success,
 )
+from pollenmount.gateway.attempt_log import log_failed_attempt
 from pollenmount.gateway.call import AttemptFailure, ErrorResponse, ResponseHead
 from pollenmount.gateway.choose import TargetChoice, is_long_stream, no_remote_options
 from pollenmount.gateway.destinations import Destinations
-from pollenmount.gateway.dialect import shared_ids
 from pollenmount.gateway.hop import HopRefusedError, PeerNotReadyError
 from pollenmount.gateway.progress import CallObserver
 from pollenmount.gateway.retry_policy import RetryPolicy
@@ -292,24 +292,7 @@
             self.context.guard.record_refused_hop(progress, error)
             self.record_refused_hop(call, progress, destination, error)
         progress.failures.append(AttemptFailure(str(error), error.not_run))
-        logger.info(
-            "attempt failed",
-            extra={
-                "request": call.id,
-                "digest": progress.digest,
-                "place": destination.name,
-                "version": destination.version,
-                "address": destination.address,
-                "problem": str(error),
-                "not_run": error.not_run,
-                "sends": progress.sends,
-                "last_gap_ms": progress.last_gap_ms(self.clock.now()),
-                "last_event": progress.last_id,
-                "parts": shared_ids(call.info.prompt),
-                "head_arrived": progress.head_arrived,
-                "event_arrived": progress.event_arrived,
-            },
-        )
+        log_failed_attempt(call, progress, destination, error, self.clock.now())
 
     def record_refused_hop(self, call, progress, destination, error):
         """Keep the region out for this service: for as long as asked, or a while.
