Log what repeats were allowed, and with how much time they went out

The lines could not tell its forms apart: now each attempt has the route's attempts beside the runs, the time left as sent, the pause its target still had, and whether the target was found to have crashed; each question to the retry budget has a line with what was used and allowed. At most one line more for each failed attempt. No change of behaviour; the time left is taken one call earlier.

--- a/pollenmount/gateway/attempt.py
+++ b/pollenmount/gateway/attempt.py
@@ -94,6 +94,9 @@
 class ResponseObserver:
     """Callbacks for the progress of an attempt's response."""
 
+    def on_send(self, remaining_ms):
+        """Handle that the attempt is sent, with this time left for the response."""
+
     def on_head(self, status, info):
         """Handle the arrival of the response's status and `ResponseInfo`."""
 
@@ -148,7 +151,9 @@
         connection.may_abandon = attempt.observer.may_abandon
         head = None
         try:
-            connection.send(self.encode(attempt))
+            remaining_ms = max(1, call.deadline - self.clock.now())
+            attempt.observer.on_send(remaining_ms)
+            connection.send(self.encode(attempt, remaining_ms))
             head, info = self.read_head(connection, attempt)
             attempt.observer.on_head(head.status, info)
             yield from self.read_response(connection, head, info, attempt)
@@ -158,12 +163,12 @@
             else:
                 self.pool.release(key, connection, head)
 
-    def encode(self, attempt):
+    def encode(self, attempt, remaining_ms):
         """Return the request as bytes on the wire."""
         call = attempt.call
         info = AttemptInfo(
             attempt.destination.target_id,
-            max(1, call.deadline - self.clock.now()),
+            remaining_ms,
             call.route.priority,
             attempt.resume_after,
         )
--- a/pollenmount/gateway/dispatch.py
+++ b/pollenmount/gateway/dispatch.py
@@ -233,6 +233,8 @@
             self.retries.budget.record_request(call.service)
         progress.sends += 1
         progress.head_arrived = progress.event_arrived = False
+        progress.remaining_ms = progress.crashed = None
+        progress.paused_ms = 0
         progress.destination = destination
         progress.expected_ms = round(expected_ms)
         progress.tried.add(destination.name)
--- a/pollenmount/gateway/progress.py
+++ b/pollenmount/gateway/progress.py
@@ -25,7 +25,10 @@
     `head_arrived` and `event_arrived` tell whether the head of a success, and an event,
     have arrived in the last attempt. `digest` is that of `digest_request`.
     `version` is the only version of the target software that may run further attempts,
-    None as long as any may.
+    None as long as any may. `remaining_ms` is the time left that went along with the
+    last attempt, and `paused_ms` how long its target still wanted nothing then.
+    `crashed` tells whether a target was found to have crashed under the last attempt,
+    None if nothing asked.
     """
 
     def __init__(self, call):
@@ -52,6 +55,9 @@
         self.quarantine_ms = 0
         self.head_arrived = False
         self.event_arrived = False
+        self.remaining_ms = None
+        self.paused_ms = 0
+        self.crashed = None
 
     def last_gap_ms(self, now):
         """Return the time since the last chunk of the response, None before one."""
@@ -91,6 +97,14 @@
         self.may_hop = may_hop
         self.has_begun = False
 
+    def on_send(self, remaining_ms):
+        """Record what the log says of the moment at which an attempt is sent."""
+        destination = self.destination
+        self.progress.remaining_ms = remaining_ms
+        self.progress.paused_ms = self.dispatcher.context.pauses.left_ms(
+            destination.target_id, destination.incarnation
+        )
+
     def on_head(self, status, info):
         """Handle what the target says of itself, before the body arrives."""
         notices = self.dispatcher.context.notices
--- a/pollenmount/gateway/request_guard.py
+++ b/pollenmount/gateway/request_guard.py
@@ -60,9 +60,9 @@
             may_be_crash(progress, destination, error)
             and digest not in self.answered
             and not self.is_leaving(destination)
-            and self.probe.has_crashed(destination)
-            and self.reports.try_acquire()
         ):
+            progress.crashed = self.probe.has_crashed(destination)
+        if progress.crashed and self.reports.try_acquire():
             id_, born = destination.target_id, destination.incarnation
             report = RequestsCrashed(id_, born, call.id, (digest,))
             self.fleet.handle(report, RESPONSE)
--- a/pollenmount/gateway/retry_policy.py
+++ b/pollenmount/gateway/retry_policy.py
@@ -7,6 +7,7 @@
 import contextlib
 
 from pollenmount.gateway.hop import HopRefusedError, PeerNotReadyError
+from pollenmount.log import get_logger
 from pollenmount.wire.errors import ConnectError, PeerUnreachableError
 
 __all__ = ["RESERVE_AFTER_MS", "RetryPolicy", "may_have_arrived"]
@@ -16,6 +17,8 @@
 RESERVE_AFTER_MS = 1500
 MIN_REMAINING_MS = 30
 
+logger = get_logger("calls")
+
 
 class RetryPolicy:
     """Rules for further attempts of a call; `budget` is the VM's `RetryBudget`."""
@@ -32,10 +35,25 @@
         reason = self.reason_of_limits(call, progress, progress.runs)
         if reason:
             return reason
-        if may_have_arrived(error) and not self.budget.try_acquire(call.service):
+        if may_have_arrived(error) and not self.acquire(call):
             return "the retry budget is exhausted"
         return None
 
+    def acquire(self, call):
+        """Return whether the budget allows one more retry, count it, and log both."""
+        is_allowed = self.budget.try_acquire(call.service)
+        logger.info(
+            "retry allowed" if is_allowed else "retry refused",
+            extra={
+                "request": call.id,
+                "service": call.service,
+                "used": self.budget.used(call.service),
+                "allowed": self.budget.allowed(call.service),
+                "share": self.budget.vm_share(),
+            },
+        )
+        return is_allowed
+
     def reason_of_limits(self, call, progress, runs):
         """Return which limit forbids another attempt after `runs` runs, or None."""
         if runs >= call.route.attempts:
--- a/pollenmount/retry_budget.py
+++ b/pollenmount/retry_budget.py
@@ -54,6 +54,10 @@
         retries.append(self.clock.now())
         return True
 
+    def used(self, service=""):
+        """Return how many retries of a service were made in the present window."""
+        return len(self.recent(self.retries, service))
+
     def allowed(self, service):
         """Return how many retries of a service are allowed in the present window."""
         requests = len(self.recent(self.requests, service))
