See a target crash that closes its connections and port one by one

Cause: an entry VM asked once, at the moment at which the request's connection broke, whether the target takes connections. A kernel closes the sockets of a process one after the other, here the newest first, so the port and older connections are open then. Without evidence there is no quarantine. Class of fault: one look taken for the state, where the state is reached over time.

Ruled out: a longer wait before the one question, since it would hold up each retry after a reset.

--- a/pollenmount/gateway/request_guard.py
+++ b/pollenmount/gateway/request_guard.py
@@ -61,8 +61,23 @@
             and digest not in self.answered
             and not self.is_leaving(destination)
         ):
-            progress.crashed = self.probe.has_crashed(destination)
-        if progress.crashed and self.reports.try_acquire():
+            self.look_for_crash(call, progress, destination)
+
+    def look_for_crash(self, call, progress, destination):
+        """Report a request if its target has crashed, or is found to a little later."""
+
+        def report_crash():
+            progress.crashed = True
+            if progress.digest not in self.answered:
+                self.report(call, progress.digest, destination)
+
+        progress.crashed = self.probe.has_crashed(destination, report_crash)
+        if progress.crashed:
+            report_crash()
+
+    def report(self, call, digest, destination):
+        """Report that a target crashed that had a request."""
+        if not self.is_leaving(destination) and self.reports.try_acquire():
             id_, born = destination.target_id, destination.incarnation
             report = RequestsCrashed(id_, born, call.id, (digest,))
             self.fleet.handle(report, RESPONSE)
--- a/tests/stream_traffic.py
+++ b/tests/stream_traffic.py
@@ -224,7 +224,7 @@
         settings = make_settings(node.name, node.region)
         context = make_context(settings, node.fleet, LoadTracker(dict), metrics)
         context.random = random.Random(node.name)
-        probe = types.SimpleNamespace(has_crashed=lambda destination: False)
+        probe = types.SimpleNamespace(has_crashed=lambda *args: False)
         context.guard.requests.probe = probe
         clock = self.fleet.clock
         budget = RetryBudget(clock, BOUNDS.retry_limits, node.fleet.entry_counter.share)
--- a/tests/test_deadly_requests.py
+++ b/tests/test_deadly_requests.py
@@ -67,7 +67,7 @@
         yield ResponseHead(200, (), target, "west")
         yield b"done"
 
-    def has_crashed(self, destination):
+    def has_crashed(self, destination, on_crash=None):
         """Stand in for `CrashProbe`."""
         return destination.target_id in self.back_at
 
