--- a/tests/test_odd_documents.py
+++ b/tests/test_odd_documents.py
@@ -467,7 +467,10 @@
 
 # Guards against a link that another build ends by a message that it may not send.
 def test_a_message_that_may_not_come_is_an_error_of_the_link():
-    client = types.SimpleNamespace(fleet=EntryHarness().fleet, established={"c"})
+    harness = EntryHarness()
+    client = types.SimpleNamespace(
+        fleet=harness.fleet, clock=harness.clock, established={"c"}
+    )
     with pytest.raises(ChannelError):
         LinkClient.handle(client, "c", StreamAsked(1))
 
