Let one of two voters that ask for pre-votes at once step back

Cause: two voters whose timers fire within the time of one message grant each other's pre-votes, as these are no votes. Both then start an election and refuse each other's vote. Several such elections in a row add up. Class of fault: a tie that both sides leave to chance.

Change: a voter that asks for pre-votes, and grants one to a voter with a newer log, or an equal one and a name that sorts later, ends its own request. Its timer stays, so it asks again if the other does not win. Pre-votes carry no safety, and terms and votes are as before.

--- a/pollenmount/consensus/election.py
+++ b/pollenmount/consensus/election.py
@@ -103,9 +103,24 @@
         and is_log_up_to_date(state, message)
         and not has_live_leader(ctx)
     )
+    if granted and is_preferred(state, message, sender):
+        # Two that ask at the same time would both get votes enough to start an
+        # election, and then each refuse the other's vote.
+        ctx.update(role=Role.FOLLOWER, votes=frozenset())
     ctx.send(sender, PreVoteReply(message.term if granted else state.term, granted))
 
 
+def is_preferred(state, message, sender):
+    """Return whether this replica asks for pre-votes too, and `sender` goes before it.
+
+    The one with the newer log does, or else the one whose name sorts last.
+    """
+    log = state.log
+    own = (log.last_term, log.last_index, state.me)
+    asked = (message.last_term, message.last_index, sender)
+    return state.role is Role.PRE_CANDIDATE and asked > own
+
+
 @receive.register
 def _(message: PreVoteReply, ctx, sender):
     state = ctx.state
--- a/scripts/mutations.py
+++ b/scripts/mutations.py
@@ -308,6 +308,13 @@
         "if uninitialized:",
         GROUP_CLIENT_TESTS,
     ),
+    Mutation(
+        "two voters that ask at once both go on",
+        ELECTION,
+        "if granted and is_preferred(state, message, sender):",
+        "if False:",
+        "tests/stateful/test_raft_split_votes.py",
+    ),
     Mutation(
         "one witness of three proves that there is no group",
         "pollenmount/consensus/founding.py",
--- a/tests/stateful/test_raft_rules.py
+++ b/tests/stateful/test_raft_rules.py
@@ -51,6 +51,25 @@
     assert effects == (s.Send(B, m.VoteReply(9, False)),)
 
 
+def ask_for_pre_votes(replica, other):
+    """Let a replica that asks for pre-votes get another's request and grant."""
+    log = s.Log(0, 0, (first_configuration(ABC),))
+    state = s.restore(replica, TIMING, 0, term=4, log=log)
+    state, _ = run_steps(state, m.Tick())
+    request = m.Receive(other, m.PreVoteRequest(5, 1, 1))
+    state, effects = run_steps(state, request)
+    assert effects == (s.Send(other, m.PreVoteReply(5, True)),)
+    return run_steps(state, m.Receive(other, m.PreVoteReply(5, True)))[0]
+
+
+def test_one_of_two_that_ask_for_pre_votes_at_once_steps_back_and_tries_again():
+    state = ask_for_pre_votes(A, B)
+    assert (state.role, state.term) == (s.Role.FOLLOWER, 4)
+    state, _ = run_steps(state, m.Tick(), now=state.election_at)
+    assert state.role is s.Role.PRE_CANDIDATE
+    assert ask_for_pre_votes(B, A).role is s.Role.CANDIDATE
+
+
 def test_old_terms_entry_is_committed_only_under_one_of_this_term():
     state = elect_leader(first_configuration(ABC), m.Entry(2, "x", b""))
     state, _ = run_steps(state, ack(B, 2))
