Show by failing tests that a replica that is behind is taken for in touch

A replica that is catching up without a vote, and one that can take nothing from the leader as its disk is full, hear the leader and count as in touch. The tests fail on this code and are listed.

--- a/tests/test_gateway_routes_log.py
+++ b/tests/test_gateway_routes_log.py
@@ -8,8 +8,10 @@
 
 from pollenmount import task
 from pollenmount.clock import Clock
+from pollenmount.consensus.calls import Exchange, encode_message
 from pollenmount.consensus.disk import Disk
-from pollenmount.consensus.messages import Configuration
+from pollenmount.consensus.journal import Journal, JournalFullError
+from pollenmount.consensus.messages import Append, Configuration, Entry
 from pollenmount.consensus.state import Role
 from pollenmount.fleet.fleet import Fleet
 from pollenmount.gateway.routes_log import RoutesLog
@@ -97,20 +99,54 @@
     return routes_log
 
 
-# A control VM without a vote kept its leader for good, and asked nobody for orders.
-def test_a_replica_without_a_vote_is_not_in_touch_with_a_silent_leader(log):
-    group = log.group
-    other = group.me._replace(name="other", address="127.0.0.1:1")
+def follow(group, learner=False):
+    """Let a replica follow another one, which it has just heard; return that one."""
+    me = group.me
+    other = me._replace(name="other", address="127.0.0.1:1")
+    configuration = Configuration((me, other))
+    if learner:
+        configuration = Configuration((other,), (), (me,))
+    now = group.clock.now()
     group.state = group.state._replace(
         role=Role.FOLLOWER,
         leader=other,
-        configuration=Configuration((other,), (), (group.me,)),
-        heard_at=group.clock.now(),
+        configuration=configuration,
+        heard_at=now,
+        election_at=now + SILENCE_MS,
     )
+    return other
+
+
+# A control VM without a vote kept its leader for good, and asked nobody for orders.
+def test_a_replica_without_a_vote_is_not_in_touch_with_a_silent_leader(log):
+    follow(log.group, learner=True)
     task.sleep(SILENCE_MS)
     assert not log.has_quorum()
 
 
+# A control VM whose replica was catching up asked nobody for newer orders.
+def test_a_replica_without_a_vote_is_not_in_touch_while_it_catches_up(log):
+    follow(log.group, learner=True)
+    assert not log.has_quorum()
+
+
+# A control VM whose disk was full heard the leader, and could take nothing from it.
+def test_a_replica_whose_disk_is_full_is_not_in_touch(log, monkeypatch):
+    def fail(journal, *args):
+        raise JournalFullError("no space")
+
+    group = log.group
+    other = follow(group)
+    assert log.has_quorum()
+    monkeypatch.setattr(Journal, "save", fail)
+    last = group.state.log.last_index
+    term = group.state.term
+    for entries in ((Entry(term, "noop", b""),), ()):
+        append = Append(term, last, term, entries, last, 1)
+        group.exchange(Exchange("routes", other, group.me, (encode_message(append),)))
+    assert not log.has_quorum()
+
+
 # A control VM whose replica had failed told its entry VMs that it was in touch.
 def test_a_replica_that_has_failed_is_not_in_touch(log, monkeypatch):
     def fail(disk, name):
