Count only replicas that keep up with the log as in touch with it

A replica without a vote hears the leader while it catches up, one whose disk is full hears it and can store nothing: both counted as in touch, so that their VM asked no other for plans and evacuations. Change: a replica without a vote is not in touch, since it gets one as soon as it has caught up; nor is a follower that has dropped messages for want of room within twice the election timeout.

--- a/pollenmount/consensus/group.py
+++ b/pollenmount/consensus/group.py
@@ -79,6 +79,7 @@
         )
         self.commit_save_at = 0
         self.processed_at = clock.now()
+        self.dropped_at = None
         self.apply()
         self.loop = task.spawn(self.run)
 
@@ -121,19 +122,23 @@
         self.inbox.put(m.Bootstrap(m.Configuration(tuple(replicas))))
 
     def is_in_touch(self):
-        """Return whether this replica leads, or lately heard the leader, and goes on.
+        """Return whether this replica leads, or follows the leader and keeps up.
 
         One that has failed, waits for its disk or has no vote keeps the leader that it
         had. A voter gives up a silent leader after twice the election timeout at most.
+        Without a vote, or room on the disk, one may be behind the leader that it hears.
         """
-        state = self.state
+        state, now = self.state, self.clock.now()
+        timeout_ms = 2 * self.timing.election_timeout_ms
         if self.failure or state.leader is None:
             return False
-        heard_at = self.processed_at
-        if state.role is not s.Role.LEADER:
-            heard_at = min(heard_at, state.heard_at)
-        silent_ms = self.clock.now() - heard_at
-        return silent_ms < 2 * self.timing.election_timeout_ms
+        if now - self.processed_at >= timeout_ms:
+            return False
+        if state.role is s.Role.LEADER:
+            return True
+        has_dropped = self.dropped_at is not None and now - self.dropped_at < timeout_ms
+        can_vote = state.configuration.can_vote(self.me)
+        return can_vote and not has_dropped and now - state.heard_at < timeout_ms
 
     def submit(self, request, timeout_ms):
         """Queue a request; return what its `done` receives, or None on a timeout."""
@@ -264,6 +269,7 @@
         processed once more without them.
         """
         logger.error("disk full", extra={"group": self.name, "problem": str(error)})
+        self.dropped_at = self.clock.now()
         for proposal in proposals:
             proposal.done.send(self.reply(ProposalOutcome.DISK_FULL))
         self.transfer_started = False
