Log responses that have not the id of their request

A refusal of the request that waits, and a copy of an earlier one without an id, left the same 'attempt failed'. The line tells them apart: the id that came, whether it is a refusal, and how many requests the connection had carried. No change of logic.

--- a/pollenmount/gateway/attempt.py
+++ b/pollenmount/gateway/attempt.py
@@ -7,6 +7,7 @@
 from pollenmount.gateway.dialect import AttemptInfo
 from pollenmount.gateway.hop import HOP_VERSION, is_hop_header, raise_if_refused
 from pollenmount.gateway.target_pauses import bounded_pause_ms
+from pollenmount.log import get_logger
 from pollenmount.routes.plan import RetryMode
 from pollenmount.wire.connection import encode_request
 from pollenmount.wire.errors import ExchangeError, MalformedResponseError
@@ -38,6 +39,8 @@
 # A response to another request may be as long as any; a refusal is far shorter.
 MAX_DISCARDED_BYTES = MAX_COMPLETE_RESPONSE_BYTES
 
+logger = get_logger("calls")
+
 
 class NotRunError(ExchangeError):
     """The target reports that it did not run the request."""
@@ -187,6 +190,8 @@
             head = connection.read_head(remaining_ms)
             raise_if_refused(head)
             info = self.dialect.read_response(head)
+            if info.id != attempt.call.id:
+                log_other_id(connection, attempt, head.status, info)
             if info.id == attempt.call.id or (info.not_run and not info.id):
                 return head, info
             discard(connection.read_body(head, attempt.call.method, remaining_ms))
@@ -260,6 +265,21 @@
     )
 
 
+def log_other_id(connection, attempt, status, info):
+    """Log a response without the id of the request that waits for one."""
+    logger.info(
+        "response without the request's id",
+        extra={
+            "request": attempt.call.id,
+            "place": attempt.destination.name,
+            "response_id": info.id,
+            "status": status,
+            "not_run": info.not_run,
+            "connection_requests": connection.requests_sent,
+        },
+    )
+
+
 def discard(parts):
     """Read a body to its end without keeping it.
 
