Show that a copy of a refusal is taken for another request's

On real sockets, known to fail: a target writes an earlier refusal once more and runs the request that follows.

--- a/tests/gateway_sockets.py
+++ b/tests/gateway_sockets.py
@@ -34,6 +34,8 @@
 ROUTES = (
     make_route(RetryMode.STREAM, prefix="/stream/", timeout_ms=60_000),
     make_route(RetryMode.ONCE, prefix="/once/", timeout_ms=60_000),
+    make_route(prefix="/again/", timeout_ms=60_000),
+    make_route(RetryMode.STREAM, prefix="/resumed/", timeout_ms=60_000, resumable=True),
 )
 
 
