Take a refusal between VMs from a VM only

A response with the header by which VMs refuse hops was taken for such a refusal also where a target had written it: 'not run', before its id and its own headers were looked at. No caller can have seen it but by a faulty target; test_a_refusal_of_a_hop_is_none_of_a_target failed before (HopRefusedError, not run). The header is read now on attempts at VMs only.

A hop's refusal has no id. It stays bound to its attempt because its connection is closed after it, which a test now states.

test_an_unreadable_refusal_of_a_hop_is_malformed runs against a VM instead of a target, with the response stamp, so that only the header can be what is malformed.

--- a/pollenmount/gateway/attempt.py
+++ b/pollenmount/gateway/attempt.py
@@ -188,7 +188,8 @@
         remaining_ms = self.make_remaining_ms(attempt.call)
         for _ in range(MAX_FOREIGN_RESPONSES):
             head = connection.read_head(remaining_ms)
-            raise_if_refused(head)
+            if not attempt.destination.target_id:
+                raise_if_refused(head)
             info = self.dialect.read_response(head)
             if info.id != attempt.call.id:
                 log_other_id(connection, attempt, head.status, info)
--- a/tests/test_gateway_sender.py
+++ b/tests/test_gateway_sender.py
@@ -14,6 +14,7 @@
     Sender,
 )
 from pollenmount.gateway.call import ResponseHead
+from pollenmount.gateway.hop import HopRefusedError
 from pollenmount.routes.plan import RetryMode
 from pollenmount.wire.connection import Connection, HttpResponseHead
 from pollenmount.wire.errors import ExchangeError, MalformedResponseError
@@ -73,12 +74,12 @@
         self.returned = False
 
 
-def run(*blocks, route=None, reset=False):
-    """Return (parts, pool) of one attempt."""
+def run(*blocks, route=None, reset=False, target="a"):
+    """Return (parts, pool) of one attempt, at a VM of another region if no target."""
     pool = ScriptedPool(ScriptedConnection(blocks, reset))
     sender = Sender(pool, DIALECT, ManualClock(1_000_000))
     call = EntryHarness().make_call(route)
-    destination = AttemptDestination("a", "a:1", 1, "west", "a")
+    destination = AttemptDestination("a", "a:1", 1, "west", target)
     parts = []
     try:
         for part in sender.run(Attempt(call, destination, "", ResponseObserver())):
@@ -211,11 +212,28 @@
 # Guards against an unexpected error for bytes that a broken peer sends as a refusal.
 @pytest.mark.parametrize("text", ["{", "[]", '["x"]', "\xff"])
 def test_an_unreadable_refusal_of_a_hop_is_malformed(text):
-    parts, pool = run(response_bytes(extra=f"Pollenmount-Hop-Refused: {text}\r\n"))
+    extra = f"{STAMP}Pollenmount-Hop-Refused: {text}\r\n"
+    parts, pool = run(response_bytes(extra=extra), target="")
     assert [type(part) for part in parts] == [MalformedResponseError]
     assert not pool.returned
 
 
+# Guards against a target whose own response is taken for a refusal between VMs.
+def test_a_refusal_of_a_hop_is_none_of_a_target():
+    extra = 'Pollenmount-Hop-Refused: [503,"r",true,0]\r\n'
+    parts, _ = run(response_bytes(status=503, extra=extra))
+    assert isinstance(parts[0], FailedResponseError)
+    assert not parts[0].not_run
+
+
+# No id binds it to its request, so that it must be the last response on a connection.
+def test_a_refusal_of_a_hop_ends_the_connection():
+    extra = 'Pollenmount-Hop-Refused: [503,"r",true,0]\r\n'
+    parts, pool = run(response_bytes(status=503, extra=extra), target="")
+    assert isinstance(parts[0], HopRefusedError)
+    assert not pool.returned
+
+
 # Guards against a stream that loses its end because of a number in its target's head.
 def test_an_absurd_idle_time_of_a_target_is_left_out():
     headers = (("Keep-Alive", "timeout=" + "9" * 5000),)
