Believe a refusal only if it can't be a copy of an earlier one

Callers got 503 ('not run') for requests that a target ran, and once-only requests ran at two targets, when a faulty target wrote an earlier refusal once more on a kept connection.

A refusal without an id was taken for whatever request was next, and one with an id for the same request sent again: the id is the request's, so a second attempt, or a caller's request that comes again, has it as well.

What a refusal proves now: that its request has not run, if it has that id and the connection has brought no response to the id before, or if it has no id and is the first response on its connection. Any other is a malformed response: the request may have run. The mirrored case, a success written twice, is covered by the same ids.

Not covered: a target that repeats on one connection what it wrote under the same id on another.

In that file, a stray refusal is now written on used connections only: on a new one there is nothing earlier to repeat. In test_target_notices.py, test_a_hop_passes_the_notice_on_and_keeps_the_vm sends its second request under an id of its own, as callers do.

--- a/pollenmount/gateway/attempt.py
+++ b/pollenmount/gateway/attempt.py
@@ -13,6 +13,7 @@
 from pollenmount.wire.errors import ExchangeError, MalformedResponseError
 from pollenmount.wire.events import EventSplitter
 from pollenmount.wire.numbers import parse_decimal
+from pollenmount.wire.pool import MAX_IDLE_MS
 
 __all__ = [
     "Attempt",
@@ -143,11 +144,8 @@
         call, destination = attempt.call, attempt.destination
         key = destination.connection_key
         non_idempotent = not call.route.may_retry
-        connection = self.pool.acquire(
-            key,
-            destination.address,
-            *((NON_IDEMPOTENT_MAX_IDLE_MS,) if non_idempotent else ()),
-        )
+        max_idle_ms = NON_IDEMPOTENT_MAX_IDLE_MS if non_idempotent else MAX_IDLE_MS
+        connection = self.pool.acquire(key, destination.address, max_idle_ms, call.id)
         connection.may_abandon = attempt.observer.may_abandon
         head = None
         try:
@@ -183,7 +181,8 @@
         """Return (head, info) of the response to this call.
 
         A target may respond twice to an earlier request on the same connection; such
-        responses are recognized by their request id and skipped.
+        responses are recognized by their request id and skipped. A refusal without one
+        may be a copy as well, unless this is the first request on the connection.
         """
         remaining_ms = self.make_remaining_ms(attempt.call)
         for _ in range(MAX_FOREIGN_RESPONSES):
@@ -191,10 +190,12 @@
             if not attempt.destination.target_id:
                 raise_if_refused(head)
             info = self.dialect.read_response(head)
-            if info.id != attempt.call.id:
-                log_other_id(connection, attempt, head.status, info)
-            if info.id == attempt.call.id or (info.not_run and not info.id):
+            if info.id == attempt.call.id:
+                connection.ids.add(info.id, is_success(head.status))
                 return head, info
+            log_other_id(connection, attempt, head.status, info)
+            if info.not_run and not info.id:
+                raise unidentified_refusal_error(connection, head.status, info)
             discard(connection.read_body(head, attempt.call.method, remaining_ms))
             if not connection.reusable:
                 break
@@ -266,6 +267,13 @@
     )
 
 
+def unidentified_refusal_error(connection, status, info):
+    """Return the error for a refusal without id, after which a connection is closed."""
+    if connection.requests_sent == 1:
+        return not_run_error(status, info)
+    return MalformedResponseError("a refusal of an unknown request")
+
+
 def log_other_id(connection, attempt, status, info):
     """Log a response without the id of the request that waits for one."""
     logger.info(
--- a/pollenmount/wire/connection.py
+++ b/pollenmount/wire/connection.py
@@ -10,6 +10,7 @@
 from typing import NamedTuple
 
 from pollenmount import task
+from pollenmount.wire.answered_ids import AnsweredIds
 from pollenmount.wire.errors import (
     ConnectError,
     ConnectRefusedError,
@@ -123,7 +124,8 @@
 
     `reusable` is whether another request may follow the previous one. `requests_sent`
     counts the requests sent. `may_abandon` is called with the time for which nothing
-    has arrived; while it returns false, TCP does not give up a silent peer.
+    has arrived; while it returns false, TCP does not give up a silent peer. `ids` are
+    those of requests that must not be sent over it again.
     """
 
     def __init__(self, connected_socket):
@@ -133,6 +135,7 @@
         self.reusable = True
         self.eof_received = False
         self.requests_sent = 0
+        self.ids = AnsweredIds()
         self.chunks_in_turn = 0
         self.unsent_bytes = 0
         self.sender_task = None
--- a/pollenmount/wire/pool.py
+++ b/pollenmount/wire/pool.py
@@ -6,7 +6,7 @@
 from pollenmount.wire.connection import Connection, connect
 from pollenmount.wire.numbers import parse_decimal
 
-__all__ = ["ConnectionPool"]
+__all__ = ["MAX_IDLE_MS", "ConnectionPool"]
 
 CONNECT_TIMEOUT_MS = 400
 DEFAULT_MAX_IDLE_MS = 400
@@ -40,12 +40,13 @@
         self.pending_connects = {}
         self.retired = set()
 
-    def acquire(self, key, address, max_idle_ms=MAX_IDLE_MS):
-        """Return a pooled connection idle for at most `max_idle_ms`, else a new one."""
+    def acquire(self, key, address, max_idle_ms=MAX_IDLE_MS, id_=None):
+        """Return a pooled connection idle for at most `max_idle_ms`, else a new one.
+
+        One that has brought a response to the request `id_` stays in the pool.
+        """
         now = self.clock.now()
-        idle = self.idle.get(key, [])
-        while idle:
-            entry = idle.pop()
+        while entry := self.take_idle(key, id_):
             is_fresh = (
                 now < entry.usable_until and now - entry.idle_since <= max_idle_ms
             )
@@ -54,6 +55,14 @@
             self.discard(key, entry.connection)
         return self.connect(key, address)
 
+    def take_idle(self, key, id_):
+        """Remove and return the newest idle connection for a request, or None."""
+        idle = self.idle.get(key, [])
+        for index in reversed(range(len(idle))):
+            if id_ not in idle[index].connection.ids:
+                return idle.pop(index)
+        return None
+
     def connect(self, key, address):
         """Open a new connection, and record its start time until it is open."""
         self.open_counts[key] += 1
@@ -79,7 +88,11 @@
     def release(self, key, connection, head):
         """Return a connection to the pool, or close it if it can't be reused."""
         idle = self.idle.setdefault(key, [])
-        is_kept = connection.reusable and key not in self.retired
+        is_kept = (
+            connection.reusable
+            and key not in self.retired
+            and not connection.ids.is_full
+        )
         if not is_kept or len(idle) >= MAX_IDLE_CONNECTIONS:
             self.discard(key, connection)
             return
--- a/tests/test_repeated_refusals.py
+++ b/tests/test_repeated_refusals.py
@@ -28,8 +28,8 @@
 
     `script` has for each request in order how it begins: `refuse` or `refuse without
     id`; `copy` repeats the connection's last refusal and runs the request; `stray` does
-    so with a refusal of another connection. `ran` has the ids that it ran, and
-    `connections` those that were used.
+    so with a refusal without id, on a connection that was used before. `ran` has the
+    ids that it ran, and `connections` those that were used.
     """
 
     def __init__(self, address, *script):
@@ -43,7 +43,8 @@
         """Respond to one request."""
         exchange.read_body()
         connection = exchange.connection
-        if connection not in self.connections:
+        was_used = connection in self.connections
+        if not was_used:
             self.connections.append(connection)
         step = self.script.pop(0) if self.script else ""
         if step.startswith("refuse"):
@@ -52,7 +53,7 @@
             return
         if step == "copy":
             connection.sendall(self.refusals.get(connection, b""))
-        elif step == "stray":
+        elif step == "stray" and was_used:
             connection.sendall(refusal(exchange, has_id=False))
         self.ran.append(exchange.headers["x-pollenmount-attempt-id"])
         exchange.send_response(b"id: 1\ndata: x\n\n")
@@ -144,7 +145,7 @@
 
 # Guards against a request that runs at a second target while the first runs it (TWICE).
 def test_a_request_with_such_a_refusal_is_not_sent_to_a_second_target(entry, serve):
-    targets = [serve("", "", "stray", "stray"), serve("", "", "stray", "stray")]
+    targets = [serve(*["stray"] * 8), serve(*["stray"] * 8)]
     ids = [f"id-{number}" for number in range(8)]
     for id_ in ids:
         ask(entry, id_, "/once/1")
--- a/tests/test_target_notices.py
+++ b/tests/test_target_notices.py
@@ -207,7 +207,7 @@
     head, *_ = vm.serve(response_bytes(extra=STAMP + KEEP_ALIVE + LEAVING))
     assert ("Server-Leaving", "1") in head.headers
     assert not vm.opened[0].closed
-    vm.serve()
+    vm.serve(info=vm.harness.make_call().info._replace(id="id-2"))
     assert len(vm.opened) == 1
     assert not vm.harness.fleet.targets.leaving.born_by_id
 
