Answer what came while a stopping VM stood still

Callers got a reset, or a connection closed without an answer, 0.4 to 0.6 s after they had sent a request to an entry VM that was stopping, where 0.2 s are the most for requests that cross the close (LOST).

Cause: the last step of a stop is to sleep for 0.2 s, then end. If the VM stands still meanwhile, the event loop runs the timer that ends the sleep before it polls its sockets: the process ends although requests have waited in them, or in the listener's queue, for as long as it stood still.

A program that ends now goes on until a turn of the event loop was in time and nothing runs (last_requests.py): entry VMs, control VMs and the product's node.

--- a/pollenmount/gateway/roles/control.py
+++ b/pollenmount/gateway/roles/control.py
@@ -5,6 +5,7 @@
 from pollenmount.fleet.server import LinkServer
 from pollenmount.gateway.control import ControlApi, DirectoryApi
 from pollenmount.gateway.routes_log import RoutesLog
+from pollenmount.last_requests import answer_last_requests
 from pollenmount.plugin import register
 
 __all__ = ["ControlRole"]
@@ -62,3 +63,7 @@
         while self.operators.active and self.node.clock.now() < deadline:
             task.sleep(POLL_INTERVAL_MS)
         task.sleep(STOP_TIMEOUT_MS // 2)
+        clock = self.node.clock
+        answer_last_requests(
+            lambda: self.operators.active, clock, clock.now() + STOP_TIMEOUT_MS
+        )
--- a/pollenmount/gateway/roles/entry.py
+++ b/pollenmount/gateway/roles/entry.py
@@ -22,6 +22,7 @@
 from pollenmount.gateway.stream_resumption import StreamResumption
 from pollenmount.gateway.target_notices import TargetNotices
 from pollenmount.gateway.target_pauses import TargetPauses
+from pollenmount.last_requests import answer_last_requests
 from pollenmount.log import get_logger
 from pollenmount.plugin import register
 from pollenmount.retry_budget import RetryBudget
@@ -37,6 +38,7 @@
 # refuses requests slightly earlier.
 REFUSE_AFTER_SHARE = 0.36
 STOP_AFTER_SHARE = 0.93
+CLOSE_AFTER_SHARE = 0.97
 CLOSE_DELAY_MS = 200
 READY_DELAY_MS = 300
 NOT_READY = 503
@@ -165,6 +167,8 @@
         logger.info("refusing")
         self.wait_while(requested_at + STOP_AFTER_SHARE * grace_ms, self.is_busy)
         task.sleep(CLOSE_DELAY_MS)
+        close_at = requested_at + CLOSE_AFTER_SHARE * grace_ms
+        answer_last_requests(self.is_busy, node.clock, close_at)
 
     def is_busy(self):
         """Return whether requests are running."""
--- a/pollenmount/node.py
+++ b/pollenmount/node.py
@@ -5,6 +5,7 @@
 
 from pollenmount import task
 from pollenmount.kernel import Kernel
+from pollenmount.last_requests import answer_last_requests
 from pollenmount.log import get_logger
 
 __all__ = ["run_node", "stop"]
@@ -59,6 +60,11 @@
         CONNECTION_CLOSE_TIMEOUT_MS,
         lambda: count_connections(servers),
     )
+    answer_last_requests(
+        lambda: count_active(servers) and not skip_waits(),
+        kernel.clock,
+        kernel.clock.now() + CONNECTION_CLOSE_TIMEOUT_MS,
+    )
     unfinished = count_active(servers)
     logger.info("stopped", extra={"unfinished": unfinished})
     return unfinished
