Answer a request that came before its connection's idle time ended

A caller that used an idle connection again in time got a connection closed without an answer, when the VM was busy past the end of the idle time: after a stall the event loop may look at its timers before its sockets, so the time-out was raised although the request had been there for long. test_a_request_that_came_before_the_idle_time_ended_is_answered failed before on a first and on a later request. The connection now looks at its socket before it gives up; the reader of links and responses does so already (task.SocketReader).

--- a/pollenmount/api/connection.py
+++ b/pollenmount/api/connection.py
@@ -135,7 +135,7 @@
         self.connection.settimeout(limits.idle_s)
         self.end = End.IDLE
         try:
-            if not self.rfile.peek(1):
+            if not self.wait_for_request():
                 self.end = End.CALLER_CLOSED
                 return None
             self.end = End.HEAD_UNREADABLE
@@ -155,6 +155,27 @@
             message = f"send the request head within {limits.head_s:g} s"
             return Err(Refusal(RefusalKind.SLOW_REQUEST, message))
 
+    def wait_for_request(self):
+        """Return whether a request begins within the idle time; False at the end.
+
+        After a stall the event loop may run timers before it polls sockets, so that a
+        request may have arrived although the time-out was raised.
+        """
+        try:
+            return bool(self.rfile.peek(1))
+        except TimeoutError:
+            if not self.has_unread_data():
+                raise
+        # The file can't be read any more after a time-out; its buffer is empty.
+        self.rfile = self.connection.makefile("rb", self.rbufsize)
+        return bool(self.rfile.peek(1))
+
+    def has_unread_data(self):
+        """Return whether received bytes wait in the socket."""
+        with contextlib.suppress(OSError):
+            return bool(self.connection.fd.recv(1, socket.MSG_PEEK))
+        return False
+
     def send_refusal(self, refusal):
         """Reply to a head that cannot be served, and close the connection."""
         self.end = End.REFUSED
