Let no odd id or name end the requests that meet it

A heartbeat under an id such as a euro sign was taken, and each request that chose that target ended with 500 (UnicodeEncodeError): the id stands in a header of the request. A service of such a name could get no request by way of another region, for the same reason.

--- a/pollenmount/gateway/hop.py
+++ b/pollenmount/gateway/hop.py
@@ -123,13 +123,13 @@
         call.plan_version,
         version,
     )
-    return (HOP_REQUEST, msgspec.json.encode(request).decode())
+    return (HOP_REQUEST, encode_header(request))
 
 
 def decode_hop(text):
     """Return the `HopRequest` in a header, or None if it is invalid."""
     try:
-        return decode_json(text, HopRequest)
+        return decode_header(text, HopRequest)
     except UnreadableDocumentError:
         return None
 
@@ -163,7 +163,7 @@
         error_response.retry_after_ms,
         sends,
     )
-    headers = [(HOP_REFUSED, msgspec.json.encode(refusal).decode())]
+    headers = [(HOP_REFUSED, encode_header(refusal))]
     if error_response.pause_ms:
         headers.append((HOP_PAUSE_MS, str(error_response.pause_ms)))
     if error_response.quarantine_ms:
@@ -183,7 +183,7 @@
     if not text:
         return
     try:
-        refusal = decode_json(text, HopRefusal)
+        refusal = decode_header(text, HopRefusal)
         pause_ms = read_milliseconds(head, HOP_PAUSE_MS)
         quarantine_ms = read_milliseconds(head, HOP_QUARANTINE_MS)
     except UnreadableDocumentError as error:
@@ -195,7 +195,17 @@
 
 def read_milliseconds(head, name):
     """Return the number in a header of a refusal, 0 if it is absent."""
-    return decode_json(head.header(name.lower()) or "0", DurationMs)
+    return decode_header(head.header(name.lower()) or "0", DurationMs)
+
+
+def encode_header(value):
+    """Return a value as JSON whose bytes pass through a header of HTTP."""
+    return msgspec.json.encode(value).decode("latin-1")
+
+
+def decode_header(text, type_):
+    """Return the `type_` in a header, or raise `UnreadableDocumentError`."""
+    return decode_json(text.encode("latin-1", "replace"), type_)
 
 
 def is_hop_header(name):
--- a/tests/test_odd_documents.py
+++ b/tests/test_odd_documents.py
@@ -17,6 +17,7 @@
 import pytest
 
 from pollenmount.api.callers import parse_chat
+from pollenmount.api.head import parse_head
 from pollenmount.api.targets import TargetsApi
 from pollenmount.bridge.control import ControlServer
 from pollenmount.clock import ManualClock
@@ -53,7 +54,7 @@
 from pollenmount.settings_rules import find_address_problem
 from pollenmount.targets.table import TargetTable
 from pollenmount.targets.upstream import UpstreamError
-from pollenmount.wire.connection import HttpResponseHead, connect
+from pollenmount.wire.connection import HttpResponseHead, connect, encode_request
 from pollenmount.wire.errors import ConnectError, MalformedResponseError
 from pollenmount.wire.numbers import parse_port
 from scripts.examples import INZIRA, make_settings
@@ -516,6 +517,26 @@
         journal.Journal(disk)
 
 
+# Guards against requests that end because their target's id fits into no header.
+@pytest.mark.parametrize(
+    "id_", ["\u20ac", "i\r\nX: 1", "\ud800", "", "i" * 500, "i\x7f", "\ufffd"]
+)
+def test_an_odd_id_names_no_target(id_):
+    document = json.dumps(HEARTBEAT).encode()
+    assert DIALECT.read_target(id_, document) is None
+    assert DIALECT.read_target("i-1_2.3:4", document).id == "i-1_2.3:4"
+
+
+# Guards against a service whose requests can't be sent to another region.
+@pytest.mark.parametrize("name", ["\u20ac", "\xe9"])
+def test_an_odd_name_of_a_service_fits_into_a_hop(name):
+    call = EntryHarness().make_call()._replace(service=name)
+    header = hop.encode_hop(call, 900, 2)
+    sent = encode_request("GET", "/", [header], b"")
+    received = parse_head([*sent.splitlines(keepends=True)[:2], b"Host: h\r\n"])
+    assert hop.decode_hop(received.ok_value.headers[0][1]).service == name
+
+
 # Guards against a request, or a link, that ends by the port of its address.
 @pytest.mark.parametrize(
     "port",
