Let the retry of a suspected request wait for the verdict on its target

Callers: after a quarantine of 30 s the one call that shows whether the request still crashes targets crashed two or three, each arrival beyond the bound of BUDGET. Cause: since a crash may be seen some ms late, the retry is under way before. Shown: the new test had 4 crashes for 3. Change: a retry of a request on which there is evidence waits 300 ms at most while it is not known whether its target crashed; no other one does. Tests changed: Desks in test_deadly_requests.py can find crashes late; LinkedVms shares the clock of the request guard too.

--- a/pollenmount/gateway/crash_guard.py
+++ b/pollenmount/gateway/crash_guard.py
@@ -23,8 +23,10 @@
     def may_crash_again(self, call, progress, error, sleep):
         """Return whether the prompt of a failed attempt may crash another target.
 
-        `sleep` waits for a number of milliseconds.
+        If the request itself is suspected, this waits for news of it, which puts it in
+        quarantine. `sleep` waits for a number of milliseconds.
         """
+        self.requests.wait_for_verdict(progress, sleep)
         return self.prompts.may_crash_again(call.info.prompt, progress, error, sleep)
 
     def record_refused_hop(self, progress, error):
--- a/pollenmount/gateway/request_guard.py
+++ b/pollenmount/gateway/request_guard.py
@@ -17,6 +17,9 @@
 ANSWERED_TTL_MS = 60_000
 MAX_REPORTS = 200
 REPORT_WINDOW_MS = 1000
+# Most processes that end have closed all their sockets by then.
+VERDICT_WAIT_MS = 300
+VERDICT_INTERVAL_MS = 20
 
 logger = get_logger("requests")
 
@@ -30,6 +33,7 @@
 
     def __init__(self, fleet, clock, metrics, probe):
         self.fleet = fleet
+        self.clock = clock
         self.metrics = metrics
         self.probe = probe
         self.answered = RecentKeys(clock, MAX_ANSWERED, ANSWERED_TTL_MS)
@@ -82,6 +86,20 @@
             report = RequestsCrashed(id_, born, call.id, (digest,))
             self.fleet.handle(report, RESPONSE)
 
+    def wait_for_verdict(self, progress, sleep):
+        """Wait until it is known whether a suspected request has crashed its target.
+
+        It is not for long, and not if nothing asked. `sleep` waits for a number of
+        milliseconds.
+        """
+        asked_at = self.clock.now()
+        while (
+            progress.crashed is False
+            and self.fleet.request_quarantine.is_suspected((progress.digest,))
+            and self.clock.now() - asked_at < VERDICT_WAIT_MS
+        ):
+            sleep(VERDICT_INTERVAL_MS)
+
     def is_leaving(self, destination):
         """Return whether a target was about to end, so it ends without a crash."""
         known = self.fleet.targets.by_id.get(destination.target_id)
--- a/tests/linked_vms.py
+++ b/tests/linked_vms.py
@@ -38,7 +38,7 @@
             for part in vars(owner).values():
                 if hasattr(part, "clock"):
                     part.clock = self.clock
-        guard.prompts.clock = self.clock
+        guard.prompts.clock = guard.requests.clock = self.clock
         vm.dispatcher.sleep = self.clock.advance
         vm.dispatcher.retries.clock = vm.budget.clock = self.clock
         vm.dispatcher.destinations.clock = self.clock
--- a/tests/test_deadly_requests.py
+++ b/tests/test_deadly_requests.py
@@ -44,7 +44,8 @@
 class Desks:
     """Targets of a plain service behind the VMs of one fleet.
 
-    Those in `resetting` close the connection of each request, and stay up.
+    Those in `resetting` close the connection of each request, and stay up. If
+    `is_seen_late`, crashes are found while a VM sleeps only.
     """
 
     def __init__(self):
@@ -52,6 +53,8 @@
         self.crashes = []
         self.back_at = {}
         self.resetting = ()
+        self.is_seen_late = False
+        self.watchers = []
 
     def run(self, attempt):
         """Crash under a deadly request, else answer."""
@@ -69,8 +72,18 @@
 
     def has_crashed(self, destination, on_crash=None):
         """Stand in for `CrashProbe`."""
+        if self.is_seen_late:
+            self.watchers.append(on_crash)
+            return False
         return destination.target_id in self.back_at
 
+    def sleep(self, ms):
+        """Let time pass, in which crashes are found."""
+        self.clock.advance(ms)
+        watchers, self.watchers = self.watchers, []
+        for on_crash in watchers:
+            on_crash()
+
     def crash(self, target):
         """Let a target take no connections for a while."""
         self.crashes.append(self.clock.now())
@@ -156,6 +169,29 @@
     assert vms.serve(DEADLY).status == 503
 
 
+# The retry of the call that was to show whether the request still crashes targets went
+# out before it was known that it had.
+def test_a_retry_of_a_suspected_request_waits_for_the_verdict(vms):
+    crash_two(vms)
+    vms.clock.advance(30_000)
+    vms.desks.is_seen_late = True
+    vms.all[3].dispatcher.sleep = vms.desks.sleep
+    assert vms.serve(DEADLY, vm=3).status == 502
+    assert len(vms.desks.crashes) == 3
+    assert vms.serve(DEADLY, vm=0).status == 503
+
+
+# Its callers would wait for each reset.
+def test_a_retry_of_any_other_request_does_not_wait(vms):
+    vms.desks.is_seen_late = True
+    vms.desks.resetting = TARGETS
+    sent_at = vms.clock.now()
+    vms.all[3].dispatcher.sleep = vms.desks.sleep
+    vms.serve(b"sound", vm=3)
+    assert len(vms.desks.arrivals) == 2
+    assert vms.clock.now() == sent_at
+
+
 # A quarantine of all that has the same caller and path would stop the route.
 def test_other_requests_of_the_caller_are_served(vms):
     crash_two(vms)
