Keep what is in quarantine when evidence on other keys comes in

Callers: a request or prompt in quarantine was sent to targets again once 2,048 other keys had evidence, and crashed two more. A target that crashes brings evidence on each request that it had not answered yet; with 31 targets of 128 slots that crash by turns that is a few dozen crashes. Cause: the store dropped the key with the oldest news, and what is in quarantine makes no news. Class of fault: a bound that drops by age what is kept for its age. Both stores, of requests and of parts of prompts, are the same class, so both are mended. Change: a key in quarantine is put behind the others instead, 64 in turn at most, so that the bound holds and an addition stays short.

--- a/pollenmount/fleet/quarantine.py
+++ b/pollenmount/fleet/quarantine.py
@@ -11,6 +11,8 @@
 __all__ = ["Crash", "PartQuarantine", "Quarantine", "RequestQuarantine"]
 
 MAX_KEYS = 2048
+# Keys in quarantine that are kept in turn before one is dropped all the same.
+MAX_KEPT_IN_TURN = 64
 MAX_CRASHES_KEPT = 8
 # Targets that end at one moment have a common cause, such as a loss of power.
 SAME_MOMENT_MS = 100
@@ -32,7 +34,7 @@
 
 
 class Quarantine:
-    """Evidence by key, in `crashes`, the key with the oldest news first.
+    """Evidence by key, in `crashes`: the oldest news first, but for what was kept.
 
     `durations_ms` is how long a key is not served after its last crash, by the number
     of crashes.
@@ -58,10 +60,24 @@
         in_order = sorted((*known, crash), key=lambda known_crash: known_crash.at)
         self.crashes[key] = tuple(in_order[-MAX_CRASHES_KEPT:])
         self.crashes.move_to_end(key)
-        if len(self.crashes) > MAX_KEYS:
-            self.crashes.popitem(last=False)
+        self.make_room()
         return True
 
+    def make_room(self):
+        """Drop keys beyond the bound, the oldest first, one in quarantine last.
+
+        A crash brings evidence on all that the target had, mostly for nothing; what is
+        in quarantine would be sent to targets again.
+        """
+        kept = 0
+        while len(self.crashes) > MAX_KEYS:
+            oldest = next(iter(self.crashes))
+            if kept < MAX_KEPT_IN_TURN and self.key_left_ms(oldest):
+                self.crashes.move_to_end(oldest)
+                kept += 1
+            else:
+                self.crashes.pop(oldest, None)
+
     def clear(self, keys):
         """Drop the evidence on keys that were served; return those that had any."""
         return tuple(key for key in keys if self.crashes.pop(key, None))
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -201,3 +201,23 @@
     model.run(2000)
     assert all(request_left(model))
     assert all(left(model))
+
+
+# Each crash adds whatever the target had beside the request that caused it.
+def test_a_quarantine_is_not_pushed_out_by_evidence_on_others(requests, clock):
+    for target in "abc":
+        requests.record(Crash(target, 1, target, clock.now()), ("deadly",))
+        clock.advance(SAME_MOMENT_MS)
+    for number in range(2 * MAX_KEYS):
+        requests.record(Crash("d", number, "", clock.now()), (f"sound-{number}",))
+    assert requests.left_ms(("deadly",)) > 0
+    assert len(requests.crashes) <= MAX_KEYS
+
+
+# Those that are all in quarantine make room too.
+def test_the_store_stays_bounded_if_all_are_in_quarantine(requests, clock):
+    for number in range(MAX_KEYS + 200):
+        for target, at in (("a", clock.now() - SAME_MOMENT_MS), ("b", clock.now())):
+            requests.record(Crash(target, 1, target, at), (f"key-{number}",))
+    assert len(requests.crashes) == MAX_KEYS
+    assert requests.left_ms((f"key-{number}",)) > 0
