Give a VM that starts none of the retry slack for one window

Callers: none seen; by the code, repeats of a service go beyond the bound when VMs start again within a window, and all at once most easily. Cause: the window of a process that starts is empty, and it had its whole part of the slack at once, though the process before it may have used that. Class of fault: a count that a restart forgets, in a bound over all VMs. Ruled out: keeping the count on a disk, which entry VMs don't have, and a part for a VM's first window from what SAFETY_FACTOR leaves, since a VM may start twice within it. Change: in its first window a VM retries by its own requests only. It costs retries just after a start; at the first start of a site no traffic comes so early. The product's own gateway (parts/routing.py) counts by node and is left as it is.

--- a/pollenmount/gateway/retry_policy.py
+++ b/pollenmount/gateway/retry_policy.py
@@ -8,9 +8,10 @@
 
 from pollenmount.gateway.hop import HopRefusedError, PeerNotReadyError
 from pollenmount.log import get_logger
+from pollenmount.retry_budget import RetryBudget
 from pollenmount.wire.errors import ConnectError, PeerUnreachableError
 
-__all__ = ["RESERVE_AFTER_MS", "RetryPolicy", "may_have_arrived"]
+__all__ = ["RESERVE_AFTER_MS", "RetryPolicy", "make_budget", "may_have_arrived"]
 
 MAX_SENDS = 5
 # TCP gives up a peer after 2 s without data and without replies to keepalive probes.
@@ -20,6 +21,13 @@
 logger = get_logger("calls")
 
 
+def make_budget(settings, fleet, clock):
+    """Return the `RetryBudget` of an entry VM that starts now."""
+    limits = settings.bounds.retry_limits
+    slack_from = clock.now() + limits.window_ms
+    return RetryBudget(clock, limits, fleet.entry_counter.share, slack_from)
+
+
 class RetryPolicy:
     """Rules for further attempts of a call; `budget` is the VM's `RetryBudget`."""
 
@@ -49,7 +57,7 @@
                 "service": call.service,
                 "used": self.budget.used(call.service),
                 "allowed": self.budget.allowed(call.service),
-                "share": self.budget.vm_share(),
+                "share": self.budget.share(),
             },
         )
         return is_allowed
--- a/pollenmount/gateway/roles/entry.py
+++ b/pollenmount/gateway/roles/entry.py
@@ -18,13 +18,13 @@
 from pollenmount.gateway.rate_limiter import RateLimiter
 from pollenmount.gateway.replies import empty_reply
 from pollenmount.gateway.request_guard import RequestGuard
+from pollenmount.gateway.retry_policy import make_budget
 from pollenmount.gateway.routing_context import RoutingContext
 from pollenmount.gateway.stream_resumption import StreamResumption
 from pollenmount.gateway.target_notices import TargetNotices
 from pollenmount.gateway.target_pauses import TargetPauses
 from pollenmount.log import get_logger
 from pollenmount.plugin import register
-from pollenmount.retry_budget import RetryBudget
 from pollenmount.wire.pool import ConnectionPool
 
 __all__ = ["EntryRole"]
@@ -73,9 +73,7 @@
                 RequestGuard(node.fleet, clock, node.metrics, CrashProbe(pool)),
             ),
         )
-        node.budget = RetryBudget(
-            clock, settings.bounds.retry_limits, node.fleet.entry_counter.share
-        )
+        node.budget = make_budget(settings, node.fleet, clock)
         sender = Sender(pool, node.dialect, clock)
         chooser = make_chooser(settings.chooser)
         node.dispatcher = Dispatcher(self.context, chooser, sender, node.budget, clock)
--- a/pollenmount/retry_budget.py
+++ b/pollenmount/retry_budget.py
@@ -24,12 +24,16 @@
 
     `vm_share`
         Returns the share, 0 to 1, of the slack that this VM may use (default all).
+    `slack_from`
+        When this VM may use it. Before a window has passed since its start, a process
+        that ran before it may have used it.
     """
 
-    def __init__(self, clock, limits=None, vm_share=lambda: 1.0):
+    def __init__(self, clock, limits=None, vm_share=lambda: 1.0, slack_from=0):
         self.clock = clock
         self.limits = limits or RetryLimits()
         self.vm_share = vm_share
+        self.slack_from = slack_from
         self.requests = {}
         self.retries = {}
         self.reserved = collections.Counter()
@@ -61,9 +65,13 @@
     def allowed(self, service):
         """Return how many retries of a service are allowed in the present window."""
         requests = len(self.recent(self.requests, service))
-        slack = self.limits.slack * self.vm_share()
+        slack = self.limits.slack * self.share()
         return SAFETY_FACTOR * (self.limits.ratio * requests + slack)
 
+    def share(self):
+        """Return the share of the slack that this VM may use now."""
+        return self.vm_share() if self.clock.now() >= self.slack_from else 0.0
+
     def reserve(self, service=""):
         """Return whether there is room for a retry that may become necessary.
 
