Take a restart soon after a broken attempt for a crash of the target

Cause: a refused connection was the only evidence. Class of fault: one look taken for the state, as with the sockets that are closed late. Change: attempts that were broken off within 5 s are kept, and reported if the target, or another at its address, is heard to have started since. A report that comes late is counted once, and no longer marks a later attempt of its call in the log.

--- a/pollenmount/gateway/request_guard.py
+++ b/pollenmount/gateway/request_guard.py
@@ -8,6 +8,7 @@
 from pollenmount.fleet.observations import RESPONSE
 from pollenmount.gateway.attempt import FailedResponseError
 from pollenmount.gateway.recent_keys import RecentKeys, ReportLimit
+from pollenmount.gateway.restart_watch import RestartWatch
 from pollenmount.log import get_logger
 from pollenmount.wire.errors import PeerUnreachableError, ResponseTimeoutError
 
@@ -27,8 +28,8 @@
 class RequestGuard:
     """Evidence of this VM on whole requests, beside `fleet.request_quarantine`.
 
-    `probe` tells whether a target has crashed. `answered` has the digests of requests
-    that targets answered here lately, be it with a failure.
+    `probe` and `restarts` tell whether a target has crashed. `answered` has the digests
+    of requests that targets answered here lately, be it with a failure.
     """
 
     def __init__(self, fleet, clock, metrics, probe):
@@ -36,6 +37,7 @@
         self.clock = clock
         self.metrics = metrics
         self.probe = probe
+        self.restarts = RestartWatch(fleet, clock)
         self.answered = RecentKeys(clock, MAX_ANSWERED, ANSWERED_TTL_MS)
         self.reports = ReportLimit(clock, MAX_REPORTS, REPORT_WINDOW_MS)
         fleet.listeners.append(self.answer_report)
@@ -69,15 +71,22 @@
 
     def look_for_crash(self, call, progress, destination):
         """Report a request if its target has crashed, or is found to a little later."""
+        attempt = progress.sends
+        reported = False
 
         def report_crash():
-            progress.crashed = True
-            if progress.digest not in self.answered:
+            nonlocal reported
+            if progress.sends == attempt:
+                progress.crashed = True
+            if not reported and progress.digest not in self.answered:
+                reported = True
                 self.report(call, progress.digest, destination)
 
         progress.crashed = self.probe.has_crashed(destination, report_crash)
         if progress.crashed:
             report_crash()
+        else:
+            self.restarts.add(destination, report_crash)
 
     def report(self, call, digest, destination):
         """Report that a target crashed that had a request."""
--- /dev/null
+++ b/pollenmount/gateway/restart_watch.py
@@ -0,0 +1,62 @@
+"""Tells that a target has crashed from its restart soon after a broken attempt."""
+
+import collections
+from collections.abc import Callable
+from typing import NamedTuple
+
+from pollenmount.fleet.messages import TargetSeen
+from pollenmount.gateway.attempt import AttemptDestination
+
+__all__ = ["RestartWatch"]
+
+# Most targets that a supervisor starts again are back within this time.
+RESTART_MS = 5000
+MAX_BROKEN = 1024
+
+
+class BrokenAttempt(NamedTuple):
+    """An attempt that its target broke off at `at`; `on_crash` is to be called."""
+
+    destination: AttemptDestination
+    at: int
+    on_crash: Callable[[], None]
+
+    def is_before(self, record):
+        """Return whether another start of the target, or at its place, is recorded."""
+        id_, born = self.destination.target_id, self.destination.incarnation
+        if record.id == id_:
+            return record.born > born
+        return record.address == self.destination.address
+
+
+class RestartWatch:
+    """Attempts that were broken off lately, in `broken`, the oldest first.
+
+    A target may take connections while it is down, if its port is another process's,
+    or be back before anyone asks.
+    """
+
+    def __init__(self, fleet, clock):
+        self.clock = clock
+        self.broken = collections.deque(maxlen=MAX_BROKEN)
+        fleet.listeners.append(self.handle_change)
+
+    def add(self, destination, on_crash):
+        """Call `on_crash` if the target turns out to have started again soon."""
+        self.broken.append(BrokenAttempt(destination, self.clock.now(), on_crash))
+
+    def handle_change(self, message, source):
+        """Tell of the attempts at a target that has started again."""
+        if not isinstance(message, TargetSeen):
+            return
+        self.drop_old()
+        restarted = [b for b in self.broken if b.is_before(message.target)]
+        for attempt in restarted:
+            self.broken.remove(attempt)
+            attempt.on_crash()
+
+    def drop_old(self):
+        """Drop the attempts that say nothing any more."""
+        oldest = self.clock.now() - RESTART_MS
+        while self.broken and self.broken[0].at < oldest:
+            self.broken.popleft()
--- a/tests/test_deadly_requests.py
+++ b/tests/test_deadly_requests.py
@@ -45,7 +45,8 @@
     """Targets of a plain service behind the VMs of one fleet.
 
     Those in `resetting` close the connection of each request, and stay up. If
-    `is_seen_late`, crashes are found while a VM sleeps only.
+    `is_seen_late`, crashes are found while a VM sleeps only, and if `stays_open`, the
+    port takes connections also while a target is down.
     """
 
     def __init__(self):
@@ -53,7 +54,7 @@
         self.crashes = []
         self.back_at = {}
         self.resetting = ()
-        self.is_seen_late = False
+        self.is_seen_late = self.stays_open = False
         self.watchers = []
 
     def run(self, attempt):
@@ -75,6 +76,8 @@
         if self.is_seen_late:
             self.watchers.append(on_crash)
             return False
+        if self.stays_open:
+            return False
         return destination.target_id in self.back_at
 
     def sleep(self, ms):
@@ -119,9 +122,10 @@
     return Vms()
 
 
-def late_sends(seed):
+def late_sends(seed, stays_open=False):
     """Return how many deadly requests reach targets after the users' bound."""
     vms = Vms(seed)
+    vms.desks.stays_open = stays_open
     for number in range(300):
         if number % 4 == 0:
             vms.serve(DEADLY)
@@ -139,6 +143,22 @@
     assert max(late_sends(seed) for seed in range(8)) <= MAX_SENDS_AFTER
 
 
+# A target whose port is that of a supervisor takes connections while it is down, and
+# one that is back at once refuses none: no VM saw it crash.
+def test_a_target_that_has_restarted_is_seen_to_have_crashed():
+    assert max(late_sends(seed, True) for seed in range(8)) <= MAX_SENDS_AFTER
+
+
+# A restart long after is no news of the request.
+def test_a_target_that_restarts_much_later_is_no_evidence(vms):
+    vms.desks.resetting = TARGETS
+    vms.serve(b"sound")
+    vms.clock.advance(10_000)
+    for target in TARGETS:
+        vms.restart(target, vms.clock.now())
+    assert not vms.all[0].fleet.request_quarantine.crashes
+
+
 def crash_two(vms):
     """Let a deadly request crash two targets, by one call."""
     head = vms.serve(DEADLY, vm=0)
