--- a/pollenmount/gateway/restart_watch.py
+++ b/pollenmount/gateway/restart_watch.py
@@ -9,8 +9,8 @@
 
 __all__ = ["RestartWatch"]
 
-# Most targets that a supervisor starts again are back within this time.
-RESTART_MS = 5000
+# A supervisor starts a target again within seconds, and its first heartbeat may be late.
+RESTART_MS = 10_000
 MAX_BROKEN = 1024
 
 
