--- a/pollenmount/gateway/restart_watch.py
+++ b/pollenmount/gateway/restart_watch.py
@@ -9,7 +9,7 @@
 
 __all__ = ["RestartWatch"]
 
-# A supervisor starts a target again within seconds, and its first heartbeat may be late.
+# A supervisor starts a target again within seconds; its first heartbeat may be late.
 RESTART_MS = 10_000
 MAX_BROKEN = 1024
 
