--- a/pollenmount/gateway/request_guard.py
+++ b/pollenmount/gateway/request_guard.py
@@ -8,6 +8,7 @@
 from pollenmount.fleet.observations import RESPONSE
 from pollenmount.gateway.attempt import FailedResponseError
 from pollenmount.gateway.recent_keys import RecentKeys, ReportLimit
+from pollenmount.gateway.restart_watch import RestartWatch
 from pollenmount.log import get_logger
 from pollenmount.wire.errors import PeerUnreachableError, ResponseTimeoutError
 
@@ -17,6 +18,9 @@
 ANSWERED_TTL_MS = 60_000
 MAX_REPORTS = 200
 REPORT_WINDOW_MS = 1000
+# Most processes that end have closed all their sockets by then.
+VERDICT_WAIT_MS = 300
+VERDICT_INTERVAL_MS = 20
 
 logger = get_logger("requests")
 
@@ -24,14 +28,16 @@
 class RequestGuard:
     """Evidence of this VM on whole requests, beside `fleet.request_quarantine`.
 
-    `probe` tells whether a target has crashed. `answered` has the digests of requests
-    that targets answered here lately, be it with a failure.
+    `probe` and `restarts` tell whether a target has crashed. `answered` has the digests
+    of requests that targets answered here lately, be it with a failure.
     """
 
     def __init__(self, fleet, clock, metrics, probe):
         self.fleet = fleet
+        self.clock = clock
         self.metrics = metrics
         self.probe = probe
+        self.restarts = RestartWatch(fleet, clock)
         self.answered = RecentKeys(clock, MAX_ANSWERED, ANSWERED_TTL_MS)
         self.reports = ReportLimit(clock, MAX_REPORTS, REPORT_WINDOW_MS)
         fleet.listeners.append(self.answer_report)
@@ -65,15 +71,22 @@
 
     def look_for_crash(self, call, progress, destination):
         """Report a request if its target has crashed, or is found to a little later."""
+        attempt = progress.sends
+        reported = False
 
         def report_crash():
-            progress.crashed = True
-            if progress.digest not in self.answered:
+            nonlocal reported
+            if progress.sends == attempt:
+                progress.crashed = True
+            if not reported and progress.digest not in self.answered:
+                reported = True
                 self.report(call, progress.digest, destination)
 
         progress.crashed = self.probe.has_crashed(destination, report_crash)
         if progress.crashed:
             report_crash()
+        else:
+            self.restarts.add(destination, report_crash)
 
     def report(self, call, digest, destination):
         """Report that a target crashed that had a request."""
@@ -82,6 +95,20 @@
             report = RequestsCrashed(id_, born, call.id, (digest,))
             self.fleet.handle(report, RESPONSE)
 
+    def wait_for_verdict(self, progress, sleep):
+        """Wait until it is known whether a suspected request has crashed its target.
+
+        It is not for long, and not if nothing asked. `sleep` waits for a number of
+        milliseconds.
+        """
+        asked_at = self.clock.now()
+        while (
+            progress.crashed is False
+            and self.fleet.request_quarantine.is_suspected((progress.digest,))
+            and self.clock.now() - asked_at < VERDICT_WAIT_MS
+        ):
+            sleep(VERDICT_INTERVAL_MS)
+
     def is_leaving(self, destination):
         """Return whether a target was about to end, so it ends without a crash."""
         known = self.fleet.targets.by_id.get(destination.target_id)
--- a/tests/test_deadly_requests.py
+++ b/tests/test_deadly_requests.py
@@ -44,7 +44,9 @@
 class Desks:
     """Targets of a plain service behind the VMs of one fleet.
 
-    Those in `resetting` close the connection of each request, and stay up.
+    Those in `resetting` close the connection of each request, and stay up. If
+    `is_seen_late`, crashes are found while a VM sleeps only, and if `stays_open`, the
+    port takes connections also while a target is down.
     """
 
     def __init__(self):
@@ -52,6 +54,8 @@
         self.crashes = []
         self.back_at = {}
         self.resetting = ()
+        self.is_seen_late = self.stays_open = False
+        self.watchers = []
 
     def run(self, attempt):
         """Crash under a deadly request, else answer."""
@@ -69,8 +73,20 @@
 
     def has_crashed(self, destination, on_crash=None):
         """Stand in for `CrashProbe`."""
+        if self.is_seen_late:
+            self.watchers.append(on_crash)
+            return False
+        if self.stays_open:
+            return False
         return destination.target_id in self.back_at
 
+    def sleep(self, ms):
+        """Let time pass, in which crashes are found."""
+        self.clock.advance(ms)
+        watchers, self.watchers = self.watchers, []
+        for on_crash in watchers:
+            on_crash()
+
     def crash(self, target):
         """Let a target take no connections for a while."""
         self.crashes.append(self.clock.now())
@@ -106,9 +122,10 @@
     return Vms()
 
 
-def late_sends(seed):
+def late_sends(seed, stays_open=False):
     """Return how many deadly requests reach targets after the users' bound."""
     vms = Vms(seed)
+    vms.desks.stays_open = stays_open
     for number in range(300):
         if number % 4 == 0:
             vms.serve(DEADLY)
@@ -126,6 +143,22 @@
     assert max(late_sends(seed) for seed in range(8)) <= MAX_SENDS_AFTER
 
 
+# A target whose port is that of a supervisor takes connections while it is down, and
+# one that is back at once refuses none: no VM saw it crash.
+def test_a_target_that_has_restarted_is_seen_to_have_crashed():
+    assert max(late_sends(seed, True) for seed in range(8)) <= MAX_SENDS_AFTER
+
+
+# A restart long after is no news of the request.
+def test_a_target_that_restarts_much_later_is_no_evidence(vms):
+    vms.desks.resetting = TARGETS
+    vms.serve(b"sound")
+    vms.clock.advance(20_000)
+    for target in TARGETS:
+        vms.restart(target, vms.clock.now())
+    assert not vms.all[0].fleet.request_quarantine.crashes
+
+
 def crash_two(vms):
     """Let a deadly request crash two targets, by one call."""
     head = vms.serve(DEADLY, vm=0)
@@ -156,6 +189,29 @@
     assert vms.serve(DEADLY).status == 503
 
 
+# The retry of the call that was to show whether the request still crashes targets went
+# out before it was known that it had.
+def test_a_retry_of_a_suspected_request_waits_for_the_verdict(vms):
+    crash_two(vms)
+    vms.clock.advance(30_000)
+    vms.desks.is_seen_late = True
+    vms.all[3].dispatcher.sleep = vms.desks.sleep
+    assert vms.serve(DEADLY, vm=3).status == 502
+    assert len(vms.desks.crashes) == 3
+    assert vms.serve(DEADLY, vm=0).status == 503
+
+
+# Its callers would wait for each reset.
+def test_a_retry_of_any_other_request_does_not_wait(vms):
+    vms.desks.is_seen_late = True
+    vms.desks.resetting = TARGETS
+    sent_at = vms.clock.now()
+    vms.all[3].dispatcher.sleep = vms.desks.sleep
+    vms.serve(b"sound", vm=3)
+    assert len(vms.desks.arrivals) == 2
+    assert vms.clock.now() == sent_at
+
+
 # A quarantine of all that has the same caller and path would stop the route.
 def test_other_requests_of_the_caller_are_served(vms):
     crash_two(vms)
