--- a/pollenmount/fleet/client.py
+++ b/pollenmount/fleet/client.py
@@ -204,6 +204,7 @@
 
     def handle(self, address, message):
         """Handle one message on a link; the first one shows that the link works."""
+        self.fleet.freshness.record(address)
         self.fleet.handle(message, address)
         if address not in self.established:
             self.established.add(address)
--- a/pollenmount/fleet/fleet.py
+++ b/pollenmount/fleet/fleet.py
@@ -4,6 +4,7 @@
 from functools import singledispatchmethod
 
 from pollenmount.fleet.entry_counter import EntryCounter
+from pollenmount.fleet.freshness import LinkFreshness
 from pollenmount.fleet.members import MemberTable
 from pollenmount.fleet.messages import (
     Capacities,
@@ -58,6 +59,7 @@
         self.part_quarantine = PartQuarantine(clock)
         self.request_quarantine = RequestQuarantine(clock)
         self.origins = StreamOrigins(clock)
+        self.freshness = LinkFreshness(clock)
         self.evacuations = EvacuationsChanged(0, ())
         self.routes = RoutesChanged(0, 0, b"")
         self.loads = {}
@@ -229,6 +231,7 @@
         """Remove a source that is gone; what it alone reported expires later."""
         self.targets.forget_source(source)
         self.members.forget_source(source)
+        self.freshness.forget(source)
         self.loads.pop(source, None)
         self.quorums.pop(source, None)
         self.capacity_rows.pop(source, None)
--- a/pollenmount/gateway/dispatch.py
+++ b/pollenmount/gateway/dispatch.py
@@ -110,7 +110,7 @@
         resumption = self.context.resumption
         if not resumption.needs_origin(call):
             return call, ""
-        origin = resumption.find_origin(call, self.sleep)
+        origin = resumption.find_origin(call, progress, self.sleep)
         if origin is None:
             return call, "it is not known which version began the stream"
         if origin.service not in [split.service for split in call.route.splits]:
@@ -234,6 +234,7 @@
         progress.sends += 1
         progress.head_arrived = progress.event_arrived = False
         progress.destination = destination
+        progress.versions.append(destination.version)
         progress.expected_ms = round(expected_ms)
         progress.tried.add(destination.name)
 
--- a/pollenmount/gateway/progress.py
+++ b/pollenmount/gateway/progress.py
@@ -25,12 +25,17 @@
     `head_arrived` and `event_arrived` tell whether the head of a success, and an event,
     have arrived in the last attempt. `digest` is that of `digest_request`.
     `version` is the only version of the target software that may run further attempts,
-    None as long as any may.
+    None as long as any may. `origin_source` tells how it was found for a stream that
+    the call takes up, `view_age_ms` how long ago this VM had heard from a control VM
+    then. `versions` are those of the targets of all attempts, '' for another VM.
     """
 
     def __init__(self, call):
         self.digest = digest_request(call)
         self.version = call.version
+        self.origin_source = ""
+        self.view_age_ms = None
+        self.versions = []
         self.runs = 0
         self.sends = 0
         self.tried = set()
--- a/pollenmount/gateway/stream_resumption.py
+++ b/pollenmount/gateway/stream_resumption.py
@@ -12,6 +12,10 @@
 ASK_INTERVAL_MS = 100
 POLL_INTERVAL_MS = 10
 MAX_WAIT_SHARE = 0.25
+# How the origin of a stream was found, or looked for last, in logs.
+OWN_RECORD = "own_record"
+CONTROL_VM = "control_vm"
+ONLY_VERSION = "only_version"
 
 logger = get_logger("streams")
 
@@ -38,21 +42,33 @@
             and call.version is None
         )
 
-    def find_origin(self, call, sleep):
+    def find_origin(self, call, progress, sleep):
         """Return the `StreamOrigin` of the stream that a call takes up, or None.
 
         Control VMs are asked if this VM does not know it; `sleep` waits for a number of
-        milliseconds.
+        milliseconds. How it was found is noted in the call's `progress`.
         """
-        if not call.info.resumes:
-            return self.find_only_version(call)
-        key = stream_key(call.info.host, call.info.resumes)
-        origin = self.fleet.origins.find(key) or self.ask(key, call, sleep)
+        progress.view_age_ms = self.fleet.freshness.age_ms()
+        origin, progress.origin_source = self.look_up(call, sleep)
         if origin is None:
-            fields = {"request": call.id, "resumes": call.info.resumes}
+            fields = {
+                "request": call.id,
+                "resumes": call.info.resumes,
+                "view_age_ms": progress.view_age_ms,
+            }
             logger.info("origin of a stream not known", extra=fields)
         return origin
 
+    def look_up(self, call, sleep):
+        """Return the `StreamOrigin` of a call's stream, or None, and its source."""
+        if not call.info.resumes:
+            return self.find_only_version(call), ONLY_VERSION
+        key = stream_key(call.info.host, call.info.resumes)
+        origin = self.fleet.origins.find(key)
+        if origin is not None:
+            return origin, OWN_RECORD
+        return self.ask(key, call, sleep), CONTROL_VM
+
     def ask(self, key, call, sleep):
         """Return the origin that a control VM knows, or None after a while."""
         asked_at = self.clock.now()
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -98,6 +98,32 @@
     assert places(harness) == ["t-v2"]
 
 
+@pytest.mark.parametrize(
+    ("resumes", "known", "source"),
+    [
+        ("id-0", True, "own_record"),
+        ("id-0", False, "control_vm"),
+        ("", True, "only_version"),
+    ],
+)
+def test_a_call_tells_how_its_origin_was_found(harness, resumes, known, source):
+    if known:
+        begin(harness, "v1")
+    harness.fleet.freshness.record("c")
+    harness.clock.advance(700)
+    _, progress = harness.serve(take_up(harness, resumes), ok())
+    assert (progress.origin_source, progress.view_age_ms) == (source, 700)
+
+
+def test_a_call_tells_the_versions_of_all_its_attempts(harness):
+    begin(harness, "v1")
+    harness.add_target("u-v1", version="v1")
+    _, progress = harness.serve(
+        take_up(harness), [ExchangeError("the answer ended early")], ok()
+    )
+    assert progress.versions == ["v1", "v1"]
+
+
 # Another service's text would not fit either, whatever the weights of the route say.
 def test_a_stream_of_a_split_route_stays_at_its_service(harness):
     harness.add_target("e", service="engine", version="v1")
