--- a/tests/fleet_model.py
+++ b/tests/fleet_model.py
@@ -8,6 +8,7 @@
 
 from pollenmount.clock import ManualClock
 from pollenmount.fleet import client, server
+from pollenmount.fleet.channel import LINK_TIMEOUT_MS
 from pollenmount.fleet.client import LinkClient
 from pollenmount.fleet.fleet import Fleet
 from pollenmount.fleet.messages import (
@@ -82,6 +83,7 @@
         self.region = ZONES[zone]
         self.address = f"{name}:1"
         self.alive = True
+        self.frozen_at = None
         self.has_log = True
         self.starts = 0
         self.sent_bytes = 0
@@ -237,10 +239,14 @@
 
     def reaches(self, one, other):
         """Return whether two VMs are not separated by a cut."""
-        return (one.zone in self.cut_zones) == (other.zone in self.cut_zones)
+        return self.is_cut(one) == self.is_cut(other)
+
+    def is_cut(self, node):
+        """Return whether a VM, or its failure domain, is separated."""
+        return bool({node.zone, node.name} & self.cut_zones)
 
     def cut(self, *zones):
-        """Separate some failure domains from the others; () joins all again."""
+        """Separate failure domains or VMs from the others; () joins all again."""
         self.cut_zones = set(zones)
         for end in [*self.ends]:
             if not end.closed and not self.reaches(end.node, end.peer.node):
@@ -253,6 +259,17 @@
             if end.node is node and not end.closed:
                 end.close()
 
+    def freeze(self, node):
+        """Stop a VM; what is sent to it waits."""
+        node.frozen_at = self.clock.now()
+
+    def wake(self, node):
+        """Let a VM go on; after a while its peers have closed its links."""
+        frozen_ms, node.frozen_at = self.clock.now() - node.frozen_at, None
+        for end in [*self.ends]:
+            if end.node is node and not end.closed and frozen_ms >= LINK_TIMEOUT_MS:
+                end.close()
+
     def put_plan(self, version):
         """Put a plan into force at all control VMs."""
         self.revision += 1
@@ -292,7 +309,7 @@
 
     def deliver(self):
         """Deliver all messages, in a random order over the links."""
-        while waiting := [end for end in self.ends if end.inbox]:
+        while waiting := [e for e in self.ends if e.inbox and not e.node.frozen_at]:
             self.random.shuffle(waiting)
             for end in waiting:
                 while end.inbox and self.random.random() < 0.7:
@@ -304,7 +321,7 @@
             self.clock.advance(STEP_MS)
             if self.is_due(HEARTBEAT_MS):
                 self.beat_all()
-            nodes = [n for n in self.nodes.values() if n.alive]
+            nodes = [n for n in self.nodes.values() if n.alive and not n.frozen_at]
             if self.is_due(ROUND_MS):
                 run_round(nodes)
             if self.is_due(LOAD_INTERVAL_MS):
--- a/tests/stream_traffic.py
+++ b/tests/stream_traffic.py
@@ -42,14 +42,15 @@
     method = "POST"
     target = "/r/1"
 
-    def __init__(self, headers):
+    def __init__(self, headers, body=b""):
         self.head = types.SimpleNamespace(headers=tuple(headers))
+        self.body = body
 
     def header(self, name):
         return next((v for k, v in self.head.headers if k.lower() == name.lower()), "")
 
     def read(self, limit):
-        return b""
+        return self.body
 
     def cancel_on_disconnect(self):
         pass
@@ -59,7 +60,7 @@
 
 
 class Connection:
-    """A connection to `peer`, a function that returns the reply to some headers."""
+    """A connection to `peer`, a function that returns the reply to a request."""
 
     reusable = True
 
@@ -68,9 +69,10 @@
         self.reply = None
 
     def send(self, data):
-        lines = data.decode().split("\r\n")[1:]
+        head, _, body = data.decode().partition("\r\n\r\n")
+        lines = head.split("\r\n")[1:]
         headers = [line.split(": ", 1) for line in lines if ": " in line]
-        self.reply = self.peer(headers)
+        self.reply = self.peer(headers, body.encode())
 
     def read_head(self, remaining_ms):
         headers = [h for h in self.reply.headers if h[0] != "Content-Length"]
@@ -126,10 +128,13 @@
 
     `versions` are those of the running targets by id. `taken_up` counts the streams
     that were taken up again while two targets of their version ran, `gone_on` those of
-    them that got a response.
+    them that got a response. Callers name the streams that they take up if they are
+    `named`; `draining` are the targets that say so.
     """
 
-    def __init__(self, entries=6, targets=12, seed=1):
+    def __init__(self, entries=6, targets=12, seed=1, named=True):
+        self.named = named
+        self.draining = set()
         self.random = random.Random(seed)
         random.seed(seed)
         self.fleet = FleetModel(entries, targets, seed)
@@ -152,7 +157,10 @@
             region = ZONES[self.fleet.targets[id_]]
             near = [c for c in controls if c.region == region] or controls
             if near:
-                self.fleet.beat(id_, near[0], born=self.born[id_], version=version)
+                born, draining = self.born[id_], id_ in self.draining
+                self.fleet.beat(
+                    id_, near[0], born=born, version=version, draining=draining
+                )
 
     def release(self, id_, version):
         """Replace a target by one of another version, under an id of its own."""
@@ -161,16 +169,21 @@
         self.fleet.targets[new] = self.fleet.targets[id_]
         self.versions[new], self.born[new] = version, 1
 
+    def leave(self, id_):
+        """Let a target say that it leaves, and end."""
+        self.fleet.of_role(CONTROL)[0].server.targets.handle_leave(id_)
+        self.crash(id_)
+
     def crash(self, id_):
         """End a target for good."""
-        del self.versions[id_]
+        self.versions.pop(id_, None)
 
     def target_peer(self, id_, region):
         """Return what answers at a target's address, or raise `ConnectError`."""
         if id_ not in self.versions or ZONES[self.fleet.targets[id_]] != region:
             raise ConnectError("connection refused")
 
-        def answer(headers):
+        def answer(headers, body):
             values = {k.lower(): v for k, v in headers}
             after = int(values.get("last-event-id", 0))
             stamp = [("X-Pollenmount-Response-Stamp", "s")]
@@ -197,8 +210,8 @@
             raise ConnectError("connection refused")
         starts = node.starts
 
-        def answer(headers):
-            reply = HopsApi(self.entry(node)).handle(Request(headers))
+        def answer(headers, body):
+            reply = HopsApi(self.entry(node)).handle(Request(headers, body))
             body = self.while_alive(node, starts, reply.body)
             return reply._replace(body=body)
 
@@ -250,17 +263,18 @@
         """Let time pass for the whole fleet."""
         self.fleet.run(STEP_MS)
 
-    def begin(self):
-        """Let a caller begin a stream at some VM."""
+    def begin(self, node=None):
+        """Let a caller begin a stream at a VM, or at any; return it."""
         stream = Stream(len(self.streams))
         self.streams.append(stream)
-        self.send(stream)
+        self.send(stream, node)
+        return stream
 
-    def take_up(self, stream):
-        """Let a caller take a broken stream up again at some VM."""
+    def take_up(self, stream, node=None):
+        """Let a caller take a broken stream up again at a VM, or at any."""
         version = stream.versions[0]
         counted = [*self.versions.values()].count(version) >= 2 and self.in_touch()
-        self.send(stream)
+        self.send(stream, node)
         if counted:
             self.taken_up += 1
             self.gone_on += stream.is_open
@@ -270,12 +284,12 @@
         nodes = self.fleet.of_role(ENTRY)
         return bool(nodes) and all(n.store.plan and n.fleet.quorums for n in nodes)
 
-    def send(self, stream):
-        """Send a request of a stream under a new id."""
+    def send(self, stream, node=None):
+        """Send a request of a stream under a new id, to a VM or to any."""
         nodes = [n for n in self.fleet.of_role(ENTRY) if n.store.plan]
         if not nodes:
             return
-        stream.node = self.random.choice(nodes)
+        stream.node = node or self.random.choice(nodes)
         stream.starts = stream.node.starts
         stream.tries += 1
         stream.id = f"stream-{stream.number}-{stream.tries}"
@@ -286,8 +300,10 @@
         ]
         if stream.last_event:
             headers.append(("Last-Event-Id", str(stream.last_event)))
-            headers.append(("Resumes", stream.root))
-        reply = CallersApi(self.entry(stream.node)).handle(Request(headers))
+            if self.named:
+                headers.append(("Resumes", stream.root))
+        request = Request(headers, str(stream.number).encode())
+        reply = CallersApi(self.entry(stream.node)).handle(request)
         if reply.status == 200:
             stream.body = iter(reply.body)
         else:
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -22,7 +22,7 @@
 MIN_SHARE = 0.5
 
 
-def play(traffic, kill_all_entries):
+def play(traffic, kill_all_entries, versions=3):
     """Let versions change, targets crash and VMs die while streams go on."""
     for round_ in range(ROUNDS):
         for _ in range(ACTS):
@@ -30,7 +30,7 @@
         traffic.fleet.run(100)
         running = sorted(traffic.versions)
         if round_ % 3 == 0:
-            version = f"v{traffic.random.randint(1, 3)}"
+            version = f"v{traffic.random.randint(1, versions)}"
             traffic.release(traffic.random.choice(running), version)
         entries = traffic.fleet.of_role(ENTRY)
         if kill_all_entries and round_ % 20 == 10:
@@ -47,18 +47,18 @@
     gone_on: int
 
 
-def outcome(seed, kill_all_entries):
+def outcome(seed, kill_all_entries, named, versions):
     """Return the `Outcome` of one play."""
-    with contextlib.closing(StreamTraffic(seed=seed)) as traffic:
-        play(traffic, kill_all_entries)
+    with contextlib.closing(StreamTraffic(seed=seed, named=named)) as traffic:
+        play(traffic, kill_all_entries, versions)
         assert not traffic.gaps()
         return Outcome(len(traffic.joined()), traffic.taken_up, traffic.gone_on)
 
 
 @functools.cache
-def total(kill_all_entries):
+def total(kill_all_entries, named=True, versions=3):
     """Return the sum of the `Outcome`s over all seeds."""
-    outcomes = [outcome(seed, kill_all_entries) for seed in SEEDS]
+    outcomes = [outcome(seed, kill_all_entries, named, versions) for seed in SEEDS]
     return Outcome(*map(sum, zip(*outcomes, strict=True)))
 
 
@@ -79,3 +79,18 @@
     result = total(kill_all_entries)
     assert result.taken_up >= MIN_TAKEN_UP
     assert result.gone_on >= MIN_SHARE * result.taken_up
+
+
+# Callers that name no stream were sent to the only version that a VM knew just then.
+@pytest.mark.parametrize("kill_all_entries", [False, True])
+def test_no_stream_of_a_caller_that_names_none_is_joined(kill_all_entries):
+    assert total(kill_all_entries, named=False).joined == 0
+
+
+# While several versions were in service, nearly all of these callers were refused.
+@pytest.mark.parametrize("kill_all_entries", [False, True])
+@pytest.mark.parametrize("versions", [1, 3])
+def test_streams_of_callers_that_name_none_go_on(kill_all_entries, versions):
+    result = total(kill_all_entries, named=False, versions=versions)
+    assert result.taken_up >= MIN_TAKEN_UP
+    assert result.gone_on >= MIN_SHARE * result.taken_up
