Go on with a stream where its request began, not at the only version known

Callers that name no stream got it joined from two versions: the VM that they came to took the only version in its table of targets and in the rows of other regions for the one that had begun the stream. Cause: what is in service at a VM now, in a view of unknown age, decided on what had happened elsewhere. The model shows four ways to be wrong; an age of the view would have told two of them (VM frozen, VM cut off), not the others (version left, version draining in another region), and a region that is cut off may start versions that no view elsewhere has.

An entry VM now records a stream under the key of its request too (digest and ids of the prompt's parts), and asks control VMs when one is taken up without a name. The question's number is new, so the answer tells what was known after the caller came. One origin in own records and answers: the stream goes on there. None or several: 503, nothing has run. A VM without an answer trusts its own record for prompts only, since other requests of several callers may be alike. find_only_version is gone.

test_a_caller_that_does_not_name_its_stream asked that a stream of which nobody has a record goes on while one version is known: that is the guess which joined streams. In its place: without a record refused with one and with two versions, with a record gone on with one and with two.

LINK_PROTOCOL 9.

--- a/pollenmount/fleet/client.py
+++ b/pollenmount/fleet/client.py
@@ -14,8 +14,8 @@
     Loads,
     MemberHeartbeat,
     MemberRecord,
+    RequestAsked,
     StreamAsked,
-    StreamsBegan,
 )
 from pollenmount.fleet.observations import OBSERVATIONS, RESPONSE
 from pollenmount.fleet.totals import LOAD_INTERVAL_MS, changed_loads
@@ -96,6 +96,7 @@
         self.quorum_seen_at = clock.now()
         fleet.listeners.append(self.report_observation)
         fleet.origins.ask = self.ask_stream
+        fleet.request_origins.ask = self.ask_request
         self.task = task.PeriodicTask(self.run_round, ROUND_INTERVAL_MS)
         self.load_task = task.PeriodicTask(self.send_news, LOAD_INTERVAL_MS)
 
@@ -267,13 +268,17 @@
     def send_news(self):
         """Send what is sent in short intervals: loads, and streams that have begun."""
         self.send_loads()
-        for origin, keys in self.fleet.origins.take_unsent():
-            self.push_to_all(StreamsBegan(*origin, keys))
+        for message in self.fleet.take_streams_begun():
+            self.push_to_all(message)
 
     def ask_stream(self, key):
         """Ask all linked control VMs at which version a stream began."""
         self.push_to_all(StreamAsked(key))
 
+    def ask_request(self, number, key):
+        """Ask all linked control VMs at which versions a request's streams began."""
+        self.push_to_all(RequestAsked(number, key))
+
     def push_to_all(self, message):
         """Send a message on all links that are open."""
         for channel in [*self.channels.values()]:
--- a/pollenmount/fleet/fleet.py
+++ b/pollenmount/fleet/fleet.py
@@ -15,9 +15,12 @@
     MemberUp,
     PartsServed,
     PromptBroke,
+    RequestAsked,
+    RequestBegan,
     RequestsAnswered,
     RequestsCrashed,
     RoutesChanged,
+    StreamAsked,
     StreamsBegan,
     TargetDoubted,
     TargetGone,
@@ -27,7 +30,7 @@
     TargetSilent,
 )
 from pollenmount.fleet.quarantine import Crash, PartQuarantine, RequestQuarantine
-from pollenmount.fleet.stream_origins import StreamOrigin, StreamOrigins
+from pollenmount.fleet.stream_origins import RequestOrigins, StreamOrigin, StreamOrigins
 from pollenmount.fleet.targets import TargetTable
 from pollenmount.log import get_logger
 
@@ -59,6 +62,7 @@
         self.part_quarantine = PartQuarantine(clock)
         self.request_quarantine = RequestQuarantine(clock)
         self.origins = StreamOrigins(clock)
+        self.request_origins = RequestOrigins(clock)
         self.freshness = LinkFreshness(clock)
         self.evacuations = EvacuationsChanged(0, ())
         self.routes = RoutesChanged(0, 0, b"")
@@ -139,9 +143,11 @@
 
     @handle.register
     def _(self, message: StreamsBegan, source):
-        origin = StreamOrigin(message.service, message.version)
-        for key in message.keys:
-            self.origins.add(key, origin)
+        self.store_streams(message, is_news=False)
+
+    @handle.register
+    def _(self, message: RequestBegan, source):
+        self.request_origins.handle_answer(message.number, message.origins)
 
     @handle.register
     def _(self, message: MemberUp, source):
@@ -200,10 +206,40 @@
                 self.targets.doubt_domain(failure_domain)
             self.notify(message, source)
 
+    def store_streams(self, message, is_news):
+        """Store which streams have begun, and tell other VMs later if it is news."""
+        origin = StreamOrigin(message.service, message.version)
+        for origins, keys in (
+            (self.origins, message.keys),
+            (self.request_origins, message.requests),
+        ):
+            store = origins.record if is_news else origins.add
+            for key in keys:
+                store(key, origin)
+
+    def answers_on_streams(self, message):
+        """Yield the answer if a message asks where a stream, or a request's, began."""
+        if isinstance(message, RequestAsked):
+            origins = self.request_origins.find(message.key)
+            yield RequestBegan(message.number, tuple(origins))
+        elif isinstance(message, StreamAsked):
+            origin = self.origins.find(message.key)
+            if origin is not None:
+                yield StreamsBegan(*origin, (message.key,))
+
     def streams_begun(self):
         """Yield the origins of all streams known here, for a VM that knows none."""
         for origin, keys in self.origins.all_by_origin():
             yield StreamsBegan(*origin, keys)
+        for origin, keys in self.request_origins.all_by_origin():
+            yield StreamsBegan(*origin, (), keys)
+
+    def take_streams_begun(self):
+        """Yield the origins of the streams that other VMs have not been told yet."""
+        for origin, keys in self.origins.take_unsent():
+            yield StreamsBegan(*origin, keys)
+        for origin, keys in self.request_origins.take_unsent():
+            yield StreamsBegan(*origin, (), keys)
 
     def observations(self):
         """Yield what this VM observed or was told of targets, for one that has not."""
@@ -241,6 +277,7 @@
         self.members.sweep()
         self.targets.sweep(0)
         self.origins.sweep()
+        self.request_origins.sweep()
 
 
 def log_fields(message):
--- a/pollenmount/fleet/messages.py
+++ b/pollenmount/fleet/messages.py
@@ -24,6 +24,8 @@
     "MemberUp",
     "PartsServed",
     "PromptBroke",
+    "RequestAsked",
+    "RequestBegan",
     "RequestsAnswered",
     "RequestsCrashed",
     "RoutesChanged",
@@ -45,7 +47,7 @@
 ENTRY = "entry"
 CONTROL = "control"
 # Incremented when VMs of two builds would misunderstand each other.
-LINK_PROTOCOL = 8
+LINK_PROTOCOL = 9
 
 
 class MemberRecord(NamedTuple):
@@ -265,11 +267,15 @@
 
 
 class StreamsBegan(Message, frozen=True, array_like=True, tag=True):
-    """Streams with these keys began at a version of a service's software."""
+    """Streams with these keys began at a version of a service's software.
+
+    `requests` are keys of the requests that they answer, as in `RequestOrigins`.
+    """
 
     service: str
     version: str
     keys: tuple[int, ...]
+    requests: tuple[int, ...] = ()
 
 
 class StreamAsked(Message, frozen=True, array_like=True, tag=True):
@@ -281,6 +287,24 @@
     key: int
 
 
+class RequestAsked(Message, frozen=True, array_like=True, tag=True):
+    """An entry VM asks a control VM at which versions a request's streams began.
+
+    `number` is new with each question, so that an answer proves what the control VM
+    knew after it was asked.
+    """
+
+    number: int
+    key: int
+
+
+class RequestBegan(Message, frozen=True, array_like=True, tag=True):
+    """The answer to `RequestAsked`: (service, version) of each origin that is known."""
+
+    number: int
+    origins: tuple[tuple[str, str], ...]
+
+
 class RoutesChanged(Message, frozen=True, array_like=True, tag=True):
     """A new plan of routes; `document` is compressed with zlib."""
 
@@ -345,6 +369,8 @@
     | RequestsAnswered
     | StreamsBegan
     | StreamAsked
+    | RequestAsked
+    | RequestBegan
     | RoutesChanged
     | EvacuationsChanged
     | Loads
--- a/pollenmount/fleet/server.py
+++ b/pollenmount/fleet/server.py
@@ -26,7 +26,6 @@
     MemberHeartbeat,
     MemberUp,
     RoutesChanged,
-    StreamAsked,
     StreamsBegan,
     TargetLimited,
     encode,
@@ -35,7 +34,6 @@
 from pollenmount.fleet.selection import is_available, select_hop_peers
 from pollenmount.fleet.sender_selection import SenderSelection
 from pollenmount.fleet.session import Session, concerns
-from pollenmount.fleet.stream_origins import StreamOrigin
 from pollenmount.fleet.target_reports import DIRECT, TargetReports
 from pollenmount.fleet.totals import LOAD_INTERVAL_MS, LoadTotals
 from pollenmount.log import get_logger
@@ -173,9 +171,9 @@
         if isinstance(message, OBSERVATIONS):
             self.fleet.handle(message, session.name)
         if isinstance(message, StreamsBegan):
-            self.handle_streams(session, message)
-        if isinstance(message, StreamAsked):
-            self.answer_stream(session, message)
+            self.fleet.store_streams(message, is_news=session.is_entry)
+        for answer in self.fleet.answers_on_streams(message):
+            session.channel.push(answer)
         if not isinstance(message, MemberHeartbeat):
             return
         self.set_primary(session, message.is_primary)
@@ -183,20 +181,6 @@
             session.record = message.member
             self.handle_record(message.member)
 
-    def handle_streams(self, session, message):
-        """Store which streams have begun; those of an entry VM go to control VMs."""
-        origin = StreamOrigin(message.service, message.version)
-        origins = self.fleet.origins
-        store = origins.record if session.is_entry else origins.add
-        for key in message.keys:
-            store(key, origin)
-
-    def answer_stream(self, session, message):
-        """Tell a member at which version a stream began, if that is known."""
-        origin = self.fleet.origins.find(message.key)
-        if origin is not None:
-            session.channel.push(StreamsBegan(*origin, (message.key,)))
-
     def set_primary(self, session, is_primary):
         """Send a member all that goes over its primary link once this one is it."""
         if not session.set_primary(is_primary) or not is_primary:
--- a/pollenmount/gateway/dispatch.py
+++ b/pollenmount/gateway/dispatch.py
@@ -214,7 +214,7 @@
         if call.route.retry_mode is RetryMode.STREAM and is_success(head.status):
             progress.version = head.version
             if may_hop:
-                self.context.resumption.record_begin(call, head.version)
+                self.context.resumption.record_begin(call, progress)
 
     def may_replace_attempt(self, call, progress, may_hop, stalled_ms):
         """Return whether another attempt can replace one that makes no progress."""
--- a/pollenmount/gateway/stream_resumption.py
+++ b/pollenmount/gateway/stream_resumption.py
@@ -1,6 +1,12 @@
 """Finds out at which version of its service's software a stream has to go on."""
 
-from pollenmount.fleet.stream_origins import StreamOrigin, stream_key
+import functools
+
+from pollenmount.fleet.stream_origins import (
+    StreamOrigin,
+    request_key,
+    stream_key,
+)
 from pollenmount.log import get_logger
 from pollenmount.routes.plan import RetryMode
 
@@ -15,7 +21,6 @@
 # How the origin of a stream was found, or looked for last, in logs.
 OWN_RECORD = "own_record"
 CONTROL_VM = "control_vm"
-ONLY_VERSION = "only_version"
 
 logger = get_logger("streams")
 
@@ -27,11 +32,14 @@
         self.fleet = fleet
         self.clock = clock
 
-    def record_begin(self, call, version):
+    def record_begin(self, call, progress):
         """Record at which version a stream begins, before an event is delivered."""
         if call.route.resumable and call.resume_after is None:
-            origin = StreamOrigin(call.service, version)
-            self.fleet.origins.record(stream_key(call.info.host, call.id), origin)
+            origin = StreamOrigin(call.service, progress.version)
+            key = stream_key(call.info.host, call.id)
+            self.fleet.origins.record(key, origin)
+            key = find_request_key(call, progress)
+            self.fleet.request_origins.record(key, origin)
 
     def needs_origin(self, call):
         """Return whether a call takes up a stream of which the origin is not given."""
@@ -49,49 +57,74 @@
         milliseconds. How it was found is noted in the call's `progress`.
         """
         progress.view_age_ms = self.fleet.freshness.age_ms()
-        origin, progress.origin_source = self.look_up(call, sleep)
+        find = self.find_named if call.info.resumes else self.find_by_request
+        origin, progress.origin_source = find(call, progress, sleep)
         if origin is None:
             fields = {
                 "request": call.id,
                 "resumes": call.info.resumes,
+                "digest": progress.digest,
                 "view_age_ms": progress.view_age_ms,
+                "origin_source": progress.origin_source,
             }
             logger.info("origin of a stream not known", extra=fields)
         return origin
 
-    def look_up(self, call, sleep):
-        """Return the `StreamOrigin` of a call's stream, or None, and its source."""
-        if not call.info.resumes:
-            return self.find_only_version(call), ONLY_VERSION
+    def find_named(self, call, progress, sleep):
+        """Return the `StreamOrigin` of a stream that is named, or None; and its source.
+
+        Its first origin is the only one, so this VM's own record is enough.
+        """
+        origins = self.fleet.origins
         key = stream_key(call.info.host, call.info.resumes)
-        origin = self.fleet.origins.find(key)
+        origin = origins.find(key)
         if origin is not None:
             return origin, OWN_RECORD
-        return self.ask(key, call, sleep), CONTROL_VM
+        rounds = self.ask_repeatedly(call, sleep, lambda: origins.ask(key))
+        return next(filter(None, (origins.find(key) for _ in rounds)), None), CONTROL_VM
+
+    def find_by_request(self, call, progress, sleep):
+        """Return the `StreamOrigin` of all streams of a request, or None; its source.
+
+        Another VM may have begun one at another version since this VM recorded its own,
+        so a control VM is asked in any case. Without an answer, the own record counts
+        only for a prompt, of which the last part is its own or its session's: other
+        requests of several callers may be alike.
+        """
+        origins = self.fleet.request_origins
+        key = find_request_key(call, progress)
+        with origins.question() as number:
+            ask = functools.partial(origins.ask, number, key)
+            for _ in self.ask_repeatedly(call, sleep, ask):
+                told = origins.answers[number]
+                if told is not None and (known := told | origins.find(key)):
+                    return only_origin(known), CONTROL_VM
+        known = origins.find(key) if has_own_part(call) else ()
+        return only_origin(known), OWN_RECORD
 
-    def ask(self, key, call, sleep):
-        """Return the origin that a control VM knows, or None after a while."""
-        asked_at = self.clock.now()
+    def ask_repeatedly(self, call, sleep, ask):
+        """Yield each time that an answer may have come, until one is late."""
+        asked_at = next_at = self.clock.now()
         limit_ms = min(ANSWER_WAIT_MS, MAX_WAIT_SHARE * (call.deadline - asked_at))
-        next_at = asked_at
         while self.clock.now() - asked_at < limit_ms:
             if self.clock.now() >= next_at:
-                self.fleet.origins.ask(key)
+                ask()
                 next_at = self.clock.now() + ASK_INTERVAL_MS
             sleep(POLL_INTERVAL_MS)
-            origin = self.fleet.origins.find(key)
-            if origin is not None:
-                return origin
-        return None
+            yield
 
-    def find_only_version(self, call):
-        """Return the origin of a stream that its caller does not name, or None.
 
-        There is just one if all targets of the service are of one version.
-        """
-        service = call.service
-        versions = {t.record.version for t in self.fleet.targets.of_service(service)}
-        for row in (self.fleet.capacities or {}).values():
-            if row.service == service:
-                versions.update(row.versions)
-        return StreamOrigin(service, versions.pop()) if len(versions) == 1 else None
+def find_request_key(call, progress):
+    """Return the key of the request of a call, the same whenever it comes again."""
+    parts = call.info.prompt.parts if has_own_part(call) else ()
+    return request_key(progress.digest, [part.id for part in parts])
+
+
+def has_own_part(call):
+    """Return whether a call has a prompt that is told apart by its parts."""
+    return call.info.prompt is not None and bool(call.info.prompt.parts)
+
+
+def only_origin(origins):
+    """Return the one origin in a set, None if there are none or several."""
+    return next(iter(origins)) if len(origins) == 1 else None
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -4,12 +4,14 @@
 
 from pollenmount.clock import ManualClock
 from pollenmount.fleet import stream_origins
-from pollenmount.fleet.messages import StreamsBegan
+from pollenmount.fleet.messages import RequestBegan, StreamsBegan
 from pollenmount.fleet.stream_origins import (
     MAX_STREAMS,
     ORIGIN_TTL_MS,
+    RequestOrigins,
     StreamOrigin,
     StreamOrigins,
+    request_key,
     stream_key,
 )
 from pollenmount.gateway.call import ErrorResponse
@@ -17,7 +19,7 @@
 from pollenmount.gateway.progress import Progress
 from pollenmount.routes.plan import RetryMode, Split
 from pollenmount.wire.errors import ExchangeError
-from tests.gateway_harness import EntryHarness, make_route, ok
+from tests.gateway_harness import EntryHarness, make_prompt, make_route, ok
 
 STREAM = make_route(RetryMode.STREAM, resumable=True, attempts=3)
 ORIGIN = StreamOrigin("desk", "v1")
@@ -103,7 +105,7 @@
     [
         ("id-0", True, "own_record"),
         ("id-0", False, "control_vm"),
-        ("", True, "only_version"),
+        ("", True, "own_record"),
     ],
 )
 def test_a_call_tells_how_its_origin_was_found(harness, resumes, known, source):
@@ -143,18 +145,95 @@
     assert (refusal.status, places(harness)) == (503, [])
 
 
-# Callers that do not name what they take up can go on while there is one version.
-@pytest.mark.parametrize(("others", "status"), [((), 200), (("v2",), 503)])
-def test_a_caller_that_does_not_name_its_stream(others, status):
+# A VM that knew one version only took it for the one that had begun the stream.
+@pytest.mark.parametrize("others", [(), ("v2",)])
+def test_a_stream_that_nobody_recorded_is_refused(others):
     harness = EntryHarness()
     harness.add_target("t-v1", version="v1")
     for version in others:
         harness.add_target(f"t-{version}", "east", version=version)
-    harness.update_capacities()
-    parts, _ = harness.serve(take_up(harness, resumes=""), ok())
+    (refusal,), _ = harness.serve(take_up(harness, resumes=""))
+    assert (refusal.status, places(harness)) == (503, [])
+
+
+def answer_with(harness, *versions):
+    """Let a control VM answer which versions have begun a request's streams."""
+    told = tuple(("desk", version) for version in versions)
+    harness.fleet.request_origins.ask = lambda number, key: harness.fleet.handle(
+        RequestBegan(number, told), "c"
+    )
+
+
+def begin_request(harness, version, prompt=None):
+    """Let a stream begin here at a version as a request that comes again."""
+    first = ok(f"t-{version}")
+    first[0] = first[0]._replace(version=version)
+    harness.serve(harness.make_call(STREAM, prompt), first)
+    harness.sender.attempts.clear()
+
+
+# Callers that do not name what they take up send the same request again.
+@pytest.mark.parametrize("version", ["v1", "v2"])
+def test_a_caller_that_does_not_name_its_stream_goes_on(harness, version):
+    answer_with(harness)
+    begin_request(harness, version)
+    harness.serve(take_up(harness, resumes=""), ok())
+    assert places(harness) == [f"t-{version}"]
+
+
+def test_a_control_vm_tells_where_a_request_has_begun(harness):
+    answer_with(harness, "v2")
+    harness.serve(take_up(harness, resumes=""), ok())
+    assert places(harness) == ["t-v2"]
+
+
+# The same request began here at one version and elsewhere at another.
+def test_a_request_that_began_at_two_versions_is_refused(harness):
+    answer_with(harness, "v2")
+    begin_request(harness, "v1")
+    (refusal,), _ = harness.serve(take_up(harness, resumes=""))
+    assert (refusal.status, places(harness)) == (503, [])
+
+
+# A VM without control VMs can't tell its own streams from others that look alike.
+@pytest.mark.parametrize(("prompt", "status"), [(make_prompt(), 200), (None, 503)])
+def test_without_control_vms_only_prompts_are_told_apart(harness, prompt, status):
+    begin_request(harness, "v1", prompt)
+    call = take_up(harness, resumes="")
+    call = call._replace(info=call.info._replace(prompt=prompt))
+    parts, _ = harness.serve(call, ok())
     assert parts[0].status == status
 
 
+# An answer from before the question proves nothing of what has begun since.
+def test_an_answer_to_an_earlier_question_is_dropped():
+    origins = RequestOrigins(ManualClock(1000))
+    with origins.question() as first:
+        pass
+    with origins.question() as second:
+        origins.handle_answer(first, [("desk", "v1")])
+        assert origins.answers[second] is None
+        origins.handle_answer(second, [])
+        assert origins.answers[second] == frozenset()
+
+
+def test_the_origins_of_a_request_add_up_and_expire():
+    origins = RequestOrigins(clock := ManualClock(1000))
+    origins.record(1, ORIGIN)
+    origins.add(1, StreamOrigin("desk", "v2"))
+    assert len(origins.find(1)) == 2
+    assert [*origins.take_unsent()] == [(ORIGIN, (1,))]
+    assert len([*origins.all_by_origin()]) == 2
+    clock.advance(ORIGIN_TTL_MS)
+    assert not origins.find(1)
+    origins.sweep()
+    assert not origins.known
+
+
+def test_prompts_with_the_same_body_are_told_apart_by_their_parts():
+    assert request_key("digest", ["a", "b"]) != request_key("digest", ["a", "c"])
+
+
 def test_two_callers_may_use_the_same_id():
     assert stream_key("h", "id") != stream_key("i", "id")
 
