Play a VM that stands still during a release with real processes

An earlier form of the test, which took all streams up a second time at once, failed once with 503: the stand-in's listen queue of 5 was full ("can't connect: timed out" in the VM's log), so these are taken up one after the other now. After 4.4 s of standing still `view_age_ms` was 3 to 5: the buffered messages had been read first, so the age of a view tells nothing there.

--- /dev/null
+++ b/tests/faults/test_streams_of_a_release.py
@@ -0,0 +1,144 @@
+"""Streams taken up at a VM that stood still during a release, as processes."""
+
+import contextlib
+import http.client
+import re
+import signal
+import threading
+import time
+from typing import NamedTuple
+
+import pytest
+
+from tests.soak.fleet import PORTS, Fleet
+from tests.soak.replica import Replica
+
+FROZEN, OTHER = "entry-west-0", "entry-west-1"
+PATH = "/stream/x"
+STREAMS = 8
+MAX_BEGUN = 80
+START_LIMIT_S = 30
+# Longer than a control VM keeps a link on which it hears nothing.
+LINK_LOST_S = 2
+JOIN_S = 1.5
+RELINK_S = 3
+TIMEOUT_S = 6
+EVENT_ID = re.compile(rb"^id: (\d+)$", re.MULTILINE)
+REFUSED = 503
+
+
+class VersionedReplica(Replica):
+    """A replica of a version of its software."""
+
+    def __init__(self, id_, region, ip, control_addresses, version):
+        self.version = version
+        zone = f"{region}-a"
+        super().__init__(id_, "model", zone, ip, control_addresses, relayed=False)
+
+    def heartbeat(self):
+        return super().heartbeat() | {"version": self.version}
+
+
+class Begun(NamedTuple):
+    """A stream that has begun and was broken off after an event."""
+
+    number: int
+    last_event: int
+
+
+@pytest.fixture
+def fleet(tmp_path, network):
+    with contextlib.closing(Fleet(tmp_path, network)) as fleet:
+        fleet.start_all()
+        deadline = time.monotonic() + START_LIMIT_S
+        while not is_serving(fleet):
+            assert time.monotonic() < deadline, "the fleet does not start"
+            time.sleep(0.2)
+        yield fleet
+
+
+def is_serving(fleet):
+    """Return whether both VMs serve streams; a plan is put until one is accepted."""
+    fleet.put_plan(fleet.operator_addresses[0], 1)
+    with contextlib.suppress(OSError, http.client.HTTPException):
+        return all(
+            read_stream(fleet, vm, "probe", 0)[0] == 200 for vm in fleet.entry_ips
+        )
+    return False
+
+
+def read_stream(fleet, vm, name, number, last_event=0, limit=2):
+    """Return the status and the last event's number of a request for a stream.
+
+    It is broken off after some events, and has the same body whenever it comes again.
+    """
+    headers = {"Host": "soak.example", "X-Pollenmount-Attempt-Id": f"{name}-{number}"}
+    if last_event:
+        headers["Last-Event-Id"] = str(last_event)
+    connection = http.client.HTTPConnection(
+        fleet.entry_ips[vm], PORTS["callers"], TIMEOUT_S
+    )
+    with contextlib.closing(connection):
+        connection.request("POST", PATH, f"prompt {number}", headers)
+        response = connection.getresponse()
+        for _ in range(limit if response.status == 200 else 0):
+            match = EVENT_ID.match(response.readline())
+            response.readline()
+            response.readline()
+            last_event = int(match[1])
+        return response.status, last_event
+
+
+def versions_of(replicas, request_id):
+    """Return the versions of the replicas that ran a request."""
+    return {getattr(r, "version", "v1") for r in replicas if r.runs[request_id]}
+
+
+def begin_streams(fleet, replicas):
+    """Return streams that have begun at the new version, at a VM that is in step."""
+    begun = []
+    for number in range(1, MAX_BEGUN):
+        status, last_event = read_stream(fleet, OTHER, "first", number)
+        if status == 200 and versions_of(replicas, f"first-{number}") == {"v2"}:
+            begun.append(Begun(number, last_event))
+        if len(begun) == STREAMS:
+            return begun
+    raise AssertionError("too few streams began at the new version")
+
+
+def take_up(fleet, begun, name):
+    """Return the statuses of requests that take streams up at the frozen VM at once."""
+    statuses = {}
+
+    def run(stream):
+        number, last_event = stream
+        statuses[number] = read_stream(fleet, FROZEN, name, number, last_event)[0]
+
+    threads = [threading.Thread(target=run, args=(s,), daemon=True) for s in begun]
+    for thread in threads:
+        thread.start()
+    return threads, statuses
+
+
+# A VM that stood still while a version joined sent streams of the new version, which it
+# had not heard of, to the old one. Their requests wait when it goes on.
+def test_a_vm_that_stood_still_during_a_release_joins_no_streams(fleet):
+    fleet.send_signal(FROZEN, signal.SIGSTOP)
+    time.sleep(LINK_LOST_S)
+    new = VersionedReplica(
+        "i-model-v2", "west", fleet.ip(1, 103), fleet.operator_addresses, "v2"
+    )
+    replicas = [*fleet.replicas, fleet.close_on_exit(new)]
+    time.sleep(JOIN_S)
+    begun = begin_streams(fleet, replicas)
+    threads, statuses = take_up(fleet, begun, "second")
+    fleet.send_signal(FROZEN, signal.SIGCONT)
+    for thread in threads:
+        thread.join(TIMEOUT_S)
+    assert set(statuses.values()) <= {200, REFUSED}
+    time.sleep(RELINK_S)
+    later = [read_stream(fleet, FROZEN, "third", *stream)[0] for stream in begun]
+    for name in ("second", "third"):
+        for stream in begun:
+            assert versions_of(replicas, f"{name}-{stream.number}") <= {"v2"}
+    assert later == [200] * STREAMS
