--- a/tests/stream_traffic.py
+++ b/tests/stream_traffic.py
@@ -129,12 +129,14 @@
     `versions` are those of the running targets by id. `taken_up` counts the streams
     that were taken up again while two targets of their version ran, `gone_on` those of
     them that got a response. Callers name the streams that they take up if they are
-    `named`; `draining` are the targets that say so.
+    `named`; `draining` are the targets that say so. `break_share` of the pieces of
+    targets' responses are not sent, and break these off.
     """
 
     def __init__(self, entries=6, targets=12, seed=1, named=True):
         self.named = named
         self.draining = set()
+        self.break_share = 0.0
         self.random = random.Random(seed)
         random.seed(seed)
         self.fleet = FleetModel(entries, targets, seed)
@@ -196,12 +198,19 @@
         return answer
 
     def events(self, id_, after):
-        """Yield the events of a target until it ends."""
+        """Yield the events of a target, in pieces, until it ends."""
         version = self.versions[id_]
         for number in range(after + 1, EVENTS + 1):
-            if id_ not in self.versions:
-                raise ExchangeError("the answer ended early")
-            yield b"id: %d\ndata: %s\n\n" % (number, version.encode())
+            event = b"id: %d\ndata: %s\n\n" % (number, version.encode())
+            for piece in self.split(event):
+                if id_ not in self.versions or self.random.random() < self.break_share:
+                    raise ExchangeError("the answer ended early")
+                yield piece
+
+    def split(self, data):
+        """Yield some bytes in two pieces."""
+        cut = self.random.randrange(len(data))
+        yield from filter(None, (data[:cut], data[cut:]))
 
     def hop_peer(self, name):
         """Return what answers at an entry VM's address for hops."""
@@ -220,9 +229,10 @@
     def while_alive(self, node, starts, body):
         """Yield a body until the VM that sends it is killed."""
         for part in body:
-            if not node.alive or node.starts != starts:
-                raise ExchangeError("the connection was closed")
-            yield part
+            for piece in self.split(part):
+                if not node.alive or node.starts != starts:
+                    raise ExchangeError("the connection was closed")
+                yield piece
 
     def entry(self, node):
         """Return the namespace of an entry VM's parts, new ones after a restart."""
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -94,3 +94,14 @@
     result = total(kill_all_entries, named=False, versions=versions)
     assert result.taken_up >= MIN_TAKEN_UP
     assert result.gone_on >= MIN_SHARE * result.taken_up
+
+
+# A response that breaks off inside an event goes on after the last whole one, within
+# the response and when it is taken up, behind a hop as well.
+def test_no_event_is_missing_or_doubled_when_responses_break_inside_events():
+    with contextlib.closing(StreamTraffic(seed=1, named=False)) as traffic:
+        traffic.break_share = 0.1
+        play(traffic, kill_all_entries=False)
+        assert not traffic.gaps()
+        assert not traffic.joined()
+        assert traffic.taken_up >= MIN_TAKEN_UP
