Show streams joined at targets that restarted as another version

Known to fail, no logic changes. A target restarts under its id as another version and its first heartbeat is late; control VMs tell all VMs that it is in doubt, and its old record still decides where streams go on, and as what version a stream that it begins is recorded.

--- a/tests/stream_traffic.py
+++ b/tests/stream_traffic.py
@@ -129,13 +129,15 @@
     `versions` are those of the running targets by id. `taken_up` counts the streams
     that were taken up again while two targets of their version ran, `gone_on` those of
     them that got a response. Callers name the streams that they take up if they are
-    `named`; `draining` are the targets that say so. `break_share` of the pieces of
+    `named`; `draining` are the targets that say so, `silent` those whose heartbeats do
+    not arrive. `break_share` of the pieces of
     targets' responses are not sent, and break these off.
     """
 
     def __init__(self, entries=6, targets=12, seed=1, named=True):
         self.named = named
         self.draining = set()
+        self.silent = set()
         self.break_share = 0.0
         self.random = random.Random(seed)
         random.seed(seed)
@@ -158,7 +160,7 @@
         for id_, version in self.versions.items():
             region = ZONES[self.fleet.targets[id_]]
             near = [c for c in controls if c.region == region] or controls
-            if near:
+            if near and id_ not in self.silent:
                 born, draining = self.born[id_], id_ in self.draining
                 self.fleet.beat(
                     id_, near[0], born=born, version=version, draining=draining
@@ -171,6 +173,12 @@
         self.fleet.targets[new] = self.fleet.targets[id_]
         self.versions[new], self.born[new] = version, 1
 
+    def restart_silently(self, id_, version):
+        """Restart a target under its id as another version; it is not heard yet."""
+        self.versions[id_] = version
+        self.born[id_] += 1
+        self.silent.add(id_)
+
     def leave(self, id_):
         """Let a target say that it leaves, and end."""
         self.fleet.of_role(CONTROL)[0].server.targets.handle_leave(id_)
--- a/tests/test_stream_views.py
+++ b/tests/test_stream_views.py
@@ -14,6 +14,8 @@
 STREAMS = 12
 ABSENCE_MS = 3000
 RELINK_MS = 3000
+# Longer than until a control VM doubts a target, shorter than until it is silent.
+DOUBTED_MS = 2500
 # The users' bound, as in the test of all streams.
 MIN_SHARE = 0.5
 
@@ -134,3 +136,31 @@
     traffic.fleet.run(RELINK_MS)
     assert take_up(traffic, streams, absent) >= MIN_SHARE * STREAMS
     assert not traffic.joined()
+
+
+def restart_targets(traffic):
+    """Let targets restart under their ids as another version; time passes in doubt."""
+    for id_ in sorted(traffic.versions)[::2]:
+        traffic.restart_silently(id_, "v2")
+    traffic.fleet.run(DOUBTED_MS)
+
+
+# A target that restarted under its id as another version was taken for the version that
+# it had, also while its heartbeat was overdue.
+def test_streams_are_not_taken_up_at_a_target_that_may_have_restarted(traffic):
+    nodes = traffic.fleet.of_role(ENTRY)
+    streams = begin_streams(traffic, nodes, "v1")
+    restart_targets(traffic)
+    for node in nodes:
+        take_up(traffic, streams[:2], node)
+        del streams[:2]
+    assert not traffic.joined()
+
+
+# What such a target began was recorded as a stream of the version that it had.
+def test_streams_that_began_at_a_target_in_doubt_are_not_joined(traffic):
+    nodes = traffic.fleet.of_role(ENTRY)
+    restart_targets(traffic)
+    streams = begin_streams(traffic, nodes, "v2")
+    take_up(traffic, streams)
+    assert not traffic.joined()
