Go on with no stream at a target that may have restarted as another version

Callers got streams joined from two versions when a target restarted under its id as another version and its first heartbeat was late. Cause: the version in the table belongs to the target's newest heartbeat, and was used without regard to whether that still holds, though control VMs had told all VMs that the target is in doubt.

A target in doubt, or that no control VM hears, takes no streams up; the origin of a stream that it begins is a version that no target has, so it ends there and its take-up is refused. Without links a VM can't know that a target is not heard: there the record counts as before.

Not closed: the time until the doubt, 1.5 heartbeats, in which nothing tells a restart.

--- a/pollenmount/gateway/destinations.py
+++ b/pollenmount/gateway/destinations.py
@@ -55,8 +55,11 @@
         if any(self.context.rate_limits(target)):
             self.context.rates.record(id_)
         region = self.context.settings.region
+        version = record.version
+        if not self.context.is_version_known(target):
+            version = unknown_version(record)
         return AttemptDestination(
-            id_, record.address, record.born, region, id_, version=record.version
+            id_, record.address, record.born, region, id_, version=version
         )
 
     def of_hop(self, call, progress, region):
@@ -77,3 +80,8 @@
         return AttemptDestination(
             member.name, member.hop_address, member.incarnation, region, "", (header,)
         )
+
+
+def unknown_version(record):
+    """Return a version that no target has, so that a stream goes on nowhere else."""
+    return f"(unknown) {record.version} {record.id} {record.born}"
--- a/pollenmount/gateway/routing_context.py
+++ b/pollenmount/gateway/routing_context.py
@@ -93,11 +93,24 @@
                 record.draining
                 or record.failure_domain in evacuated
                 or record.id in tried
-                or version not in (None, record.version)
+                or not (version is None or self.runs_version(target, version))
                 or self.fleet.region_of(record.failure_domain) != self.settings.region
             ):
                 yield target
 
+    def runs_version(self, target, version):
+        """Return whether it is certain that a target runs a version."""
+        return target.record.version == version and self.is_version_known(target)
+
+    def is_version_known(self, target):
+        """Return whether a target's newest record tells what answers at its address.
+
+        It may have restarted as another version if its heartbeat is overdue, or if no
+        control VM hears it; a VM without links can't know the latter.
+        """
+        is_heard = target.is_heard or not self.fleet.quorums
+        return is_heard and not target.is_doubted(self.clock.now())
+
     def remote_options(self, call, tried, version=None):
         """Return an option for each other region that may run the call.
 
