--- a/pollenmount/gateway/dispatch.py
+++ b/pollenmount/gateway/dispatch.py
@@ -110,7 +110,7 @@
         resumption = self.context.resumption
         if not resumption.needs_origin(call):
             return call, ""
-        origin = resumption.find_origin(call, self.sleep)
+        origin = resumption.find_origin(call, progress, self.sleep)
         if origin is None:
             return call, "it is not known which version began the stream"
         if origin.service not in [split.service for split in call.route.splits]:
@@ -214,7 +214,7 @@
         if call.route.retry_mode is RetryMode.STREAM and is_success(head.status):
             progress.version = head.version
             if may_hop:
-                self.context.resumption.record_begin(call, head.version)
+                self.context.resumption.record_begin(call, progress)
 
     def may_replace_attempt(self, call, progress, may_hop, stalled_ms):
         """Return whether another attempt can replace one that makes no progress."""
@@ -237,6 +237,7 @@
         progress.remaining_ms = progress.crashed = None
         progress.paused_ms = 0
         progress.destination = destination
+        progress.versions.append(destination.version)
         progress.expected_ms = round(expected_ms)
         progress.tried.add(destination.name)
 
--- a/tests/test_evacuation_orders.py
+++ b/tests/test_evacuation_orders.py
@@ -125,7 +125,8 @@
     receiver.fleet.handle(EvacuationsChanged(7, ("west-a",)), "c")
     receiver.fleet.handle(EntryCounts({"east": 1}, True, True), "c")
     receiver.fleet.handle(EntryCounts({"east": 1}, False, False), "d")
-    receiver.fleet.heard_at = receiver.clock.now() - 300
+    receiver.fleet.freshness.record("c")
+    receiver.clock.advance(300)
     receiver.sender.script = [ok("t")]
     reply = receive_hop(receiver, receiver.make_call())
     assert reply.status == 200
