--- a/tests/stream_traffic.py
+++ b/tests/stream_traffic.py
@@ -17,6 +17,7 @@
 from pollenmount.gateway.metrics import GatewayMetrics
 from pollenmount.retry_budget import RetryBudget
 from pollenmount.routes.plan import RetryMode, index_routes
+from pollenmount.wire.answered_ids import AnsweredIds
 from pollenmount.wire.connection import HttpResponseHead
 from pollenmount.wire.errors import ConnectError, ExchangeError
 from tests.fleet_model import ZONES, FleetModel
@@ -67,6 +68,7 @@
     def __init__(self, peer):
         self.peer = peer
         self.reply = None
+        self.ids = AnsweredIds()
 
     def send(self, data):
         head, _, body = data.decode().partition("\r\n\r\n")
