Let a failure that a target answers clear no request

Callers: a request that crashes targets was sent on for a minute after one target had answered it 500, as failing targets may without running it: that VM took it for answered, kept back its own reports, and cleared those of others. Cause: an answer of a target, be it a failure, counted as proof. Class of fault: a proof taken from what is none. Change: a failure is neither evidence nor proof, as for prompts. A sound request that only ever gets failures, and was at two targets that crashed, is refused for 30 s.

--- a/pollenmount/gateway/request_guard.py
+++ b/pollenmount/gateway/request_guard.py
@@ -29,7 +29,8 @@
     """Evidence of this VM on whole requests, beside `fleet.request_quarantine`.
 
     `probe` and `restarts` tell whether a target has crashed. `answered` has the digests
-    of requests that targets answered here lately, be it with a failure.
+    of requests that targets answered here lately. A failure is no such answer, since
+    the target may have sent it in place of running the request.
     """
 
     def __init__(self, fleet, clock, metrics, probe):
@@ -57,14 +58,10 @@
             self.fleet.handle(RequestsAnswered(answered), RESPONSE)
 
     def record_failure(self, call, progress, destination, error):
-        """Report a failed attempt if its target crashed, or that it answered."""
-        digest = progress.digest
-        if isinstance(error, FailedResponseError):
-            self.record_answered(digest)
-            return
+        """Report a failed attempt if its target crashed."""
         if (
             may_be_crash(progress, destination, error)
-            and digest not in self.answered
+            and progress.digest not in self.answered
             and not self.is_leaving(destination)
         ):
             self.look_for_crash(call, progress, destination)
@@ -136,4 +133,6 @@
     """Return whether a target may have crashed before it answered an attempt."""
     if not destination.target_id or progress.event_arrived or error.not_run:
         return False
-    return not isinstance(error, ResponseTimeoutError | PeerUnreachableError)
+    return not isinstance(
+        error, FailedResponseError | ResponseTimeoutError | PeerUnreachableError
+    )
--- a/tests/test_deadly_requests.py
+++ b/tests/test_deadly_requests.py
@@ -16,8 +16,8 @@
 )
 from pollenmount.fleet.observations import RESPONSE
 from pollenmount.fleet.quarantine import Crash
-from pollenmount.gateway.attempt import AttemptDestination
-from pollenmount.gateway.call import ResponseHead, digest_request
+from pollenmount.gateway.attempt import AttemptDestination, FailedResponseError
+from pollenmount.gateway.call import Response, ResponseHead, digest_request
 from pollenmount.gateway.progress import Progress
 from pollenmount.wire.errors import ConnectError, ExchangeError
 from tests.gateway_harness import make_route
@@ -46,7 +46,8 @@
 
     Those in `resetting` close the connection of each request, and stay up. If
     `is_seen_late`, crashes are found while a VM sleeps only, and if `stays_open`, the
-    port takes connections also while a target is down.
+    port takes connections also while a target is down. Those in `failing` answer each
+    second deadly request with a failure, before they begin to run it.
     """
 
     def __init__(self):
@@ -55,6 +56,8 @@
         self.back_at = {}
         self.resetting = ()
         self.is_seen_late = self.stays_open = False
+        self.failing = ()
+        self.failures = 0
         self.watchers = []
 
     def run(self, attempt):
@@ -64,6 +67,11 @@
         if target in self.back_at:
             raise ConnectError(f"can't connect to {target}")
         self.arrivals.append(Arrival(self.clock.now(), target, body))
+        if body == DEADLY and target in self.failing:
+            self.failures += 1
+            if self.failures % 2:
+                head = ResponseHead(500, (), target, "west")
+                raise FailedResponseError(Response(head, b"failed"))
         if body == DEADLY:
             self.crash(target)
         if body == DEADLY or target in self.resetting:
@@ -122,10 +130,11 @@
     return Vms()
 
 
-def late_sends(seed, stays_open=False):
+def late_sends(seed, stays_open=False, failing=()):
     """Return how many deadly requests reach targets after the users' bound."""
     vms = Vms(seed)
     vms.desks.stays_open = stays_open
+    vms.desks.failing = failing
     for number in range(300):
         if number % 4 == 0:
             vms.serve(DEADLY)
@@ -149,6 +158,12 @@
     assert max(late_sends(seed, True) for seed in range(8)) <= MAX_SENDS_AFTER
 
 
+# A target that fails some requests without running them cleared the request for a
+# minute, at all VMs.
+def test_a_failure_that_a_target_answers_clears_nothing():
+    assert max(late_sends(seed, failing="a") for seed in range(8)) <= MAX_SENDS_AFTER
+
+
 # A restart long after is no news of the request.
 def test_a_target_that_restarts_much_later_is_no_evidence(vms):
     vms.desks.resetting = TARGETS
