Date a crash that is found late by when the attempt broke off

A loss of power ends targets at one moment, and their restarts are heard one after the other, so a sound request that two of them had was put in quarantine: the new test, 503 for 200. Change: a report that comes late says how long ago the attempt broke off, as RequestsCrashed can. Test changed: the prompts of test_deadly_prompts.py have bodies of their own now. All were one request with one call id for the evidence on requests, which is what no caller sends; its checks are as they were.

--- a/pollenmount/gateway/request_guard.py
+++ b/pollenmount/gateway/request_guard.py
@@ -69,6 +69,7 @@
     def look_for_crash(self, call, progress, destination):
         """Report a request if its target has crashed, or is found to a little later."""
         attempt = progress.sends
+        broken_at = self.clock.now()
         reported = False
 
         def report_crash():
@@ -77,7 +78,7 @@
                 progress.crashed = True
             if not reported and progress.digest not in self.answered:
                 reported = True
-                self.report(call, progress.digest, destination)
+                self.report(call, progress.digest, destination, broken_at)
 
         progress.crashed = self.probe.has_crashed(destination, report_crash)
         if progress.crashed:
@@ -85,11 +86,12 @@
         else:
             self.restarts.add(destination, report_crash)
 
-    def report(self, call, digest, destination):
-        """Report that a target crashed that had a request."""
+    def report(self, call, digest, destination, broken_at):
+        """Report that a target crashed that had a request, and broke it off then."""
         if not self.is_leaving(destination) and self.reports.try_acquire():
             id_, born = destination.target_id, destination.incarnation
-            report = RequestsCrashed(id_, born, call.id, (digest,))
+            age_ms = self.clock.now() - broken_at
+            report = RequestsCrashed(id_, born, call.id, (digest,), age_ms)
             self.fleet.handle(report, RESPONSE)
 
     def wait_for_verdict(self, progress, sleep):
--- a/tests/test_deadly_prompts.py
+++ b/tests/test_deadly_prompts.py
@@ -58,7 +58,8 @@
         own = PromptPart(f"own-{parts}-{number}", 100)
         shared = tuple(PromptPart(part, 1000) for part in parts)
         prompt = Prompt("m", 1100, 50, (*shared, own))
-        return self.run_call(self.all[vm], self.all[vm].make_call(ROUTE, prompt))
+        call = self.all[vm].make_call(ROUTE, prompt, body=repr(prompt).encode())
+        return self.run_call(self.all[vm], call)
 
 
 @pytest.fixture
--- a/tests/test_deadly_requests.py
+++ b/tests/test_deadly_requests.py
@@ -267,6 +267,21 @@
     assert vms.serve(b"sound", vm=0).status == 200
 
 
+# Their restarts are heard one after the other, which says nothing of when they ended.
+def test_targets_lost_at_one_moment_that_restart_by_turns_quarantine_nothing(vms):
+    vms.desks.stays_open = True
+    guard, call = vms.all[0].context.guard, vms.all[0].make_call(body=b"sound")
+    for target in TARGETS:
+        copy = call._replace(info=call.info._replace(id=target))
+        destination = AttemptDestination(target, f"{target}:1", 1, "west", target)
+        guard.record_failure(copy, Progress(copy), destination, ExchangeError("closed"))
+    for target in TARGETS:
+        vms.clock.advance(1500)
+        vms.restart(target, vms.clock.now())
+    assert vms.all[1].fleet.request_quarantine.crashes
+    assert vms.serve(b"sound", vm=1).status == 200
+
+
 # A target that leaves ends as a crashed one does, and takes no connections then.
 def test_a_target_that_leaves_is_no_evidence(vms):
     vms.desks.resetting = TARGETS
