--- a/pollenmount/gateway/request_guard.py
+++ b/pollenmount/gateway/request_guard.py
@@ -29,7 +29,8 @@
     """Evidence of this VM on whole requests, beside `fleet.request_quarantine`.
 
     `probe` and `restarts` tell whether a target has crashed. `answered` has the digests
-    of requests that targets answered here lately, be it with a failure.
+    of requests that targets answered here lately. A failure is no such answer, since
+    the target may have sent it in place of running the request.
     """
 
     def __init__(self, fleet, clock, metrics, probe):
@@ -57,14 +58,10 @@
             self.fleet.handle(RequestsAnswered(answered), RESPONSE)
 
     def record_failure(self, call, progress, destination, error):
-        """Report a failed attempt if its target crashed, or that it answered."""
-        digest = progress.digest
-        if isinstance(error, FailedResponseError):
-            self.record_answered(digest)
-            return
+        """Report a failed attempt if its target crashed."""
         if (
             may_be_crash(progress, destination, error)
-            and digest not in self.answered
+            and progress.digest not in self.answered
             and not self.is_leaving(destination)
         ):
             self.look_for_crash(call, progress, destination)
@@ -72,6 +69,7 @@
     def look_for_crash(self, call, progress, destination):
         """Report a request if its target has crashed, or is found to a little later."""
         attempt = progress.sends
+        broken_at = self.clock.now()
         reported = False
 
         def report_crash():
@@ -80,7 +78,7 @@
                 progress.crashed = True
             if not reported and progress.digest not in self.answered:
                 reported = True
-                self.report(call, progress.digest, destination)
+                self.report(call, progress.digest, destination, broken_at)
 
         progress.crashed = self.probe.has_crashed(destination, report_crash)
         if progress.crashed:
@@ -88,11 +86,12 @@
         else:
             self.restarts.add(destination, report_crash)
 
-    def report(self, call, digest, destination):
-        """Report that a target crashed that had a request."""
+    def report(self, call, digest, destination, broken_at):
+        """Report that a target crashed that had a request, and broke it off then."""
         if not self.is_leaving(destination) and self.reports.try_acquire():
             id_, born = destination.target_id, destination.incarnation
-            report = RequestsCrashed(id_, born, call.id, (digest,))
+            age_ms = self.clock.now() - broken_at
+            report = RequestsCrashed(id_, born, call.id, (digest,), age_ms)
             self.fleet.handle(report, RESPONSE)
 
     def wait_for_verdict(self, progress, sleep):
@@ -136,4 +135,6 @@
     """Return whether a target may have crashed before it answered an attempt."""
     if not destination.target_id or progress.event_arrived or error.not_run:
         return False
-    return not isinstance(error, ResponseTimeoutError | PeerUnreachableError)
+    return not isinstance(
+        error, FailedResponseError | ResponseTimeoutError | PeerUnreachableError
+    )
