Heed what a target asks for in a refusal without an id

Since refusals without an id end their connection, one on a new connection was raised as an error before its headers were looked at: a target's pause, its limit and its notice that it leaves were lost with it. It is read as before now, and the connection is closed by what it remembers. test_a_pause_asked_for_without_an_id_holds_and_ends_the_connection failed before.

--- a/pollenmount/gateway/attempt.py
+++ b/pollenmount/gateway/attempt.py
@@ -195,7 +195,10 @@
                 return head, info
             log_other_id(connection, attempt, head.status, info)
             if info.not_run and not info.id:
-                raise unidentified_refusal_error(connection, head.status, info)
+                if connection.requests_sent > 1:
+                    raise MalformedResponseError("a refusal of an unknown request")
+                connection.ids.add(info.id, False)
+                return head, info
             discard(connection.read_body(head, attempt.call.method, remaining_ms))
             if not connection.reusable:
                 break
@@ -267,13 +270,6 @@
     )
 
 
-def unidentified_refusal_error(connection, status, info):
-    """Return the error for a refusal without id, after which a connection is closed."""
-    if connection.requests_sent == 1:
-        return not_run_error(status, info)
-    return MalformedResponseError("a refusal of an unknown request")
-
-
 def log_other_id(connection, attempt, status, info):
     """Log a response without the id of the request that waits for one."""
     logger.info(
--- a/pollenmount/wire/answered_ids.py
+++ b/pollenmount/wire/answered_ids.py
@@ -14,7 +14,8 @@
     """The ids of the requests that failed, and of the last one that succeeded.
 
     A request that failed may come again under its id at any time. The copy of a success
-    is to be expected before the response to the next request only.
+    is to be expected before the response to the next request only. The copy of a
+    failure without id would fit to any request.
     """
 
     def __init__(self):
@@ -27,11 +28,11 @@
 
     @property
     def is_full(self):
-        """Return whether no further failure can be remembered."""
-        return len(self.failed) >= MAX_FAILED_IDS
+        """Return whether the connection must carry no further request."""
+        return len(self.failed) >= MAX_FAILED_IDS or "" in self.failed
 
     def add(self, id_, has_succeeded):
-        """Remember the id of a response."""
+        """Remember the id of a response, '' for none."""
         if has_succeeded:
             self.succeeded = id_
         else:
--- a/tests/test_target_pauses.py
+++ b/tests/test_target_pauses.py
@@ -20,6 +20,7 @@
 from tests.gateway_harness import make_route
 from tests.scripted_vm import (
     EVENTS,
+    KEEP_ALIVE,
     LEAVING,
     NOT_RUN,
     ONCE,
@@ -56,6 +57,16 @@
     assert vm.usable() == {"a"}
 
 
+# Guards against a wish of a target that is lost where it names no request.
+def test_a_pause_asked_for_without_an_id_holds_and_ends_the_connection(make_vm):
+    vm = make_vm("a")
+    id_line = b"X-Pollenmount-Attempt-Id: id-1\r\n"
+    (refusal,) = vm.serve(pause(3, NOT_RUN + KEEP_ALIVE).replace(id_line, b""))
+    assert refusal.status == 503
+    assert vm.usable() == set()
+    assert vm.opened[0].closed
+
+
 # Nothing ran, so the request must be tried elsewhere, once only requests too.
 def test_the_request_goes_to_another_target(make_vm):
     vm = make_vm("a", "b")
