--- a/tests/stream_traffic.py
+++ b/tests/stream_traffic.py
@@ -64,6 +64,7 @@
     """A connection to `peer`, a function that returns the reply to a request."""
 
     reusable = True
+    requests_sent = 1
 
     def __init__(self, peer):
         self.peer = peer
