Keep no bodies of broken requests while restarts are waited for

Up to 1,024 calls with their bodies were kept for 10 s and longer, by the functions to be called; a VM has 200 MB. Now their digests and ids are.

--- a/pollenmount/gateway/request_guard.py
+++ b/pollenmount/gateway/request_guard.py
@@ -4,9 +4,12 @@
 VMs on requests that were answered here, and tells which requests are in quarantine.
 """
 
+import functools
+from typing import NamedTuple
+
 from pollenmount.fleet.messages import RequestsAnswered, RequestsCrashed
 from pollenmount.fleet.observations import RESPONSE
-from pollenmount.gateway.attempt import FailedResponseError
+from pollenmount.gateway.attempt import AttemptDestination, FailedResponseError
 from pollenmount.gateway.recent_keys import RecentKeys, ReportLimit
 from pollenmount.gateway.restart_watch import RestartWatch
 from pollenmount.log import get_logger
@@ -25,6 +28,15 @@
 logger = get_logger("requests")
 
 
+class BrokenRequest(NamedTuple):
+    """A request by its digest, which a target broke off at `at`; `call` is its id."""
+
+    digest: str
+    call: str
+    destination: AttemptDestination
+    at: int
+
+
 class RequestGuard:
     """Evidence of this VM on whole requests, beside `fleet.request_quarantine`.
 
@@ -68,30 +80,31 @@
 
     def look_for_crash(self, call, progress, destination):
         """Report a request if its target has crashed, or is found to a little later."""
+        broken = BrokenRequest(progress.digest, call.id, destination, self.clock.now())
         attempt = progress.sends
-        broken_at = self.clock.now()
-        reported = False
 
         def report_crash():
-            nonlocal reported
             if progress.sends == attempt:
                 progress.crashed = True
-            if not reported and progress.digest not in self.answered:
-                reported = True
-                self.report(call, progress.digest, destination, broken_at)
+            self.report(broken)
 
         progress.crashed = self.probe.has_crashed(destination, report_crash)
         if progress.crashed:
-            report_crash()
+            self.report(broken)
         else:
-            self.restarts.add(destination, report_crash)
+            self.restarts.add(destination, functools.partial(self.report, broken))
 
-    def report(self, call, digest, destination, broken_at):
-        """Report that a target crashed that had a request, and broke it off then."""
-        if not self.is_leaving(destination) and self.reports.try_acquire():
+    def report(self, broken):
+        """Report that a target crashed under a request, unless one has answered it."""
+        digest, destination = broken.digest, broken.destination
+        if (
+            digest not in self.answered
+            and not self.is_leaving(destination)
+            and self.reports.try_acquire()
+        ):
             id_, born = destination.target_id, destination.incarnation
-            age_ms = self.clock.now() - broken_at
-            report = RequestsCrashed(id_, born, call.id, (digest,), age_ms)
+            age_ms = self.clock.now() - broken.at
+            report = RequestsCrashed(id_, born, broken.call, (digest,), age_ms)
             self.fleet.handle(report, RESPONSE)
 
     def wait_for_verdict(self, progress, sleep):
--- a/pollenmount/gateway/restart_watch.py
+++ b/pollenmount/gateway/restart_watch.py
@@ -43,6 +43,7 @@
 
     def add(self, destination, on_crash):
         """Call `on_crash` if the target turns out to have started again soon."""
+        self.drop_old()
         self.broken.append(BrokenAttempt(destination, self.clock.now(), on_crash))
 
     def handle_change(self, message, source):
