--- a/tests/test_deadly_requests.py
+++ b/tests/test_deadly_requests.py
@@ -19,6 +19,7 @@
 from pollenmount.gateway.attempt import AttemptDestination, FailedResponseError
 from pollenmount.gateway.call import Response, ResponseHead, digest_request
 from pollenmount.gateway.progress import Progress
+from pollenmount.routes.plan import RetryMode
 from pollenmount.wire.errors import ConnectError, ExchangeError
 from tests.gateway_harness import make_route
 from tests.linked_vms import LinkedVms
@@ -130,14 +131,14 @@
     return Vms()
 
 
-def late_sends(seed, stays_open=False, failing=()):
+def late_sends(seed, stays_open=False, failing=(), route=ROUTE):
     """Return how many deadly requests reach targets after the users' bound."""
     vms = Vms(seed)
     vms.desks.stays_open = stays_open
     vms.desks.failing = failing
     for number in range(300):
         if number % 4 == 0:
-            vms.serve(DEADLY)
+            vms.serve(DEADLY, route=route)
         vms.serve(b"sound %d" % number)
         vms.clock.advance(INTERVAL_MS)
     crashes = vms.desks.crashes
@@ -152,6 +153,14 @@
     assert max(late_sends(seed) for seed in range(8)) <= MAX_SENDS_AFTER
 
 
+# The day `deadly`: streams that crash each target before their first event.
+@pytest.mark.parametrize("resumable", [False, True])
+def test_a_stream_that_crashes_targets_soon_reaches_no_more(resumable):
+    route = make_route(RetryMode.STREAM, attempts=2, resumable=resumable)
+    sends = [late_sends(seed, route=route) for seed in range(8)]
+    assert max(sends) <= MAX_SENDS_AFTER
+
+
 # A target whose port is that of a supervisor takes connections while it is down, and
 # one that is back at once refuses none: no VM saw it crash.
 def test_a_target_that_has_restarted_is_seen_to_have_crashed():
