--- a/pollenmount/consensus/calls.py
+++ b/pollenmount/consensus/calls.py
@@ -8,6 +8,7 @@
 from pollenmount.bridge.control import register_call
 from pollenmount.consensus import messages
 from pollenmount.consensus.messages import Replica
+from pollenmount.documents import UnreadableDocumentError, decode_msgpack
 
 __all__ = [
     "EncodedMessage",
@@ -81,10 +82,14 @@
 
 
 class Hello(NamedTuple):
-    """Call: a replica without a group or a leader announces itself."""
+    """Call: a replica without a group or a leader announces itself.
+
+    `voters` are the names of the first voters in its settings.
+    """
 
     group: str
     replica: Replica
+    voters: tuple[str, ...] = ()
 
 
 class HelloReply(NamedTuple):
@@ -92,13 +97,15 @@
 
     `uninitialized` is set if that replica belongs to no group yet. `leader` is the
     address of the leader that it follows, '' for none. `may_bootstrap` is set if the
-    VM has been up since the fleet was started for the first time.
+    VM is a witness that the voters in the call have created no group. `knows_group` is
+    set if the VM has heard of a group, whether it belongs to it or not.
     """
 
     replica: Replica | None
     uninitialized: bool
     leader: str = ""
     may_bootstrap: bool = False
+    knows_group: bool = False
 
 
 register_call(Propose, ProposeReply)
@@ -112,5 +119,7 @@
 
 
 def decode_message(encoded):
-    """Return the message in an `EncodedMessage`."""
-    return msgspec.msgpack.decode(encoded.body, type=MESSAGE_TYPES[encoded.kind])
+    """Return the message, or raise `UnreadableDocumentError`."""
+    if encoded.kind not in MESSAGE_TYPES:
+        raise UnreadableDocumentError(f"unknown message {encoded.kind!r}")
+    return decode_msgpack(encoded.body, MESSAGE_TYPES[encoded.kind])
--- a/pollenmount/consensus/group.py
+++ b/pollenmount/consensus/group.py
@@ -25,6 +25,7 @@
 from pollenmount.consensus.journal import JournalFailedError, JournalFullError
 from pollenmount.consensus.link import ReplicaLink
 from pollenmount.consensus.pending import PendingRequests
+from pollenmount.documents import UnreadableDocumentError
 from pollenmount.log import get_logger
 
 __all__ = ["Group", "no_quorum_refusal"]
@@ -78,6 +79,8 @@
             saved.commit,
         )
         self.commit_save_at = 0
+        self.processed_at = clock.now()
+        self.dropped_at = None
         self.apply()
         self.loop = task.spawn(self.run)
 
@@ -119,6 +122,25 @@
         """Create the group with its first voters."""
         self.inbox.put(m.Bootstrap(m.Configuration(tuple(replicas))))
 
+    def is_in_touch(self):
+        """Return whether this replica leads, or follows the leader and keeps up.
+
+        One that has failed, waits for its disk or has no vote keeps the leader that it
+        had. A voter gives up a silent leader after twice the election timeout at most.
+        Without a vote, or room on the disk, one may be behind the leader that it hears.
+        """
+        state, now = self.state, self.clock.now()
+        timeout_ms = 2 * self.timing.election_timeout_ms
+        if self.failure or state.leader is None:
+            return False
+        if now - self.processed_at >= timeout_ms:
+            return False
+        if state.role is s.Role.LEADER:
+            return True
+        has_dropped = self.dropped_at is not None and now - self.dropped_at < timeout_ms
+        can_vote = state.configuration.can_vote(self.me)
+        return can_vote and not has_dropped and now - state.heard_at < timeout_ms
+
     def submit(self, request, timeout_ms):
         """Queue a request; return what its `done` receives, or None on a timeout."""
         if self.failure:
@@ -189,15 +211,14 @@
         self.release_effects(transition, batch, proposals)
         self.compact()
         self.save_commit()
+        self.processed_at = self.clock.now()
 
     def step_item(self, transition, item):
         """Step through one item of the inbox; proposals are appended together later."""
         if isinstance(item, Incoming):
             if item.exchange.to == self.me:
-                for encoded in item.exchange.messages:
-                    transition.step(
-                        m.Receive(item.exchange.sender, decode_message(encoded))
-                    )
+                for message in read_messages(item.exchange):
+                    transition.step(m.Receive(item.exchange.sender, message))
         elif isinstance(item, ReadBarrier):
             transition.step(m.Read(self.pending.add_read(item.done)))
         elif not isinstance(item, Proposal):
@@ -247,6 +268,7 @@
         processed once more without them.
         """
         logger.error("disk full", extra={"group": self.name, "problem": str(error)})
+        self.dropped_at = self.clock.now()
         for proposal in proposals:
             proposal.done.send(self.reply(ProposalOutcome.DISK_FULL))
         self.transfer_started = False
@@ -352,6 +374,18 @@
         self.journal.close()
 
 
+def read_messages(exchange):
+    """Yield the messages of another replica, without those that can't be read."""
+    for encoded in exchange.messages:
+        try:
+            yield decode_message(encoded)
+        except UnreadableDocumentError as error:
+            extra = {"group": exchange.group, "replica": exchange.sender.name}
+            logger.warning(
+                "message of a replica left out", extra={**extra, "problem": str(error)}
+            )
+
+
 def encode_messages(messages):
     """Return messages encoded for the wire."""
     return tuple(encode_message(message) for message in messages)
--- a/pollenmount/fleet/fleet.py
+++ b/pollenmount/fleet/fleet.py
@@ -1,8 +1,10 @@
 """A VM's view of the fleet, updated by messages from links and the log."""
 
-import zlib
 from functools import singledispatchmethod
+from typing import NamedTuple
 
+from pollenmount.documents import UnreadableDocumentError, decompress
+from pollenmount.fleet.channel import ChannelError
 from pollenmount.fleet.entry_counter import EntryCounter
 from pollenmount.fleet.freshness import LinkFreshness
 from pollenmount.fleet.members import MemberTable
@@ -26,6 +28,7 @@
     TargetGone,
     TargetLeaving,
     TargetLimited,
+    TargetRefused,
     TargetSeen,
     TargetSilent,
 )
@@ -34,13 +37,26 @@
 from pollenmount.fleet.targets import TargetTable
 from pollenmount.log import get_logger
 
-__all__ = ["Fleet"]
+__all__ = ["Belief", "Fleet"]
 
 CAPACITY_RETENTION_MS = 5000
 
 logger = get_logger("fleet")
 
 
+class Belief(NamedTuple):
+    """How much an entry VM's choice of a target rests on.
+
+    `evacuations` is the revision of the evacuations that it knows, `heard_ms` the age
+    of its newest message from a control VM, None before one, and `in_touch` the number
+    of linked control VMs that are in touch with the leader of the log.
+    """
+
+    evacuations: int
+    heard_ms: int | None
+    in_touch: int
+
+
 class Fleet:
     """Members, targets, routes and evacuations known to this VM.
 
@@ -65,6 +81,7 @@
         self.request_origins = RequestOrigins(clock)
         self.freshness = LinkFreshness(clock)
         self.evacuations = EvacuationsChanged(0, ())
+        self.ignored_evacuations = {}
         self.routes = RoutesChanged(0, 0, b"")
         self.loads = {}
         self.capacities = None
@@ -89,7 +106,7 @@
     @singledispatchmethod
     def handle(self, message, source):
         """Update the state from a message of `source`."""
-        raise TypeError(f"unexpected message on a link: {type(message).__name__}")
+        raise ChannelError(f"unexpected message: {type(message).__name__}")
 
     @handle.register
     def _(self, message: TargetSeen, source):
@@ -99,6 +116,10 @@
     def _(self, message: TargetDoubted, source):
         self.targets.handle_doubted(message, source)
 
+    @handle.register
+    def _(self, message: TargetRefused, source):
+        self.targets.handle_refused(message, source)
+
     @handle.register
     def _(self, message: TargetSilent, source):
         self.targets.handle_silent(message, source)
@@ -190,11 +211,17 @@
 
     @handle.register
     def _(self, message: RoutesChanged, source):
-        if message.revision > self.routes.revision:
-            document = zlib.decompress(message.document)
-            if self.store.update(message.version, document):
-                self.routes = message
-                self.notify(message, source)
+        if message.revision <= self.routes.revision:
+            return
+        try:
+            document = decompress(message.document)
+        except UnreadableDocumentError as error:
+            problem = {"version": message.version, "problem": str(error)}
+            logger.error("can't decompress the plan", extra=problem)
+            return
+        if self.store.update(message.version, document):
+            self.routes = message
+            self.notify(message, source)
 
     @handle.register
     def _(self, message: EvacuationsChanged, source):
@@ -205,6 +232,31 @@
             for failure_domain in {*before} - {*message.failure_domains}:
                 self.targets.doubt_domain(failure_domain)
             self.notify(message, source)
+        else:
+            self.log_ignored(message, source)
+
+    def log_ignored(self, message, source):
+        """Log evacuations that are not taken though they differ, once by source."""
+        known = self.evacuations
+        if (
+            message.failure_domains == known.failure_domains
+            or self.ignored_evacuations.get(source) == message
+        ):
+            return
+        self.ignored_evacuations[source] = message
+        extra = {
+            "source": source,
+            "revision": message.revision,
+            "failure_domains": message.failure_domains,
+            "known_revision": known.revision,
+            "known_failure_domains": known.failure_domains,
+        }
+        logger.info("evacuations ignored", extra=extra)
+
+    def belief(self):
+        """Return the `Belief` at this moment."""
+        in_touch = sum(self.quorums.values())
+        return Belief(self.evacuations.revision, self.freshness.age_ms(), in_touch)
 
     def store_streams(self, message, is_news):
         """Store which streams have begun, and tell other VMs later if it is news."""
@@ -270,6 +322,7 @@
         self.freshness.forget(source)
         self.loads.pop(source, None)
         self.quorums.pop(source, None)
+        self.ignored_evacuations.pop(source, None)
         self.capacity_rows.pop(source, None)
 
     def sweep(self):
--- a/pollenmount/fleet/messages.py
+++ b/pollenmount/fleet/messages.py
@@ -9,6 +9,8 @@
 
 import msgspec
 
+from pollenmount.documents import decode_with
+
 __all__ = [
     "CONTROL",
     "ENTRY",
@@ -38,6 +40,7 @@
     "TargetLimited",
     "TargetLoad",
     "TargetRecord",
+    "TargetRefused",
     "TargetSeen",
     "TargetSilent",
     "decode",
@@ -189,6 +192,17 @@
     cold_senders: tuple[str, ...] = ()
 
 
+class TargetRefused(Message, frozen=True, array_like=True, tag=True):
+    """No process listened at the address of an incarnation of a target.
+
+    It may have crashed, and be cold when it answers again. Sent by the entry VM whose
+    connection was refused, and passed on once by each control VM.
+    """
+
+    id: str
+    born: int
+
+
 class TargetSilent(Message, frozen=True, array_like=True, tag=True):
     """A target has missed several heartbeats."""
 
@@ -359,6 +373,7 @@
     | MemberDown
     | TargetSeen
     | TargetDoubted
+    | TargetRefused
     | TargetSilent
     | TargetGone
     | TargetLeaving
@@ -387,5 +402,5 @@
 
 
 def decode(data):
-    """Return the decoded message, or raise `msgspec.DecodeError`."""
-    return DECODER.decode(data)
+    """Return the decoded message, or raise `UnreadableDocumentError`."""
+    return decode_with(DECODER, data)
--- a/pollenmount/gateway/attempt.py
+++ b/pollenmount/gateway/attempt.py
@@ -7,11 +7,13 @@
 from pollenmount.gateway.dialect import AttemptInfo
 from pollenmount.gateway.hop import HOP_VERSION, is_hop_header, raise_if_refused
 from pollenmount.gateway.target_pauses import bounded_pause_ms
+from pollenmount.log import get_logger
 from pollenmount.routes.plan import RetryMode
 from pollenmount.wire.connection import encode_request
 from pollenmount.wire.errors import ExchangeError, MalformedResponseError
 from pollenmount.wire.events import EventSplitter
 from pollenmount.wire.numbers import parse_decimal
+from pollenmount.wire.pool import MAX_IDLE_MS
 
 __all__ = [
     "Attempt",
@@ -38,6 +40,8 @@
 # A response to another request may be as long as any; a refusal is far shorter.
 MAX_DISCARDED_BYTES = MAX_COMPLETE_RESPONSE_BYTES
 
+logger = get_logger("calls")
+
 
 class NotRunError(ExchangeError):
     """The target reports that it did not run the request."""
@@ -94,6 +98,9 @@
 class ResponseObserver:
     """Callbacks for the progress of an attempt's response."""
 
+    def on_send(self, remaining_ms):
+        """Handle that the attempt is sent, with this time left for the response."""
+
     def on_head(self, status, info):
         """Handle the arrival of the response's status and `ResponseInfo`."""
 
@@ -140,15 +147,14 @@
         call, destination = attempt.call, attempt.destination
         key = destination.connection_key
         non_idempotent = not call.route.may_retry
-        connection = self.pool.acquire(
-            key,
-            destination.address,
-            *((NON_IDEMPOTENT_MAX_IDLE_MS,) if non_idempotent else ()),
-        )
+        max_idle_ms = NON_IDEMPOTENT_MAX_IDLE_MS if non_idempotent else MAX_IDLE_MS
+        connection = self.pool.acquire(key, destination.address, max_idle_ms, call.id)
         connection.may_abandon = attempt.observer.may_abandon
         head = None
         try:
-            connection.send(self.encode(attempt))
+            remaining_ms = max(1, call.deadline - self.clock.now())
+            attempt.observer.on_send(remaining_ms)
+            connection.send(self.encode(attempt, remaining_ms))
             head, info = self.read_head(connection, attempt)
             attempt.observer.on_head(head.status, info)
             yield from self.read_response(connection, head, info, attempt)
@@ -158,12 +164,12 @@
             else:
                 self.pool.release(key, connection, head)
 
-    def encode(self, attempt):
+    def encode(self, attempt, remaining_ms):
         """Return the request as bytes on the wire."""
         call = attempt.call
         info = AttemptInfo(
             attempt.destination.target_id,
-            max(1, call.deadline - self.clock.now()),
+            remaining_ms,
             call.route.priority,
             attempt.resume_after,
         )
@@ -180,14 +186,23 @@
         """Return (head, info) of the response to this call.
 
         A target may respond twice to an earlier request on the same connection; such
-        responses are recognized by their request id and skipped.
+        responses are recognized by their request id and skipped. A refusal without one
+        may be a copy as well, unless this is the first request on the connection.
         """
         remaining_ms = self.make_remaining_ms(attempt.call)
         for _ in range(MAX_FOREIGN_RESPONSES):
             head = connection.read_head(remaining_ms)
-            raise_if_refused(head)
+            if not attempt.destination.target_id:
+                raise_if_refused(head)
             info = self.dialect.read_response(head)
-            if info.id == attempt.call.id or (info.not_run and not info.id):
+            if info.id == attempt.call.id:
+                connection.ids.add(info.id, is_success(head.status))
+                return head, info
+            log_other_id(connection, attempt, head.status, info)
+            if info.not_run and not info.id:
+                if connection.requests_sent > 1:
+                    raise MalformedResponseError("a refusal of an unknown request")
+                connection.ids.add(info.id, False)
                 return head, info
             discard(connection.read_body(head, attempt.call.method, remaining_ms))
             if not connection.reusable:
@@ -260,6 +275,21 @@
     )
 
 
+def log_other_id(connection, attempt, status, info):
+    """Log a response without the id of the request that waits for one."""
+    logger.info(
+        "response without the request's id",
+        extra={
+            "request": attempt.call.id,
+            "place": attempt.destination.name,
+            "response_id": info.id,
+            "status": status,
+            "not_run": info.not_run,
+            "connection_requests": connection.requests_sent,
+        },
+    )
+
+
 def discard(parts):
     """Read a body to its end without keeping it.
 
--- a/pollenmount/gateway/callers.py
+++ b/pollenmount/gateway/callers.py
@@ -312,8 +312,12 @@
                 "ran_in": destination.region if destination else "",
                 "sends": progress.sends,
                 "runs": progress.runs,
+                "attempts": call.route.attempts,
+                "remaining_ms": progress.remaining_ms,
+                "paused_ms": progress.paused_ms,
                 "plan": call.plan_version,
                 "evacuations": self.node.fleet.evacuations.revision,
+                "belief": progress.belief._asdict() if progress.belief else None,
             },
         )
 
--- a/pollenmount/gateway/hop.py
+++ b/pollenmount/gateway/hop.py
@@ -8,6 +8,13 @@
 
 import msgspec
 
+from pollenmount.documents import (
+    Count,
+    DurationMs,
+    Integer,
+    UnreadableDocumentError,
+    decode_json,
+)
 from pollenmount.routes.plan import RetryMode, Route
 from pollenmount.wire.errors import ExchangeError, MalformedResponseError
 
@@ -48,11 +55,11 @@
     service: str
     retry_mode: RetryMode
     resumable: bool
-    priority: int
-    attempts: int
-    slo_ms: int
-    remaining_ms: int
-    plan_version: int
+    priority: Integer
+    attempts: Integer
+    slo_ms: Integer
+    remaining_ms: DurationMs
+    plan_version: Integer
     version: str | None = None
 
 
@@ -63,11 +70,11 @@
     the attempts at targets.
     """
 
-    status: int
+    status: Count
     reason: str
     not_run: bool
-    retry_after_ms: int
-    sends: int = 0
+    retry_after_ms: DurationMs
+    sends: Count = 0
 
 
 class HopRefusedError(ExchangeError):
@@ -116,14 +123,14 @@
         call.plan_version,
         version,
     )
-    return (HOP_REQUEST, msgspec.json.encode(request).decode())
+    return (HOP_REQUEST, encode_header(request))
 
 
 def decode_hop(text):
     """Return the `HopRequest` in a header, or None if it is invalid."""
     try:
-        return msgspec.json.decode(text, type=HopRequest)
-    except msgspec.DecodeError:
+        return decode_header(text, HopRequest)
+    except UnreadableDocumentError:
         return None
 
 
@@ -156,7 +163,7 @@
         error_response.retry_after_ms,
         sends,
     )
-    headers = [(HOP_REFUSED, msgspec.json.encode(refusal).decode())]
+    headers = [(HOP_REFUSED, encode_header(refusal))]
     if error_response.pause_ms:
         headers.append((HOP_PAUSE_MS, str(error_response.pause_ms)))
     if error_response.quarantine_ms:
@@ -176,10 +183,10 @@
     if not text:
         return
     try:
-        refusal = msgspec.json.decode(text, type=HopRefusal)
+        refusal = decode_header(text, HopRefusal)
         pause_ms = read_milliseconds(head, HOP_PAUSE_MS)
         quarantine_ms = read_milliseconds(head, HOP_QUARANTINE_MS)
-    except msgspec.DecodeError as error:
+    except UnreadableDocumentError as error:
         raise MalformedResponseError(f"malformed refusal: {error}") from error
     if head.header(HOP_NOT_READY.lower()):
         raise PeerNotReadyError(refusal)
@@ -188,7 +195,17 @@
 
 def read_milliseconds(head, name):
     """Return the number in a header of a refusal, 0 if it is absent."""
-    return msgspec.json.decode(head.header(name.lower()) or "0", type=int)
+    return decode_header(head.header(name.lower()) or "0", DurationMs)
+
+
+def encode_header(value):
+    """Return a value as JSON whose bytes pass through a header of HTTP."""
+    return msgspec.json.encode(value).decode("latin-1")
+
+
+def decode_header(text, type_):
+    """Return the `type_` in a header, or raise `UnreadableDocumentError`."""
+    return decode_json(text.encode("latin-1", "replace"), type_)
 
 
 def is_hop_header(name):
--- a/pollenmount/gateway/progress.py
+++ b/pollenmount/gateway/progress.py
@@ -28,6 +28,10 @@
     None as long as any may. `origin_source` tells how it was found for a stream that
     the call takes up, `view_age_ms` how long ago this VM had heard from a control VM
     then. `versions` are those of the targets of all attempts, '' for another VM.
+    `remaining_ms` is the time left that went along with the last attempt, and
+    `paused_ms` how long its target still wanted nothing then. `crashed` tells whether a
+    target was found to have crashed under the last attempt, None if nothing asked.
+    `belief` is the `Belief` at the start of the last attempt.
     """
 
     def __init__(self, call):
@@ -57,6 +61,10 @@
         self.quarantine_ms = 0
         self.head_arrived = False
         self.event_arrived = False
+        self.belief = None
+        self.remaining_ms = None
+        self.paused_ms = 0
+        self.crashed = None
 
     def last_gap_ms(self, now):
         """Return the time since the last chunk of the response, None before one."""
@@ -96,6 +104,14 @@
         self.may_hop = may_hop
         self.has_begun = False
 
+    def on_send(self, remaining_ms):
+        """Record what the log says of the moment at which an attempt is sent."""
+        destination = self.destination
+        self.progress.remaining_ms = remaining_ms
+        self.progress.paused_ms = self.dispatcher.context.pauses.left_ms(
+            destination.target_id, destination.incarnation
+        )
+
     def on_head(self, status, info):
         """Handle what the target says of itself, before the body arrives."""
         notices = self.dispatcher.context.notices
--- a/pollenmount/gateway/retry_policy.py
+++ b/pollenmount/gateway/retry_policy.py
@@ -7,15 +7,26 @@
 import contextlib
 
 from pollenmount.gateway.hop import HopRefusedError, PeerNotReadyError
+from pollenmount.log import get_logger
+from pollenmount.retry_budget import RetryBudget
 from pollenmount.wire.errors import ConnectError, PeerUnreachableError
 
-__all__ = ["RESERVE_AFTER_MS", "RetryPolicy", "may_have_arrived"]
+__all__ = ["RESERVE_AFTER_MS", "RetryPolicy", "make_budget", "may_have_arrived"]
 
 MAX_SENDS = 5
 # TCP gives up a peer after 2 s without data and without replies to keepalive probes.
 RESERVE_AFTER_MS = 1500
 MIN_REMAINING_MS = 30
 
+logger = get_logger("calls")
+
+
+def make_budget(settings, fleet, clock):
+    """Return the `RetryBudget` of an entry VM that starts now."""
+    limits = settings.bounds.retry_limits
+    slack_from = clock.now() + limits.window_ms
+    return RetryBudget(clock, limits, fleet.entry_counter.share, slack_from)
+
 
 class RetryPolicy:
     """Rules for further attempts of a call; `budget` is the VM's `RetryBudget`."""
@@ -32,10 +43,25 @@
         reason = self.reason_of_limits(call, progress, progress.runs)
         if reason:
             return reason
-        if may_have_arrived(error) and not self.budget.try_acquire(call.service):
+        if may_have_arrived(error) and not self.acquire(call):
             return "the retry budget is exhausted"
         return None
 
+    def acquire(self, call):
+        """Return whether the budget allows one more retry, count it, and log both."""
+        is_allowed = self.budget.try_acquire(call.service)
+        logger.info(
+            "retry allowed" if is_allowed else "retry refused",
+            extra={
+                "request": call.id,
+                "service": call.service,
+                "used": self.budget.used(call.service),
+                "allowed": self.budget.allowed(call.service),
+                "share": self.budget.share(),
+            },
+        )
+        return is_allowed
+
     def reason_of_limits(self, call, progress, runs):
         """Return which limit forbids another attempt after `runs` runs, or None."""
         if runs >= call.route.attempts:
--- a/pollenmount/gateway/roles/entry.py
+++ b/pollenmount/gateway/roles/entry.py
@@ -18,13 +18,14 @@
 from pollenmount.gateway.rate_limiter import RateLimiter
 from pollenmount.gateway.replies import empty_reply
 from pollenmount.gateway.request_guard import RequestGuard
+from pollenmount.gateway.retry_policy import make_budget
 from pollenmount.gateway.routing_context import RoutingContext
 from pollenmount.gateway.stream_resumption import StreamResumption
 from pollenmount.gateway.target_notices import TargetNotices
 from pollenmount.gateway.target_pauses import TargetPauses
+from pollenmount.last_requests import answer_last_requests
 from pollenmount.log import get_logger
 from pollenmount.plugin import register
-from pollenmount.retry_budget import RetryBudget
 from pollenmount.wire.pool import ConnectionPool
 
 __all__ = ["EntryRole"]
@@ -37,6 +38,7 @@
 # refuses requests slightly earlier.
 REFUSE_AFTER_SHARE = 0.36
 STOP_AFTER_SHARE = 0.93
+CLOSE_AFTER_SHARE = 0.97
 CLOSE_DELAY_MS = 200
 READY_DELAY_MS = 300
 NOT_READY = 503
@@ -73,9 +75,7 @@
                 RequestGuard(node.fleet, clock, node.metrics, CrashProbe(pool)),
             ),
         )
-        node.budget = RetryBudget(
-            clock, settings.bounds.retry_limits, node.fleet.entry_counter.share
-        )
+        node.budget = make_budget(settings, node.fleet, clock)
         sender = Sender(pool, node.dialect, clock)
         chooser = make_chooser(settings.chooser)
         node.dispatcher = Dispatcher(self.context, chooser, sender, node.budget, clock)
@@ -165,6 +165,8 @@
         logger.info("refusing")
         self.wait_while(requested_at + STOP_AFTER_SHARE * grace_ms, self.is_busy)
         task.sleep(CLOSE_DELAY_MS)
+        close_at = requested_at + CLOSE_AFTER_SHARE * grace_ms
+        answer_last_requests(self.is_busy, node.clock, close_at)
 
     def is_busy(self):
         """Return whether requests are running."""
--- a/pollenmount/gateway/routes_log.py
+++ b/pollenmount/gateway/routes_log.py
@@ -15,7 +15,12 @@
 from pollenmount.bridge.loop_executor import LoopExecutor
 from pollenmount.bridge.worker import NativeWorker
 from pollenmount.consensus.calls import Exchange, Hello, Propose
-from pollenmount.consensus.client import GroupClient, no_quorum_refusal
+from pollenmount.consensus.client import (
+    PROPOSE_TIMEOUT_MS,
+    GroupClient,
+    is_always,
+    no_quorum_refusal,
+)
 from pollenmount.consensus.disk import Disk
 from pollenmount.consensus.group import Group
 from pollenmount.consensus.joining import Joiner
@@ -24,13 +29,13 @@
 from pollenmount.consensus.state import Timing
 from pollenmount.errors import PollenmountError
 from pollenmount.fleet.messages import CONTROL, EvacuationsChanged, RoutesChanged
+from pollenmount.gateway.evacuation_orders import EvacuationOrders, ReadOrders
 from pollenmount.log import get_logger
 from pollenmount.routes.machine import (
     GROUP,
     AcceptRoutes,
     RoutesMachine,
     RoutesResult,
-    SetEvacuation,
 )
 
 __all__ = ["RoutesLog"]
@@ -66,6 +71,9 @@
 class RoutesLog:
     """This control VM's replica of the log.
 
+    `seeds` has the consensus addresses of the seeds by IP, `proposal_addresses` those
+    of all control VMs known so far, to which proposals may be sent.
+
     After a disk failure the replica is closed and restarted from the data on disk,
     while the VM keeps running.
     """
@@ -77,14 +85,18 @@
         self.worker = node.manage(NativeWorker(self.loop_executor))
         self.control = node.manage(ControlClient(self.loop_executor, PEER_KEY))
         port = settings.first_port
-        self.voters = {ip: f"{ip}:{port}" for ip in settings.peer_ips()}
+        self.seeds = {ip: f"{ip}:{port}" for ip in settings.peer_ips()}
+        self.proposal_addresses = dict(self.seeds)
+        self.may_bootstrap = settings.first_start
         self.stack = node.manage(contextlib.ExitStack())
+        self.orders = EvacuationOrders(self, node.clock)
         self.start_replica(Journal(self.open_disk()))
         handlers = {
             Propose: self.handle_proposal,
             Exchange: self.exchange,
             Hello: self.handle_hello,
             ReadRoutes: self.handle_read,
+            ReadOrders: self.orders.handle_read,
         }
         node.manage(
             ControlServer(self.loop_executor, settings.consensus, PEER_KEY, handlers)
@@ -107,15 +119,16 @@
         joiner = Joiner(
             self.group,
             self.control,
-            self.voters,
-            may_bootstrap=settings.first_start,
+            self.seeds,
+            may_bootstrap=self.may_bootstrap,
             interval_ms=HELLO_INTERVAL_MS,
             more_addresses=self.peer_addresses,
+            group_seen=self.is_log_seen,
         )
         self.joiner = self.stack.enter_context(contextlib.closing(joiner))
         self.client = GroupClient(
             self.control,
-            {GROUP: self.voters},
+            {GROUP: self.proposal_addresses},
             self.node.clock,
             {GROUP: self.group},
             settings.consensus,
@@ -125,6 +138,7 @@
         """Restart the replica if it has failed."""
         if not self.group.failure:
             return
+        self.may_bootstrap = self.joiner.proof.may_bootstrap
         self.stack.close()
         try:
             journal = self.worker.run(rewrite_journal, self.open_disk)
@@ -174,9 +188,18 @@
             if member.role == CONTROL and member.consensus_address != own
         ]
 
+    def is_log_seen(self):
+        """Return whether the fleet has a plan or an evacuation, and so a log."""
+        fleet = self.node.fleet
+        return bool(
+            fleet.routes.revision
+            or fleet.evacuations.revision
+            or any(member.plan for member in fleet.members.known())
+        )
+
     def has_quorum(self):
         """Return whether this replica is in touch with the leader of the log."""
-        return self.group.state.leader is not None
+        return self.group.is_in_touch()
 
     def publish_state(self, machine):
         """Publish the newest plan and evacuations to the fleet."""
@@ -195,15 +218,21 @@
         command = AcceptRoutes(version, zlib.compress(document))
         return self.propose(command)
 
-    def evacuate(self, failure_domain, evacuated):
-        """Return Ok(RoutesResult) once an evacuation is durable, or Err(Refusal)."""
-        return self.propose(SetEvacuation(failure_domain, evacuated))
+    def evacuate(self, failure_domain, evacuated, has_caller):
+        """Return Ok(OrderResult) once an order is durable, or Err(ErrorResponse)."""
+        return self.orders.run(failure_domain, evacuated, has_caller)
 
-    def propose(self, command):
+    def propose(self, command, timeout_ms=PROPOSE_TIMEOUT_MS, is_wanted=is_always):
         """Propose a command to the leader, on whichever VM it is."""
+        self.add_proposal_addresses()
+        options = (timeout_ms, is_wanted)
+        return self.client.propose(GROUP, command, RoutesResult, *options)
+
+    def add_proposal_addresses(self):
+        """Add the other known control VMs to those that are asked."""
         for address in self.peer_addresses():
-            self.voters.setdefault(address.rpartition(":")[0], address)
-        return self.client.propose(GROUP, command, RoutesResult)
+            ip = address.rpartition(":")[0]
+            self.proposal_addresses.setdefault(ip, address)
 
     def handle_proposal(self, request):
         """Return the reply to a proposal of another control VM."""
--- a/tests/gateway_sockets.py
+++ b/tests/gateway_sockets.py
@@ -34,6 +34,8 @@
 ROUTES = (
     make_route(RetryMode.STREAM, prefix="/stream/", timeout_ms=60_000),
     make_route(RetryMode.ONCE, prefix="/once/", timeout_ms=60_000),
+    make_route(prefix="/again/", timeout_ms=60_000),
+    make_route(RetryMode.STREAM, prefix="/resumed/", timeout_ms=60_000, resumable=True),
 )
 
 
@@ -79,6 +81,7 @@
         self.store.by_host = index_routes(ROUTES)
         dialect = FleetDialect()
         self.dispatcher.sleep = task.sleep
+        self.context.guard.requests.probe.spawn = task.spawn
         self.dispatcher.sender = Sender(self.context.pool, dialect, self.clock)
         self.metrics = GatewayMetrics()
         self.node = types.SimpleNamespace(
--- a/tests/stream_traffic.py
+++ b/tests/stream_traffic.py
@@ -17,6 +17,7 @@
 from pollenmount.gateway.metrics import GatewayMetrics
 from pollenmount.retry_budget import RetryBudget
 from pollenmount.routes.plan import RetryMode, index_routes
+from pollenmount.wire.answered_ids import AnsweredIds
 from pollenmount.wire.connection import HttpResponseHead
 from pollenmount.wire.errors import ConnectError, ExchangeError
 from tests.fleet_model import ZONES, FleetModel
@@ -63,10 +64,12 @@
     """A connection to `peer`, a function that returns the reply to a request."""
 
     reusable = True
+    requests_sent = 1
 
     def __init__(self, peer):
         self.peer = peer
         self.reply = None
+        self.ids = AnsweredIds()
 
     def send(self, data):
         head, _, body = data.decode().partition("\r\n\r\n")
@@ -255,7 +258,7 @@
         settings = make_settings(node.name, node.region)
         context = make_context(settings, node.fleet, LoadTracker(dict), metrics)
         context.random = random.Random(node.name)
-        probe = types.SimpleNamespace(has_crashed=lambda destination: False)
+        probe = types.SimpleNamespace(has_crashed=lambda *args: False)
         context.guard.requests.probe = probe
         clock = self.fleet.clock
         budget = RetryBudget(clock, BOUNDS.retry_limits, node.fleet.entry_counter.share)
--- a/tests/test_deadly_requests.py
+++ b/tests/test_deadly_requests.py
@@ -16,9 +16,10 @@
 )
 from pollenmount.fleet.observations import RESPONSE
 from pollenmount.fleet.quarantine import Crash
-from pollenmount.gateway.attempt import AttemptDestination
-from pollenmount.gateway.call import ResponseHead, digest_request
+from pollenmount.gateway.attempt import AttemptDestination, FailedResponseError
+from pollenmount.gateway.call import Response, ResponseHead, digest_request
 from pollenmount.gateway.progress import Progress
+from pollenmount.routes.plan import RetryMode
 from pollenmount.wire.errors import ConnectError, ExchangeError
 from tests.gateway_harness import make_route
 from tests.linked_vms import LinkedVms
@@ -44,7 +45,10 @@
 class Desks:
     """Targets of a plain service behind the VMs of one fleet.
 
-    Those in `resetting` close the connection of each request, and stay up.
+    Those in `resetting` close the connection of each request, and stay up. If
+    `is_seen_late`, crashes are found while a VM sleeps only, and if `stays_open`, the
+    port takes connections also while a target is down. Those in `failing` answer each
+    second deadly request with a failure, before they begin to run it.
     """
 
     def __init__(self):
@@ -52,6 +56,10 @@
         self.crashes = []
         self.back_at = {}
         self.resetting = ()
+        self.is_seen_late = self.stays_open = False
+        self.failing = ()
+        self.failures = 0
+        self.watchers = []
 
     def run(self, attempt):
         """Crash under a deadly request, else answer."""
@@ -60,6 +68,11 @@
         if target in self.back_at:
             raise ConnectError(f"can't connect to {target}")
         self.arrivals.append(Arrival(self.clock.now(), target, body))
+        if body == DEADLY and target in self.failing:
+            self.failures += 1
+            if self.failures % 2:
+                head = ResponseHead(500, (), target, "west")
+                raise FailedResponseError(Response(head, b"failed"))
         if body == DEADLY:
             self.crash(target)
         if body == DEADLY or target in self.resetting:
@@ -67,10 +80,22 @@
         yield ResponseHead(200, (), target, "west")
         yield b"done"
 
-    def has_crashed(self, destination):
+    def has_crashed(self, destination, on_crash=None):
         """Stand in for `CrashProbe`."""
+        if self.is_seen_late:
+            self.watchers.append(on_crash)
+            return False
+        if self.stays_open:
+            return False
         return destination.target_id in self.back_at
 
+    def sleep(self, ms):
+        """Let time pass, in which crashes are found."""
+        self.clock.advance(ms)
+        watchers, self.watchers = self.watchers, []
+        for on_crash in watchers:
+            on_crash()
+
     def crash(self, target):
         """Let a target take no connections for a while."""
         self.crashes.append(self.clock.now())
@@ -106,12 +131,14 @@
     return Vms()
 
 
-def late_sends(seed):
+def late_sends(seed, stays_open=False, failing=(), route=ROUTE):
     """Return how many deadly requests reach targets after the users' bound."""
     vms = Vms(seed)
+    vms.desks.stays_open = stays_open
+    vms.desks.failing = failing
     for number in range(300):
         if number % 4 == 0:
-            vms.serve(DEADLY)
+            vms.serve(DEADLY, route=route)
         vms.serve(b"sound %d" % number)
         vms.clock.advance(INTERVAL_MS)
     crashes = vms.desks.crashes
@@ -126,6 +153,36 @@
     assert max(late_sends(seed) for seed in range(8)) <= MAX_SENDS_AFTER
 
 
+# The day `deadly`: streams that crash each target before their first event.
+@pytest.mark.parametrize("resumable", [False, True])
+def test_a_stream_that_crashes_targets_soon_reaches_no_more(resumable):
+    route = make_route(RetryMode.STREAM, attempts=2, resumable=resumable)
+    sends = [late_sends(seed, route=route) for seed in range(8)]
+    assert max(sends) <= MAX_SENDS_AFTER
+
+
+# A target whose port is that of a supervisor takes connections while it is down, and
+# one that is back at once refuses none: no VM saw it crash.
+def test_a_target_that_has_restarted_is_seen_to_have_crashed():
+    assert max(late_sends(seed, True) for seed in range(8)) <= MAX_SENDS_AFTER
+
+
+# A target that fails some requests without running them cleared the request for a
+# minute, at all VMs.
+def test_a_failure_that_a_target_answers_clears_nothing():
+    assert max(late_sends(seed, failing="a") for seed in range(8)) <= MAX_SENDS_AFTER
+
+
+# A restart long after is no news of the request.
+def test_a_target_that_restarts_much_later_is_no_evidence(vms):
+    vms.desks.resetting = TARGETS
+    vms.serve(b"sound")
+    vms.clock.advance(20_000)
+    for target in TARGETS:
+        vms.restart(target, vms.clock.now())
+    assert not vms.all[0].fleet.request_quarantine.crashes
+
+
 def crash_two(vms):
     """Let a deadly request crash two targets, by one call."""
     head = vms.serve(DEADLY, vm=0)
@@ -156,6 +213,29 @@
     assert vms.serve(DEADLY).status == 503
 
 
+# The retry of the call that was to show whether the request still crashes targets went
+# out before it was known that it had.
+def test_a_retry_of_a_suspected_request_waits_for_the_verdict(vms):
+    crash_two(vms)
+    vms.clock.advance(30_000)
+    vms.desks.is_seen_late = True
+    vms.all[3].dispatcher.sleep = vms.desks.sleep
+    assert vms.serve(DEADLY, vm=3).status == 502
+    assert len(vms.desks.crashes) == 3
+    assert vms.serve(DEADLY, vm=0).status == 503
+
+
+# Its callers would wait for each reset.
+def test_a_retry_of_any_other_request_does_not_wait(vms):
+    vms.desks.is_seen_late = True
+    vms.desks.resetting = TARGETS
+    sent_at = vms.clock.now()
+    vms.all[3].dispatcher.sleep = vms.desks.sleep
+    vms.serve(b"sound", vm=3)
+    assert len(vms.desks.arrivals) == 2
+    assert vms.clock.now() == sent_at
+
+
 # A quarantine of all that has the same caller and path would stop the route.
 def test_other_requests_of_the_caller_are_served(vms):
     crash_two(vms)
@@ -196,6 +276,21 @@
     assert vms.serve(b"sound", vm=0).status == 200
 
 
+# Their restarts are heard one after the other, which says nothing of when they ended.
+def test_targets_lost_at_one_moment_that_restart_by_turns_quarantine_nothing(vms):
+    vms.desks.stays_open = True
+    guard, call = vms.all[0].context.guard, vms.all[0].make_call(body=b"sound")
+    for target in TARGETS:
+        copy = call._replace(info=call.info._replace(id=target))
+        destination = AttemptDestination(target, f"{target}:1", 1, "west", target)
+        guard.record_failure(copy, Progress(copy), destination, ExchangeError("closed"))
+    for target in TARGETS:
+        vms.clock.advance(1500)
+        vms.restart(target, vms.clock.now())
+    assert vms.all[1].fleet.request_quarantine.crashes
+    assert vms.serve(b"sound", vm=1).status == 200
+
+
 # A target that leaves ends as a crashed one does, and takes no connections then.
 def test_a_target_that_leaves_is_no_evidence(vms):
     vms.desks.resetting = TARGETS
--- a/tests/test_gateway_routes_log.py
+++ b/tests/test_gateway_routes_log.py
@@ -1,19 +1,29 @@
 """The replicated log on one control VM: recovery from one disk failure."""
 
+import contextlib
 import types
 
+import eventlet.patcher
 import pytest
 from result import Err, Ok
 
 from pollenmount import task
 from pollenmount.clock import Clock
+from pollenmount.consensus.calls import Exchange, encode_message
 from pollenmount.consensus.disk import Disk
+from pollenmount.consensus.journal import Journal, JournalFullError
+from pollenmount.consensus.messages import Append, Configuration, Entry
+from pollenmount.consensus.state import Role
 from pollenmount.fleet.fleet import Fleet
+from pollenmount.fleet.messages import CONTROL, MemberRecord, MemberUp
 from pollenmount.gateway.routes_log import RoutesLog
+from pollenmount.routes.machine import AcceptRoutes
 from pollenmount.routes.store import RoutesStore
 from tests.gateway_harness import make_settings
 
 TRIES = 20
+# Above the time after which a leader is given up.
+SILENCE_MS = 2000
 STEP_MS = 50
 
 
@@ -37,14 +47,18 @@
             part.close()
 
 
+def make_node(ip, seed_ips, folder):
+    """Return the node of a control VM at the first start of the fleet."""
+    settings = make_settings(
+        f"control-{ip}", ip=ip, seeds=tuple(f"{seed}:90" for seed in seed_ips)
+    )
+    return Node(settings._replace(data_folder=str(folder), first_port=7410))
+
+
 @pytest.fixture
 def node(network, tmp_path):
     ip = f"127.{network}.8.1"
-    made = Node(
-        make_settings("control-1", ip=ip, seeds=(f"{ip}:90",))._replace(
-            data_folder=str(tmp_path), first_port=7410
-        )
-    )
+    made = make_node(ip, (ip,), tmp_path)
     yield made
     made.close()
 
@@ -81,3 +95,128 @@
     retry_until(lambda: log.accept(3, b"third"), is_ok)
     assert retry_until(log.read, is_ok).ok_value == b"third"
     assert not broken.left
+
+
+def add_control_vm(fleet, ip):
+    """Let a fleet know of one more control VM."""
+    places = {"region": "west", "failure_domain": "west-a"}
+    addresses = dict.fromkeys(("caller_address", "hop_address", "link_address"), "")
+    record = MemberRecord(
+        name=f"control-{ip}",
+        incarnation="1",
+        started=1,
+        sequence=1,
+        role=CONTROL,
+        **places,
+        **addresses,
+        consensus_address=f"{ip}:7410",
+        plan=0,
+        ready=True,
+        stopping=False,
+    )
+    fleet.handle(MemberUp(record), "link")
+
+
+# Guards against a log that is never started: an order that came before all seeds were
+# up added the other control VMs to the list of its first voters.
+def test_an_order_before_the_log_is_started_does_not_change_its_first_voters(
+    network, tmp_path
+):
+    other, first, second = (f"127.{network}.8.{host}" for host in (2, 3, 4))
+    with contextlib.ExitStack() as stack:
+        logs = []
+        for ip in (first, second):
+            node = make_node(ip, (first, second), tmp_path / ip)
+            stack.callback(node.close)
+            add_control_vm(node.fleet, other)
+            logs.append(RoutesLog(node))
+            if ip == first:
+                early = AcceptRoutes(1, b"early")
+                assert isinstance(logs[0].propose(early, STEP_MS), Err)
+        assert f"{other}:7410" in logs[0].client.addresses("routes")
+        assert is_ok(retry_until(lambda: logs[0].accept(2, b"first"), is_ok))
+
+
+@pytest.fixture
+def log(node):
+    """Return a log whose only replica leads."""
+    routes_log = RoutesLog(node)
+    retry_until(lambda: routes_log.accept(1, b"first"), is_ok)
+    assert routes_log.has_quorum()
+    return routes_log
+
+
+def follow(group, learner=False):
+    """Let a replica follow another one, which it has just heard; return that one."""
+    me = group.me
+    other = me._replace(name="other", address="127.0.0.1:1")
+    configuration = Configuration((me, other))
+    if learner:
+        configuration = Configuration((other,), (), (me,))
+    now = group.clock.now()
+    group.state = group.state._replace(
+        role=Role.FOLLOWER,
+        leader=other,
+        configuration=configuration,
+        heard_at=now,
+        election_at=now + SILENCE_MS,
+    )
+    return other
+
+
+# A control VM without a vote kept its leader for good, and asked nobody for orders.
+def test_a_replica_without_a_vote_is_not_in_touch_with_a_silent_leader(log):
+    follow(log.group, learner=True)
+    task.sleep(SILENCE_MS)
+    assert not log.has_quorum()
+
+
+# A control VM whose replica was catching up asked nobody for newer orders.
+def test_a_replica_without_a_vote_is_not_in_touch_while_it_catches_up(log):
+    follow(log.group, learner=True)
+    assert not log.has_quorum()
+
+
+# A control VM whose disk was full heard the leader, and could take nothing from it.
+def test_a_replica_whose_disk_is_full_is_not_in_touch(log, monkeypatch):
+    def fail(journal, *args):
+        raise JournalFullError("no space")
+
+    group = log.group
+    other = follow(group)
+    assert log.has_quorum()
+    monkeypatch.setattr(Journal, "save", fail)
+    last = group.state.log.last_index
+    term = group.state.term
+    for entries in ((Entry(term, "noop", b""),), ()):
+        append = Append(term, last, term, entries, last, 1)
+        group.exchange(Exchange("routes", other, group.me, (encode_message(append),)))
+    assert not log.has_quorum()
+
+
+# A control VM whose replica had failed told its entry VMs that it was in touch.
+def test_a_replica_that_has_failed_is_not_in_touch(log, monkeypatch):
+    def fail(disk, name):
+        raise OSError(5, "disk I/O error")
+
+    monkeypatch.setattr(Disk, "sync", fail)
+    assert isinstance(log.accept(2, b"second"), Err)
+    assert log.group.failure
+    assert not log.has_quorum()
+
+
+# A control VM whose disk stood still told its entry VMs that it was in touch.
+def test_a_replica_whose_disk_stands_still_is_not_in_touch(log, monkeypatch):
+    sync = Disk.sync
+
+    def sync_late(disk, name):
+        eventlet.patcher.original("time").sleep(1.5 * SILENCE_MS / task.MS_PER_S)
+        sync(disk, name)
+
+    monkeypatch.setattr(Disk, "sync", sync_late)
+    task.spawn(log.accept, 2, b"second")
+    task.sleep(SILENCE_MS)
+    assert not log.has_quorum()
+    monkeypatch.undo()
+    task.sleep(SILENCE_MS)
+    assert log.has_quorum()
