--- a/pollenmount/fleet/capacity.py
+++ b/pollenmount/fleet/capacity.py
@@ -4,12 +4,8 @@
 import math
 from typing import NamedTuple
 
-from pollenmount.fleet.messages import (
-    Capacities,
-    ServiceCapacity,
-    TargetLoad,
-    encode,
-)
+from pollenmount.fleet.messages import Capacities, encode
+from pollenmount.fleet.records import ServiceCapacity, TargetLoad
 from pollenmount.fleet.targets import DEFAULT_SLOTS
 
 __all__ = ["CapacityReports", "merge_capacities", "summarize_capacities"]
--- a/pollenmount/fleet/client.py
+++ b/pollenmount/fleet/client.py
@@ -8,16 +8,15 @@
 from pollenmount import task
 from pollenmount.fleet.channel import Channel, ChannelError
 from pollenmount.fleet.messages import (
-    CONTROL,
     LINK_PROTOCOL,
     LinkHello,
     Loads,
     MemberHeartbeat,
-    MemberRecord,
     RequestAsked,
     StreamAsked,
 )
 from pollenmount.fleet.observations import OBSERVATIONS, RESPONSE
+from pollenmount.fleet.records import CONTROL, MemberRecord
 from pollenmount.fleet.totals import LOAD_INTERVAL_MS, changed_loads
 from pollenmount.log import get_logger
 
--- a/pollenmount/fleet/members.py
+++ b/pollenmount/fleet/members.py
@@ -6,7 +6,8 @@
 
 from typing import NamedTuple
 
-from pollenmount.fleet.messages import MemberDown, MemberRecord, MemberUp
+from pollenmount.fleet.messages import MemberDown, MemberUp
+from pollenmount.fleet.records import MemberRecord
 from pollenmount.fleet.versioned_cache import VersionedCache
 
 __all__ = ["MemberTable", "is_news"]
--- a/pollenmount/fleet/selection.py
+++ b/pollenmount/fleet/selection.py
@@ -1,6 +1,6 @@
 """Selection of a few entry VMs by rendezvous hashing, alike on all control VMs."""
 
-from pollenmount.fleet.messages import ENTRY
+from pollenmount.fleet.records import ENTRY
 from pollenmount.rendezvous import top_by_rendezvous
 
 __all__ = ["is_available", "select_senders", "select_hop_peers"]
--- a/pollenmount/fleet/sender_selection.py
+++ b/pollenmount/fleet/sender_selection.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from pollenmount.fleet.messages import ENTRY
+from pollenmount.fleet.records import ENTRY
 from pollenmount.fleet.selection import is_available, select_senders
 
 __all__ = ["SenderSelection"]
--- a/pollenmount/fleet/server.py
+++ b/pollenmount/fleet/server.py
@@ -15,8 +15,6 @@
 from pollenmount.fleet.channel import Channel, ChannelError
 from pollenmount.fleet.members import is_news
 from pollenmount.fleet.messages import (
-    CONTROL,
-    ENTRY,
     LINK_PROTOCOL,
     Capacities,
     EntryCounts,
@@ -31,6 +29,7 @@
     encode,
 )
 from pollenmount.fleet.observations import OBSERVATIONS
+from pollenmount.fleet.records import CONTROL, ENTRY
 from pollenmount.fleet.selection import is_available, select_hop_peers
 from pollenmount.fleet.sender_selection import SenderSelection
 from pollenmount.fleet.session import Session, concerns
--- a/pollenmount/fleet/session.py
+++ b/pollenmount/fleet/session.py
@@ -3,8 +3,6 @@
 from functools import singledispatch
 
 from pollenmount.fleet.messages import (
-    CONTROL,
-    ENTRY,
     EvacuationsChanged,
     LinkHello,
     MemberDown,
@@ -22,6 +20,7 @@
     TargetSeen,
     TargetSilent,
 )
+from pollenmount.fleet.records import CONTROL, ENTRY
 
 __all__ = ["Session", "concerns"]
 
--- a/pollenmount/fleet/target.py
+++ b/pollenmount/fleet/target.py
@@ -2,7 +2,8 @@
 
 from typing import NamedTuple
 
-from pollenmount.fleet.messages import TargetDoubted, TargetRecord, TargetSeen
+from pollenmount.fleet.messages import TargetDoubted, TargetSeen
+from pollenmount.fleet.records import TargetRecord
 
 __all__ = [
     "Doubt",
--- a/pollenmount/fleet/targets.py
+++ b/pollenmount/fleet/targets.py
@@ -10,11 +10,7 @@
 import msgspec
 
 from pollenmount.fleet.leaving import LeavingTargets
-from pollenmount.fleet.messages import (
-    TargetGone,
-    TargetLeaving,
-    TargetSilent,
-)
+from pollenmount.fleet.messages import TargetGone, TargetLeaving, TargetSilent
 from pollenmount.fleet.target import (
     Doubt,
     Target,
--- a/pollenmount/fleet/totals.py
+++ b/pollenmount/fleet/totals.py
@@ -2,7 +2,8 @@
 
 import collections
 
-from pollenmount.fleet.messages import Loads, TargetLoad, encode
+from pollenmount.fleet.messages import Loads, encode
+from pollenmount.fleet.records import TargetLoad
 
 __all__ = ["LOAD_INTERVAL_MS", "LoadTotals", "changed_loads"]
 
--- a/pollenmount/gateway/control.py
+++ b/pollenmount/gateway/control.py
@@ -5,7 +5,7 @@
 from result import Err
 
 from pollenmount.errors import Refusal, SheetError
-from pollenmount.fleet.messages import ENTRY
+from pollenmount.fleet.records import ENTRY
 from pollenmount.gateway.call import ErrorResponse
 from pollenmount.gateway.dialect import ControlRequestKind
 from pollenmount.gateway.replies import document_reply, error_reply
--- a/pollenmount/gateway/dialect.py
+++ b/pollenmount/gateway/dialect.py
@@ -7,7 +7,7 @@
 from enum import StrEnum
 from typing import NamedTuple
 
-from pollenmount.fleet.messages import TargetRecord
+from pollenmount.fleet.records import TargetRecord
 from pollenmount.routes.plan import RoutePlan
 
 __all__ = [
--- a/pollenmount/gateway/load.py
+++ b/pollenmount/gateway/load.py
@@ -2,7 +2,7 @@
 
 import contextlib
 
-from pollenmount.fleet.messages import TargetLoad
+from pollenmount.fleet.records import TargetLoad
 
 __all__ = ["LoadTracker"]
 
--- a/pollenmount/gateway/node.py
+++ b/pollenmount/gateway/node.py
@@ -12,7 +12,7 @@
 from pollenmount.clock import Clock
 from pollenmount.errors import SettingsError
 from pollenmount.fleet.fleet import Fleet
-from pollenmount.fleet.messages import CONTROL, ENTRY, MemberRecord
+from pollenmount.fleet.records import CONTROL, ENTRY, MemberRecord
 from pollenmount.gateway.metrics import GatewayMetrics
 from pollenmount.gateway.replies import document_reply
 from pollenmount.gateway.settings import load_settings
--- a/pollenmount/gateway/routes_log.py
+++ b/pollenmount/gateway/routes_log.py
@@ -28,7 +28,8 @@
 from pollenmount.consensus.messages import Replica
 from pollenmount.consensus.state import Timing
 from pollenmount.errors import PollenmountError
-from pollenmount.fleet.messages import CONTROL, EvacuationsChanged, RoutesChanged
+from pollenmount.fleet.messages import EvacuationsChanged, RoutesChanged
+from pollenmount.fleet.records import CONTROL
 from pollenmount.gateway.evacuation_orders import EvacuationOrders, ReadOrders
 from pollenmount.log import get_logger
 from pollenmount.routes.machine import (
--- a/pollenmount/gateway/routing_context.py
+++ b/pollenmount/gateway/routing_context.py
@@ -3,7 +3,7 @@
 import itertools
 import random
 
-from pollenmount.fleet.messages import ENTRY
+from pollenmount.fleet.records import ENTRY
 from pollenmount.fleet.targets import DEFAULT_SLOTS
 from pollenmount.gateway.attempt import connection_key
 from pollenmount.gateway.choose import Options, TargetOption
--- a/tests/fleet_model.py
+++ b/tests/fleet_model.py
@@ -11,15 +11,13 @@
 from pollenmount.fleet.channel import LINK_TIMEOUT_MS
 from pollenmount.fleet.client import LinkClient
 from pollenmount.fleet.fleet import Fleet
-from pollenmount.fleet.messages import (
+from pollenmount.fleet.messages import RoutesChanged, decode, encode
+from pollenmount.fleet.records import (
     CONTROL,
     ENTRY,
     MemberRecord,
-    RoutesChanged,
     TargetLoad,
     TargetRecord,
-    decode,
-    encode,
 )
 from pollenmount.fleet.server import LinkServer
 from pollenmount.fleet.totals import LOAD_INTERVAL_MS
--- a/tests/fleet_traffic.py
+++ b/tests/fleet_traffic.py
@@ -9,7 +9,8 @@
 from typing import NamedTuple
 
 from pollenmount.clock import ManualClock
-from pollenmount.fleet.messages import CONTROL, ENTRY, EvacuationsChanged
+from pollenmount.fleet.messages import EvacuationsChanged
+from pollenmount.fleet.records import CONTROL, ENTRY
 from pollenmount.gateway.call import Call, ResponseHead
 from pollenmount.gateway.choose import make_chooser
 from pollenmount.gateway.dialect import CallerInfo, ResponseInfo
--- a/tests/gateway_harness.py
+++ b/tests/gateway_harness.py
@@ -7,16 +7,13 @@
 from pollenmount.fleet.capacity import summarize_capacities
 from pollenmount.fleet.fleet import Fleet
 from pollenmount.fleet.messages import (
-    CONTROL,
-    ENTRY,
     Capacities,
     EntryCounts,
     EvacuationsChanged,
-    MemberRecord,
     MemberUp,
-    TargetRecord,
     TargetSeen,
 )
+from pollenmount.fleet.records import CONTROL, ENTRY, MemberRecord, TargetRecord
 from pollenmount.fleet.selection import select_senders
 from pollenmount.gateway.cache import PrefixCacheTracker
 from pollenmount.gateway.call import Call, ResponseHead
--- a/tests/stream_traffic.py
+++ b/tests/stream_traffic.py
@@ -8,7 +8,7 @@
 import re
 import types
 
-from pollenmount.fleet.messages import CONTROL, ENTRY
+from pollenmount.fleet.records import CONTROL, ENTRY
 from pollenmount.gateway.attempt import Sender
 from pollenmount.gateway.callers import CallersApi, HopsApi
 from pollenmount.gateway.choose import make_chooser
--- a/tests/test_cold_arrivals.py
+++ b/tests/test_cold_arrivals.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from pollenmount.fleet.messages import ENTRY
+from pollenmount.fleet.records import ENTRY
 from tests.fleet_model import HEARTBEAT_MS
 from tests.fleet_traffic import (
     DOMAIN,
--- a/tests/test_deadly_requests.py
+++ b/tests/test_deadly_requests.py
@@ -9,11 +9,7 @@
 
 import pytest
 
-from pollenmount.fleet.messages import (
-    RequestsCrashed,
-    TargetGone,
-    TargetLeaving,
-)
+from pollenmount.fleet.messages import RequestsCrashed, TargetGone, TargetLeaving
 from pollenmount.fleet.observations import RESPONSE
 from pollenmount.fleet.quarantine import Crash
 from pollenmount.gateway.attempt import AttemptDestination, FailedResponseError
--- a/tests/test_evacuation_spread.py
+++ b/tests/test_evacuation_spread.py
@@ -7,7 +7,8 @@
 
 import pytest
 
-from pollenmount.fleet.messages import CONTROL, ENTRY, EvacuationsChanged
+from pollenmount.fleet.messages import EvacuationsChanged
+from pollenmount.fleet.records import CONTROL, ENTRY
 from tests.fleet_model import REGIONS, FleetModel
 
 BOUND_MS = 5000
--- a/tests/test_fleet_links.py
+++ b/tests/test_fleet_links.py
@@ -8,7 +8,8 @@
 import pytest
 
 from pollenmount.fleet import client
-from pollenmount.fleet.messages import CONTROL, ENTRY, LINK_PROTOCOL, LinkHello
+from pollenmount.fleet.messages import LINK_PROTOCOL, LinkHello
+from pollenmount.fleet.records import CONTROL, ENTRY
 from tests.fleet_model import FleetModel
 
 ROUNDS = 12
--- a/tests/test_fleet_size.py
+++ b/tests/test_fleet_size.py
@@ -11,7 +11,8 @@
 from hypothesis import HealthCheck, Phase, example, given, settings
 from hypothesis import strategies as st
 
-from pollenmount.fleet.messages import CONTROL, ENTRY, MemberDown, MemberUp
+from pollenmount.fleet.messages import MemberDown, MemberUp
+from pollenmount.fleet.records import CONTROL, ENTRY
 from tests.fleet_model import ZONES, FleetModel
 
 SIZES = (10, 100, 300)
--- a/tests/test_fleet_table.py
+++ b/tests/test_fleet_table.py
@@ -4,17 +4,15 @@
 from pollenmount.fleet.entry_counter import EntryCounter
 from pollenmount.fleet.members import MemberTable
 from pollenmount.fleet.messages import (
-    ENTRY,
     EntryCounts,
     EvacuationsChanged,
     MemberDown,
-    MemberRecord,
     MemberUp,
     TargetGone,
-    TargetRecord,
     TargetSeen,
     TargetSilent,
 )
+from pollenmount.fleet.records import ENTRY, MemberRecord, TargetRecord
 from pollenmount.fleet.targets import TargetTable
 from tests.gateway_harness import EntryHarness
 
--- a/tests/test_gateway_choose.py
+++ b/tests/test_gateway_choose.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from pollenmount.fleet.messages import TargetLoad
+from pollenmount.fleet.records import TargetLoad
 from pollenmount.gateway.choose import RegionChoice, TargetChoice
 from pollenmount.routes.plan import RetryMode
 from tests.gateway_harness import EntryHarness, make_prompt, make_route, ok
--- a/tests/test_gateway_control.py
+++ b/tests/test_gateway_control.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from pollenmount.fleet.messages import CONTROL
+from pollenmount.fleet.records import CONTROL
 from pollenmount.gateway.control import DirectoryApi
 from tests.gateway_harness import EntryHarness, make_route
 
--- a/tests/test_gateway_load.py
+++ b/tests/test_gateway_load.py
@@ -9,7 +9,8 @@
 
 import pytest
 
-from pollenmount.fleet.messages import Loads, TargetLoad, decode
+from pollenmount.fleet.messages import Loads, decode
+from pollenmount.fleet.records import TargetLoad
 from pollenmount.fleet.totals import LOAD_INTERVAL_MS, LoadTotals, changed_loads
 from pollenmount.gateway.choose import PREFILL_TOKENS_PER_MS, TargetChoice
 from pollenmount.gateway.dialect import Prompt, PromptPart
--- a/tests/test_gateway_routes_log.py
+++ b/tests/test_gateway_routes_log.py
@@ -15,7 +15,8 @@
 from pollenmount.consensus.messages import Append, Configuration, Entry
 from pollenmount.consensus.state import Role
 from pollenmount.fleet.fleet import Fleet
-from pollenmount.fleet.messages import CONTROL, MemberRecord, MemberUp
+from pollenmount.fleet.messages import MemberUp
+from pollenmount.fleet.records import CONTROL, MemberRecord
 from pollenmount.gateway.routes_log import RoutesLog
 from pollenmount.routes.machine import AcceptRoutes
 from pollenmount.routes.store import RoutesStore
--- a/tests/test_limited_arrivals.py
+++ b/tests/test_limited_arrivals.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from pollenmount.fleet.messages import ENTRY
+from pollenmount.fleet.records import ENTRY
 from pollenmount.fleet.target_limits import LIMIT_TTL_MS
 from tests.fleet_traffic import DOMAIN, REGION, FleetTraffic, most_in_window
 
--- a/tests/test_link_freshness.py
+++ b/tests/test_link_freshness.py
@@ -2,7 +2,7 @@
 
 from pollenmount.clock import ManualClock
 from pollenmount.fleet.freshness import LinkFreshness
-from pollenmount.fleet.messages import ENTRY
+from pollenmount.fleet.records import ENTRY
 from tests.fleet_model import FleetModel
 
 
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -4,8 +4,6 @@
 
 from pollenmount.clock import ManualClock
 from pollenmount.fleet.messages import (
-    CONTROL,
-    ENTRY,
     PartsServed,
     PromptBroke,
     RequestsAnswered,
@@ -19,6 +17,7 @@
     PartQuarantine,
     RequestQuarantine,
 )
+from pollenmount.fleet.records import CONTROL, ENTRY
 from tests.fleet_model import FleetModel
 
 
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from pollenmount.fleet.messages import ENTRY
+from pollenmount.fleet.records import ENTRY
 from tests.stream_traffic import StreamTraffic
 
 SEEDS = range(6)
--- a/tests/test_stream_views.py
+++ b/tests/test_stream_views.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from pollenmount.fleet.messages import ENTRY
+from pollenmount.fleet.records import ENTRY
 from tests.fleet_model import ZONES
 from tests.stream_traffic import StreamTraffic
 
--- a/tests/test_target_doubts.py
+++ b/tests/test_target_doubts.py
@@ -3,12 +3,8 @@
 import pytest
 
 from pollenmount.clock import ManualClock
-from pollenmount.fleet.messages import (
-    TargetDoubted,
-    TargetRecord,
-    TargetRefused,
-    TargetSeen,
-)
+from pollenmount.fleet.messages import TargetDoubted, TargetRefused, TargetSeen
+from pollenmount.fleet.records import TargetRecord
 from pollenmount.fleet.targets import DOUBT_TTL_MS, TargetTable
 
 OVERDUE_MS = 1800
--- a/tests/test_target_notices.py
+++ b/tests/test_target_notices.py
@@ -8,8 +8,9 @@
 import pytest
 
 from pollenmount.fleet.leaving import MAX_LEAVING_TARGETS, LeavingTargets
-from pollenmount.fleet.messages import ENTRY, TargetLeaving, TargetSilent
+from pollenmount.fleet.messages import TargetLeaving, TargetSilent
 from pollenmount.fleet.observations import RESPONSE
+from pollenmount.fleet.records import ENTRY
 from pollenmount.gateway import attempt
 from pollenmount.gateway.attempt import AttemptDestination
 from pollenmount.gateway.call import ErrorResponse
