--- a/pollenmount/fleet/stream_origins.py
+++ b/pollenmount/fleet/stream_origins.py
@@ -45,17 +45,42 @@
     at: int
 
 
-class StreamOrigins:
-    """Origins by the key of the stream, in `known`, the oldest first.
+class OriginStore:
+    """Origins that are `known` by key, the oldest first, for a limited time.
 
-    `unsent` has the keys, by origin, that other VMs have not been told yet. `ask` sends
-    a question about a key to all linked control VMs.
+    `unsent` has the keys, by origin, that other VMs have not been told yet.
     """
 
     def __init__(self, clock):
         self.clock = clock
         self.known = collections.OrderedDict()
         self.unsent = collections.defaultdict(list)
+
+    def store(self, key, known):
+        """Store what is known of a key, in place of the oldest one if there are many."""
+        self.known[key] = known
+        self.known.move_to_end(key)
+        if len(self.known) > MAX_STREAMS:
+            self.known.popitem(last=False)
+
+    def sweep(self):
+        """Drop the origins of streams that nobody takes up any more."""
+        drop_expired(self.known, self.clock.now())
+
+    def take_unsent(self):
+        """Yield (origin, keys) that other VMs have not been told, and forget them."""
+        unsent, self.unsent = self.unsent, collections.defaultdict(list)
+        yield from split_keys(unsent)
+
+
+class StreamOrigins(OriginStore):
+    """Origins by the key of the stream.
+
+    `ask` sends a question about a key to all linked control VMs.
+    """
+
+    def __init__(self, clock):
+        super().__init__(clock)
         self.ask = lambda key: None
 
     def record(self, key, origin):
@@ -70,9 +95,7 @@
         """
         if self.find(key) is not None:
             return False
-        self.known[key] = KnownOrigin(origin, self.clock.now())
-        if len(self.known) > MAX_STREAMS:
-            self.known.popitem(last=False)
+        self.store(key, KnownOrigin(origin, self.clock.now()))
         return True
 
     def find(self, key):
@@ -85,15 +108,6 @@
             return None
         return known.origin
 
-    def sweep(self):
-        """Drop the origins of streams that nobody takes up any more."""
-        drop_expired(self.known, self.clock.now())
-
-    def take_unsent(self):
-        """Yield (origin, keys) that other VMs have not been told, and forget them."""
-        unsent, self.unsent = self.unsent, collections.defaultdict(list)
-        yield from split_keys(unsent)
-
     def all_by_origin(self):
         """Yield (origin, keys) of all streams, for a VM that knows none."""
         by_origin = collections.defaultdict(list)
@@ -109,18 +123,15 @@
     at: int
 
 
-class RequestOrigins:
-    """Origins of all streams that answer the same request, in `known`, oldest first.
+class RequestOrigins(OriginStore):
+    """Origins of all streams that answer the same request.
 
-    The same request may begin a stream several times, at several versions. `unsent` is
-    as in `StreamOrigins`; `ask` sends a question with a number and a key to all linked
+    The same request may begin a stream several times, at several versions. `ask` sends a question with a number and a key to all linked
     control VMs. `answers` has what they told since, by number, None before an answer.
     """
 
     def __init__(self, clock):
-        self.clock = clock
-        self.known = collections.OrderedDict()
-        self.unsent = collections.defaultdict(list)
+        super().__init__(clock)
         self.ask = lambda number, key: None
         self.numbers = itertools.count(1)
         self.answers = {}
@@ -133,10 +144,7 @@
     def add(self, key, origin):
         """Keep one more origin of a request's streams."""
         origins = with_origin(self.find(key), origin)
-        self.known[key] = KnownRequest(origins, self.clock.now())
-        self.known.move_to_end(key)
-        if len(self.known) > MAX_STREAMS:
-            self.known.popitem(last=False)
+        self.store(key, KnownRequest(origins, self.clock.now()))
 
     def find(self, key):
         """Return the origins of a request's streams that are known here, as a set."""
@@ -145,15 +153,6 @@
             return frozenset()
         return known.origins
 
-    def sweep(self):
-        """Drop the origins of streams that nobody takes up any more."""
-        drop_expired(self.known, self.clock.now())
-
-    def take_unsent(self):
-        """Yield (origin, keys) that other VMs have not been told, and forget them."""
-        unsent, self.unsent = self.unsent, collections.defaultdict(list)
-        yield from split_keys(unsent)
-
     def all_by_origin(self):
         """Yield (origin, keys) of all requests, for a VM that knows none."""
         by_origin = collections.defaultdict(list)
