--- a/pollenmount/fleet/stream_origins.py
+++ b/pollenmount/fleet/stream_origins.py
@@ -57,7 +57,7 @@
         self.unsent = collections.defaultdict(list)
 
     def store(self, key, known):
-        """Store what is known of a key, in place of the oldest one if there are many."""
+        """Store what is known of a key, in place of the oldest if there are many."""
         self.known[key] = known
         self.known.move_to_end(key)
         if len(self.known) > MAX_STREAMS:
@@ -126,8 +126,9 @@
 class RequestOrigins(OriginStore):
     """Origins of all streams that answer the same request.
 
-    The same request may begin a stream several times, at several versions. `ask` sends a question with a number and a key to all linked
-    control VMs. `answers` has what they told since, by number, None before an answer.
+    The same request may begin a stream several times, at several versions. `ask` sends
+    a question with a number and a key to all linked control VMs. `answers` has what
+    they told since, by number, None before an answer.
     """
 
     def __init__(self, clock):
