Take no target that left in order for one that has crashed

Callers: a request whose attempt was reset at a sound target was suspected to crash targets when that target drained, left and came back under its id within 10 s, as in a release; two such count as two crashes and refuse the request for 30 s, three for an hour. Cause: whether a target was leaving was asked of its newest record, which is that of the start after; what was known of the one before was gone. Class of fault: an old belief judged by a newer one of the same name. Shown: test_a_target_that_leaves_before_it_restarts_is_no_evidence, three notices; all three failed before, by one crash each. Change: a target that says that it drains, leaves or has left drops the attempts that are kept for that start of it: it has survived them.

--- a/pollenmount/gateway/restart_watch.py
+++ b/pollenmount/gateway/restart_watch.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from pollenmount.fleet.messages import TargetSeen
+from pollenmount.fleet.messages import TargetGone, TargetLeaving, TargetSeen
 from pollenmount.gateway.attempt import AttemptDestination
 
 __all__ = ["RestartWatch"]
@@ -21,6 +21,10 @@
     at: int
     on_crash: Callable[[], None]
 
+    def is_at(self, id_, born):
+        """Return whether it was at this start of a target."""
+        return (self.destination.target_id, self.destination.incarnation) == (id_, born)
+
     def is_before(self, record):
         """Return whether another start of the target, or at its place, is recorded."""
         id_, born = self.destination.target_id, self.destination.incarnation
@@ -33,7 +37,7 @@
     """Attempts that were broken off lately, in `broken`, the oldest first.
 
     A target may take connections while it is down, if its port is another process's,
-    or be back before anyone asks.
+    or be back before anyone asks. One that leaves has survived these attempts.
     """
 
     def __init__(self, fleet, clock):
@@ -48,13 +52,26 @@
 
     def handle_change(self, message, source):
         """Tell of the attempts at a target that has started again."""
-        if not isinstance(message, TargetSeen):
-            return
         self.drop_old()
-        restarted = [b for b in self.broken if b.is_before(message.target)]
-        for attempt in restarted:
-            self.broken.remove(attempt)
-            attempt.on_crash()
+        if isinstance(message, TargetLeaving | TargetGone):
+            self.drop_survived(message.id, message.born)
+        elif isinstance(message, TargetSeen):
+            record = message.target
+            if record.draining:
+                self.drop_survived(record.id, record.born)
+            for attempt in self.take(lambda broken: broken.is_before(record)):
+                attempt.on_crash()
+
+    def drop_survived(self, id_, born):
+        """Drop the attempts at a start of a target, which ends in good order."""
+        self.take(lambda broken: broken.is_at(id_, born))
+
+    def take(self, is_meant):
+        """Remove and return the attempts of which `is_meant` is true, as a list."""
+        taken = [broken for broken in self.broken if is_meant(broken)]
+        for broken in taken:
+            self.broken.remove(broken)
+        return taken
 
     def drop_old(self):
         """Drop the attempts that say nothing any more."""
--- a/tests/test_deadly_requests.py
+++ b/tests/test_deadly_requests.py
@@ -13,6 +13,7 @@
     RequestsCrashed,
     TargetGone,
     TargetLeaving,
+    TargetSeen,
 )
 from pollenmount.fleet.observations import RESPONSE
 from pollenmount.fleet.quarantine import Crash
@@ -174,6 +175,34 @@
     assert not vms.all[0].fleet.request_quarantine.crashes
 
 
+def break_at(vms, target, body):
+    """Let an attempt at a target have been broken off at the first VM."""
+    guard, call = vms.all[0].context.guard, vms.all[0].make_call(body=body)
+    destination = AttemptDestination(target, f"{target}:1", 1, "west", target)
+    guard.record_failure(call, Progress(call), destination, ExchangeError("closed"))
+
+
+# A target that went on, left in good order and came back under its id, as in a release,
+# was taken for one that the request had crashed.
+@pytest.mark.parametrize("notice", ["leaving", "draining", "gone"])
+def test_a_target_that_leaves_before_it_restarts_is_no_evidence(vms, notice):
+    vms.desks.stays_open = True
+    break_at(vms, "a", b"sound")
+    fleet = vms.all[0].fleet
+    record = fleet.targets.by_id["a"].record
+    notices = {
+        "leaving": TargetLeaving("a", record.born),
+        "draining": TargetSeen(record._replace(sequence=99, draining=True), 0),
+        "gone": TargetGone("a", record.born),
+    }
+    vms.clock.advance(1000)
+    fleet.handle(notices[notice], "c")
+    vms.clock.advance(1000)
+    restarted = record._replace(born=record.born + 1, sequence=1)
+    fleet.handle(TargetSeen(restarted, 0), "c")
+    assert not fleet.request_quarantine.crashes
+
+
 def crash_two(vms):
     """Let a deadly request crash two targets, by one call."""
     head = vms.serve(DEADLY, vm=0)
