Blame a restart on the newest of a target's broken attempts first

Callers: a request that crashed a target went on to the next one if the target had broken off 200 other requests of this VM in the 10 s before. Cause: reports are bounded to 200 a second, and a restart reports all kept attempts at once, the oldest first. Shown: test_a_restart_is_blamed_on_the_newest_attempts_first failed before. Change: the newest attempts are told of first.

--- a/pollenmount/gateway/restart_watch.py
+++ b/pollenmount/gateway/restart_watch.py
@@ -67,8 +67,11 @@
         self.take(lambda broken: broken.is_at(id_, born))
 
     def take(self, is_meant):
-        """Remove and return the attempts of which `is_meant` is true, as a list."""
-        taken = [broken for broken in self.broken if is_meant(broken)]
+        """Remove and return the attempts of which `is_meant` is true, newest first.
+
+        The newest ones are the likeliest cause, and reports are bounded.
+        """
+        taken = [broken for broken in reversed(self.broken) if is_meant(broken)]
         for broken in taken:
             self.broken.remove(broken)
         return taken
--- a/tests/test_deadly_requests.py
+++ b/tests/test_deadly_requests.py
@@ -20,6 +20,7 @@
 from pollenmount.gateway.attempt import AttemptDestination, FailedResponseError
 from pollenmount.gateway.call import Response, ResponseHead, digest_request
 from pollenmount.gateway.progress import Progress
+from pollenmount.gateway.request_guard import MAX_REPORTS
 from pollenmount.routes.plan import RetryMode
 from pollenmount.wire.errors import ConnectError, ExchangeError
 from tests.gateway_harness import make_route
@@ -204,6 +205,18 @@
     assert not fleet.request_quarantine.crashes
 
 
+# Reports are bounded in a second; those on older attempts, which the target had
+# survived by far, left no room for the one that was broken off as it ended.
+def test_a_restart_is_blamed_on_the_newest_attempts_first(vms):
+    vms.desks.stays_open = True
+    for number in range(MAX_REPORTS + 1):
+        break_at(vms, "a", b"sound %d" % number)
+        vms.clock.advance(40)
+    break_at(vms, "a", DEADLY)
+    vms.restart("a", 2)
+    assert digest(vms, DEADLY) in vms.all[0].fleet.request_quarantine.crashes
+
+
 # The wait for a verdict went on past the deadline, also for what is not sent again.
 @pytest.mark.parametrize(
     ("mode", "left_ms", "waited_ms"),
