--- a/tests/test_deadly_requests.py
+++ b/tests/test_deadly_requests.py
@@ -20,6 +20,7 @@
 from pollenmount.gateway.attempt import AttemptDestination, FailedResponseError
 from pollenmount.gateway.call import Response, ResponseHead, digest_request
 from pollenmount.gateway.progress import Progress
+from pollenmount.gateway.request_guard import MAX_REPORTS
 from pollenmount.routes.plan import RetryMode
 from pollenmount.wire.errors import ConnectError, ExchangeError
 from tests.gateway_harness import make_route
@@ -212,6 +213,40 @@
     assert not fleet.request_quarantine.crashes
 
 
+# Reports are bounded in a second; those on older attempts, which the target had
+# survived by far, left no room for the one that was broken off as it ended.
+def test_a_restart_is_blamed_on_the_newest_attempts_first(vms):
+    vms.desks.stays_open = True
+    for number in range(MAX_REPORTS + 1):
+        break_at(vms, "a", b"sound %d" % number)
+        vms.clock.advance(40)
+    break_at(vms, "a", DEADLY)
+    vms.restart("a", 2)
+    assert digest(vms, DEADLY) in vms.all[0].fleet.request_quarantine.crashes
+
+
+# The wait for a verdict went on past the deadline, also for what is not sent again.
+@pytest.mark.parametrize(
+    ("mode", "left_ms", "waited_ms"),
+    [("idempotent", 100, 100), ("idempotent", 5, 0), ("once", 1000, 0)],
+)
+def test_no_call_waits_for_a_verdict_in_vain(vms, mode, left_ms, waited_ms):
+    vm = vms.all[0]
+    call = vm.make_call(make_route(RetryMode(mode)), body=b"sound")
+    vm.fleet.handle(RequestsCrashed("z", 1, "id", (digest_request(call),)), "c")
+    ended_at = call.deadline - left_ms
+
+    def break_off(attempt):
+        vms.clock.advance(ended_at - vms.clock.now())
+        raise ExchangeError("closed")
+        yield
+
+    vms.desks.stays_open = True
+    vms.desks.run = break_off
+    vms.run_call(vm, call)
+    assert vms.clock.now() == ended_at + waited_ms
+
+
 def crash_two(vms):
     """Let a deadly request crash two targets, by one call."""
     head = vms.serve(DEADLY, vm=0)
