Hear all linked control VMs before an unnamed stream goes on

Cause: the first answer won. A control VM that had lost its memory answers that it knows of no stream; this VM's own record was then taken for all there is, though another control VM knew of a second version. Shown: test_all_linked_control_vms_are_heard_before_a_request_goes_on went on at v1 before. Change: answers are kept by link, and the choice waits for all links that were asked, within the time it had before; those that answer count then.

--- a/pollenmount/fleet/client.py
+++ b/pollenmount/fleet/client.py
@@ -275,14 +275,18 @@
         self.push_to_all(StreamAsked(key))
 
     def ask_request(self, number, key):
-        """Ask all linked control VMs at which versions a request's streams began."""
-        self.push_to_all(RequestAsked(number, key))
+        """Ask all linked control VMs at which versions a request's streams began.
+
+        Return the addresses of their links.
+        """
+        return self.push_to_all(RequestAsked(number, key))
 
     def push_to_all(self, message):
-        """Send a message on all links that are open."""
-        for channel in [*self.channels.values()]:
-            if channel is not None:
-                channel.push(message)
+        """Send a message on all links that are open; return their addresses."""
+        channels = {a: c for a, c in self.channels.items() if c is not None}
+        for channel in channels.values():
+            channel.push(message)
+        return channels.keys()
 
     def send_loads(self):
         """Send on each link what changed of this VM's load since it was last sent."""
--- a/pollenmount/fleet/fleet.py
+++ b/pollenmount/fleet/fleet.py
@@ -168,7 +168,7 @@
 
     @handle.register
     def _(self, message: RequestBegan, source):
-        self.request_origins.handle_answer(message.number, message.origins)
+        self.request_origins.handle_answer(message.number, source, message.origins)
 
     @handle.register
     def _(self, message: MemberUp, source):
--- a/pollenmount/fleet/stream_origins.py
+++ b/pollenmount/fleet/stream_origins.py
@@ -127,13 +127,13 @@
     """Origins of all streams that answer the same request.
 
     The same request may begin a stream several times, at several versions. `ask` sends
-    a question with a number and a key to all linked control VMs. `answers` has what
-    they told since, by number, None before an answer.
+    a question with a number and a key to all linked control VMs, and returns which.
+    `answers` has what each of them told since, by number.
     """
 
     def __init__(self, clock):
         super().__init__(clock)
-        self.ask = lambda number, key: None
+        self.ask = lambda number, key: ()
         self.numbers = itertools.count(1)
         self.answers = {}
 
@@ -166,17 +166,17 @@
     def question(self):
         """Yield the number of a new question; its answers are kept meanwhile."""
         number = next(self.numbers)
-        self.answers[number] = None
+        self.answers[number] = {}
         try:
             yield number
         finally:
             del self.answers[number]
 
-    def handle_answer(self, number, origins):
+    def handle_answer(self, number, source, origins):
         """Keep what a control VM has told, if the question is still open."""
         if number in self.answers:
-            told = self.answers[number] or frozenset()
-            self.answers[number] = told | {StreamOrigin(*origin) for origin in origins}
+            told = frozenset(StreamOrigin(*origin) for origin in origins)
+            self.answers[number][source] = told
 
 
 @functools.lru_cache(MAX_SHARED_SETS)
--- a/pollenmount/gateway/stream_resumption.py
+++ b/pollenmount/gateway/stream_resumption.py
@@ -1,7 +1,5 @@
 """Finds out at which version of its service's software a stream has to go on."""
 
-import functools
-
 from pollenmount.fleet.stream_origins import (
     StreamOrigin,
     request_key,
@@ -87,18 +85,27 @@
         """Return the `StreamOrigin` of all streams of a request, or None; its source.
 
         Another VM may have begun one at another version since this VM recorded its own,
-        so a control VM is asked in any case. Without an answer, the own record counts
-        only for a prompt, of which the last part is its own or its session's: other
-        requests of several callers may be alike.
+        so all linked control VMs are asked in any case: one that has lost its memory
+        knows of none. Without an answer, the own record counts only for a prompt, of
+        which the last part is its own or its session's: other requests of several
+        callers may be alike.
         """
         origins = self.fleet.request_origins
         key = find_request_key(call, progress)
+        asked, known = set(), frozenset()
         with origins.question() as number:
-            ask = functools.partial(origins.ask, number, key)
+            answers = origins.answers[number]
+
+            def ask():
+                asked.update(origins.ask(number, key))
+
             for _ in self.ask_repeatedly(call, sleep, ask):
-                told = origins.answers[number]
-                if told is not None and (known := told | origins.find(key)):
-                    return only_origin(known), CONTROL_VM
+                if answers:
+                    known = origins.find(key).union(*answers.values())
+                if known and asked <= answers.keys():
+                    break
+            if answers:
+                return only_origin(known), CONTROL_VM
         known = origins.find(key) if has_own_part(call) else ()
         return only_origin(known), OWN_RECORD
 
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -159,9 +159,12 @@
 def answer_with(harness, *versions):
     """Let a control VM answer which versions have begun a request's streams."""
     told = tuple(("desk", version) for version in versions)
-    harness.fleet.request_origins.ask = lambda number, key: harness.fleet.handle(
-        RequestBegan(number, told), "c"
-    )
+
+    def ask(number, key):
+        harness.fleet.handle(RequestBegan(number, told), "c")
+        return ("c",)
+
+    harness.fleet.request_origins.ask = ask
 
 
 def begin_request(harness, version, prompt=None):
@@ -195,6 +198,37 @@
     assert (refusal.status, places(harness)) == (503, [])
 
 
+# A control VM that has lost its memory answered first, so the stream was joined.
+def test_all_linked_control_vms_are_heard_before_a_request_goes_on(harness):
+    answers = {"empty": (), "full": (("desk", "v2"),)}
+    asked = []
+
+    def ask(number, key):
+        asked.append(number)
+        return answers
+
+    def sleep(ms):
+        harness.clock.advance(ms)
+        for source in [*answers][:1]:
+            answer = RequestBegan(asked[0], answers.pop(source))
+            harness.fleet.handle(answer, source)
+
+    harness.fleet.request_origins.ask = ask
+    harness.dispatcher.sleep = sleep
+    begin_request(harness, "v1")
+    (refusal,), _ = harness.serve(take_up(harness, resumes=""))
+    assert (refusal.status, places(harness)) == (503, [])
+
+
+# One that does not answer must not keep all streams from going on.
+def test_a_silent_control_vm_delays_a_request_and_does_not_stop_it(harness):
+    answer_with(harness, "v1")
+    ask_one = harness.fleet.request_origins.ask
+    harness.fleet.request_origins.ask = lambda *key: {*ask_one(*key), "silent"}
+    harness.serve(take_up(harness, resumes=""), ok())
+    assert places(harness) == ["t-v1"]
+
+
 # A VM without control VMs can't tell its own streams from others that look alike.
 @pytest.mark.parametrize(("prompt", "status"), [(make_prompt(), 200), (None, 503)])
 def test_without_control_vms_only_prompts_are_told_apart(harness, prompt, status):
@@ -211,10 +245,10 @@
     with origins.question() as first:
         pass
     with origins.question() as second:
-        origins.handle_answer(first, [("desk", "v1")])
-        assert origins.answers[second] is None
-        origins.handle_answer(second, [])
-        assert origins.answers[second] == frozenset()
+        origins.handle_answer(first, "c", [("desk", "v1")])
+        assert origins.answers[second] == {}
+        origins.handle_answer(second, "c", [])
+        assert origins.answers[second] == {"c": frozenset()}
 
 
 def test_the_origins_of_a_request_add_up_and_expire():
