Take no target that is only full for one that has crashed

Callers: a target that carries requests and refuses further connections, as at its limit, was used as a cold one by all VMs until its next heartbeat. Cause: only idle connections counted as a sign of life, against what the commit of TargetRefused says. Shown: the case with connections in use of test_only_a_target_that_refuses_every_connection_may_be_cold failed before. Change: a connection that carries a request counts as well.

--- a/pollenmount/gateway/target_notices.py
+++ b/pollenmount/gateway/target_notices.py
@@ -61,7 +61,7 @@
         """
         if not destination.target_id or not isinstance(error, ConnectRefusedError):
             return
-        if self.pool.has_live_idle(destination.connection_key):
+        if self.pool.has_live(destination.connection_key):
             return
         refused = TargetRefused(destination.target_id, destination.incarnation)
         self.fleet.handle(refused, RESPONSE)
--- a/pollenmount/wire/pool.py
+++ b/pollenmount/wire/pool.py
@@ -104,6 +104,11 @@
         """Return whether an idle connection of a key is still open."""
         return any(entry.connection.is_alive() for entry in self.idle.get(key, ()))
 
+    def has_live(self, key):
+        """Return whether a connection of a key carries a request, or is still open."""
+        in_use = self.open_counts[key] - len(self.idle.get(key, ()))
+        return in_use > 0 or self.has_live_idle(key)
+
     def discard(self, key, connection):
         """Close a connection that was acquired or is idle."""
         connection.close()
--- a/tests/test_target_notices.py
+++ b/tests/test_target_notices.py
@@ -409,23 +409,25 @@
 
 # A target that is full refuses new connections only; it has not restarted.
 @pytest.mark.parametrize(
-    ("error", "keeps_one", "expected"),
+    ("error", "idle", "in_use", "expected"),
     [
-        (ConnectRefusedError, False, True),
-        (ConnectRefusedError, True, False),
-        (ConnectError, False, False),
+        (ConnectRefusedError, False, 0, True),
+        (ConnectRefusedError, True, 0, False),
+        (ConnectRefusedError, False, 5, False),
+        (ConnectError, False, 0, False),
     ],
 )
 def test_only_a_target_that_refuses_every_connection_may_be_cold(
-    make_vm, monkeypatch, error, keeps_one, expected
+    make_vm, error, idle, in_use, expected
 ):
     vm = make_vm("a")
-    if keeps_one:
+    if idle:
         vm.serve(response_bytes(extra=STAMP + KEEP_ALIVE))
     target = vm.harness.fleet.targets.by_id["a"]
     destination = AttemptDestination(
         "a", target.record.address, target.record.born, "west", "a"
     )
+    vm.harness.context.pool.open_counts[destination.connection_key] += in_use
     vm.harness.context.notices.handle_failure(destination, error("refused"))
     now = vm.harness.clock.now()
     assert vm.harness.fleet.targets.by_id["a"].may_be_cold(now) is expected
