--- a/tests/test_cold_arrivals.py
+++ b/tests/test_cold_arrivals.py
@@ -32,6 +32,17 @@
         yield lambda *args: stack.enter_context(contextlib.closing(FleetTraffic(*args)))
 
 
+def restart_half(traffic, per_s, down_ms, silent_ms):
+    """Let half of the targets of a failure domain crash, and be back cold."""
+    crashed = traffic.targets_in(DOMAIN)[::2]
+    for id_ in crashed:
+        traffic.crash(id_)
+    traffic.run(down_ms, per_s)
+    for id_ in crashed:
+        traffic.restart(id_, COLD_MS, silent_ms)
+    traffic.run(COLD_MS, per_s)
+
+
 # A target that restarted under its id got the traffic of 60 VMs until they heard of it.
 @pytest.mark.parametrize(("entries", "targets", "per_s"), [LARGE, SMALL])
 @pytest.mark.parametrize("silent_ms", [0, 200, 1000])
@@ -40,13 +51,7 @@
 ):
     traffic = make_traffic(entries, targets)
     traffic.run(1000, per_s)
-    crashed = traffic.targets_in(DOMAIN)[::2]
-    for id_ in crashed:
-        traffic.crash(id_)
-    traffic.run(3000, per_s)
-    for id_ in crashed:
-        traffic.restart(id_, COLD_MS, silent_ms)
-    traffic.run(COLD_MS, per_s)
+    restart_half(traffic, per_s, 3000, silent_ms)
     assert most_in_window(traffic.cold_arrivals) <= MAX_COLD_PER_S
 
 
@@ -59,13 +64,7 @@
 ):
     traffic = make_traffic(entries, targets)
     traffic.run(HEARTBEAT_MS - traffic.clock.now() % HEARTBEAT_MS + 200, per_s)
-    crashed = traffic.targets_in(DOMAIN)[::2]
-    for id_ in crashed:
-        traffic.crash(id_)
-    traffic.run(500, per_s)
-    for id_ in crashed:
-        traffic.restart(id_, COLD_MS, silent_ms)
-    traffic.run(COLD_MS, per_s)
+    restart_half(traffic, per_s, 500, silent_ms)
     assert most_in_window(traffic.cold_arrivals) <= MAX_COLD_PER_S
 
 
