Go on with a stream only where a further response fits to it

Cause: a response to a further attempt was read as a response of its own. Its status decided only whether it was split into events, its head was dropped (the caller has one already), and its body was passed on whatever it was. Of a status below 500 nothing was compared with the stream that had begun; of a 200, only the id, the stamp and, by the choice of the target, the version. The own interface compared status and position, not the kind of the body. Both passed bytes on that are no event.

Ruled out: the framing towards callers (a stream that breaks off has no last chunk).

Change: find_mismatch (stream_continuation.py), asked by both gateways before the first byte is passed on: status, media type, content encoding; the version in addition where routes have one, also of a hop. Both split streams by the same EventSplitter, which lets nothing through that has not the syntax of an event, and on resumable routes no event without a higher number once events are numbered. What doesn't fit is a failed attempt: the next one follows within the budget, else the stream is broken off. It is no sign of a crash of the target. The VM that sent a hop asks the same as the one that got it.

--- a/pollenmount/gateway/attempt.py
+++ b/pollenmount/gateway/attempt.py
@@ -9,13 +9,20 @@
 from pollenmount.gateway.target_pauses import bounded_pause_ms
 from pollenmount.log import get_logger
 from pollenmount.routes.plan import RetryMode
+from pollenmount.stream_continuation import find_mismatch, is_event_stream
 from pollenmount.wire.connection import encode_request
-from pollenmount.wire.errors import ExchangeError, MalformedResponseError
+from pollenmount.wire.errors import (
+    ExchangeError,
+    MalformedResponseError,
+    PeerUnreachableError,
+    ResponseTimeoutError,
+)
 from pollenmount.wire.events import EventSplitter
 from pollenmount.wire.numbers import parse_decimal
 from pollenmount.wire.pool import MAX_IDLE_MS
 
 __all__ = [
+    "NO_CRASH_ERRORS",
     "Attempt",
     "AttemptDestination",
     "FailedResponseError",
@@ -24,6 +31,7 @@
     "ResponseObserver",
     "Sender",
     "TargetPauseError",
+    "UnfitResponseError",
     "connection_key",
     "is_success",
 ]
@@ -73,6 +81,19 @@
         self.response = response
 
 
+class UnfitResponseError(ExchangeError):
+    """The response does not go on with the stream that has begun."""
+
+
+# Errors that are no sign that the target has crashed.
+NO_CRASH_ERRORS = (
+    FailedResponseError,
+    UnfitResponseError,
+    ResponseTimeoutError,
+    PeerUnreachableError,
+)
+
+
 class AttemptDestination(NamedTuple):
     """Where an attempt is sent: a target, or an entry VM of another region.
 
@@ -123,12 +144,14 @@
 
     The response resumes after the event `resume_after`, '' for the beginning.
     `observer` is notified of each chunk and of the number of each event passed on.
+    `begun` is the head that the caller has of a stream that goes on, else None.
     """
 
     call: Call
     destination: AttemptDestination
     resume_after: str
     observer: ResponseObserver
+    begun: ResponseHead | None = None
 
 
 class Sender:
@@ -224,6 +247,7 @@
                     "a success without the target's response stamp"
                 )
             response_head = make_response_head(head, info, attempt.destination)
+            raise_if_unfit(attempt.begun, response_head)
             if (
                 call.route.retry_mode is RetryMode.STREAM
                 and head.status < MULTIPLE_CHOICES
@@ -238,9 +262,13 @@
         """Yield the head and the complete events of a stream as they arrive.
 
         A stream that ends with its connection, and not after an event, was broken off.
+        So was one that another response has begun, if it ends inside an event.
         """
-        resume_after = attempt.resume_after
-        splitter = EventSplitter(parse_decimal(resume_after))
+        splitter = EventSplitter(
+            parse_decimal(attempt.resume_after),
+            is_checked=attempt.begun is not None or is_event_stream(head.headers),
+            is_numbered=attempt.call.route.resumable,
+        )
         started = False
         for part in parts:
             attempt.observer.on_chunk()
@@ -251,12 +279,25 @@
             if events:
                 yield events
                 attempt.observer.on_delivered(splitter.last_id)
-        if not is_framed and (splitter.pending or not started):
+            splitter.raise_problem()
+        rest = splitter.finish()
+        if rest and attempt.begun or not is_framed and (rest or not started):
             raise ExchangeError("the stream ended inside an event")
         if not started:
             yield head
-        if splitter.pending:
-            yield bytes(splitter.pending)
+        if rest:
+            yield rest
+
+
+def raise_if_unfit(begun, head):
+    """Raise `UnfitResponseError` unless a response goes on with the one `begun`."""
+    if begun is None:
+        return
+    mismatch = find_mismatch(begun, head)
+    if not mismatch and begun.version != head.version:
+        mismatch = f"version {head.version!r} does not go on with {begun.version!r}"
+    if mismatch:
+        raise UnfitResponseError(mismatch)
 
 
 def is_success(status):
--- a/pollenmount/gateway/dispatch.py
+++ b/pollenmount/gateway/dispatch.py
@@ -195,7 +195,8 @@
             resume_after = call.info.resume_after
             if progress.head:
                 resume_after = str(progress.last_id)
-            parts = self.sender.run(Attempt(call, destination, resume_after, observer))
+            attempt = Attempt(call, destination, resume_after, observer, progress.head)
+            parts = self.sender.run(attempt)
             with contextlib.closing(parts), self.retries.reservation(call, progress):
                 for part in parts:
                     if not isinstance(part, ResponseHead):
--- a/pollenmount/gateway/prompt_guard.py
+++ b/pollenmount/gateway/prompt_guard.py
@@ -6,12 +6,11 @@
 
 from pollenmount.fleet.messages import PartsServed, PromptBroke
 from pollenmount.fleet.observations import RESPONSE
-from pollenmount.gateway.attempt import FailedResponseError
+from pollenmount.gateway.attempt import NO_CRASH_ERRORS
 from pollenmount.gateway.dialect import shared_ids
 from pollenmount.gateway.hop import HopRefusedError
 from pollenmount.gateway.recent_keys import RecentKeys, ReportLimit
 from pollenmount.log import get_logger
-from pollenmount.wire.errors import PeerUnreachableError, ResponseTimeoutError
 
 __all__ = ["PromptGuard"]
 
@@ -119,7 +118,4 @@
         return False
     if isinstance(error, HopRefusedError):
         return True
-    is_other = isinstance(
-        error, FailedResponseError | ResponseTimeoutError | PeerUnreachableError
-    )
-    return progress.head_arrived and not is_other
+    return progress.head_arrived and not isinstance(error, NO_CRASH_ERRORS)
--- a/pollenmount/gateway/request_guard.py
+++ b/pollenmount/gateway/request_guard.py
@@ -9,11 +9,10 @@
 
 from pollenmount.fleet.messages import RequestsAnswered, RequestsCrashed
 from pollenmount.fleet.observations import RESPONSE
-from pollenmount.gateway.attempt import AttemptDestination, FailedResponseError
+from pollenmount.gateway.attempt import NO_CRASH_ERRORS, AttemptDestination
 from pollenmount.gateway.recent_keys import RecentKeys, ReportLimit
 from pollenmount.gateway.restart_watch import RestartWatch
 from pollenmount.log import get_logger
-from pollenmount.wire.errors import PeerUnreachableError, ResponseTimeoutError
 
 __all__ = ["RequestGuard"]
 
@@ -148,6 +147,4 @@
     """Return whether a target may have crashed before it answered an attempt."""
     if not destination.target_id or progress.event_arrived or error.not_run:
         return False
-    return not isinstance(
-        error, FailedResponseError | ResponseTimeoutError | PeerUnreachableError
-    )
+    return not isinstance(error, NO_CRASH_ERRORS)
--- a/pollenmount/routing/attempt.py
+++ b/pollenmount/routing/attempt.py
@@ -20,6 +20,7 @@
     RemoteEntry,
     is_idempotent,
 )
+from pollenmount.stream_continuation import is_event_stream
 from pollenmount.targets.upstream import (
     ConnectError,
     UpstreamError,
@@ -27,6 +28,8 @@
     read_body,
     set_read_timeout,
 )
+from pollenmount.wire.errors import MalformedResponseError
+from pollenmount.wire.events import EventSplitter
 from pollenmount.wire.numbers import parse_decimal
 
 __all__ = ["HOP_BY_HOP_HEADERS", "Attempter", "strip_headers"]
@@ -181,14 +184,15 @@
     )
     with contextlib.closing(response):
         check_response(response, attempt_id, call)
-        yield Head(
+        head = Head(
             response.status,
             response_headers(response.headers.items()),
             attempter.region,
             announcement.name,
             announcement.resume and call.stream,
         )
-        yield from read_checked(response, attempter, call, response.status)
+        yield head
+        yield from read_response(response, attempter, call, head)
 
 
 def check_response(response, attempt_id, call):
@@ -225,6 +229,31 @@
     return DEFAULT_BUSY_MS if seconds is None else seconds * MS_PER_S
 
 
+def read_response(response, attempter, call, head):
+    """Yield the chunks of a body, those of a stream in whole events.
+
+    Raises `UpstreamError` if the body is truncated or late, or if there are bytes in a
+    stream that are no event.
+    """
+    parts = read_checked(response, attempter, call, head.status)
+    if not call.stream or head.status != STATUS_OK:
+        yield from parts
+        return
+    splitter = EventSplitter(is_checked=is_event_stream(head.headers))
+    with contextlib.closing(parts):
+        try:
+            for part in parts:
+                events = splitter.feed(part.data)
+                if events:
+                    yield Chunk(events)
+                splitter.raise_problem()
+            rest = splitter.finish()
+        except MalformedResponseError as error:
+            raise UpstreamError(str(error)) from error
+    if rest:
+        yield Chunk(rest)
+
+
 def read_checked(response, attempter, call, status):
     """Yield the chunks of a body; raise `UpstreamError` if it is truncated or late.
 
@@ -270,4 +299,4 @@
         forward.raise_refusal(response)
         head = forward.decode_head(response)
         yield head
-        yield from read_checked(response, attempter, call, head.status)
+        yield from read_response(response, attempter, call, head)
--- /dev/null
+++ b/pollenmount/stream_continuation.py
@@ -0,0 +1,37 @@
+"""Whether a further response may go on with a stream that has begun.
+
+Both gateways ask this of the head of each response to an attempt that takes a stream
+up, before any of its bytes is passed on.
+"""
+
+from pollenmount.wire.events import EVENT_STREAM
+
+__all__ = ["find_mismatch", "is_event_stream"]
+
+OK = 200
+
+
+def find_mismatch(begun, further):
+    """Return why a response does not go on with one that has begun, or ''.
+
+    Both are heads with a `status` and `headers`. What goes on is a success of the same
+    kind: the caller has the status and the headers of the first one only.
+    """
+    if further.status != begun.status or further.status != OK:
+        return f"status {further.status} does not go on with a stream"
+    for name in ("content-type", "content-encoding"):
+        kinds = [read_kind(head.headers, name) for head in (begun, further)]
+        if kinds[0] != kinds[1]:
+            return f"a {name} of {kinds[1]!r} does not go on with {kinds[0]!r}"
+    return ""
+
+
+def is_event_stream(headers):
+    """Return whether the body of a response consists of server-sent events."""
+    return read_kind(headers, "content-type") == EVENT_STREAM
+
+
+def read_kind(headers, name):
+    """Return the value of a header without parameters, in lower case, '' for none."""
+    values = (value for key, value in headers if key.lower() == name)
+    return next(values, "").partition(";")[0].strip().lower()
--- a/tests/scripted_vm.py
+++ b/tests/scripted_vm.py
@@ -62,6 +62,10 @@
         self.opened.append(connection)
         return connection
 
+    def progress(self, call):
+        """Return the progress of a call that begins."""
+        return Progress(call)
+
     def serve(self, *scripts, route=ONCE, may_hop=True, **changes):
         """Return the parts of a call; each script is for one new connection."""
         self.scripts = [[s] if isinstance(s, bytes) else [*s] for s in scripts]
--- a/tests/stateful/scripted.py
+++ b/tests/stateful/scripted.py
@@ -3,6 +3,7 @@
 import collections
 import contextlib
 import itertools
+from typing import NamedTuple
 
 from bench.fakes import FakeSocket
 from bench.world import PEER_KEY
@@ -16,6 +17,7 @@
     UpstreamError,
     UpstreamTimeoutError,
 )
+from pollenmount.wire.events import EVENT_STREAM
 
 USES = "chat file look"
 PLAN = parse_sheet(
@@ -46,6 +48,14 @@
 FAULT_STATUS = {"not_run": 503, "busy": 503, "error": 500}
 
 
+class Answer(NamedTuple):
+    """A response that stands in the place of a fault; it resumes as it was asked."""
+
+    status: int
+    kind: str
+    body: bytes
+
+
 def make_call(name, caller, kind, class_, now, stream=False):
     """Return a call of the model (`chat`) or of the service `file` or `look`."""
     if kind == "chat":
@@ -181,6 +191,11 @@
             self.headers["Pollenmount-Not-Run"] = "yes"
         if self.resume_from and fault != "ignores_resume":
             self.headers["Pollenmount-Resume-From"] = str(self.resume_from)
+        if isinstance(fault, Answer):
+            self.status = fault.status
+            self.headers["Content-Type"] = fault.kind
+        elif self.is_stream:
+            self.headers["Content-Type"] = EVENT_STREAM
 
     def stream(self, amount, decode_content=False):
         """Yield parts whose boundaries don't match those of events."""
@@ -189,6 +204,8 @@
             resume_from = 0 if self.fault == "ignores_resume" else self.resume_from
             end = b"" if self.fault == "no_end" else STREAM_END
             data = b"".join(stream_events(self.call_id)[resume_from:]) + end
+        if isinstance(self.fault, Answer):
+            data = self.fault.body
         cut_at = {"cut": len(data) // 2, "cut_event": 19, "cut_after_end": len(data)}
         sent = data[: cut_at.get(self.fault, len(data))]
         for start in range(0, len(sent), 13):
