Reset the connection of an HTTP/1.0 caller whose response breaks off

What callers saw: a stream that its target broke off ended, for a caller that speaks HTTP/1.0, with the regular end of the connection, which is the end of a whole body there.

Cause: the server closes a connection the same way whether the response was complete or not. In HTTP/1.1 the missing last chunk, or the length, shows the difference; without either nothing did.

Change: such a connection is reset, without lingering.

--- a/pollenmount/api/connection.py
+++ b/pollenmount/api/connection.py
@@ -6,7 +6,9 @@
 """
 
 import contextlib
+import os
 import socket
+import struct
 from typing import NamedTuple
 from urllib.parse import unquote
 
@@ -42,6 +44,9 @@
 LINGER_TIMEOUT_S = 2
 MAX_LINGER_BYTES = 16 << 20
 READ_BLOCK_BYTES = 65_536
+# SO_LINGER that lets a close send a reset.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+HTTP_10 = "HTTP/1.0"
 # Requests of one connection that are answered before other tasks run.
 MAX_REQUESTS_PER_TURN = 8
 
@@ -290,10 +295,22 @@
 
     def finish(self):
         """Close the connection, after lingering if input may be unread."""
+        if self.failure is not None and self.request_version == HTTP_10:
+            self.reset()
+            return
         if self.lingers_on_close:
             self.linger()
         super().finish()
 
+    def reset(self):
+        """Reset the connection: its regular end would be the end of a whole body."""
+        with contextlib.suppress(OSError):
+            self.connection.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+            )
+            eventlet.hubs.notify_close(self.connection.fileno())
+            os.close(self.connection.fd.detach())
+
     def linger(self):
         """Discard input for a bounded time; closing at once would reset the reply."""
         remaining_bytes = MAX_LINGER_BYTES
