Take the end of a connection for no end of a head, a line or a trailer

Cause: the client of the own interface reads responses with urllib3, which reads heads with the standard library. Both take an end of file where a line is due for the end of the head, of the chunks or of the trailers, a number that is cut for the number, and a length or an encoding that they can't read for none, so that the body ends with the connection. Operators' commands read with the same.

Links between VMs have a framing of their own, the crash probe reads none.

Change: one strict response (wire/strict.py) below urllib3, for targets, for hops of the own interface and for operators' commands; a header of framing that is there counts, whatever its value.

--- a/pollenmount/commands/base.py
+++ b/pollenmount/commands/base.py
@@ -7,6 +7,7 @@
 from absl import flags
 
 from pollenmount.errors import PollenmountError
+from pollenmount.wire.strict import make_pool_manager
 
 __all__ = [
     "Command",
@@ -80,7 +81,7 @@
     The error ends in `no_response_remedy` if the request fails, and in `no_json_remedy`
     if the response is not JSON.
     """
-    pool = urllib3.PoolManager(retries=False, timeout=REQUEST_TIMEOUT_S)
+    pool = make_pool_manager(retries=False, timeout=REQUEST_TIMEOUT_S)
     try:
         response = pool.request(method, url, **options)
         return response.status, json.loads(response.data)
--- a/pollenmount/targets/exact.py
+++ b/pollenmount/targets/exact.py
@@ -6,14 +6,15 @@
 """
 
 from urllib3 import HTTPHeaderDict
-from urllib3.connection import HTTPConnection
+
+from pollenmount.wire.strict import StrictConnection
 
 __all__ = ["RawTargetConnection", "with_request_target"]
 
 REQUEST_TARGET = ":target"
 
 
-class RawTargetConnection(HTTPConnection):
+class RawTargetConnection(StrictConnection):
     """A connection that sends the request target set by `with_request_target`."""
 
     def request(self, method, url, body=None, headers=None, **options):
--- a/pollenmount/targets/upstream.py
+++ b/pollenmount/targets/upstream.py
@@ -16,6 +16,7 @@
 
 from pollenmount import task
 from pollenmount.targets.exact import RawTargetConnection, with_request_target
+from pollenmount.wire.strict import make_pool_manager
 
 __all__ = [
     "ConnectError",
@@ -81,10 +82,13 @@
     """Connections to targets and peer VMs, pooled by address."""
 
     def __init__(self):
-        self.pools = urllib3.PoolManager(
-            num_pools=MAX_POOLS, maxsize=MAX_IDLE_PER_POOL, block=False, retries=False
+        self.pools = make_pool_manager(
+            Pool,
+            num_pools=MAX_POOLS,
+            maxsize=MAX_IDLE_PER_POOL,
+            block=False,
+            retries=False,
         )
-        self.pools.pool_classes_by_scheme = {"http": Pool}
 
     def open(
         self, address, method, path, headers, body, timeout_ms, fresh=False, lease=None
--- a/pollenmount/wire/connection.py
+++ b/pollenmount/wire/connection.py
@@ -47,6 +47,7 @@
 HEADER_LINE = re.compile(rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):([^\r\n]*)")
 BLANKS = b" \t"
 CHUNK_LINE = re.compile(rb"([0-9A-Fa-f]{1,8})[ \t]*(?:;[^\r\n]*)?")
+FRAMING_HEADERS = ("transfer-encoding", "content-length")
 LENGTH = re.compile(r"[0-9]{1,15}")
 CONTINUE = 100
 MIN_FINAL_STATUS = 200
@@ -69,7 +70,8 @@
     @property
     def is_framed(self):
         """Return whether the body's own framing tells where it ends."""
-        return bool(self.header("transfer-encoding") or self.header("content-length"))
+        names = {name.lower() for name, _ in self.headers}
+        return not names.isdisjoint(FRAMING_HEADERS)
 
 
 def connect(address, timeout_ms):
