Refuse what a stopping VM has not sent, and answer what it cannot finish

Cause: whether the VM refuses was asked once, before the body was read. What came in afterwards, or waited for a plan, a target, the origin of its stream, a verdict on its prompt or a retry, was passed on however late. At the end of the grace period the process ended with its requests unanswered. Both programs had the same order of steps, and so had hops; on the own interface, calls went on waiting in the queue in addition.

Ruled out: a reload of the settings stops nothing.

Change: the server of both interfaces knows which requests run and which read a body. Once a VM refuses, bodies that are still to come are not waited for: 503, not run, with a time to go to another VM. A body that ends later is refused at the same place (Request.read). A call that no attempt was made of ends with 503 wherever it waits; one that failed is sent again only if its latency objective fits into what is left. What still runs at the end is answered with 502, that it may have run; a stream that has begun is broken off. Hops are refused the same way from the signal on, so that the VM that sent them takes another one. The own interface does the same for its queue, forwarded calls and the end of its stop limit.

Not covered: a connection to a target that is being made when the VM begins to refuse (0.4 s at most).

--- a/pollenmount/api/call_runner.py
+++ b/pollenmount/api/call_runner.py
@@ -4,7 +4,8 @@
 import json
 
 from pollenmount import task
-from pollenmount.api.web import Reply, refusal_document, refusal_reply
+from pollenmount.api.endings import End, RequestEndedError
+from pollenmount.api.web import Reply, cut_refusal, refusal_document, refusal_reply
 from pollenmount.errors import Refusal
 from pollenmount.log import get_logger
 from pollenmount.routing import pipeline
@@ -43,6 +44,9 @@
             except task.Cancelled:
                 recorder.record_outcome(CALLER_GONE)
                 raise
+            except RequestEndedError:
+                recorder.record_outcome(End.CUT_AT_STOP)
+                raise
             if isinstance(head, Refusal):
                 return self.refuse(recorder, head)
             cleanup_on_error.pop_all()
@@ -81,6 +85,10 @@
                     recorder.record_chunk(part.data)
                     yield part.data
                 outcome = "answered"
+            except RequestEndedError:
+                outcome = End.CUT_AT_STOP
+                yield error_event(cut_refusal())
+                raise
             except pipeline.BrokenResponseError as error:
                 outcome = str(error.refusal.kind)
                 yield error_event(error.refusal)
--- a/pollenmount/api/connection.py
+++ b/pollenmount/api/connection.py
@@ -70,7 +70,7 @@
 
 
 class Connection(eventlet.wsgi.HttpProtocol):
-    """A connection to `listener`, which counts connections and running requests.
+    """A connection to `listener`, which knows connections and running requests.
 
     `requests` counts its requests; `failure` is the exception that interrupted the
     newest response, and `end` why the connection is closed.
@@ -125,14 +125,15 @@
             return
         self.requests += 1
         self.conn_state[2] = eventlet.wsgi.STATE_REQUEST
-        self.listener.active += 1
+        request_thread = eventlet.getcurrent()
+        self.listener.running.add(request_thread)
         try:
             if isinstance(head_result, Err):
                 self.send_refusal(head_result.err_value)
             else:
                 self.run_request(head_result.ok_value)
         finally:
-            self.listener.active -= 1
+            self.listener.running.discard(request_thread)
 
     def read_head(self):
         """Return Ok(Head), Err(Refusal), or None if no request arrived."""
--- a/pollenmount/api/endings.py
+++ b/pollenmount/api/endings.py
@@ -4,7 +4,13 @@
 
 from pollenmount import task
 
-__all__ = ["CallerDisconnectedError", "End", "ResponseWriter", "find_end"]
+__all__ = [
+    "CallerDisconnectedError",
+    "End",
+    "RequestEndedError",
+    "ResponseWriter",
+    "find_end",
+]
 
 
 class End(StrEnum):
@@ -32,9 +38,15 @@
         self.end = end
 
 
+class RequestEndedError(Exception):
+    """Ends a running request because this VM stops."""
+
+    end = End.CUT_AT_STOP
+
+
 def find_end(error):
     """Return the `End` of a response that `error` interrupted."""
-    if isinstance(error, CallerDisconnectedError):
+    if isinstance(error, CallerDisconnectedError | RequestEndedError):
         return error.end
     if isinstance(error, task.Timeout):
         return End.RESPONSE_LIMIT
--- a/pollenmount/api/web.py
+++ b/pollenmount/api/web.py
@@ -1,5 +1,6 @@
 """Small HTTP layer over WSGI: requests, replies and a server for one address."""
 
+import contextlib
 import functools
 import socket
 import traceback
@@ -15,7 +16,7 @@
     Connection,
     default_limits,
 )
-from pollenmount.api.endings import find_end
+from pollenmount.api.endings import RequestEndedError, find_end
 from pollenmount.api.listener import Listener
 from pollenmount.api.reply import (
     Reply,
@@ -24,13 +25,14 @@
     refusal_reply,
     status_line,
 )
-from pollenmount.errors import Refusal, RefusalKind
+from pollenmount.errors import Refusal, RefusalKind, stopping_refusal
 from pollenmount.log import get_logger
 
 __all__ = [
     "Reply",
     "Request",
     "WebServer",
+    "cut_refusal",
     "json_reply",
     "make_app",
     "refusal_document",
@@ -52,10 +54,13 @@
 
     `environ`
         The WSGI environment.
+    `is_refusing`
+        Returns whether this VM refuses a request that it has not read whole.
     """
 
-    def __init__(self, environ):
+    def __init__(self, environ, is_refusing=lambda: False):
         self.environ = environ
+        self.is_refusing = is_refusing
         self.method = environ["REQUEST_METHOD"]
         self.path = environ["PATH_INFO"]
         self.query = environ.get("QUERY_STRING", "")
@@ -104,12 +109,23 @@
         return find_end(error) if error is not None else None
 
     def read(self, limit):
-        """Return the body, or a `Refusal` if it is malformed, late or over `limit`."""
+        """Return the body, or a `Refusal` if it is malformed, late or over `limit`.
+
+        It is refused as well if this VM stops before all of it has arrived.
+        """
         if int(self.header("Content-Length", "0")) > limit:
             return too_large(limit)
+        body = self.receive(limit)
+        return stopping_refusal() if self.is_refusing() else body
+
+    def receive(self, limit):
+        """Return the body, or a `Refusal` if it is malformed, late or over `limit`."""
+        listener = self.environ["pollenmount.connection"].listener
         try:
-            with task.Timeout(BODY_TIMEOUT_S):
+            with task.Timeout(BODY_TIMEOUT_S), listener.count_reading():
                 body = self.environ["wsgi.input"].read(limit)
+        except RequestEndedError:
+            return stopping_refusal()
         except task.Timeout:
             message = f"send the body within {BODY_TIMEOUT_S} s"
             return Refusal(RefusalKind.SLOW_REQUEST, message)
@@ -124,20 +140,27 @@
         return too_large(limit) if len(body) > limit else body
 
 
+def cut_refusal():
+    """Return the refusal of a request that was running when this VM ended."""
+    message = "this VM stopped before the response was complete; it may have run"
+    return Refusal(RefusalKind.OUTCOME_UNKNOWN, message, False)
+
+
 def too_large(limit):
     """Return the refusal for a body over the limit."""
     message = f"the body is larger than {limit} bytes; send a smaller one"
     return Refusal(RefusalKind.TOO_LARGE, message)
 
 
-def make_app(handle, closing=lambda: False):
+def make_app(handle, closing=lambda: False, is_refusing=lambda: False):
     """Return a WSGI application around `handle(Request) -> Reply`.
 
-    While `closing()` is true, each reply closes its connection.
+    While `closing()` is true, each reply closes its connection; while `is_refusing()`
+    is true, bodies that arrive are refused.
     """
 
     def app(environ, start_response):
-        reply = run_handler(handle, Request(environ))
+        reply = run_handler(handle, Request(environ, is_refusing))
         if closing() or not environ["wsgi.input"].is_complete:
             environ["pollenmount.connection"].close_after_reply()
         start_response(status_line(reply.status), list(reply.headers))
@@ -155,6 +178,8 @@
     """
     try:
         return handle(request)
+    except RequestEndedError:
+        return refusal_reply(cut_refusal())
     except Exception as error:
         frames = traceback.format_tb(error.__traceback__)
         detail = {"error": type(error).__name__, "frames": frames}
@@ -170,6 +195,14 @@
     return []
 
 
+def end_requests(threads):
+    """Raise `RequestEndedError` in the threads of requests; return their number."""
+    ended = [*threads]
+    for thread in ended:
+        eventlet.kill(thread, RequestEndedError())
+    return len(ended)
+
+
 class NullServerLog:
     """Discards the log lines of the WSGI server, which may quote requests."""
 
@@ -182,22 +215,50 @@
 class WebServer:
     """Serves a WSGI application on `address` until it is closed.
 
-    `connections` counts open connections and `active` running requests. `limits`
-    returns the `ConnectionLimits` for the next request. `on_close` is called with the
-    `End` of each connection.
+    `connections` counts open connections. `running` has the threads of the running
+    requests, and `reading` those of them that read a body. `limits` returns the
+    `ConnectionLimits` for the next request. `on_close` is called with the `End` of each
+    connection.
     """
 
     def __init__(self, address, app, limits=default_limits, on_close=lambda end: None):
         self.limits = limits
         self.on_close = on_close
         self.connections = 0
-        self.active = 0
+        self.running = set()
+        self.reading = set()
         self.budget = ByteBudget(MAX_BUFFERED_BODY_BYTES)
         self.socket = task.listen(address, LISTEN_BACKLOG)
         # Accepted sockets inherit it: small chunks are sent without delay.
         self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.accept_thread = task.spawn(self.run, app)
 
+    @property
+    def active(self):
+        """Return the number of running requests."""
+        return len(self.running)
+
+    @contextlib.contextmanager
+    def count_reading(self):
+        """Count this thread as one that reads a body."""
+        self.reading.add(eventlet.getcurrent())
+        try:
+            yield
+        finally:
+            self.reading.discard(eventlet.getcurrent())
+
+    def refuse_unread(self):
+        """End the requests of which the body has not arrived; they get a refusal."""
+        return end_requests(self.reading)
+
+    def end_running(self):
+        """End all running requests; return their number.
+
+        Those without a response so far get one that says that they may have run, others
+        are broken off.
+        """
+        return end_requests(self.running)
+
     def run(self, app):
         """Accept and serve connections until `close`."""
         eventlet.wsgi.server(
--- a/pollenmount/errors.py
+++ b/pollenmount/errors.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple
 
 __all__ = [
+    "STOPPING_RETRY_MS",
     "Fault",
     "InvalidDocumentError",
     "ListenError",
@@ -19,8 +20,12 @@
     "TransportError",
     "UnknownPluginError",
     "UsageError",
+    "stopping_refusal",
 ]
 
+# Another VM can take the request at once.
+STOPPING_RETRY_MS = 10
+
 
 class PollenmountError(Exception):
     """Base of all errors raised by the package."""
@@ -149,3 +154,9 @@
     def status(self):
         """Return the HTTP status of this refusal."""
         return HTTP_STATUS[self.kind]
+
+
+def stopping_refusal():
+    """Return the refusal of a request that a VM which stops does not run."""
+    message = "this VM is stopping; use another one"
+    return Refusal(RefusalKind.STOPPING, message, True, STOPPING_RETRY_MS)
--- a/pollenmount/gateway/callers.py
+++ b/pollenmount/gateway/callers.py
@@ -4,9 +4,9 @@
 import random
 import traceback
 
-from pollenmount.api.endings import End, find_end
+from pollenmount.api.endings import End, RequestEndedError, find_end
 from pollenmount.api.reply import Reply
-from pollenmount.errors import Refusal
+from pollenmount.errors import STOPPING_RETRY_MS, Refusal
 from pollenmount.gateway.call import Call, ErrorResponse
 from pollenmount.gateway.dispatch import (
     LEARNING_INTERVAL_MS,
@@ -34,7 +34,6 @@
 NO_PLAN_RETRY_MS = 500
 # Assumed for a caller that does not say how long it waits.
 DEFAULT_TIMEOUT_MS = 2000
-STOPPING_RETRY_MS = 10
 
 logger = get_logger("calls")
 
@@ -73,6 +72,7 @@
             node.store.plan is None
             and node.dispatcher.context.is_learning()
             and node.clock.now() < wait_until
+            and not node.refusing
         ):
             node.dispatcher.sleep(LEARNING_INTERVAL_MS)
 
@@ -159,7 +159,10 @@
         body = request.read(self.node.store.limits.body_bytes)
         if isinstance(body, Refusal):
             error_response = ErrorResponse(body.status, body.message)
-            return error_reply(error_response, refusal_headers(error_response, True))
+            headers = refusal_headers(
+                error_response, True, is_ready=not self.node.stopping
+            )
+            return error_reply(error_response, headers)
         call = Call(
             info,
             hop_route(hop),
@@ -198,6 +201,9 @@
         parts = stack.enter_context(contextlib.closing(response))
         try:
             head = next(parts)
+        except RequestEndedError:
+            stack.close()
+            return self.reject(self.node.dispatcher.end_early(self.call, self.progress))
         except BaseException as error:
             self.finish_interrupted(error)
             raise
@@ -240,7 +246,7 @@
 
         The server closes the stream (`GeneratorExit`) after a failed write.
         """
-        if isinstance(error, Exception):
+        if isinstance(error, Exception) and not isinstance(error, RequestEndedError):
             frames = traceback.format_tb(error.__traceback__)
             detail = {"request": self.call.id, "error": type(error).__name__}
             logger.error("call failed", extra={**detail, "frames": frames})
@@ -260,7 +266,10 @@
         headers = ()
         if not self.may_hop:
             not_run = error_response.status == UNAVAILABLE
-            headers = refusal_headers(error_response, not_run, self.progress.sends)
+            is_ready = not (not_run and self.node.stopping)
+            headers = refusal_headers(
+                error_response, not_run, self.progress.sends, is_ready
+            )
         return error_reply(error_response, headers)
 
     def finish(self, outcome, head=None):
--- a/pollenmount/gateway/dispatch.py
+++ b/pollenmount/gateway/dispatch.py
@@ -8,6 +8,7 @@
 import contextlib
 
 from pollenmount import task
+from pollenmount.errors import STOPPING_RETRY_MS
 from pollenmount.gateway.attempt import (
     Attempt,
     FailedResponseError,
@@ -47,6 +48,7 @@
 MAX_LEARNING_SHARE = 0.25
 LEARNING_INTERVAL_MS = 50
 MIN_RETRY_AFTER_MS = 250
+STOPPING = "this VM is stopping"
 MAX_RETRY_AFTER_MS = 4000
 UNAVAILABLE = 503
 BAD_GATEWAY = 502
@@ -65,7 +67,8 @@
     `context` gives the options, `chooser` picks one, `sender` runs attempts, `budget`
     bounds retries, and `sleep` waits for a number of milliseconds. `outage_since` maps
     a service and the home regions of a route to the time since when no target has been
-    found.
+    found. `stop_at` is when responses must be complete, None unless this VM stops and
+    takes no more requests.
     """
 
     def __init__(self, context, chooser, sender, budget, clock, sleep=task.sleep):
@@ -77,6 +80,7 @@
         self.clock = clock
         self.sleep = sleep
         self.outage_since = {}
+        self.stop_at = None
 
     def serve(self, call, progress, may_hop=True):
         """Yield a `ResponseHead` and the body, or one `ErrorResponse`.
@@ -90,7 +94,11 @@
         while True:
             destination, expected_ms = self.pick_destination(call, progress, may_hop)
             if destination is None:
-                problem = progress.quarantine or missing_target(progress)
+                problem = (
+                    progress.quarantine
+                    or self.reason_of_stop(call, progress)
+                    or missing_target(progress)
+                )
                 yield from self.end_without_response(call, progress, problem, may_hop)
                 return
             try:
@@ -122,6 +130,8 @@
         """Return why no further attempt follows a failed one, or None."""
         if progress.quarantine:
             return progress.quarantine
+        if reason := self.reason_of_stop(call, progress):
+            return reason
         reason = self.retries.reason_without_budget(call, progress, error)
         if reason:
             return reason
@@ -129,6 +139,23 @@
             return "a part of the prompt may have crashed the target"
         return self.retries.reason_to_stop(call, progress, error)
 
+    def reason_of_stop(self, call, progress):
+        """Return why this VM, which stops, sends no attempt of a call, or ''.
+
+        A call that no attempt was made of can go to another VM. One that an attempt has
+        failed of gets another one if there is time for its response.
+        """
+        if self.stop_at is None:
+            return ""
+        left_ms = self.stop_at - self.clock.now()
+        return "" if progress.sends and left_ms >= call.route.slo_ms else STOPPING
+
+    def end_early(self, call, progress):
+        """Return the `ErrorResponse` of a call that ends because this VM does."""
+        if progress.sends > len(progress.failures):
+            return ErrorResponse(BAD_GATEWAY, STOPPING)
+        return self.make_error_response(call, progress, STOPPING)
+
     def choose(self, call, progress, may_hop):
         """Return the chooser's decision for the options at this moment."""
         options = self.context.options(call, progress.tried, progress.version)
@@ -146,7 +173,7 @@
         """
         while True:
             progress.quarantine = self.context.guard.find_quarantine(call, progress)
-            if progress.quarantine:
+            if progress.quarantine or self.reason_of_stop(call, progress):
                 return None
             chosen = self.choose(call, progress, may_hop)
             interval_ms = self.wait_interval_ms(call, chosen)
@@ -359,6 +386,8 @@
         now = self.clock.now()
         if progress.quarantine_ms:
             return progress.quarantine_ms
+        if self.stop_at is not None:
+            return STOPPING_RETRY_MS
         if progress.pause_ms:
             wait_ms = spread_wait_ms(progress.pause_ms, self.context.random)
             return max(1, min(wait_ms, (call.deadline - now) // 3))
--- a/pollenmount/gateway/node.py
+++ b/pollenmount/gateway/node.py
@@ -62,9 +62,9 @@
         self.stack.callback(closeable.close)
         return closeable
 
-    def serve(self, address, handle, limits=None):
+    def serve(self, address, handle, limits=None, is_refusing=lambda: False):
         """Start and return a `WebServer` that calls `handle` for each request."""
-        app = make_app(handle, lambda: self.stopping)
+        app = make_app(handle, lambda: self.stopping, is_refusing)
         options = {"limits": limits} if limits else {}
         options["on_close"] = self.metrics.count_closed_connection
         return self.manage(WebServer(address, app, **options))
--- a/pollenmount/gateway/roles/entry.py
+++ b/pollenmount/gateway/roles/entry.py
@@ -39,6 +39,8 @@
 REFUSE_AFTER_SHARE = 0.36
 STOP_AFTER_SHARE = 0.93
 CLOSE_AFTER_SHARE = 0.97
+# The time for the responses to requests that end with the process.
+LAST_RESPONSES_MS = 60
 CLOSE_DELAY_MS = 200
 READY_DELAY_MS = 300
 NOT_READY = 503
@@ -94,9 +96,15 @@
         node.fleet.listeners.append(self.forget_removed_target)
         node.serve_metrics()
         node.serve(settings.listen.readiness, self.handle_readiness)
-        self.hops = node.serve(settings.hops, HopsApi(node).handle)
+        # A hop that is refused goes to another VM at once.
+        self.hops = node.serve(
+            settings.hops, HopsApi(node).handle, is_refusing=lambda: node.stopping
+        )
         self.callers = node.serve(
-            settings.listen.callers, CallersApi(node).handle, self.connection_limits
+            settings.listen.callers,
+            CallersApi(node).handle,
+            self.connection_limits,
+            lambda: node.refusing,
         )
 
     def forget_removed_target(self, message, source):
@@ -154,19 +162,33 @@
     def stop(self, requested_at):
         """Leave the directory, then refuse new requests, then finish running ones.
 
-        `requested_at` is when the stop was requested.
+        What has not been sent to a target by then is refused, too: requests of which
+        the body is still to come, and calls that wait. What has not ended at the end of
+        the grace period gets a response that says so. `requested_at` is when the stop
+        was requested.
         """
         node = self.node
         node.stopping = True
         self.links.send_heartbeats()
         grace_ms = node.settings.bounds.stop_grace_s * MS_PER_S
+        stop_at = requested_at + STOP_AFTER_SHARE * grace_ms
+        self.hops.refuse_unread()
         self.wait_while(requested_at + REFUSE_AFTER_SHARE * grace_ms, lambda: True)
         node.refusing = True
-        logger.info("refusing")
-        self.wait_while(requested_at + STOP_AFTER_SHARE * grace_ms, self.is_busy)
+        node.dispatcher.stop_at = stop_at
+        logger.info("refusing", extra={"unread": self.callers.refuse_unread()})
+        self.wait_while(stop_at, self.is_busy)
         task.sleep(CLOSE_DELAY_MS)
         close_at = requested_at + CLOSE_AFTER_SHARE * grace_ms
         answer_last_requests(self.is_busy, node.clock, close_at)
+        self.end_running()
+
+    def end_running(self):
+        """Answer the requests that can't be finished any more."""
+        ended = self.callers.end_running() + self.hops.end_running()
+        if ended:
+            logger.warning("requests ended", extra={"ended": ended})
+            task.sleep(LAST_RESPONSES_MS)
 
     def is_busy(self):
         """Return whether requests are running."""
--- a/pollenmount/node.py
+++ b/pollenmount/node.py
@@ -12,6 +12,8 @@
 
 POLL_INTERVAL_MS = 50
 CONNECTION_CLOSE_TIMEOUT_MS = 1000
+# The time for the responses to requests that end with the process.
+LAST_RESPONSES_MS = 60
 EXIT_STOPPED = 0
 EXIT_UNFINISHED = 1
 
@@ -40,8 +42,10 @@
 def stop(kernel, skip_waits=lambda: False):
     """Shut down gracefully; return how many requests were cut off.
 
-    The node leaves the directory, refuses new requests after a delay, finishes running
-    requests, and lets connections close. While `skip_waits()` is true, no step waits.
+    The node leaves the directory, refuses new requests after a delay and with them what
+    it has not sent to a target, finishes running requests, and lets connections close.
+    What is still running then gets a response that says so. While `skip_waits()` is
+    true, no step waits.
     """
     settings = kernel.settings
     servers = kernel.get("listeners").servers_to_drain
@@ -50,7 +54,9 @@
     kernel.get("heartbeater").send_heartbeats()
     wait_while(kernel, skip_waits, settings.stop_delay_ms)
     kernel.refusing = True
-    logger.info("refusing")
+    unread = sum(server.refuse_unread() for server in servers)
+    logger.info("refusing", extra={"unread": unread})
+    kernel.get("call_queue").close()
     wait_while(
         kernel, skip_waits, settings.stop_limit_ms, lambda: count_active(servers)
     )
@@ -66,6 +72,8 @@
         kernel.clock.now() + CONNECTION_CLOSE_TIMEOUT_MS,
     )
     unfinished = count_active(servers)
+    if unfinished:
+        end_running(servers)
     logger.info("stopped", extra={"unfinished": unfinished})
     return unfinished
 
@@ -77,6 +85,13 @@
         task.sleep(min(POLL_INTERVAL_MS, deadline - kernel.clock.now()))
 
 
+def end_running(servers):
+    """Answer the requests that can't be finished any more."""
+    for server in servers:
+        server.end_running()
+    task.sleep(LAST_RESPONSES_MS)
+
+
 def count_active(servers):
     """Return the number of running requests."""
     return sum(server.active for server in servers)
--- a/pollenmount/parts/listeners.py
+++ b/pollenmount/parts/listeners.py
@@ -43,6 +43,6 @@
     )
     servers = {"control": kernel.manage(server)}
     for listener, api in apis.items():
-        app = make_app(api.handle, lambda: kernel.stopping)
+        app = make_app(api.handle, lambda: kernel.stopping, lambda: kernel.refusing)
         servers[listener] = kernel.manage(WebServer(getattr(listen, listener), app))
     return Listeners(**servers)
--- a/pollenmount/routing/queue.py
+++ b/pollenmount/routing/queue.py
@@ -7,7 +7,7 @@
 
 import bisect
 
-from pollenmount.errors import Refusal, RefusalKind
+from pollenmount.errors import Refusal, RefusalKind, stopping_refusal
 from pollenmount.plans.plan import CLASSES, INTERACTIVE
 from pollenmount.routing.request import offer_name
 
@@ -53,6 +53,7 @@
         self.max_bytes = max_bytes
         self.by_offer = {}
         self.queued_bytes = 0
+        self.is_closed = False
 
     def wait(self, call, has_capacity, wait_ms):
         """Wait until the call may start; return a `Refusal` if it can't wait.
@@ -60,6 +61,8 @@
         `has_capacity()` tells whether it can start now. `wait_ms(ahead)` estimates how
         long it waits with `ahead` others before it.
         """
+        if self.is_closed:
+            return stopping_refusal()
         offer = offer_name(call.route)
         if offer not in self.by_offer and has_capacity():
             return None
@@ -76,7 +79,7 @@
                 queued.signal = self.make_signal()
         finally:
             self.remove(queued, offer, classes)
-        return None
+        return stopping_refusal() if self.is_closed else None
 
     def check_wait(self, call, classes, wait_ms):
         """Return a `Refusal` if the queue is full or the wait exceeds the deadline."""
@@ -97,7 +100,7 @@
     def may_start(self, queued, classes, has_capacity):
         """Return whether a call may start: it is urgent, or first and has capacity."""
         call = queued.call
-        if self.is_urgent(call):
+        if self.is_closed or self.is_urgent(call):
             return True
         if classes[call.class_][0] is not queued:
             return False
@@ -117,6 +120,13 @@
             del self.by_offer[offer]
         self.wake()
 
+    def close(self):
+        """Refuse all calls, those in the queue and those to come."""
+        self.is_closed = True
+        for classes in [*self.by_offer.values()]:
+            for queued in [q for calls in classes.values() for q in calls]:
+                queued.signal.send()
+
     def wake(self):
         """Wake the first call of each class to check for capacity."""
         for classes in self.by_offer.values():
--- a/tests/faults/test_product_stop.py
+++ b/tests/faults/test_product_stop.py
@@ -1,6 +1,8 @@
 """Planned stops of VMs: running requests are completed."""
 
+import json
 import signal
+import socket
 import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
@@ -93,6 +95,48 @@
         assert error or b"event: error" in stream.result().body
 
 
+# Guards against a stop that runs requests of which the last bytes came long after it
+# began, and against one that ends requests without a response.
+def test_a_stopping_vm_runs_no_late_request_and_answers_what_it_cannot_finish(
+    cluster, network
+):
+    deployment = SmallDeployment(
+        *(cluster, network, {"kigali": 1}, SLOW_ENGINE_FLAGS),
+        stop_delay_ms=300,
+        stop_limit_ms=1000,
+    )
+    host, _, port = deployment.listen_address("kigali-1").rpartition(":")
+    body = chat_body("drafting", "long", False, 10 * WORD_COUNT)
+    before = deployment.read_counts("service")["runs"]
+    with (
+        socket.create_connection((host, int(port)), 10) as slow,
+        socket.create_connection((host, int(port)), 10) as late,
+    ):
+        slow.sendall(make_request("POST", CHAT, body))
+        late.sendall(make_request("POST", "/filings", b"a filing")[:-2])
+        wait_until(lambda: count_running(deployment) == 1)
+        cluster.processes["kigali-1"].send_signal(signal.SIGTERM)
+        assert read_error(late) == (b"503", "stopping")
+        assert read_error(slow) == (b"502", "outcome_unknown")
+    assert deployment.read_counts("service")["runs"] == before
+    assert cluster.processes["kigali-1"].wait(20) == 1
+
+
+def make_request(method, path, body):
+    """Return a request as bytes on the wire."""
+    lines = (
+        *(f"{method} {path} HTTP/1.1", "Host: h", f"Authorization: Bearer {KEY}"),
+        *(f"Content-Length: {len(body)}", "", ""),
+    )
+    return "\r\n".join(lines).encode() + body
+
+
+def read_error(connection):
+    """Return the status and the code of the error in the next response."""
+    head, _, body = connection.recv(65_536).partition(b"\r\n\r\n")
+    return head.split()[1], json.loads(body)["error"]["code"]
+
+
 def entry_names(deployment, name):
     """Return the names of the entry VMs that a VM lists to the caller."""
     answer = deployment.cluster.call(
--- a/tests/gateway_sockets.py
+++ b/tests/gateway_sockets.py
@@ -97,7 +97,9 @@
         )
         self.server = WebServer(
             address,
-            make_app(CallersApi(self.node).handle),
+            make_app(
+                CallersApi(self.node).handle, is_refusing=lambda: self.node.refusing
+            ),
             on_close=self.metrics.count_closed_connection,
         )
 
--- a/tests/test_gateway_dispatch.py
+++ b/tests/test_gateway_dispatch.py
@@ -273,7 +273,10 @@
     """Return the callers' API of a harness whose VM has no plan yet."""
     harness.store.plan = None
     node = types.SimpleNamespace(
-        store=harness.store, dispatcher=harness.dispatcher, clock=harness.clock
+        store=harness.store,
+        dispatcher=harness.dispatcher,
+        clock=harness.clock,
+        refusing=False,
     )
     return CallersApi(node)
 
--- a/tests/test_gateway_joining.py
+++ b/tests/test_gateway_joining.py
@@ -147,7 +147,8 @@
         "refusing": False,
     }
     node = types.SimpleNamespace(**(values | changes))
-    return HopsApi(node).handle(HopRequestStub(encode_hop(call, 5000, 1, call.version)))
+    stub = HopRequestStub(encode_hop(call, 5000, 1, call.version))
+    return HopsApi(node).handle(stub)
 
 
 def test_a_hop_of_a_vm_that_is_not_known_yet_is_run_once():
--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -39,7 +39,11 @@
     role.node = types.SimpleNamespace(
         clock=clock, settings=make_settings(), stopping=False, refusing=False
     )
+    role.node.dispatcher = types.SimpleNamespace(stop_at=None)
     role.links = types.SimpleNamespace(send_heartbeats=lambda: None)
+    role.callers = role.hops = types.SimpleNamespace(
+        refuse_unread=lambda: 0, end_running=lambda: 0
+    )
     role.is_busy = lambda: refused_at.append(clock.now()) or False
     role.stop(requested_at)
     assert role.node.stopping
--- a/tests/test_routing_limits.py
+++ b/tests/test_routing_limits.py
@@ -164,6 +164,24 @@
     assert harness.started == ["d1"]
 
 
+# A node that stopped sent calls to targets that had waited until then.
+def test_a_closed_queue_refuses_the_calls_in_it_and_those_to_come():
+    harness = QueueHarness()
+    for name, class_ in (
+        ("i1", "interactive"),
+        ("i2", "interactive"),
+        ("d", "deferred"),
+    ):
+        harness.start(name, class_)
+    harness.queue.close()
+    harness.free_slots = 9
+    harness.start("i3", "interactive")
+    assert not harness.started
+    assert sorted(name for name, _, _ in harness.refused) == ["d", "i1", "i2", "i3"]
+    refusals = [refusal for _, _, refusal in harness.refused]
+    assert all(r.not_run and r.kind is RefusalKind.STOPPING for r in refusals)
+
+
 def test_full_queue_and_wait_past_the_deadline_are_refused_at_once():
     harness = QueueHarness(max_queued=1)
     harness.start("i1", "interactive")
