Run no order, and believe no target, that may date from before a stall

Cause: an order that comes late was told from one that has just come only by the end of its caller's connection, and its count is read at the leader when it is run. While the connection stays open, the VM took the order for as old as its own reading of it. Heartbeats and leaves of targets that were read after a stall counted as new in the same way: a target that had ended as up, one that is back under its id as gone.

Evidence: tests/test_evacuation_orders.py, on the code before: an order that waited in its socket while the VM stood still, one whose count came late, a heartbeat and a leave that waited: 4 of 4 run or believed.

Ruled out: configurations (the highest version wins), orders proposed or repeated late (counted), announcements of the own interface that are late (their sequence and incarnation); one of a target that has ended counts there as heard for one time to live, as before.

Change: the monitor of the event loop tells how long what is read now may have waited. An order counts as sent that much before it was read; if the leader has not confirmed the count 700 ms after that, it is refused with 503 (a caller goes on after a second, and sends it again if it still wants it). Heartbeats and leaves that may be older than a second are refused, and the target turns to another control VM. order received logs read_delay_ms.

Not covered: an order that the network held up for more than 0.7 s, of a caller that keeps its connection: nothing that arrives shows its age.

--- a/pollenmount/gateway/control.py
+++ b/pollenmount/gateway/control.py
@@ -8,6 +8,7 @@
 from pollenmount.fleet.records import ENTRY
 from pollenmount.gateway.call import ErrorResponse
 from pollenmount.gateway.dialect import ControlRequestKind
+from pollenmount.gateway.evacuation_orders import Order
 from pollenmount.gateway.replies import document_reply, error_reply
 from pollenmount.log import get_logger
 from pollenmount.routes.check import find_faults
@@ -20,6 +21,8 @@
 BAD_REQUEST = 400
 UNAVAILABLE = 503
 RETRY_AFTER_MS = 300
+# Targets send a heartbeat, and operators an order, to another VM after a second.
+MAX_REPORT_AGE_MS = 1000
 MAX_DIRECTORY_ENTRIES = 64
 STARTUP_DELAY_MS = 1200
 EMPTY_DOCUMENT = b"{}"
@@ -108,8 +111,10 @@
             return error_reply(ErrorResponse(NOT_FOUND, "unknown failure domain"))
         fields = {"domain": failure_domain, "evacuated": evacuated}
         received_at = self.node.clock.now()
-        self.log_order("order received", request, **fields)
-        result = self.log.evacuate(failure_domain, evacuated, request.has_caller)
+        read_delay_ms = self.node.loop_monitor.read_delay_ms()
+        self.log_order("order received", request, read_delay_ms=read_delay_ms, **fields)
+        order = Order(failure_domain, evacuated, received_at - read_delay_ms)
+        result = self.log.evacuate(order, request.has_caller)
         fields["elapsed_ms"] = self.node.clock.now() - received_at
         if isinstance(result, Err):
             return self.reject("evacuation not accepted", result.err_value, **fields)
@@ -140,15 +145,32 @@
             return self.reject(
                 "heartbeat refused", error_response, target=control_request.name
             )
+        if self.may_be_outdated():
+            return self.reject_outdated("heartbeat refused", control_request.name)
         self.server.targets.handle_heartbeat(record)
         return document_reply(self.node.dialect.write_heartbeat_reply())
 
     def handle_leave(self, request, control_request):
         """Handle a target's announcement that it leaves."""
+        if self.may_be_outdated():
+            return self.reject_outdated("leave refused", control_request.name)
         self.server.targets.handle_leave(control_request.name)
         logger.info("target leaves", extra={"target": control_request.name})
         return document_reply(EMPTY_DOCUMENT)
 
+    def may_be_outdated(self):
+        """Return whether a target may have sent what is read now some time ago.
+
+        It has told another VM since, or has even ended and started again.
+        """
+        return self.node.loop_monitor.read_delay_ms() > MAX_REPORT_AGE_MS
+
+    def reject_outdated(self, event, target):
+        """Reject what a target may have sent before this VM stood still."""
+        reason = "this VM stood still, and the target may have told others since"
+        error_response = ErrorResponse(UNAVAILABLE, reason, RETRY_AFTER_MS)
+        return self.reject(event, error_response, target=target)
+
     def reject(self, event, error_response, **more):
         """Log a rejected request under the message `event`; return the reply."""
         fields = {
--- a/pollenmount/gateway/node.py
+++ b/pollenmount/gateway/node.py
@@ -52,6 +52,9 @@
         self.calls = set()
         self.stack = contextlib.ExitStack()
         self.metrics = GatewayMetrics()
+        self.loop_monitor = self.manage(
+            LoopMonitor(self.clock, self.metrics.loop_delay.observe)
+        )
         self.store = RoutesStore(dialect.read_plan)
         self.fleet = Fleet(
             self.clock, self.store, settings.failure_domains, settings.is_control
@@ -141,7 +144,6 @@
     role = "control" if settings.is_control else "entry"
     node = GatewayNode(settings, dialect, clock)
     node.metrics.dropped_lines.set_function(lambda: writer.dropped)
-    node.manage(LoopMonitor(clock, node.metrics.loop_delay.observe))
     reloader = SettingsReloader(node, path)
     with contextlib.closing(node), log_crash(node):
         instance = get_plugin_by_name(ROLES_FAMILY, role)(node)
--- a/pollenmount/gateway/routes_log.py
+++ b/pollenmount/gateway/routes_log.py
@@ -219,9 +219,9 @@
         command = AcceptRoutes(version, zlib.compress(document))
         return self.propose(command)
 
-    def evacuate(self, failure_domain, evacuated, has_caller):
+    def evacuate(self, order, has_caller):
         """Return Ok(OrderResult) once an order is durable, or Err(ErrorResponse)."""
-        return self.orders.run(failure_domain, evacuated, has_caller)
+        return self.orders.run(order, has_caller)
 
     def propose(self, command, timeout_ms=PROPOSE_TIMEOUT_MS, is_wanted=is_always):
         """Propose a command to the leader, on whichever VM it is."""
--- a/tests/control_vm.py
+++ b/tests/control_vm.py
@@ -1,6 +1,8 @@
 """A control VM on loopback with a replica of its own, for the tests of orders."""
 
 import contextlib
+import time
+import types
 
 import eventlet.patcher
 from eventlet.green import socket
@@ -11,6 +13,7 @@
 from pollenmount.fleet.fleet import Fleet
 from pollenmount.gateway.control import ControlApi
 from pollenmount.gateway.routes_log import RoutesLog
+from pollenmount.loop_monitor import LoopMonitor
 from pollenmount.routes.store import RoutesStore
 from tests.gateway_harness import REGIONS, make_settings
 from tests.gateway_sockets import FleetDialect
@@ -20,6 +23,7 @@
 TRIES = 60
 STEP_MS = 50
 REPLY_BYTES = 65_536
+MS_PER_S = 1000
 # It blocks: nothing else runs while it is used, as in a VM that stands still.
 blocking_socket = eventlet.patcher.original("socket")
 
@@ -27,7 +31,8 @@
 class ControlVm:
     """The parts of a control VM that handle orders on evacuations.
 
-    With the address of a seed, it is not a member of the log that is there.
+    With the address of a seed, it is not a member of the log that is there. `heard` has
+    what targets have told it.
     """
 
     def __init__(self, ip, folder, seed_ip=None):
@@ -42,7 +47,13 @@
         self.fleet = Fleet(self.clock, RoutesStore(lambda document: None), REGIONS)
         self.log = RoutesLog(self)
         self.address = (ip, 7420)
-        app = make_app(ControlApi(self, self.log, None).handle)
+        self.loop_monitor = self.manage(LoopMonitor(self.clock, lambda delay_s: None))
+        self.heard = []
+        targets = types.SimpleNamespace(
+            handle_heartbeat=self.heard.append, handle_leave=self.heard.append
+        )
+        server = types.SimpleNamespace(targets=targets)
+        app = make_app(ControlApi(self, self.log, server).handle)
         self.manage(WebServer(f"{ip}:7420", app))
         if seed_ip is None:
             self.wait_until(self.log.has_quorum)
@@ -79,7 +90,18 @@
         """Send an order on a connection of its own; return the status."""
         with contextlib.closing(self.connect()) as peer:
             peer.sendall(order_bytes(method, failure_domain))
-            return int(peer.recv(REPLY_BYTES).split()[1])
+            return read_status(peer)
+
+    def send_and_stand_still(self, request, ms):
+        """Send a request, and stand still before it is read; return the status.
+
+        The caller's connection stays open.
+        """
+        task.sleep(2 * STEP_MS)
+        with contextlib.closing(self.connect()) as peer:
+            peer.fd.sendall(request)
+            time.sleep(ms / MS_PER_S)
+            return read_status(peer)
 
     def connect(self):
         """Return a new connection for orders."""
@@ -93,6 +115,11 @@
             peer.sendall(order_bytes(method, failure_domain))
 
 
+def read_status(peer):
+    """Return the status of the next response."""
+    return int(peer.recv(REPLY_BYTES).split()[1])
+
+
 def order_bytes(method, failure_domain):
     """Return an order as bytes on the wire."""
     path = f"/-/evacuate/{failure_domain}"
--- a/tests/test_evacuation_orders.py
+++ b/tests/test_evacuation_orders.py
@@ -1,6 +1,7 @@
 """Orders to evacuate failure domains, on a control VM with a replica of its own."""
 
 import contextlib
+import time
 
 import pytest
 from result import Err
@@ -15,6 +16,8 @@
 DOMAIN = "west-a"
 # Well above the time that an order takes.
 SETTLE_MS = 400
+# Callers and targets go to another VM after a second without a response.
+PATIENCE_MS = 1200
 
 
 @pytest.fixture
@@ -111,6 +114,56 @@
     assert vm.evacuated() == (DOMAIN,)
 
 
+# A control VM that had stood still ended an evacuation that was newer than the order,
+# whose caller had gone to another VM without closing its connection.
+def test_an_order_that_may_be_older_than_its_caller_waits_is_not_run(vm):
+    assert vm.call("POST", DOMAIN) == 200
+    order = order_bytes("DELETE", DOMAIN)
+    assert vm.send_and_stand_still(order, PATIENCE_MS) == 503
+    assert vm.evacuated() == (DOMAIN,)
+    task.sleep(SETTLE_MS)
+    assert vm.call("DELETE", DOMAIN) == 200
+
+
+# The VM stood still while it asked for the count of orders, and others were given.
+def test_an_order_of_which_the_count_came_late_is_not_run(vm):
+    assert vm.call("POST", DOMAIN) == 200
+    read = vm.log.orders.handle_read
+
+    def read_late(request):
+        time.sleep(PATIENCE_MS / 1000)
+        return read(request)
+
+    vm.log.orders.handle_read = read_late
+    assert vm.call("DELETE", DOMAIN) == 503
+    assert vm.evacuated() == (DOMAIN,)
+
+
+def test_an_order_after_a_short_stall_is_run(vm):
+    assert vm.send_and_stand_still(order_bytes("POST", DOMAIN), 350) == 200
+
+
+HEARTBEAT = (
+    b'{"backend":"b","addr":"10.0.0.1:80","zone":"west-a","version":"v","slots":1,'
+    b'"state":"ready","seq":4,"born":1}'
+)
+
+
+# What a target had sent before the VM stood still counted as new: one that had ended
+# was taken for up, one that had started again under its id for gone.
+@pytest.mark.parametrize(("method", "body"), [("PUT", HEARTBEAT), ("DELETE", b"")])
+def test_a_report_of_a_target_that_may_be_outdated_is_refused(vm, method, body):
+    request = (
+        f"{method} /-/instances/i-1 HTTP/1.1\r\nHost: h\r\n"
+        f"Content-Length: {len(body)}\r\n\r\n"
+    ).encode() + body
+    assert vm.send_and_stand_still(request, PATIENCE_MS) == 503
+    assert not vm.heard
+    task.sleep(SETTLE_MS)
+    assert vm.send_and_stand_still(request, 0) == 200
+    assert len(vm.heard) == 1
+
+
 def test_an_order_that_is_sent_again_is_acknowledged_again(vm):
     for method in ("POST", "POST", "DELETE", "DELETE"):
         assert vm.call(method, DOMAIN) == 200
--- a/tests/test_loop_monitor.py
+++ b/tests/test_loop_monitor.py
@@ -5,7 +5,12 @@
 import pytest
 
 from pollenmount.clock import ManualClock
-from pollenmount.loop_monitor import REPORT_INTERVAL_MS, TICK_MS, LoopMonitor
+from pollenmount.loop_monitor import (
+    READ_AFTER_STALL_MS,
+    REPORT_INTERVAL_MS,
+    TICK_MS,
+    LoopMonitor,
+)
 
 
 @pytest.fixture
@@ -60,3 +65,31 @@
     tick_late(monitor, 300)
     told = reports(caplog)
     assert sum(line["unreported"] for line in told) + len(told) == 11
+
+
+def read_delay(monitor, ms):
+    """Let time pass without a tick; return how long what is read may have waited."""
+    monitor.clock.advance(ms)
+    return monitor.read_delay_ms()
+
+
+# Nothing told a request that had just come from one that came while the VM stood still.
+def test_what_is_read_after_a_stall_may_have_waited(monitor):
+    assert read_delay(monitor, TICK_MS) == 0
+    assert read_delay(monitor, 250) == 0
+    assert read_delay(monitor, 750) == 1000
+    monitor.tick()
+    assert read_delay(monitor, READ_AFTER_STALL_MS) == 1000 + READ_AFTER_STALL_MS
+
+
+def test_what_is_read_some_time_after_a_stall_has_not_waited(monitor):
+    tick_late(monitor, 1000)
+    for _ in range(4):
+        tick_late(monitor, 0)
+    assert monitor.read_delay_ms() == 0
+
+
+def test_a_stall_that_follows_another_at_once_counts_from_the_first(monitor):
+    tick_late(monitor, 400)
+    tick_late(monitor, 400)
+    assert monitor.read_delay_ms() == 900
