Send no call whose connection was made after the VM began to refuse

What callers saw: nothing yet; the rest of the fault of requests at a stop. Cause: connecting takes up to 0.4 s, and the VM may begin to refuse meanwhile. Change: the first attempt of a call is given up right before it would be sent; the call ends with 503, not run. The soak has a caller now that sends its bodies over two seconds and more.

--- a/pollenmount/gateway/attempt.py
+++ b/pollenmount/gateway/attempt.py
@@ -30,6 +30,7 @@
     "NotRunError",
     "ResponseObserver",
     "Sender",
+    "StoppedError",
     "TargetPauseError",
     "UnfitResponseError",
     "connection_key",
@@ -73,6 +74,14 @@
         self.args = (f"the target asks for a pause (status {status})",)
 
 
+class StoppedError(NotRunError):
+    """This VM began to refuse requests before the attempt was sent."""
+
+    def __init__(self):
+        super().__init__(UNAVAILABLE)
+        self.args = ("this VM is stopping",)
+
+
 class FailedResponseError(ExchangeError):
     """The target ran the request and failed; `response` is its complete response."""
 
@@ -120,7 +129,10 @@
     """Callbacks for the progress of an attempt's response."""
 
     def on_send(self, remaining_ms):
-        """Handle that the attempt is sent, with this time left for the response."""
+        """Handle that the attempt is sent, with this time left for the response.
+
+        An `ExchangeError` that it raises ends the attempt before it is sent.
+        """
 
     def on_head(self, status, info):
         """Handle the arrival of the response's status and `ResponseInfo`."""
--- a/pollenmount/gateway/dispatch.py
+++ b/pollenmount/gateway/dispatch.py
@@ -14,6 +14,7 @@
     FailedResponseError,
     MisdirectedError,
     NotRunError,
+    StoppedError,
     is_success,
 )
 from pollenmount.gateway.attempt_log import log_failed_attempt
@@ -130,6 +131,8 @@
         """Return why no further attempt follows a failed one, or None."""
         if progress.quarantine:
             return progress.quarantine
+        if isinstance(error, StoppedError):
+            return STOPPING
         if reason := self.reason_of_stop(call, progress):
             return reason
         reason = self.retries.reason_without_budget(call, progress, error)
--- a/pollenmount/gateway/progress.py
+++ b/pollenmount/gateway/progress.py
@@ -1,6 +1,10 @@
 """Progress of one call, and the observer that records it from the response."""
 
-from pollenmount.gateway.attempt import ResponseObserver, is_success
+from pollenmount.gateway.attempt import (
+    ResponseObserver,
+    StoppedError,
+    is_success,
+)
 from pollenmount.gateway.call import digest_request
 
 __all__ = ["CallObserver", "Progress"]
@@ -105,7 +109,12 @@
         self.has_begun = False
 
     def on_send(self, remaining_ms):
-        """Record what the log says of the moment at which an attempt is sent."""
+        """Record what the log says of the moment at which an attempt is sent.
+
+        Raises `StoppedError` if this VM refuses requests since, and this is the first.
+        """
+        if self.dispatcher.stop_at is not None and self.progress.sends == 1:
+            raise StoppedError()
         destination = self.destination
         self.progress.remaining_ms = remaining_ms
         self.progress.paused_ms = self.dispatcher.context.pauses.left_ms(
--- a/tests/soak/habits.py
+++ b/tests/soak/habits.py
@@ -16,6 +16,7 @@
 BATCH_SIZE = 3
 PIECES = 5
 PIECE_INTERVAL_S = 0.02
+LATE_PIECE_INTERVAL_S = 0.4
 SMALL_BODY_BYTES = 2000
 LARGE_BODY_BYTES = 1 << 20
 SMALL_BUFFER_BYTES = 2048
@@ -30,7 +31,7 @@
 
     Each carries `requests` (0 for as many as the VM lets it), in batches that are sent
     without waiting for answers if it is `pipelined`. A `body` is `small`, `large`, in
-    `pieces` or `chunked`.
+    `pieces` or `chunked`, and its pieces are sent `piece_interval_s` apart.
     """
 
     version: str = "HTTP/1.1"
@@ -40,6 +41,7 @@
     half_closes: bool = False
     reads_slowly: bool = False
     body: str = "small"
+    piece_interval_s: float = PIECE_INTERVAL_S
 
 
 HABITS = {
@@ -50,6 +52,8 @@
     "pieces": Habit(body="pieces"),
     "chunked": Habit(requests=0, body="chunked"),
     "large": Habit(body="large"),
+    # A stop may begin, and refuse requests, while the body is on its way.
+    "late": Habit(body="pieces", piece_interval_s=LATE_PIECE_INTERVAL_S),
     "closing": Habit(requests=1, closes=True),
     "old": Habit(version="HTTP/1.0", requests=1),
     "half": Habit(requests=1, half_closes=True),
@@ -125,7 +129,7 @@
             for piece in self.encode(request_id, route):
                 self.connection.sendall(piece)
                 if self.habit.body in ("pieces", "chunked"):
-                    self.reader.pause(PIECE_INTERVAL_S)
+                    self.reader.pause(self.habit.piece_interval_s)
         except OSError:
             return request_id, route, began_at, None
         return request_id, route, began_at, time.monotonic()
--- a/tests/test_requests_at_stop.py
+++ b/tests/test_requests_at_stop.py
@@ -122,6 +122,25 @@
     assert json.loads(body)["error"] == "this VM is stopping"
 
 
+# Connecting to a target takes up to 0.4 s.
+@pytest.mark.parametrize("path", PATHS)
+def test_a_call_that_waits_for_its_connection_is_not_sent(start, path, monkeypatch):
+    vm, _, target = start(run_at_once)
+    connect = vm.context.pool.connect
+
+    def connect_late(key, address):
+        vm.dispatcher.stop_at = vm.clock.now() + SLOW_MS
+        return connect(key, address)
+
+    vm.context.pool.connect = connect_late
+    with vm.connect() as peer:
+        peer.sendall(request_bytes(path=path))
+        status, body = response_of(peer)
+    assert status.split()[1] == b"503"
+    assert json.loads(body)["error"] == "this VM is stopping"
+    assert not target.requests
+
+
 def test_a_stream_that_cannot_be_finished_is_broken_off(start):
     def run(exchange):
         exchange.start()
