--- a/pollenmount/gateway/control.py
+++ b/pollenmount/gateway/control.py
@@ -21,7 +21,7 @@
 BAD_REQUEST = 400
 UNAVAILABLE = 503
 RETRY_AFTER_MS = 300
-# Targets send a heartbeat, and operators an order, to another VM after a second.
+# Targets turn to another VM after a second without a response.
 MAX_REPORT_AGE_MS = 1000
 MAX_DIRECTORY_ENTRIES = 64
 STARTUP_DELAY_MS = 1200
--- a/pollenmount/gateway/roles/entry.py
+++ b/pollenmount/gateway/roles/entry.py
@@ -23,7 +23,7 @@
 from pollenmount.gateway.stream_resumption import StreamResumption
 from pollenmount.gateway.target_notices import TargetNotices
 from pollenmount.gateway.target_pauses import TargetPauses
-from pollenmount.last_requests import answer_last_requests
+from pollenmount.last_requests import answer_last_requests, end_last_requests
 from pollenmount.log import get_logger
 from pollenmount.plugin import register
 from pollenmount.wire.pool import ConnectionPool
@@ -39,8 +39,6 @@
 REFUSE_AFTER_SHARE = 0.36
 STOP_AFTER_SHARE = 0.93
 CLOSE_AFTER_SHARE = 0.97
-# The time for the responses to requests that end with the process.
-LAST_RESPONSES_MS = 60
 CLOSE_DELAY_MS = 200
 READY_DELAY_MS = 300
 NOT_READY = 503
@@ -181,14 +179,7 @@
         task.sleep(CLOSE_DELAY_MS)
         close_at = requested_at + CLOSE_AFTER_SHARE * grace_ms
         answer_last_requests(self.is_busy, node.clock, close_at)
-        self.end_running()
-
-    def end_running(self):
-        """Answer the requests that can't be finished any more."""
-        ended = self.callers.end_running() + self.hops.end_running()
-        if ended:
-            logger.warning("requests ended", extra={"ended": ended})
-            task.sleep(LAST_RESPONSES_MS)
+        end_last_requests((self.callers, self.hops))
 
     def is_busy(self):
         """Return whether requests are running."""
--- a/pollenmount/node.py
+++ b/pollenmount/node.py
@@ -5,15 +5,13 @@
 
 from pollenmount import task
 from pollenmount.kernel import Kernel
-from pollenmount.last_requests import answer_last_requests
+from pollenmount.last_requests import answer_last_requests, end_last_requests
 from pollenmount.log import get_logger
 
 __all__ = ["run_node", "stop"]
 
 POLL_INTERVAL_MS = 50
 CONNECTION_CLOSE_TIMEOUT_MS = 1000
-# The time for the responses to requests that end with the process.
-LAST_RESPONSES_MS = 60
 EXIT_STOPPED = 0
 EXIT_UNFINISHED = 1
 
@@ -72,8 +70,7 @@
         kernel.clock.now() + CONNECTION_CLOSE_TIMEOUT_MS,
     )
     unfinished = count_active(servers)
-    if unfinished:
-        end_running(servers)
+    end_last_requests(servers)
     logger.info("stopped", extra={"unfinished": unfinished})
     return unfinished
 
@@ -85,13 +82,6 @@
         task.sleep(min(POLL_INTERVAL_MS, deadline - kernel.clock.now()))
 
 
-def end_running(servers):
-    """Answer the requests that can't be finished any more."""
-    for server in servers:
-        server.end_running()
-    task.sleep(LAST_RESPONSES_MS)
-
-
 def count_active(servers):
     """Return the number of running requests."""
     return sum(server.active for server in servers)
--- a/tests/test_requests_at_stop.py
+++ b/tests/test_requests_at_stop.py
@@ -14,14 +14,17 @@
 from pollenmount import task
 from pollenmount.api.web import WebServer, json_reply, make_app, refusal_reply
 from pollenmount.gateway.call import ErrorResponse
+from pollenmount.gateway.callers import HopsApi
 from pollenmount.gateway.hop import (
     HOP_NOT_READY,
     HOP_REQUEST,
     PeerNotReadyError,
     encode_hop,
+    raise_if_refused,
 )
 from pollenmount.gateway.roles import entry as entry_role
 from pollenmount.routes.plan import RetryMode
+from pollenmount.wire.connection import parse_head
 from pollenmount.wire.errors import ConnectError, ExchangeError
 from tests.gateway_harness import EntryHarness, make_route, ok
 from tests.gateway_sockets import (
@@ -217,13 +220,7 @@
     assert response.status == 503
 
 
-def test_a_hop_of_which_the_body_comes_after_the_signal_goes_to_another_vm(
-    start, monkeypatch
-):
-    from pollenmount.gateway.callers import HopsApi
-    from pollenmount.gateway.hop import raise_if_refused
-    from pollenmount.wire.connection import parse_head
-
+def test_a_hop_of_which_the_body_comes_after_the_signal_goes_to_another_vm(start):
     vm, _, target = start(run_at_once)
     vm.node.stopping = False
     app = make_app(HopsApi(vm.node).handle, is_refusing=lambda: vm.node.stopping)
