Let a stream without a media type go on as an event stream

Its flooding target names no media type, and the sound one that goes on does; they counted as two kinds. The tests' pairs of entry VM and target start in one place.

--- a/pollenmount/stream_continuation.py
+++ b/pollenmount/stream_continuation.py
@@ -15,14 +15,16 @@
     """Return why a response does not go on with one that has begun, or ''.
 
     Both are heads with a `status` and `headers`. What goes on is a success of the same
-    kind: the caller has the status and the headers of the first one only.
+    kind: the caller has the status and the headers of the first one only. One without a
+    media type is taken for an event stream.
     """
     if further.status != begun.status or further.status != OK:
         return f"status {further.status} does not go on with a stream"
-    for name in ("content-type", "content-encoding"):
-        kinds = [read_kind(head.headers, name) for head in (begun, further)]
-        if kinds[0] != kinds[1]:
-            return f"a {name} of {kinds[1]!r} does not go on with {kinds[0]!r}"
+    for name, default in (("content-type", EVENT_STREAM), ("content-encoding", "")):
+        expected = read_kind(begun.headers, name)
+        kind = read_kind(further.headers, name)
+        if kind != expected and (expected or kind != default):
+            return f"a {name} of {kind!r} does not go on with {expected!r}"
     return ""
 
 
--- a/tests/gateway_sockets.py
+++ b/tests/gateway_sockets.py
@@ -208,6 +208,20 @@
         self.connection.sendall(STREAM_END)
 
 
+def start_with_target(stack, network, run, subnet=7):
+    """Start an entry VM and a target that runs a script; return both.
+
+    `stack` closes them.
+    """
+    address = f"127.{network}.{subnet}.2:7300"
+    target = ScriptedTarget(address, run)
+    stack.callback(target.close)
+    entry = SocketEntry(f"127.{network}.{subnet}.1:7300")
+    stack.callback(entry.close)
+    entry.add_target("t", address=address)
+    return entry, target
+
+
 def stream_events(count, interval_ms, size=20):
     """Return a script that sends events at a fixed interval."""
 
--- a/tests/test_stream_continuations.py
+++ b/tests/test_stream_continuations.py
@@ -123,6 +123,16 @@
     assert b"".join(parts) == FIRST
 
 
+def test_a_stream_without_a_media_type_goes_on_as_an_event_stream(vm):
+    _, *parts = vm.serve(
+        BROKEN.replace(b"Content-Type: text/event-stream\r\n", b""),
+        chunked(Unfit(200, JSON, REST)),
+        GOES_ON,
+        route=RESUMABLE,
+    )
+    assert b"".join(parts) == FIRST + REST
+
+
 def test_comments_between_events_need_no_number(vm):
     ping = b": ping\n\n"
     _, *parts = vm.serve(
