--- a/tests/test_requests_at_stop.py
+++ b/tests/test_requests_at_stop.py
@@ -76,6 +76,14 @@
         yield start_vm
 
 
+def send_without_end(vm, path):
+    """Return a connection on which the last ten bytes of a request are to come."""
+    peer = vm.connect()
+    peer.sendall(request_bytes(path=path, body=BODY)[:-10])
+    wait_until(lambda: vm.server.active)
+    return peer
+
+
 def response_of(peer):
     """Return the status line and the body of the next response, b'' for none."""
     head, _, body = peer.recv(READ_BYTES).partition(b"\r\n\r\n")
@@ -85,9 +93,7 @@
 @pytest.mark.parametrize("path", PATHS)
 def test_a_body_that_comes_after_the_stop_is_not_waited_for(start, path):
     vm, role, target = start(run_at_once)
-    with vm.connect() as peer:
-        peer.sendall(request_bytes(path=path, body=BODY)[:-10])
-        wait_until(lambda: vm.server.active)
+    with send_without_end(vm, path) as peer:
         task.spawn(role.stop, vm.clock.now())
         status, body = response_of(peer)
         assert status.split()[1] == b"503"
@@ -99,9 +105,7 @@
 @pytest.mark.parametrize("path", PATHS)
 def test_a_body_that_arrives_while_requests_are_refused_is_not_passed_on(start, path):
     vm, _, target = start(run_at_once)
-    with vm.connect() as peer:
-        peer.sendall(request_bytes(path=path, body=BODY)[:-10])
-        wait_until(lambda: vm.server.active)
+    with send_without_end(vm, path) as peer:
         vm.node.refusing = True
         peer.sendall(BODY[-10:])
         assert response_of(peer)[0].split()[1] == b"503"
