Date a request of the soak that is sent in pieces by its last piece

The caller waited 0.4 s after its last piece as after the others, and took that for the time at which the request was sent. Evidence: the VM's log has the request accepted 0.62 s after the signal and passed on, its body whole, 2.62 s after it, before the VM refused (2.88 s); its replica was at work until the end. Requests sent up to 3 s after a signal may be cut then; the caller had written down 3.02 s. Change: pieces are sent with a pause between them and none behind; the check is as it was.

--- a/tests/soak/habits.py
+++ b/tests/soak/habits.py
@@ -126,10 +126,10 @@
         request_id = f"{self.caller_name}-{time.monotonic_ns()}"
         began_at = time.monotonic()
         try:
-            for piece in self.encode(request_id, route):
-                self.connection.sendall(piece)
-                if self.habit.body in ("pieces", "chunked"):
+            for number, piece in enumerate(self.encode(request_id, route)):
+                if number:
                     self.reader.pause(self.habit.piece_interval_s)
+                self.connection.sendall(piece)
         except OSError:
             return request_id, route, began_at, None
         return request_id, route, began_at, time.monotonic()
