--- a/pollenmount/crashes/quarantine.py
+++ b/pollenmount/crashes/quarantine.py
@@ -114,6 +114,10 @@
             return ()
         return known
 
+    def known_crashes(self, keys):
+        """Return how many crashes the evidence on any one of the keys proves."""
+        return max((self.count(self.evidence(key)) for key in keys), default=0)
+
     def left_ms(self, keys):
         """Return for how long what has these keys is not served, 0 if it is."""
         return max((self.key_left_ms(key) for key in keys), default=0)
--- a/pollenmount/crashes/request_guard.py
+++ b/pollenmount/crashes/request_guard.py
@@ -86,6 +86,10 @@
         ):
             sleep(VERDICT_INTERVAL_MS)
 
+    def known_crashes(self, digest):
+        """Return how many crashes a request is known to have caused."""
+        return self.quarantine.known_crashes((digest,))
+
     def left_ms(self, digest):
         """Return for how long a request is in quarantine, 0 if it is not."""
         return self.quarantine.left_ms((digest,))
--- a/pollenmount/gateway/attempt_log.py
+++ b/pollenmount/gateway/attempt_log.py
@@ -26,6 +26,7 @@
             "remaining_ms": progress.remaining_ms,
             "paused_ms": progress.paused_ms,
             "crashed": progress.crashed,
+            "known_crashes": progress.known_crashes,
             "last_gap_ms": progress.last_gap_ms(now),
             "last_event": progress.last_id,
             "parts": shared_ids(call.info.prompt),
--- a/pollenmount/gateway/callers.py
+++ b/pollenmount/gateway/callers.py
@@ -378,6 +378,7 @@
                 "attempts": call.route.attempts,
                 "remaining_ms": progress.remaining_ms,
                 "paused_ms": progress.paused_ms,
+                "known_crashes": progress.known_crashes,
                 "obstacles": progress.obstacles,
                 "plan": call.plan_version,
                 "evacuations": self.node.fleet.evacuations.revision,
--- a/pollenmount/gateway/crash_guard.py
+++ b/pollenmount/gateway/crash_guard.py
@@ -136,6 +136,13 @@
             progress.quarantine = "another region has the request in quarantine"
             progress.quarantine_ms = error.quarantine_ms
 
+    def known_crashes(self, call, progress):
+        """Return how many crashes a call's request, or a part of its prompt, caused."""
+        return max(
+            self.requests.known_crashes(progress.digest),
+            self.prompts.known_crashes(call.info.prompt),
+        )
+
     def find_quarantine(self, call, progress):
         """Return why a call is in quarantine, or ''; log it and note for how long."""
         left_ms = self.requests.left_ms(progress.digest)
--- a/pollenmount/gateway/dispatch.py
+++ b/pollenmount/gateway/dispatch.py
@@ -317,6 +317,7 @@
         progress.head_arrived = progress.event_arrived = False
         progress.remaining_ms = progress.crashed = None
         progress.paused_ms = 0
+        progress.known_crashes = self.context.guard.known_crashes(call, progress)
         progress.destination = destination
         progress.versions.append(destination.version)
         progress.expected_ms = round(expected_ms)
--- a/pollenmount/gateway/progress.py
+++ b/pollenmount/gateway/progress.py
@@ -41,7 +41,9 @@
     `remaining_ms` is the time left that went along with the last attempt, and
     `paused_ms` how long its target still wanted nothing then. `crashed` tells whether a
     target was found to have crashed under the last attempt, None if nothing asked.
-    `belief` is the `Belief` at the start of the last attempt.
+    `known_crashes` is how many crashes of targets the request, or a part of its prompt,
+    was known to have caused at the start of the last attempt, and `belief` the `Belief`
+    then.
     """
 
     def __init__(self, call):
@@ -80,6 +82,7 @@
         self.remaining_ms = None
         self.paused_ms = 0
         self.crashed = None
+        self.known_crashes = 0
 
     def last_gap_ms(self, now):
         """Return the time since the last chunk of the response, None before one."""
--- a/pollenmount/gateway/prompt_guard.py
+++ b/pollenmount/gateway/prompt_guard.py
@@ -120,6 +120,10 @@
         """Return whether a part may crash targets before they begin to respond."""
         return self.fleet.part_quarantine.is_suspected_early(shared_ids(prompt))
 
+    def known_crashes(self, prompt):
+        """Return how many crashes a part of a prompt is known to have caused."""
+        return self.fleet.part_quarantine.known_crashes(shared_ids(prompt))
+
     def left_ms(self, prompt):
         """Return for how long a prompt is in quarantine, 0 if it is not."""
         return self.fleet.part_quarantine.left_ms(shared_ids(prompt))
