--- a/tests/test_deadly_prompts.py
+++ b/tests/test_deadly_prompts.py
@@ -8,7 +8,11 @@
 from pollenmount.gateway.call import ErrorResponse, ResponseHead
 from pollenmount.gateway.dialect import Prompt, PromptPart, ResponseInfo
 from pollenmount.routes.plan import RetryMode
-from pollenmount.wire.errors import MalformedResponseError
+from pollenmount.wire.errors import (
+    ConnectRefusedError,
+    ExchangeError,
+    MalformedResponseError,
+)
 from tests.gateway_harness import make_route
 from tests.linked_vms import LinkedVms
 
@@ -20,22 +24,40 @@
 MAX_REQUESTS_AFTER = 3
 CONTACT_MS = 5000
 REQUEST_INTERVAL_MS = 400
+RESTART_MS = 1500
 
 
 class Engines:
-    """Targets behind the VMs of one fleet; `arrivals` has (time, target, prompt)."""
+    """Targets behind the VMs of one fleet; `arrivals` has (time, target, prompt).
+
+    Under a deadly prompt a target crashes after its head, after an event if
+    `crashes_late`, or before the head if `crashes_early`: then it refuses connections
+    for a while. It stands in for the `CrashProbe` of the VMs. Targets in `resetting`
+    close the connection of each prompt before the head, and stay up.
+    """
 
     def __init__(self):
         self.arrivals = []
         self.crashes = []
         self.down = ()
-        self.crashes_late = False
+        self.crashes_late = self.crashes_early = False
+        self.back_at = {}
+        self.resetting = ()
 
     def run(self, attempt):
-        """Crash after the head of a deadly prompt, else serve two events."""
+        """Crash under a deadly prompt, else serve two events."""
         observer, prompt = attempt.observer, attempt.call.info.prompt
         target = attempt.destination.target_id
+        self.restart_those_due()
+        if target in self.back_at:
+            raise ConnectRefusedError(f"can't connect to {target}")
         self.arrivals.append((self.clock.now(), target, prompt))
+        is_deadly = DEADLY in [part.id for part in prompt.parts]
+        if is_deadly and self.crashes_early:
+            self.crashes.append(self.clock.now())
+            self.back_at[target] = self.clock.now() + RESTART_MS
+        if is_deadly and self.crashes_early or target in self.resetting:
+            raise ExchangeError("the connection was closed before a response")
         observer.on_head(200, INFO)
         if self.crashes_late and DEADLY in [part.id for part in prompt.parts]:
             yield ResponseHead(200, (), target, "west")
@@ -50,6 +72,25 @@
             yield b"event"
             observer.on_delivered(number)
 
+    def restart_those_due(self):
+        """Let the targets be back whose time has come."""
+        for target, at in [*self.back_at.items()]:
+            if self.clock.now() >= at:
+                del self.back_at[target]
+                self.restart(target, at)
+
+    def up_since(self, destination):
+        """Stand in for `CrashProbe`: connections are kept until a target ends."""
+        return None if destination.target_id in self.back_at else 0
+
+    def has_lost_connections(self, destination):
+        """Stand in for `CrashProbe`."""
+        return destination.target_id in self.back_at
+
+    def has_crashed(self, destination, on_crash=None):
+        """Stand in for `CrashProbe`."""
+        return destination.target_id in self.back_at
+
 
 class Vms(LinkedVms):
     """Entry VMs that serve prompts."""
@@ -57,9 +98,14 @@
     def __init__(self):
         self.engines = Engines()
         super().__init__(self.engines, "engine", TARGETS)
+        for vm in self.all:
+            vm.context.guard.attempts.probe = self.engines
 
     def serve(self, vm, *parts, number=0):
         """Serve a prompt with these shared parts; return the head it ended with."""
+        self.engines.restart_those_due()
+        for each in self.all:
+            each.context.guard.sweep()
         own = PromptPart(f"own-{parts}-{number}", 100)
         shared = tuple(PromptPart(part, 1000) for part in parts)
         prompt = Prompt("m", 1100, 50, (*shared, own))
@@ -76,6 +122,16 @@
     return head.status if head else 0
 
 
+def late_arrivals(vms):
+    """Return how many deadly prompts reached targets after the users' bound."""
+    crashes = vms.engines.crashes
+    bound_at = crashes[4] + CONTACT_MS if len(crashes) > 4 else vms.clock.now()
+    return sum(
+        at > bound_at and DEADLY in [part.id for part in prompt.parts]
+        for at, _, prompt in vms.engines.arrivals
+    )
+
+
 # Requests with one part crashed target after target: each VM saw few of the crashes,
 # and sent a request that had crashed one target to the next. If the targets crashed
 # after an event, that event cleared the part.
@@ -86,14 +142,33 @@
         vms.serve(number % 4, "first", DEADLY, number=number)
         vms.serve(number % 4, "first", "sound", number=number)
         vms.clock.advance(REQUEST_INTERVAL_MS)
-    crashes = vms.engines.crashes
-    bound_at = crashes[4] + CONTACT_MS if len(crashes) > 4 else vms.clock.now()
-    late = [
-        at
-        for at, _, prompt in vms.engines.arrivals
-        if at > bound_at and DEADLY in [part.id for part in prompt.parts]
-    ]
-    assert len(late) <= MAX_REQUESTS_AFTER
+    assert late_arrivals(vms) <= MAX_REQUESTS_AFTER
+
+
+# A target that ended before the head of its response was no evidence on the prompt's
+# parts: each request with the part had another last part, and crashed one target more.
+def test_a_part_that_crashes_targets_before_the_head_soon_reaches_no_more(vms):
+    vms.engines.crashes_early = True
+    for number in range(-8, 0):
+        vms.serve(number % 4, "first", "sound", number=number)
+        vms.clock.advance(REQUEST_INTERVAL_MS)
+    for number in range(60):
+        vms.serve(number % 4, "first", DEADLY, number=number)
+        vms.serve(number % 4, "first", "sound", number=number)
+        vms.clock.advance(REQUEST_INTERVAL_MS)
+    assert vms.engines.crashes
+    assert late_arrivals(vms) <= MAX_REQUESTS_AFTER
+
+
+# A target that closes a connection before the head, and goes on, has not crashed.
+def test_a_reset_before_the_head_is_no_evidence(vms):
+    vms.engines.resetting = TARGETS[:3]
+    statuses = set()
+    for number in range(40):
+        statuses.add(status(vms.serve(number % 4, f"part-{number}", number=number)))
+        vms.clock.advance(REQUEST_INTERVAL_MS)
+    assert not vms.all[0].fleet.part_quarantine.crashes
+    assert 503 not in statuses
 
 
 # A quarantine that also takes the parts beside the deadly one stops the whole route.
