Take a target that ends before the head of a response as evidence on its prompt

Cause: a response that broke off was evidence on the parts of its prompt only once its head had arrived. Each prompt has another last part, so the digest of the whole request is new each time and does not help either. Class of fault: evidence that is bound to how far our side of an exchange had come, where the event is the end of the other side.

Change: a target that is found to have ended is evidence on the parts of all prompts that it had, whatever had arrived of their responses. A connection that is closed before the head is none by itself, as targets close connections for many reasons.

--- a/pollenmount/gateway/crash_guard.py
+++ b/pollenmount/gateway/crash_guard.py
@@ -94,8 +94,7 @@
     def report_crash(self, attempt, crashed_at):
         """Report that a target crashed, maybe of an attempt."""
         self.requests.report_crash(attempt, crashed_at)
-        if attempt.is_late:
-            self.prompts.report_crash(attempt, crashed_at)
+        self.prompts.report_crash(attempt, crashed_at)
 
     def record_survived(self, attempt):
         """Record that a target was still up a while after an attempt.
--- a/pollenmount/gateway/prompt_guard.py
+++ b/pollenmount/gateway/prompt_guard.py
@@ -79,18 +79,25 @@
                 self.clear(parts, survived)
 
     def report_crash(self, attempt, crashed_at):
-        """Report that a target crashed after it had begun to serve a prompt."""
+        """Report that a target crashed, maybe of a prompt that nothing disproves."""
         prompt = attempt.call.info.prompt
-        parts = tuple(p for p in shared_ids(prompt) if p not in self.survived)
+        disproved = self.survived if attempt.is_late else self.served
+        parts = tuple(p for p in shared_ids(prompt) if p not in disproved)
         if parts and self.reports.try_acquire():
             age_ms = self.clock.now() - crashed_at
             own = prompt.parts[-1].id
-            report = PromptBroke(*attempt.start, own, parts, age_ms, True)
+            report = PromptBroke(*attempt.start, own, parts, age_ms, attempt.is_late)
             self.fleet.handle(report, RESPONSE)
 
     def record_break(self, prompt, destination, progress, error):
-        """Report an attempt whose response broke off as it began."""
-        if not (destination.target_id and may_be_crash(progress, error)):
+        """Report an attempt whose response broke off after its head.
+
+        Before the head, a connection may be closed for many reasons, so only a target
+        that is found to have crashed is evidence.
+        """
+        if not (destination.target_id and progress.head_arrived):
+            return
+        if not may_be_crash(progress, error):
             return
         parts = self.unproven_parts(prompt)
         if not parts or not self.reports.try_acquire():
@@ -103,15 +110,15 @@
     def may_crash_again(self, prompt, progress, error, sleep):
         """Return whether the prompt of a failed attempt is under suspicion.
 
-        Other VMs get time to say that they served its parts: until one has, the prompt
-        must not crash another target. `sleep` waits for a number of milliseconds.
+        It takes time to find out that a target has crashed, and other VMs get time to
+        say that they served the prompt's parts: until one has, the prompt must not
+        crash another target. `sleep` waits for a number of milliseconds.
         """
         if not (may_be_crash(progress, error) and self.unproven_parts(prompt)):
             return False
         asked_at = self.clock.now()
         while self.clock.now() - asked_at < VERDICT_WAIT_MS:
-            # The report of a hop comes from the VM that received it, and later.
-            if progress.destination.target_id and not self.is_suspected(prompt):
+            if not (awaits_verdict(progress) or self.is_suspected(prompt)):
                 return False
             sleep(VERDICT_INTERVAL_MS)
         return self.is_suspected(prompt)
@@ -144,7 +151,7 @@
 
 
 def may_be_crash(progress, error):
-    """Return whether a target may have ended when it began to respond.
+    """Return whether a target may have ended before the first event of a response.
 
     Of a hop only this is known: that it may have run, and brought no event.
     """
@@ -152,4 +159,15 @@
         return False
     if isinstance(error, HopRefusedError):
         return True
-    return progress.head_arrived and not isinstance(error, NO_CRASH_ERRORS)
+    return not isinstance(error, NO_CRASH_ERRORS)
+
+
+def awaits_verdict(progress):
+    """Return whether there may be news of the target of a failed attempt soon.
+
+    The report of a hop comes from the VM that received it, and later. A target that
+    broke off before the head of its response is still looked at.
+    """
+    if not progress.destination.target_id:
+        return True
+    return progress.crashed is False and not progress.head_arrived
--- a/tests/faults/plays.py
+++ b/tests/faults/plays.py
@@ -49,11 +49,11 @@
     wait_until(lambda: call(address, "PUT", "/-/config", body)[0] == 200)
 
 
-def send_request(fleet, path, id_, timeout_ms, leave_s=0.0, last_event=0):
+def send_request(fleet, path, id_, timeout_ms, leave_s=0.0, last_event=0, more=()):
     """Send a request to the entry VM that its id draws; return its `Outcome`.
 
-    The caller closes the connection after `leave_s`, if it is not 0 and there is no
-    answer yet, or a while after the time that it names.
+    `more` are further headers. The caller closes the connection after `leave_s`, if it
+    is not 0 and there is no answer yet, or a while after the time that it names.
     """
     ip = random.Random(id_).choice(sorted(fleet.entry_ips.values()))
     connection = http.client.HTTPConnection(
@@ -63,6 +63,7 @@
         "Host": HOST,
         "X-Pollenmount-Attempt-Id": id_,
         "X-Pollenmount-Deadline-Ms": str(timeout_ms),
+        **dict(more),
     }
     if last_event:
         headers["Last-Event-Id"] = str(last_event)
