Keep what is in quarantine on the disks of control VMs

Cause: evidence of crashes was in memory only. Each VM kept all of it, so any VM's loss was borne, but not that of all; then it was gathered anew, by two to six crashes. Class of fault: a bound that outlasts the processes that keep it. Beside it, a VM that starts got the targets before the evidence.

Change: each control VM writes the reports on what has been in quarantine to its disk when they change, replaced as a whole and synced, on a thread of its own, and loads them before any VM can link. Evidence goes before targets on new links.

--- a/pollenmount/crashes/quarantine.py
+++ b/pollenmount/crashes/quarantine.py
@@ -150,11 +150,23 @@
 
     def by_crash(self):
         """Return the keys of each `Crash`, for a VM that has no evidence yet."""
-        keys = collections.defaultdict(list)
-        for key in [*self.crashes]:
+        return self.crashes_of(self.crashes)
+
+    def proven(self):
+        """Return the keys of each `Crash`, of those that have been in quarantine."""
+        return self.crashes_of(key for key in [*self.crashes] if self.is_proven(key))
+
+    def is_proven(self, key):
+        """Return whether the evidence on a key is enough for a quarantine."""
+        return self.count(self.evidence(key)) >= min(self.durations_ms)
+
+    def crashes_of(self, keys):
+        """Return those of the keys that each `Crash` is evidence on."""
+        by_crash = collections.defaultdict(list)
+        for key in [*keys]:
             for crash in self.evidence(key):
-                keys[crash].append(key)
-        return keys
+                by_crash[crash].append(key)
+        return by_crash
 
 
 class PartQuarantine(Quarantine):
--- a/pollenmount/fleet/fleet.py
+++ b/pollenmount/fleet/fleet.py
@@ -328,13 +328,15 @@
 
     def crash_reports(self):
         """Yield the evidence on what crashes targets, for a VM that has none yet."""
+        parts = self.part_quarantine.by_crash()
+        yield from self.make_crash_reports(parts, self.request_quarantine.by_crash())
+
+    def make_crash_reports(self, parts, digests):
+        """Yield the messages on crashes: of `parts`, and of `digests`, by `Crash`."""
         now = self.clock.now()
-        for crash, parts in self.part_quarantine.by_crash().items():
-            age_ms = now - crash.at
-            yield PromptBroke(*crash[:3], tuple(parts), age_ms, crash.late)
-        for crash, digests in self.request_quarantine.by_crash().items():
-            age_ms = now - crash.at
-            yield RequestsCrashed(*crash[:3], tuple(digests), age_ms, crash.late)
+        for message, by_crash in ((PromptBroke, parts), (RequestsCrashed, digests)):
+            for crash, keys in by_crash.items():
+                yield message(*crash[:3], tuple(keys), now - crash.at, crash.late)
 
     def region_of(self, failure_domain):
         """Return the region of a failure domain."""
--- a/pollenmount/fleet/server.py
+++ b/pollenmount/fleet/server.py
@@ -155,16 +155,16 @@
     def snapshot(self, session):
         """Yield the messages that bring a newly linked member up to date."""
         fleet = self.fleet
+        # A VM that knows targets has to know what crashes them.
+        yield from fleet.crash_reports()
         if session.is_control:
             yield from fleet.members.snapshot(DIRECT)
             yield from fleet.targets.snapshot(DIRECT)
             yield Capacities(self.capacities.own)
-            yield from fleet.crash_reports()
             return
         yield from self.orders(session)
         changes = (*fleet.members.snapshot(), *fleet.targets.snapshot())
         yield from (m for m in changes if concerns(m, session, fleet))
-        yield from fleet.crash_reports()
         yield self.entry_counts
 
     def handle(self, session, message):
--- a/pollenmount/gateway/roles/control.py
+++ b/pollenmount/gateway/roles/control.py
@@ -1,8 +1,13 @@
 """A control VM: holds the log, receives heartbeats and publishes changes to members."""
 
+from pathlib import Path
+
 from pollenmount import task
 from pollenmount.accounts.ledger import Ledger
+from pollenmount.bridge.worker import NativeWorker
+from pollenmount.consensus.disk import Disk
 from pollenmount.fleet.client import LinkClient
+from pollenmount.fleet.evidence_store import EvidenceStore
 from pollenmount.fleet.server import LinkServer
 from pollenmount.gateway.control import ControlApi, DirectoryApi
 from pollenmount.gateway.routes_log import RoutesLog
@@ -13,6 +18,8 @@
 __all__ = ["ControlRole"]
 
 SWEEP_INTERVAL_MS = 300
+EVIDENCE_FOLDER = "evidence"
+EVIDENCE_INTERVAL_MS = 100
 # A heartbeat may be somewhat late; a target that restarted has missed one.
 OVERDUE_HEARTBEATS = 1.5
 MISSED_HEARTBEATS = 3.5
@@ -28,6 +35,7 @@
         self.node = node
         settings, clock = node.settings, node.clock
         self.log = RoutesLog(node)
+        self.evidence = self.open_evidence()
         has_quorum = self.log.has_quorum
         ledger = Ledger(
             clock,
@@ -61,6 +69,16 @@
                 spare_slots=SPARE_SLOTS,
             )
 
+    def open_evidence(self):
+        """Return the evidence of crashes on disk, loaded before any VM links here."""
+        node = self.node
+        disk = Disk(Path(node.settings.data_folder) / EVIDENCE_FOLDER)
+        # A worker of its own, so that the log does not wait for its writes.
+        worker = node.manage(NativeWorker(self.log.loop_executor))
+        store = node.manage(EvidenceStore(node.fleet, node.clock, disk, worker.run))
+        node.manage(task.PeriodicTask(store.save, EVIDENCE_INTERVAL_MS))
+        return store
+
     def sweep(self):
         """Doubt targets that have missed a heartbeat; several make them silent."""
         heartbeat_ms = self.node.settings.heartbeat_ms
--- a/tests/faults/test_deadly_parts.py
+++ b/tests/faults/test_deadly_parts.py
@@ -4,6 +4,9 @@
 
 SECONDS = 16
 FORMS = ("at_once_resumable", "in_head_stream", "first_event_resumable")
+RESTARTS_S = 32
+RESTART_INTERVAL_S = 6
+RESTART_FORMS = ("at_once_resumable", "first_event_resumable")
 
 
 def find_late(results):
@@ -17,3 +20,11 @@
 # the prompt, so prompts with the part were sent to one target after the other.
 def test_a_part_that_ends_targets_before_the_head_reaches_few(tmp_path, network):
     assert find_late(play(tmp_path, network, SECONDS, FORMS)) == {}
+
+
+# All VMs were killed at one moment, and none knew of the quarantine any more: the part
+# ended more targets after each such restart.
+def test_a_part_in_quarantine_reaches_few_after_restarts(tmp_path, network):
+    restart_s = RESTART_INTERVAL_S
+    results = play(tmp_path, network, RESTARTS_S, RESTART_FORMS, restart_s=restart_s)
+    assert find_late(results) == {}
--- a/tests/test_fleet_links.py
+++ b/tests/test_fleet_links.py
@@ -8,7 +8,13 @@
 import pytest
 
 from pollenmount.fleet import client
-from pollenmount.fleet.messages import LINK_PROTOCOL, LinkHello
+from pollenmount.fleet.messages import (
+    LINK_PROTOCOL,
+    LinkHello,
+    PromptBroke,
+    TargetSeen,
+)
+from pollenmount.fleet.observations import RESPONSE
 from pollenmount.fleet.records import CONTROL, ENTRY
 from tests.fleet_model import FleetModel
 
@@ -49,6 +55,23 @@
     assert linked_zones(node) == ["west-a", "west-b"]
 
 
+# An entry VM that started got targets before the evidence of what crashes them, and
+# sent them prompts in quarantine in between.
+def test_a_vm_that_starts_learns_what_crashes_targets_before_it_knows_any(model):
+    node = model.of_role(ENTRY)[0]
+    for number in range(2):
+        report = PromptBroke(f"gone{number}", 1, f"own{number}", ("deadly",))
+        model.of_role(ENTRY)[1].fleet.handle(report, RESPONSE)
+        model.run(1000)
+    model.kill(node)
+    model.run(1000)
+    node.start()
+    model.run(2000)
+    kinds = [type(change) for change in node.changes]
+    assert kinds.index(PromptBroke) < kinds.index(TargetSeen)
+    assert node.fleet.part_quarantine.left_ms(("deadly",))
+
+
 def test_entry_vms_know_their_targets_while_all_control_vms_are_down():
     """After a minute without changes they forgot all at once, and had none to ask."""
     with contextlib.closing(FleetModel(12)) as model:
