Keep the report of a reset for the reader of a response

Cause: the kernel reports the failure of a connection once, to whoever uses the socket next. To find out since when a target is up, this VM looks at all its connections four times a second, those with a response under way included. If the reset had arrived and the reader was not at its turn yet, the look took the report, and the reader saw an orderly end, which ends a body without a length. Class of fault: a state that can be read once, read by two.

Evidence: test_a_reset_that_only_a_look_was_told_of_is_no_end_of_a_body failed before: the part was taken as complete.

Change: a look keeps the failure for the reader, as the sender of a large request does already.

--- a/pollenmount/wire/connection.py
+++ b/pollenmount/wire/connection.py
@@ -140,6 +140,10 @@
     counts the requests sent. `may_abandon` is called with the time for which nothing
     has arrived; while it returns false, TCP does not give up a silent peer. `ids` are
     those of requests that must not be sent over it again.
+
+    The kernel reports the failure of a connection once, to whoever uses it next. If
+    that is not the reader, it sees an end of file, so `lost_error` keeps the failure
+    for it.
     """
 
     def __init__(self, connected_socket):
@@ -153,7 +157,7 @@
         self.chunks_in_turn = 0
         self.unsent_bytes = 0
         self.sender_task = None
-        self.send_error = None
+        self.lost_error = None
         self.may_abandon = may_abandon_always
         self.has_long_timeout = False
 
@@ -173,15 +177,11 @@
             self.sender_task = task.spawn(self.send_in_background, head, body)
 
     def send_in_background(self, head, body):
-        """Send without raising; a target may respond before it has read everything.
-
-        The kernel reports the failure of a connection once. If the sender gets it, the
-        reader sees an end of file, so the error is kept for it.
-        """
+        """Send without raising; a target may respond before it has read everything."""
         try:
             self.send_all(head, body)
         except ExchangeError as error:
-            self.send_error = error
+            self.lost_error = error
 
     def send_all(self, *parts):
         """Send every byte, or raise `ExchangeError`."""
@@ -204,8 +204,8 @@
         self.chunks_in_turn = 0
         self.buffer += data
         self.eof_received = not data
-        if not data and self.send_error is not None:
-            raise self.send_error
+        if not data and self.lost_error is not None:
+            raise self.lost_error
         return bool(data)
 
     def receive_in_steps(self, remaining_ms):
@@ -338,7 +338,7 @@
                 return
 
     def is_alive(self):
-        """Return whether the idle connection is open and has no unread data."""
+        """Return whether the connection is open and has no unread data."""
         if self.buffer:
             return False
         raw_socket = getattr(self.socket, "fd", self.socket)
@@ -346,8 +346,8 @@
             raw_socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
         except BlockingIOError:
             return True
-        except OSError:
-            return False
+        except OSError as error:
+            self.lost_error = classify_error(error)
         return False
 
     def close(self):
--- a/tests/test_wire_connection.py
+++ b/tests/test_wire_connection.py
@@ -129,6 +129,29 @@
         list(body)
 
 
+# The kernel reports a reset once. A look at the connections of a target, to find out
+# whether it runs, took the report, and the reader took the end for that of the body.
+def test_a_reset_that_only_a_look_was_told_of_is_no_end_of_a_body():
+    listener = socket.socket()
+    listener.bind(("127.0.0.1", 0))
+    listener.listen()
+    connection = Connection(socket.create_connection(listener.getsockname()))
+    accepted, _ = listener.accept()
+    connection.send(b"GET / HTTP/1.1\r\n\r\n")
+    accepted.sendall(NO_LENGTH)
+    head = connection.read_head(lambda: LEFT_MS)
+    body = connection.read_body(head, "GET", lambda: LEFT_MS)
+    assert next(body) == b"part of it"
+    # The reader is not at its turn when the reset arrives.
+    accepted.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    accepted.close()
+    listener.close()
+    task.sleep(50)
+    assert not connection.is_alive()
+    with pytest.raises(ExchangeError):
+        list(body)
+
+
 # Guards against a response head that stops the whole VM while it is parsed.
 @pytest.mark.parametrize("end", [b"", b"x", b"\r."])
 def test_blanks_in_a_response_header_do_not_stall_the_vm(end):
