Tell when a VM has lost its paths to all targets

A connection that is refused looks the same whether the target has ended or the path from this VM is lost, and a refusal for want of a target the same whether there is none or none that this VM reaches. Nothing is decided by it yet.

--- a/pollenmount/gateway/dispatch.py
+++ b/pollenmount/gateway/dispatch.py
@@ -359,17 +359,7 @@
         elif not isinstance(
             error, NotRunError | HopRefusedError | ResponseTimeoutError | NoRoomError
         ):
-            is_unreachable = isinstance(error, ConnectError | PeerUnreachableError)
-            breakers.record_failure(
-                destination.name, destination.incarnation, is_unreachable
-            )
-            # Several in a row mean that the network to the region is down.
-            if (
-                is_unreachable
-                and not destination.target_id
-                and breakers.record_failure(destination.region)
-            ):
-                logger.warning("region lost", extra={"ran_in": destination.region})
+            self.record_broken_attempt(destination, error)
         if not error.not_run:
             progress.runs += 1
             progress.may_have_run = progress.may_have_run or not is_denial(error)
@@ -382,6 +372,21 @@
         progress.failures.append(AttemptFailure(str(error), error.not_run))
         log_failed_attempt(call, progress, destination, error, self.clock.now())
 
+    def record_broken_attempt(self, destination, error):
+        """Count an attempt without a response against its target, VM and region."""
+        breakers = self.context.breakers
+        is_unreachable = isinstance(error, ConnectError | PeerUnreachableError)
+        breakers.record_failure(
+            destination.name, destination.incarnation, is_unreachable
+        )
+        if not is_unreachable:
+            return
+        if destination.target_id:
+            self.context.paths.record_failure(destination.target_id)
+        # Several in a row mean that the network to the region is down.
+        elif breakers.record_failure(destination.region):
+            logger.warning("region lost", extra={"ran_in": destination.region})
+
     def record_refused_hop(self, call, progress, destination, error):
         """Keep the region out for this service: for as long as asked, or a while.
 
--- a/pollenmount/gateway/metrics.py
+++ b/pollenmount/gateway/metrics.py
@@ -95,6 +95,11 @@
             "Version of the plan of routes in force",
             registry=self.registry,
         )
+        self.paths_lost = Gauge(
+            "pollenmount_paths_lost",
+            "Whether this VM can connect to no target of its region (1), or can (0).",
+            registry=self.registry,
+        )
         self.dropped_lines = Gauge(
             "pollenmount_log_lines_dropped",
             "Log lines dropped since the start, as the output was too slow",
--- a/pollenmount/gateway/roles/entry.py
+++ b/pollenmount/gateway/roles/entry.py
@@ -22,6 +22,7 @@
 from pollenmount.gateway.routing_context import RoutingContext
 from pollenmount.gateway.stream_resumption import StreamResumption
 from pollenmount.gateway.target_notices import TargetNotices
+from pollenmount.gateway.target_paths import TargetPaths
 from pollenmount.gateway.target_pauses import TargetPauses
 from pollenmount.last_requests import answer_last_requests, end_last_requests
 from pollenmount.log import get_logger
@@ -60,6 +61,7 @@
         buffer_bytes = node.memory.limits.socket_buffer_bytes
         pool = node.manage(ConnectionPool(clock, receive_buffer_bytes=buffer_bytes))
         pauses = TargetPauses(clock)
+        paths = TargetPaths(settings, node.fleet, clock, pool, node.metrics)
         self.context = RoutingContext(
             settings,
             clock,
@@ -72,6 +74,7 @@
             pool=pool,
             lags=LagTracker(clock),
             pauses=pauses,
+            paths=paths,
             notices=TargetNotices(node.fleet, pool, pauses, node.metrics),
             resumption=StreamResumption(node.fleet, clock),
             guard=CrashGuard(
@@ -108,6 +111,7 @@
             task.PeriodicTask(self.context.lost_regions.record, RECORD_INTERVAL_MS)
         )
         node.manage(task.PeriodicTask(self.context.guard.sweep, GUARD_INTERVAL_MS))
+        node.manage(task.PeriodicTask(paths.sweep, GUARD_INTERVAL_MS))
         node.is_ready = self.is_ready
         self.plan_received_at = None
         node.fleet.listeners.append(self.forget_removed_target)
--- a/pollenmount/gateway/routing_context.py
+++ b/pollenmount/gateway/routing_context.py
@@ -75,6 +75,7 @@
         self.lags = trackers["lags"]
         self.pauses = trackers["pauses"]
         self.notices = trackers["notices"]
+        self.paths = trackers["paths"]
         self.guard = trackers["guard"]
         self.resumption = trackers["resumption"]
 
--- a/tests/gateway_harness.py
+++ b/tests/gateway_harness.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from pollenmount import task
 from pollenmount.circuit_breakers import CircuitBreakers
 from pollenmount.clock import ManualClock
 from pollenmount.crashes.probe import CrashProbe
@@ -36,6 +37,7 @@
 from pollenmount.gateway.settings import Bounds, GatewaySettings, Listen
 from pollenmount.gateway.stream_resumption import StreamResumption
 from pollenmount.gateway.target_notices import TargetNotices
+from pollenmount.gateway.target_paths import TargetPaths
 from pollenmount.gateway.target_pauses import TargetPauses
 from pollenmount.retry_budget import RetryBudget
 from pollenmount.routes.plan import (
@@ -99,6 +101,7 @@
     clock = fleet.clock
     pool = ConnectionPool(clock)
     pauses = TargetPauses(clock)
+    paths = TargetPaths(settings, fleet, clock, pool, metrics, spawn=task.run_logged)
     return RoutingContext(
         settings,
         clock,
@@ -111,6 +114,7 @@
         pool=pool,
         lags=LagTracker(clock),
         pauses=pauses,
+        paths=paths,
         notices=TargetNotices(fleet, pool, pauses, metrics),
         resumption=StreamResumption(fleet, clock),
         guard=CrashGuard(
--- a/tests/test_lost_paths.py
+++ b/tests/test_lost_paths.py
@@ -169,6 +169,7 @@
             if self.model.is_due(SWEEP_MS):
                 for vm in self.all:
                     vm.context.guard.sweep()
+                    vm.context.paths.sweep()
             for vm in self.all:
                 call = self.make_call(vm, make_route_of(vm))
                 served[vm.is_cut].append(vm.serve(call))
