Let a VM without paths to targets refuse hops for itself only

Cause, the first of three: a VM that reaches no target refused hops as "no target can take it", which the sender took for the word of the region, and kept the region out for that service. With most VMs cut, one of the first hops to each region met one of them. Class of fault: what one observer sees taken for the state of what it observes.

Change: such a VM says in its record that it has no paths, so that control VMs name others for hops and for targets with a rate, as long as there are any; until then it refuses a hop as a VM that is not ready, which keeps out this VM only. Among the VMs that may get a hop, those that control VMs still name come first. The links have a new protocol number.

--- a/pollenmount/fleet/members.py
+++ b/pollenmount/fleet/members.py
@@ -72,7 +72,8 @@
 
     def is_listed(self, name):
         """Return whether some source lists the member."""
-        return any(entry.lost_at is None for entry in self.by_name[name].values())
+        sources = self.by_name.get(name, {})
+        return any(entry.lost_at is None for entry in sources.values())
 
     def get(self, name):
         """Return the newest record of a member, or None."""
--- a/pollenmount/fleet/messages.py
+++ b/pollenmount/fleet/messages.py
@@ -52,7 +52,7 @@
 ]
 
 # Incremented when VMs of two builds would misunderstand each other.
-LINK_PROTOCOL = 11
+LINK_PROTOCOL = 12
 
 
 class Message(msgspec.Struct, frozen=True, array_like=True, tag=True):
--- a/pollenmount/fleet/records.py
+++ b/pollenmount/fleet/records.py
@@ -23,7 +23,8 @@
 
     `started` is the wall-clock time of its start in milliseconds; (`started`,
     `sequence`) orders its records. Addresses that don't apply to the role are empty.
-    `plan` is the version in force, `ready` whether callers may be sent there.
+    `plan` is the version in force, `ready` whether callers may be sent there, and
+    `has_paths` whether it reaches any target of its region, as far as it knows.
     """
 
     name: str
@@ -40,6 +41,7 @@
     plan: int
     ready: bool
     stopping: bool
+    has_paths: bool = True
 
 
 class TargetRecord(NamedTuple):
--- a/pollenmount/fleet/selection.py
+++ b/pollenmount/fleet/selection.py
@@ -3,7 +3,7 @@
 from pollenmount.fleet.records import ENTRY
 from pollenmount.rendezvous import top_by_rendezvous
 
-__all__ = ["is_available", "select_senders", "select_hop_peers"]
+__all__ = ["is_available", "prefer_paths", "select_senders", "select_hop_peers"]
 
 MAX_SENDERS_PER_TARGET = 3
 HOP_PEERS_PER_REGION = 4
@@ -19,6 +19,11 @@
     )
 
 
+def prefer_paths(members):
+    """Return those of some entry VMs that reach targets, or all if none says so."""
+    return [member for member in members if member.has_paths] or [*members]
+
+
 def select_senders(id_, rate_per_s, names):
     """Return the names of the entry VMs that share a target's rate, as a tuple.
 
--- a/pollenmount/fleet/sender_selection.py
+++ b/pollenmount/fleet/sender_selection.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from pollenmount.fleet.records import ENTRY
-from pollenmount.fleet.selection import is_available, select_senders
+from pollenmount.fleet.selection import is_available, prefer_paths, select_senders
 
 __all__ = ["SenderSelection"]
 
@@ -26,7 +26,8 @@
         """Return the names of the VMs of a target's region that share its rate."""
         region = self.fleet.region_of(record.failure_domain)
         members = self.fleet.members.live_in(ENTRY, region)
-        names = [member.name for member in members if is_available(member)]
+        available = [member for member in members if is_available(member)]
+        names = [member.name for member in prefer_paths(available)]
         return select_senders(record.id, per_s, names)
 
     def complete(self, message):
--- a/pollenmount/fleet/server.py
+++ b/pollenmount/fleet/server.py
@@ -32,7 +32,11 @@
 )
 from pollenmount.fleet.observations import OBSERVATIONS
 from pollenmount.fleet.records import CONTROL, ENTRY
-from pollenmount.fleet.selection import is_available, select_hop_peers
+from pollenmount.fleet.selection import (
+    is_available,
+    prefer_paths,
+    select_hop_peers,
+)
 from pollenmount.fleet.sender_selection import SenderSelection
 from pollenmount.fleet.session import Session, concerns
 from pollenmount.fleet.target_reports import DIRECT, TargetReports
@@ -310,12 +314,12 @@
                 session.send_hop_peers(find_hop_peers(session.record, by_region))
 
     def available_by_region(self):
-        """Return the entry VMs of each region that take requests."""
+        """Return the entry VMs of each region that take requests, and can run them."""
         by_region = collections.defaultdict(list)
         for member in self.fleet.members.live():
             if is_available(member):
                 by_region[member.region].append(member)
-        return by_region
+        return {region: prefer_paths(found) for region, found in by_region.items()}
 
     def send_changes(self, session, is_slow_tick):
         """Send changes of capacity to a member that uses this link for them.
--- a/pollenmount/gateway/callers.py
+++ b/pollenmount/gateway/callers.py
@@ -317,7 +317,9 @@
         headers = ()
         if not self.may_hop:
             not_run = error_response.status == UNAVAILABLE
-            is_ready = not (not_run and self.node.stopping)
+            # Another VM of the region may still take what this one can't.
+            is_unfit = self.node.stopping or not self.node.has_paths()
+            is_ready = not (not_run and is_unfit)
             headers = refusal_headers(
                 error_response, not_run, self.progress.sends, is_ready
             )
--- a/pollenmount/gateway/hop.py
+++ b/pollenmount/gateway/hop.py
@@ -100,7 +100,7 @@
 
 
 class PeerNotReadyError(ExchangeError):
-    """The entry VM of the other region stops, or has no plan yet.
+    """The entry VM of the hop stops, has no plan yet, or reaches no target.
 
     Its region may take the request through another VM.
     """
--- a/pollenmount/gateway/node.py
+++ b/pollenmount/gateway/node.py
@@ -120,6 +120,7 @@
             self.store.version,
             self.is_ready(),
             self.stopping,
+            self.has_paths(),
         )
         if record != self.last_record:
             self.sequence += 1
@@ -136,6 +137,10 @@
         """Return whether the directory may send callers to this VM."""
         return not self.stopping and self.store.plan is not None
 
+    def has_paths(self):
+        """Return whether this VM reaches any target of its region, if it needs to."""
+        return True
+
     def cut_calls(self):
         """Log the calls that end with this process; return their number."""
         running = [*self.calls]
--- a/pollenmount/gateway/roles/entry.py
+++ b/pollenmount/gateway/roles/entry.py
@@ -113,6 +113,7 @@
         node.manage(task.PeriodicTask(self.context.guard.sweep, GUARD_INTERVAL_MS))
         node.manage(task.PeriodicTask(paths.sweep, GUARD_INTERVAL_MS))
         node.is_ready = self.is_ready
+        node.has_paths = lambda: not paths.is_lost
         self.plan_received_at = None
         node.fleet.listeners.append(self.forget_removed_target)
         node.serve_metrics()
--- a/pollenmount/gateway/routing_context.py
+++ b/pollenmount/gateway/routing_context.py
@@ -395,7 +395,17 @@
         )
 
     def hop_candidates(self, region, tried):
-        """Return the entry VMs of a region that can receive a hop."""
+        """Return the entry VMs of a region that can receive a hop.
+
+        Those that control VMs do not name any more are a last resort.
+        """
+        members = self.fleet.members
+        candidates = self.find_hop_candidates(region, tried)
+        named = [member for member in candidates if members.is_listed(member.name)]
+        return named or candidates
+
+    def find_hop_candidates(self, region, tried):
+        """Return the entry VMs of a region that this VM may send a hop to."""
         return [
             member
             for member in self.lost_regions.members_in(region)
--- a/tests/fleet_model.py
+++ b/tests/fleet_model.py
@@ -83,6 +83,7 @@
         self.alive = True
         self.frozen_at = None
         self.has_log = True
+        self.has_paths = lambda: True
         self.starts = 0
         self.sent_bytes = 0
         self.received_bytes = 0
@@ -132,6 +133,7 @@
             plan,
             plan > 0,
             False,
+            self.has_paths(),
         )
 
     def receive(self, data):
--- a/tests/gateway_harness.py
+++ b/tests/gateway_harness.py
@@ -178,6 +178,8 @@
         self.reported = {}
         self.metrics = GatewayMetrics()
         self.context = make_context(self.settings, self.fleet, self.loads, self.metrics)
+        # Without network, a look at a path finds that it works.
+        self.context.paths.can_connect = lambda target: True
         self.budget = RetryBudget(
             self.clock, BOUNDS.retry_limits, self.fleet.entry_counter.share
         )
--- a/tests/test_target_paths.py
+++ b/tests/test_target_paths.py
@@ -17,6 +17,7 @@
         self.down = set()
         self.connected = []
         self.paths = self.vm.context.paths
+        del self.paths.can_connect
         self.vm.context.pool.connect = self.connect
         self.vm.context.pool.discard = lambda key, connection: None
 
