Take a refused connection for a target's end only while another target takes one

Cause, the second of three: a VM whose connection to a target is refused told all others that the target may have started again, so it got the few requests of a cold target until its next heartbeat, again and again; and such a connection after a broken attempt counted as a crash of all that the target had. A lost path looks the same.

Change: both wait for a connection to another target of the region (TargetPaths.confirm) and are dropped if none can be had.

--- a/pollenmount/crashes/request_guard.py
+++ b/pollenmount/crashes/request_guard.py
@@ -7,7 +7,7 @@
 from pollenmount.crashes.quarantine import Crash
 from pollenmount.crashes.recent_keys import RecentKeys, ReportLimit
 
-__all__ = ["RequestGuard"]
+__all__ = ["VERDICT_WAIT_MS", "RequestGuard"]
 
 MAX_ANSWERED = 8192
 ANSWERED_TTL_MS = 60_000
--- a/pollenmount/gateway/crash_guard.py
+++ b/pollenmount/gateway/crash_guard.py
@@ -2,7 +2,7 @@
 
 import contextlib
 
-from pollenmount.crashes.request_guard import RequestGuard
+from pollenmount.crashes.request_guard import VERDICT_WAIT_MS, RequestGuard
 from pollenmount.crashes.trial_turns import TrialTurns
 from pollenmount.crashes.watcher import CrashWatcher
 from pollenmount.fleet.messages import (
@@ -20,17 +20,23 @@
 
 __all__ = ["CrashGuard"]
 
+# A connection within a region takes a few milliseconds.
+PATHS_INTERVAL_MS = 5
+
 
 class CrashGuard:
     """Watches attempts for crashes, and lets the guards of this VM report them.
 
     `prompts` is its `PromptGuard` and `requests` its `RequestGuard`. `probe` tells
-    which targets are up. `attempts` is the `AttemptWatch`. `name` is that of this VM,
-    which has its own turns to try what was in quarantine.
+    which targets are up, and `paths` whether this VM reaches any. `attempts` is the
+    `AttemptWatch`. `name` is that of this VM, which has its own turns to try what was
+    in quarantine.
     """
 
-    def __init__(self, fleet, clock, metrics, probe, name):
+    def __init__(self, fleet, clock, metrics, probe, paths, name):
         self.fleet = fleet
+        self.clock = clock
+        self.paths = paths
         self.prompts = PromptGuard(fleet, clock, metrics)
         self.evidence = RequestEvidence(fleet, metrics)
         self.requests = RequestGuard(fleet.request_quarantine, self.evidence, clock)
@@ -99,9 +105,13 @@
         )
 
     def report_crash(self, attempt, crashed_at):
-        """Report that a target crashed, maybe of an attempt."""
-        self.requests.report_crash(attempt, crashed_at)
-        self.prompts.report_crash(attempt, crashed_at)
+        """Report that a target crashed, maybe of an attempt, unless no path works."""
+
+        def report():
+            self.requests.report_crash(attempt, crashed_at)
+            self.prompts.report_crash(attempt, crashed_at)
+
+        self.paths.confirm(attempt.destination.target_id, report)
 
     def record_survived(self, attempt):
         """Record that a target was still up a while after an attempt.
@@ -133,9 +143,16 @@
         If the request itself is suspected, this waits for news of it, which puts it in
         quarantine. `sleep` waits for a number of milliseconds.
         """
+        self.wait_for_paths(call.deadline, sleep)
         self.requests.wait_for_verdict(call.deadline, progress, sleep)
         return self.prompts.may_crash_again(call.info.prompt, progress, error, sleep)
 
+    def wait_for_paths(self, deadline, sleep):
+        """Wait until it is known whether a crash was one, or a lost path."""
+        wait_until = min(self.clock.now() + VERDICT_WAIT_MS, deadline)
+        while self.paths.is_checking() and self.clock.now() < wait_until:
+            sleep(PATHS_INTERVAL_MS)
+
     def record_refused_hop(self, progress, error):
         """Note that another region's VM knows of a quarantine before this one does."""
         if error.quarantine_ms:
--- a/pollenmount/gateway/roles/entry.py
+++ b/pollenmount/gateway/roles/entry.py
@@ -75,10 +75,11 @@
             lags=LagTracker(clock),
             pauses=pauses,
             paths=paths,
-            notices=TargetNotices(node.fleet, pool, pauses, node.metrics),
+            notices=TargetNotices(node.fleet, pool, paths, pauses, node.metrics),
             resumption=StreamResumption(node.fleet, clock),
             guard=CrashGuard(
-                node.fleet, clock, node.metrics, CrashProbe(pool), settings.name
+                *(node.fleet, clock, node.metrics),
+                *(CrashProbe(pool), paths, settings.name),
             ),
         )
         node.quotas = node.fleet.quotas = Quotas(
--- a/pollenmount/gateway/target_notices.py
+++ b/pollenmount/gateway/target_notices.py
@@ -32,9 +32,10 @@
     `warned` has the warnings that were logged, with the target's id and incarnation.
     """
 
-    def __init__(self, fleet, pool, pauses, metrics):
+    def __init__(self, fleet, pool, paths, pauses, metrics):
         self.fleet = fleet
         self.pool = pool
+        self.paths = paths
         self.pauses = pauses
         self.metrics = metrics
         self.warned = set()
@@ -57,14 +58,16 @@
     def handle_failure(self, destination, error):
         """Tell all VMs of a target that refused a connection: it may have crashed.
 
-        One that keeps other connections open only takes no more of them.
+        One that keeps other connections open only takes no more of them, and one is not
+        to blame if this VM can connect to none.
         """
         if not destination.target_id or not isinstance(error, ConnectRefusedError):
             return
         if self.pool.has_live(destination.connection_key):
             return
-        refused = TargetRefused(destination.target_id, destination.incarnation)
-        self.fleet.handle(refused, RESPONSE)
+        id_ = destination.target_id
+        refused = TargetRefused(id_, destination.incarnation)
+        self.paths.confirm(id_, lambda: self.fleet.handle(refused, RESPONSE))
 
     def handle_limit(self, call, destination, per_s, sent_at):
         """Keep the limit that a target names, or its end, here and at other VMs.
--- a/tests/gateway_harness.py
+++ b/tests/gateway_harness.py
@@ -115,10 +115,11 @@
         lags=LagTracker(clock),
         pauses=pauses,
         paths=paths,
-        notices=TargetNotices(fleet, pool, pauses, metrics),
+        notices=TargetNotices(fleet, pool, paths, pauses, metrics),
         resumption=StreamResumption(fleet, clock),
         guard=CrashGuard(
-            fleet, clock, metrics, CrashProbe(pool, spawn=ignore), settings.name
+            *(fleet, clock, metrics),
+            *(CrashProbe(pool, spawn=ignore), paths, settings.name),
         ),
     )
 
