Let a VM without paths to targets send its calls to VMs of its own region

Cause, the third of three: hops went to other regions only, and a VM tried its own region's targets with its callers' requests, up to five in a row, whenever their breakers let it.

Change: control VMs name a VM without paths up to four VMs of its own region that have some. It chooses them as it does other regions, at the cost of a hop within the region; its own targets get requests only over connections that live on.

--- a/pollenmount/fleet/selection.py
+++ b/pollenmount/fleet/selection.py
@@ -35,10 +35,10 @@
 
 
 def select_hop_peers(name, members):
-    """Return the entry VMs of a region to which the VM `name` may send hops.
+    """Return the other entry VMs of a region to which the VM `name` may send hops.
 
     Each VM has a different selection, so that hops are spread over the region.
     """
-    by_name = {member.name: member for member in members}
+    by_name = {member.name: member for member in members if member.name != name}
     chosen = top_by_rendezvous(name, by_name, HOP_PEERS_PER_REGION)
     return [by_name[other] for other in chosen]
--- a/pollenmount/fleet/server.py
+++ b/pollenmount/fleet/server.py
@@ -302,7 +302,7 @@
             self.push_encoded_to(CONTROL, self.capacities.own_changed)
 
     def send_hop_peers(self):
-        """Send members the VMs of other regions to which they may send hops."""
+        """Send members the VMs to which they may send hops."""
         now, version = self.clock.now(), self.fleet.members.version
         is_due = now - self.hop_peers_at >= HOP_PEERS_INTERVAL_MS
         if not is_due or version == self.hop_peers_version:
@@ -421,11 +421,12 @@
 def find_hop_peers(record, by_region):
     """Return the VMs to which a member may send hops, by name.
 
-    `by_region` has the available entry VMs of each region.
+    `by_region` has the available entry VMs of each region. Those of its own region are
+    for a member that reaches no target itself.
     """
     return {
         peer.name: peer
         for region, members in by_region.items()
-        if region != record.region
+        if region != record.region or not record.has_paths
         for peer in select_hop_peers(record.name, members)
     }
--- a/pollenmount/gateway/choose.py
+++ b/pollenmount/gateway/choose.py
@@ -37,7 +37,8 @@
     `requests`, `prefill_tokens` and `streams` are the load that all entry VMs put on
     it. `cached_tokens` is how much of the prompt is expected to be in its prefix cache,
     and `lag_ms` how much later than expected it has responded lately. `targets` is the
-    number of targets that it stands for, as a typical one of them.
+    number of targets that it stands for, as a typical one of them, and `hop_ms` what a
+    hop to them costs.
     """
 
     id: str
@@ -50,6 +51,7 @@
     has_heartbeats: bool
     streams: int = 0
     targets: int = 1
+    hop_ms: float = HOP_COST_MS
 
 
 def no_remote_options():
--- a/pollenmount/gateway/choosers/base.py
+++ b/pollenmount/gateway/choosers/base.py
@@ -1,7 +1,6 @@
 """Base class of the baselines, which leave the region only if it has no capacity."""
 
 from pollenmount.gateway.choose import (
-    HOP_COST_MS,
     Chooser,
     RegionChoice,
     TargetChoice,
@@ -20,7 +19,10 @@
         if local:
             return TargetChoice(self.pick(local).id, 0.0)
         remote = [option for option in options.remote() if has_capacity(option)]
-        return RegionChoice(self.pick(remote).region, HOP_COST_MS) if remote else None
+        if not remote:
+            return None
+        picked = self.pick(remote)
+        return RegionChoice(picked.region, picked.hop_ms)
 
     def pick(self, options):
         """Return one of the options; there is at least one."""
--- a/pollenmount/gateway/choosers/expected_time.py
+++ b/pollenmount/gateway/choosers/expected_time.py
@@ -177,11 +177,12 @@
 
 
 def region_choices(options, prompt, cost_ms):
-    """Yield the `RegionChoice` of each option in another region that has capacity."""
+    """Yield the `RegionChoice` of each option at other VMs that has capacity."""
     for option in sorted(options):
         found = best_choice([option], prompt)
         if found is not None:
-            yield RegionChoice(option.region, found.expected_ms + cost_ms)
+            hop_ms = min(cost_ms, option.hop_ms)
+            yield RegionChoice(option.region, found.expected_ms + hop_ms)
 
 
 def expected_ms(option, prompt):
--- a/pollenmount/gateway/routing_context.py
+++ b/pollenmount/gateway/routing_context.py
@@ -36,6 +36,8 @@
 # Well above the round trip within a region and between regions.
 SLOW_CONNECT_MS = 80
 SLOW_HOP_CONNECT_MS = 300
+# Round trip to another VM of the region plus the time in it.
+NEAR_HOP_COST_MS = 15.0
 
 
 class Obstacle(StrEnum):
@@ -89,7 +91,7 @@
         `version` is the only one that may run the call, None if all may.
         """
         entries = self.fleet.entry_counter.entries(self.settings.region)
-        targets = {t.id: t for t in self.eligible_targets(call, tried, version)}
+        targets = {t.id: t for t in self.reached_targets(call, tried, version)}
         selected = self.select_targets(call, targets)
         prompt = call.info.prompt
         local = self.local_options(selected, prompt, entries)
@@ -171,6 +173,22 @@
             if id_ not in preferred or self.may_send(targets[id_], entries):
                 yield targets[id_]
 
+    def reached_targets(self, call, tried, version):
+        """Yield the eligible targets that this VM can reach.
+
+        After the paths to targets are lost, connections that were open before may live
+        on.
+        """
+        for target in self.eligible_targets(call, tried, version):
+            if not self.paths.is_lost or self.has_live_connection(target):
+                yield target
+
+    def has_live_connection(self, target):
+        """Return whether an idle connection to a target is open."""
+        record = target.record
+        key = connection_key(record.id, record.address, record.born)
+        return self.pool.has_live_idle(key)
+
     def eligible_targets(self, call, tried, version=None):
         """Yield the targets of this region that the call may be sent to.
 
@@ -205,17 +223,32 @@
         return is_heard and not target.is_doubted(self.clock.now())
 
     def find_remote_options(self, call, tried, version, has_local):
-        """Return the options in other regions.
+        """Return the options at VMs of other regions, and of this one if need be.
 
         Regions that control VMs do not hear any more are a last resort.
         """
         rows = self.remote_capacities(call, version)
-        options = self.remote_options(call, tried, rows)
+        options = self.near_options(call, tried, version)
+        options += self.remote_options(call, tried, rows)
         if options or has_local:
             return options
         kept = self.allowed_capacities(call, self.lost_regions.rows(), version)
         return self.remote_options(call, tried, kept)
 
+    def near_options(self, call, tried, version):
+        """Return an option for the other VMs of this region, if this one has no paths.
+
+        It stands for a typical target, of which this VM knows that it is up.
+        """
+        region = self.settings.region
+        if not self.paths.is_lost or not self.takes_hops(region, call.service, tried):
+            return ()
+        targets = self.eligible_targets(call, (), version)
+        options = [self.make_option(target, None, None) for target in targets]
+        if not options:
+            return ()
+        return (typical_option(options)._replace(hop_ms=NEAR_HOP_COST_MS),)
+
     def remote_options(self, call, tried, rows):
         """Return an option for each of the regions in `rows` that takes hops.
 
@@ -225,11 +258,17 @@
         return tuple(
             make_region_option(row, call.info.prompt, self.is_spread)
             for row in rows
-            if row.region not in tried
-            and not self.pauses.left_ms((row.region, row.service))
-            and not self.breakers.is_open((row.region, row.service))
-            and not self.breakers.is_open(row.region)
-            and self.hop_candidates(row.region, tried)
+            if self.takes_hops(row.region, row.service, tried)
+        )
+
+    def takes_hops(self, region, service, tried):
+        """Return whether a call for a service may be sent to VMs of a region."""
+        return bool(
+            region not in tried
+            and not self.pauses.left_ms((region, service))
+            and not self.breakers.is_open((region, service))
+            and not self.breakers.is_open(region)
+            and self.hop_candidates(region, tried)
         )
 
     def remote_capacities(self, call, version=None):
