--- a/pollenmount/crashes/quarantine.py
+++ b/pollenmount/crashes/quarantine.py
@@ -114,17 +114,25 @@
             return ()
         return known
 
+    def known_crashes(self, keys):
+        """Return how many crashes the evidence on any one of the keys proves."""
+        return max((self.count(self.evidence(key)) for key in keys), default=0)
+
     def left_ms(self, keys):
         """Return for how long what has these keys is not served, 0 if it is."""
         return max((self.key_left_ms(key) for key in keys), default=0)
 
     def key_left_ms(self, key):
         """Return for how long a key is not served, 0 if it is."""
+        if not self.is_proven(key):
+            return 0
+        return max(0, self.ends_at(key) - self.clock.now())
+
+    def ends_at(self, key):
+        """Return when the newest quarantine of a key ends, or ended."""
         known = self.evidence(key)
         count = min(self.count(known), max(self.durations_ms))
-        if count < min(self.durations_ms):
-            return 0
-        return max(0, known[-1].at + self.durations_ms[count] - self.clock.now())
+        return known[-1].at + self.durations_ms[count]
 
     def is_same(self, known, crash):
         """Return whether a crash adds nothing to a known one."""
@@ -146,11 +154,23 @@
 
     def by_crash(self):
         """Return the keys of each `Crash`, for a VM that has no evidence yet."""
-        keys = collections.defaultdict(list)
-        for key in [*self.crashes]:
+        return self.crashes_of(self.crashes)
+
+    def proven(self):
+        """Return the keys of each `Crash`, of those that have been in quarantine."""
+        return self.crashes_of(key for key in [*self.crashes] if self.is_proven(key))
+
+    def is_proven(self, key):
+        """Return whether the evidence on a key is enough for a quarantine."""
+        return self.count(self.evidence(key)) >= min(self.durations_ms)
+
+    def crashes_of(self, keys):
+        """Return those of the keys that each `Crash` is evidence on."""
+        by_crash = collections.defaultdict(list)
+        for key in [*keys]:
             for crash in self.evidence(key):
-                keys[crash].append(key)
-        return keys
+                by_crash[crash].append(key)
+        return by_crash
 
 
 class PartQuarantine(Quarantine):
--- a/pollenmount/crashes/request_guard.py
+++ b/pollenmount/crashes/request_guard.py
@@ -7,7 +7,7 @@
 from pollenmount.crashes.quarantine import Crash
 from pollenmount.crashes.recent_keys import RecentKeys, ReportLimit
 
-__all__ = ["RequestGuard"]
+__all__ = ["VERDICT_WAIT_MS", "RequestGuard"]
 
 MAX_ANSWERED = 8192
 ANSWERED_TTL_MS = 60_000
@@ -86,6 +86,10 @@
         ):
             sleep(VERDICT_INTERVAL_MS)
 
+    def known_crashes(self, digest):
+        """Return how many crashes a request is known to have caused."""
+        return self.quarantine.known_crashes((digest,))
+
     def left_ms(self, digest):
         """Return for how long a request is in quarantine, 0 if it is not."""
         return self.quarantine.left_ms((digest,))
--- a/pollenmount/fleet/server.py
+++ b/pollenmount/fleet/server.py
@@ -32,7 +32,11 @@
 )
 from pollenmount.fleet.observations import OBSERVATIONS
 from pollenmount.fleet.records import CONTROL, ENTRY
-from pollenmount.fleet.selection import is_available, select_hop_peers
+from pollenmount.fleet.selection import (
+    is_available,
+    prefer_paths,
+    select_hop_peers,
+)
 from pollenmount.fleet.sender_selection import SenderSelection
 from pollenmount.fleet.session import Session, concerns
 from pollenmount.fleet.target_reports import DIRECT, TargetReports
@@ -155,16 +159,16 @@
     def snapshot(self, session):
         """Yield the messages that bring a newly linked member up to date."""
         fleet = self.fleet
+        # A VM that knows targets has to know what crashes them.
+        yield from fleet.crash_reports()
         if session.is_control:
             yield from fleet.members.snapshot(DIRECT)
             yield from fleet.targets.snapshot(DIRECT)
             yield Capacities(self.capacities.own)
-            yield from fleet.crash_reports()
             return
         yield from self.orders(session)
         changes = (*fleet.members.snapshot(), *fleet.targets.snapshot())
         yield from (m for m in changes if concerns(m, session, fleet))
-        yield from fleet.crash_reports()
         yield self.entry_counts
 
     def handle(self, session, message):
@@ -298,7 +302,7 @@
             self.push_encoded_to(CONTROL, self.capacities.own_changed)
 
     def send_hop_peers(self):
-        """Send members the VMs of other regions to which they may send hops."""
+        """Send members the VMs to which they may send hops."""
         now, version = self.clock.now(), self.fleet.members.version
         is_due = now - self.hop_peers_at >= HOP_PEERS_INTERVAL_MS
         if not is_due or version == self.hop_peers_version:
@@ -310,12 +314,12 @@
                 session.send_hop_peers(find_hop_peers(session.record, by_region))
 
     def available_by_region(self):
-        """Return the entry VMs of each region that take requests."""
+        """Return the entry VMs of each region that take requests, and can run them."""
         by_region = collections.defaultdict(list)
         for member in self.fleet.members.live():
             if is_available(member):
                 by_region[member.region].append(member)
-        return by_region
+        return {region: prefer_paths(found) for region, found in by_region.items()}
 
     def send_changes(self, session, is_slow_tick):
         """Send changes of capacity to a member that uses this link for them.
@@ -417,11 +421,12 @@
 def find_hop_peers(record, by_region):
     """Return the VMs to which a member may send hops, by name.
 
-    `by_region` has the available entry VMs of each region.
+    `by_region` has the available entry VMs of each region. Those of its own region are
+    for a member that reaches no target itself.
     """
     return {
         peer.name: peer
         for region, members in by_region.items()
-        if region != record.region
+        if region != record.region or not record.has_paths
         for peer in select_hop_peers(record.name, members)
     }
--- a/pollenmount/gateway/callers.py
+++ b/pollenmount/gateway/callers.py
@@ -317,7 +317,9 @@
         headers = ()
         if not self.may_hop:
             not_run = error_response.status == UNAVAILABLE
-            is_ready = not (not_run and self.node.stopping)
+            # Another VM of the region may still take what this one can't.
+            is_unfit = self.node.stopping or not self.node.has_paths()
+            is_ready = not (not_run and is_unfit)
             headers = refusal_headers(
                 error_response, not_run, self.progress.sends, is_ready
             )
@@ -378,6 +380,7 @@
                 "attempts": call.route.attempts,
                 "remaining_ms": progress.remaining_ms,
                 "paused_ms": progress.paused_ms,
+                "known_crashes": progress.known_crashes,
                 "obstacles": progress.obstacles,
                 "plan": call.plan_version,
                 "evacuations": self.node.fleet.evacuations.revision,
--- a/pollenmount/gateway/crash_guard.py
+++ b/pollenmount/gateway/crash_guard.py
@@ -2,7 +2,8 @@
 
 import contextlib
 
-from pollenmount.crashes.request_guard import RequestGuard
+from pollenmount.crashes.request_guard import VERDICT_WAIT_MS, RequestGuard
+from pollenmount.crashes.trial_turns import TrialTurns
 from pollenmount.crashes.watcher import CrashWatcher
 from pollenmount.fleet.messages import (
     RequestsCrashed,
@@ -12,25 +13,37 @@
 )
 from pollenmount.fleet.observations import RESPONSE
 from pollenmount.gateway.attempt import NO_CRASH_ERRORS, FailedResponseError
+from pollenmount.gateway.dialect import shared_ids
 from pollenmount.gateway.prompt_guard import PromptGuard
 from pollenmount.gateway.request_evidence import RequestEvidence
 from pollenmount.wire.errors import ConnectRefusedError, ExchangeError
 
 __all__ = ["CrashGuard"]
 
+# A connection within a region takes a few milliseconds.
+PATHS_INTERVAL_MS = 5
+
 
 class CrashGuard:
     """Watches attempts for crashes, and lets the guards of this VM report them.
 
     `prompts` is its `PromptGuard` and `requests` its `RequestGuard`. `probe` tells
-    which targets are up. `attempts` is the `AttemptWatch`.
+    which targets are up, and `paths` whether this VM reaches any. `attempts` is the
+    `AttemptWatch`. `name` is that of this VM, which has its own turns to try what was
+    in quarantine.
     """
 
-    def __init__(self, fleet, clock, metrics, probe):
+    def __init__(self, fleet, clock, metrics, probe, paths, name):
         self.fleet = fleet
+        self.clock = clock
+        self.paths = paths
         self.prompts = PromptGuard(fleet, clock, metrics)
         self.evidence = RequestEvidence(fleet, metrics)
         self.requests = RequestGuard(fleet.request_quarantine, self.evidence, clock)
+        self.request_turns, self.prompt_turns = (
+            TrialTurns(quarantine, clock, name, fleet.entry_counter.entries)
+            for quarantine in (fleet.request_quarantine, fleet.part_quarantine)
+        )
         self.watcher = CrashWatcher(
             clock, probe, self.is_leaving, self.report_crash, self.record_survived
         )
@@ -92,11 +105,14 @@
         )
 
     def report_crash(self, attempt, crashed_at):
-        """Report that a target crashed, maybe of an attempt."""
-        self.requests.report_crash(attempt, crashed_at)
-        if attempt.is_late:
+        """Report that a target crashed, maybe of an attempt, unless no path works."""
+
+        def report():
+            self.requests.report_crash(attempt, crashed_at)
             self.prompts.report_crash(attempt, crashed_at)
 
+        self.paths.confirm(attempt.destination.target_id, report)
+
     def record_survived(self, attempt):
         """Record that a target was still up a while after an attempt.
 
@@ -127,23 +143,38 @@
         If the request itself is suspected, this waits for news of it, which puts it in
         quarantine. `sleep` waits for a number of milliseconds.
         """
+        self.wait_for_paths(call.deadline, sleep)
         self.requests.wait_for_verdict(call.deadline, progress, sleep)
         return self.prompts.may_crash_again(call.info.prompt, progress, error, sleep)
 
+    def wait_for_paths(self, deadline, sleep):
+        """Wait until it is known whether a crash was one, or a lost path."""
+        wait_until = min(self.clock.now() + VERDICT_WAIT_MS, deadline)
+        while self.paths.is_checking() and self.clock.now() < wait_until:
+            sleep(PATHS_INTERVAL_MS)
+
     def record_refused_hop(self, progress, error):
         """Note that another region's VM knows of a quarantine before this one does."""
         if error.quarantine_ms:
             progress.quarantine = "another region has the request in quarantine"
             progress.quarantine_ms = error.quarantine_ms
 
+    def known_crashes(self, call, progress):
+        """Return how many crashes a call's request, or a part of its prompt, caused."""
+        return max(
+            self.requests.known_crashes(progress.digest),
+            self.prompts.known_crashes(call.info.prompt),
+        )
+
     def find_quarantine(self, call, progress):
         """Return why a call is in quarantine, or ''; log it and note for how long."""
-        left_ms = self.requests.left_ms(progress.digest)
+        left_ms = self.request_turns.left_ms((progress.digest,), call.id)
         if left_ms:
             progress.quarantine_ms = left_ms
             self.evidence.record_refusal(call, progress.digest, left_ms)
             return "the request is in quarantine"
-        left_ms = self.prompts.left_ms(call.info.prompt)
+        parts = shared_ids(call.info.prompt)
+        left_ms = self.prompt_turns.left_ms(parts, call.id)
         if left_ms:
             progress.quarantine_ms = left_ms
             self.prompts.record_refusal(call, left_ms)
