--- /dev/null
+++ b/tests/test_review_of_crash_evidence.py
@@ -0,0 +1,218 @@
+"""Faults that a review of the evidence of crashes found; see issue 52."""
+
+import itertools
+import random
+
+import pytest
+
+from pollenmount import task
+from pollenmount.clock import ManualClock
+from pollenmount.crashes.quarantine import Crash, PartQuarantine
+from pollenmount.crashes.trial_turns import TRIAL_MS, TrialTurns
+from pollenmount.fleet.channel import Channel
+from pollenmount.fleet.evidence_store import MAX_REPORTS
+from pollenmount.fleet.fleet import Fleet
+from pollenmount.fleet.messages import PartsServed, PromptBroke, RequestsCrashed
+from pollenmount.fleet.observations import RESPONSE
+from pollenmount.routes.store import RoutesStore
+from pollenmount.wire.errors import ExchangeError
+from tests import test_trial_turns as trial_turns
+from tests.test_deadly_prompts import RESTART_MS, TARGETS, Vms, status
+from tests.test_evidence_store import HOUR_MS, PART, ControlVm
+
+ZONES = ("kigali", "huye", "musanze")
+NAMES = [f"edge-{zone}-a-{n}" for zone in ZONES for n in (1, 2, 3)]
+NEWS_MS = 300
+# A target of the tests with real processes ends so long after it began.
+LATE_END_MS = 1200
+
+
+# CRC-32 is linear: what two names differ by is the same for all keys, so some two VMs
+# always try at one moment.
+def test_no_two_vms_try_all_keys_at_one_moment():
+    clock = ManualClock(1_000_000)
+    rng = random.Random(1)
+    keys = [f"{rng.getrandbits(32):08x}" for _ in range(100)]
+    quarantine = PartQuarantine(clock)
+    turns = [TrialTurns(quarantine, clock, name, lambda: len(NAMES)) for name in NAMES]
+    at = {turn.name: [turn.delay_ms(key) for key in keys] for turn in turns}
+    together = {
+        pair: sum(abs(a - b) < NEWS_MS for a, b in zip(*map(at.get, pair), strict=True))
+        for pair in itertools.combinations(NAMES, 2)
+    }
+    assert {pair: n for pair, n in together.items() if n > len(keys) / 2} == {}
+
+
+# The turns are told apart by the news of a crash that comes at once; a part that ends
+# its target a second after it began is tried by all VMs whose turn comes before that.
+@pytest.mark.parametrize("vms", [3, 6, 9])
+def test_few_vms_try_a_key_that_crashes_its_target_after_a_second(vms, monkeypatch):
+    monkeypatch.setattr(trial_turns, "NEWS_MS", LATE_END_MS + NEWS_MS)
+    tries = [trial_turns.count_tries(key, vms) for key in trial_turns.KEYS]
+    assert max(tries) <= trial_turns.MAX_TRIES
+
+
+# A call takes the turn before it is known whether it can be sent at all.
+def test_a_call_that_was_not_sent_leaves_the_turn_to_others():
+    clock = ManualClock(1_000_000)
+    quarantine, ends_at = trial_turns.make_quarantine(clock, "part")
+    (turns,) = trial_turns.make_turns(quarantine, clock, 1)
+    clock.advance(ends_at - clock.now())
+    # Callers without a free target keep asking, each refused for an overload.
+    assert turns.left_ms(("part",), "refused for an overload") == 0
+    assert turns.left_ms(("part",), "could be sent") < TRIAL_MS
+
+
+class TickingClock(ManualClock):
+    """Goes on by a millisecond each time that it is read."""
+
+    def now(self):
+        self.advance(1)
+        return super().now()
+
+
+# Evidence may expire between two readings of the clock within one call.
+def test_evidence_that_expires_meanwhile_is_no_failure():
+    clock = ManualClock(1_000_000)
+    quarantine, _ = trial_turns.make_quarantine(clock, "part")
+    expires_at = quarantine.evidence("part")[-1].at + quarantine.evidence_ttl_ms
+    for before_ms in range(1, 12):
+        ticking = TickingClock(expires_at - before_ms)
+        copy = PartQuarantine(ticking)
+        copy.crashes.update(quarantine.crashes)
+        TrialTurns(copy, ticking, "edge", lambda: 1).left_ms(("part",), "call")
+
+
+# Requests stay in evidence for a day, and push what is known of parts off the disk.
+def test_many_requests_leave_the_evidence_on_parts_on_disk(tmp_path):
+    clock = ManualClock(10 * HOUR_MS)
+    vm = ControlVm(tmp_path, clock)
+    for number in range(MAX_REPORTS // 2):
+        for target in "ab":
+            report = RequestsCrashed(target + str(number), 1, "c", (f"d{number}",))
+            vm.fleet.handle(report, RESPONSE)
+    vm.crash(1)
+    vm.crash(2)
+    assert vm.left_ms()[0]
+    assert ControlVm(tmp_path, clock).left_ms()[0]
+
+
+# Evidence of less than a quarantine is lost at each restart.
+@pytest.mark.parametrize("late", [False, True])
+def test_a_part_that_crashes_few_targets_between_restarts_is_found_out(tmp_path, late):
+    clock = ManualClock(10 * HOUR_MS)
+    crashes = 0
+    for _ in range(10):
+        vm = ControlVm(tmp_path, clock)
+        for _ in range(2 if late else 1):
+            if vm.left_ms()[0]:
+                continue
+            crashes += 1
+            report = PromptBroke(f"t{crashes}", 1, f"own{crashes}", (PART,), 0, late)
+            vm.fleet.handle(report, RESPONSE)
+            clock.advance(1000)
+            vm.store.save()
+    assert crashes <= 5
+
+
+# What was cleared while a control VM was down comes back with its disk.
+def test_a_control_vm_that_was_down_brings_back_nothing_that_was_cleared(tmp_path):
+    clock = ManualClock(10 * HOUR_MS)
+    one, other = (ControlVm(tmp_path / name, clock) for name in ("one", "other"))
+    for number in (1, 2, 3, 4):
+        one.crash(number)
+        other.crash(number)
+    # `other` is down from here on.
+    clock.advance(60_000)
+    one.fleet.handle(PartsServed((PART,), True), RESPONSE)
+    one.store.save()
+    assert one.left_ms()[0] == 0
+    clock.advance(60_000)
+    for message in ControlVm(tmp_path / "other", clock).fleet.crash_reports():
+        one.fleet.handle(message, "other")
+    assert one.left_ms()[0] == 0
+
+
+# The evidence comes first and at once on a new link, which takes 4,096 messages.
+def test_a_vm_can_link_while_there_is_as_much_evidence_as_is_kept():
+    clock = ManualClock(HOUR_MS)
+    fleet = Fleet(clock, RoutesStore(lambda data: data), {}, is_control=True)
+    for number in range(2048):
+        for target in "ab":
+            report = RequestsCrashed(target + str(number), 1, "c", (f"d{number}",))
+            fleet.handle(report, RESPONSE)
+        fleet.handle(PromptBroke("t", number, f"o{number}", (f"p{number}",)), RESPONSE)
+
+    class Idle:
+        def settimeout(self, seconds):
+            pass
+
+        def sendall(self, data):
+            task.sleep(0)
+
+        def close(self):
+            pass
+
+    channel = Channel(Idle())
+    for message in fleet.crash_reports():
+        channel.push(message)
+    assert not channel.closed
+
+
+# All that a target had is blamed, a bounded number a second: the deadly prompt too?
+def test_a_deadly_prompt_among_many_is_reported():
+    vms = Vms()
+    guard = vms.all[0].context.guard
+    quarantine = vms.all[1].fleet.part_quarantine
+    for crash in range(4):
+        names = [f"sound-{crash}-{n}" for n in range(40)] + ["deadly"]
+        for name in names:
+            call = make_prompt_call(vms, name, f"{name}-{crash}")
+            attempt = guard.attempts.begin(
+                call, f"{name}-{crash}", Destination(f"t{crash}", 1)
+            )
+            guard.prompts.report_crash(attempt, vms.clock.now())
+        vms.clock.advance(2000)
+    assert quarantine.left_ms(("deadly",))
+
+
+class Destination:
+    """A start of a target."""
+
+    def __init__(self, target_id, incarnation):
+        self.target_id = target_id
+        self.incarnation = incarnation
+
+
+def make_prompt_call(vms, part, own):
+    """Return a call whose prompt has one shared part."""
+    from pollenmount.gateway.dialect import Prompt, PromptPart
+    from tests.test_deadly_prompts import ROUTE
+
+    prompt = Prompt("m", 1100, 50, (PromptPart(part, 1000), PromptPart(own, 100)))
+    return vms.all[0].make_call(ROUTE, prompt, body=own.encode())
+
+
+# A target that ends by itself, once, has some prompts which no target has begun to
+# answer yet. They are sound, and have attempts left.
+def test_a_sound_prompt_gets_another_attempt_after_one_crash():
+    vms = Vms()
+    engines = vms.engines
+    serve = engines.run
+    crashed = []
+
+    def run(attempt):
+        target = attempt.destination.target_id
+        if not crashed and "fresh" in repr(attempt.call.info.prompt):
+            crashed.append(target)
+            engines.back_at[target] = engines.clock.now() + RESTART_MS
+            raise ExchangeError("the connection was closed before a response")
+        yield from serve(attempt)
+
+    for number in range(8):
+        vms.serve(number % 4, "first", number=number)
+        vms.clock.advance(400)
+    engines.run = run
+    head = vms.serve(0, "first", "fresh", number=100)
+    assert crashed and crashed[0] in TARGETS
+    assert status(head) == 200
