--- a/tests/test_review_of_crash_evidence.py
+++ b/tests/test_review_of_crash_evidence.py
@@ -7,17 +7,18 @@
 
 from pollenmount import task
 from pollenmount.clock import ManualClock
-from pollenmount.crashes.quarantine import Crash, PartQuarantine
+from pollenmount.crashes.quarantine import PartQuarantine
 from pollenmount.crashes.trial_turns import TRIAL_MS, TrialTurns
 from pollenmount.fleet.channel import Channel
 from pollenmount.fleet.evidence_store import MAX_REPORTS
 from pollenmount.fleet.fleet import Fleet
 from pollenmount.fleet.messages import PartsServed, PromptBroke, RequestsCrashed
 from pollenmount.fleet.observations import RESPONSE
+from pollenmount.gateway.dialect import Prompt, PromptPart
 from pollenmount.routes.store import RoutesStore
-from pollenmount.wire.errors import ExchangeError
+from pollenmount.wire.errors import ConnectRefusedError, ExchangeError
 from tests import test_trial_turns as trial_turns
-from tests.test_deadly_prompts import RESTART_MS, TARGETS, Vms, status
+from tests.test_deadly_prompts import RESTART_MS, ROUTE, TARGETS, Vms, status
 from tests.test_evidence_store import HOUR_MS, PART, ControlVm
 
 ZONES = ("kigali", "huye", "musanze")
@@ -186,9 +187,6 @@
 
 def make_prompt_call(vms, part, own):
     """Return a call whose prompt has one shared part."""
-    from pollenmount.gateway.dialect import Prompt, PromptPart
-    from tests.test_deadly_prompts import ROUTE
-
     prompt = Prompt("m", 1100, 50, (PromptPart(part, 1000), PromptPart(own, 100)))
     return vms.all[0].make_call(ROUTE, prompt, body=own.encode())
 
@@ -216,3 +214,77 @@
     head = vms.serve(0, "first", "fresh", number=100)
     assert crashed and crashed[0] in TARGETS
     assert status(head) == 200
+
+
+class CutOff:
+    """Stands in for the sender and the probe of a VM that has lost all its paths.
+
+    Each kept connection is reset when it is used, and new ones are refused.
+    """
+
+    def __init__(self):
+        self.used = set()
+
+    def run(self, attempt):
+        target = attempt.destination.target_id
+        if target in self.used:
+            raise ConnectRefusedError(f"can't connect to {target}")
+        self.used.add(target)
+        raise ExchangeError("the connection was reset")
+        yield
+
+    def up_since(self, destination):
+        return None
+
+    def has_lost_connections(self, destination):
+        return True
+
+    def has_crashed(self, destination, on_crash=None):
+        return True
+
+
+def cut_off(vms):
+    """Let the first VM have lost its paths to all targets, which are up."""
+    for number in range(8):
+        vms.serve(number % 4, "first", number=number)
+        vms.clock.advance(400)
+    vm = vms.all[0]
+    vm.dispatcher.sender = vm.context.guard.attempts.probe = CutOff()
+
+
+# A VM that is cut off from the targets took each of them for crashed of its prompts,
+# and the other VMs, whose connections to them are open, believed it.
+def test_prompts_of_a_vm_without_paths_are_served_by_others():
+    vms = Vms()
+    cut_off(vms)
+    for number in range(3):
+        vms.serve(0, "first", "subject", number=100 + number)
+        vms.clock.advance(400)
+    assert vms.all[1].fleet.part_quarantine.left_ms(("subject",)) == 0
+    assert status(vms.serve(1, "first", "subject", number=200)) == 200
+
+
+# The same for one request, whose caller asks another VM next.
+def test_a_request_at_a_vm_without_paths_is_served_by_the_next():
+    vms = Vms()
+    cut_off(vms)
+    statuses = []
+    for number in range(3):
+        vms.serve(0, "first", number=100 + number)
+        statuses.append(status(vms.serve(1, "first", number=100 + number)))
+        vms.clock.advance(400)
+    assert statuses == [200] * 3
+
+
+# All VMs have just started, and none has seen a response to any prompt yet.
+def test_a_part_that_all_prompts_share_is_served_after_two_crashes_at_a_start():
+    vms = Vms()
+    vms.engines.crashes_early = True
+    for number in range(2):
+        vms.serve(number, "first", "deadly", number=number)
+        vms.clock.advance(400)
+    statuses = []
+    for number in range(20):
+        statuses.append(status(vms.serve(number % 4, "first", "sound", number=number)))
+        vms.clock.advance(400)
+    assert 200 in statuses
