--- a/pollenmount/crashes/quarantine.py
+++ b/pollenmount/crashes/quarantine.py
@@ -38,6 +38,9 @@
 class Quarantine:
     """Evidence by key, in `crashes`: the oldest news first, but for what was kept.
 
+    `cleared_at` is when a key was last found to be survived; what came before that is
+    no news, such as that of a VM that was cut off meanwhile.
+
     `durations_ms` is how long a key is not served after its last crash, by the number
     of crashes. A target has much that it had begun to answer, or that has just ended,
     so it takes one crash more if any came late.
@@ -49,6 +52,7 @@
         self.clock = clock
         self.evidence_ttl_ms = max(self.durations_ms.values()) + EXTRA_TTL_MS
         self.crashes = collections.OrderedDict()
+        self.cleared_at = collections.OrderedDict()
 
     def record(self, crash, keys):
         """Add a crash to the evidence on each key; return whether any of it is news."""
@@ -58,6 +62,8 @@
     def add(self, key, crash):
         """Add a crash to the evidence on one key; return whether it is news."""
         known = self.crashes.get(key, ())
+        if crash.at <= self.cleared_at.get(key, crash.at - 1):
+            return False
         if any(self.is_same(old, crash) for old in known):
             return False
         in_order = sorted((*known, crash), key=lambda known_crash: known_crash.at)
@@ -91,6 +97,8 @@
     def clear_one(self, key, survived):
         """Drop evidence on one key; return whether there was any."""
         known = self.crashes.get(key, ())
+        if known and survived:
+            self.note_cleared(key)
         kept = () if survived else tuple(crash for crash in known if crash.late)
         if kept:
             self.crashes[key] = kept
@@ -98,6 +106,13 @@
             self.crashes.pop(key, None)
         return kept != known
 
+    def note_cleared(self, key):
+        """Note that a target has survived a key, for a bounded number of keys."""
+        self.cleared_at[key] = self.clock.now()
+        self.cleared_at.move_to_end(key)
+        if len(self.cleared_at) > MAX_KEYS:
+            self.cleared_at.popitem(last=False)
+
     def is_suspected(self, keys):
         """Return whether there is evidence on any of the keys."""
         return any(self.evidence(key) for key in keys)
