Save single crashes, too, and bound what a VM that links is told of crashes

Cause: only what was proven was saved, and the bounds were on reports of both kinds together, or missing. Saved is now what a VM that links is told: of each kind 200 keys, those with the most and the newest crashes. It is written each 500 ms at most.

--- a/pollenmount/crashes/quarantine.py
+++ b/pollenmount/crashes/quarantine.py
@@ -139,14 +139,15 @@
 
     def key_left_ms(self, key):
         """Return for how long a key is not served, 0 if it is."""
-        if not self.is_proven(key):
-            return 0
-        return max(0, self.ends_at(key) - self.clock.now())
+        ends_at = self.ends_at(key)
+        return 0 if ends_at is None else max(0, ends_at - self.clock.now())
 
     def ends_at(self, key):
-        """Return when the newest quarantine of a key ends, or ended."""
+        """Return when the newest quarantine of a key ends, or ended; None without."""
         known = self.evidence(key)
         count = min(self.count(known), max(self.durations_ms))
+        if count < min(self.durations_ms):
+            return None
         return known[-1].at + self.durations_ms[count]
 
     def is_same(self, known, crash):
@@ -167,26 +168,30 @@
         """Return how many crashes are not of one cause beside the key."""
         raise NotImplementedError
 
-    def by_crash(self):
-        """Return the keys of each `Crash`, for a VM that has no evidence yet."""
-        return self.crashes_of(self.crashes)
+    def by_crash(self, max_keys):
+        """Return the keys of each `Crash`, for a VM that has no evidence yet.
 
-    def proven(self):
-        """Return the keys of each `Crash`, of those that have been in quarantine."""
-        return self.crashes_of(key for key in [*self.crashes] if self.is_proven(key))
-
-    def is_proven(self, key):
-        """Return whether the evidence on a key is enough for a quarantine."""
-        return self.count(self.evidence(key)) >= min(self.durations_ms)
-
-    def crashes_of(self, keys):
-        """Return those of the keys that each `Crash` is evidence on."""
+        Of more than `max_keys` keys it is those with the most crashes, and of these the
+        ones with the newest crashes.
+        """
+        keys = [key for key in [*self.crashes] if self.evidence(key)]
+        if len(keys) > max_keys:
+            keys.sort(key=self.rank, reverse=True)
         by_crash = collections.defaultdict(list)
-        for key in [*keys]:
+        for key in keys[:max_keys]:
             for crash in self.evidence(key):
                 by_crash[crash].append(key)
         return by_crash
 
+    def rank(self, key):
+        """Return what orders keys by how much the evidence on them is worth."""
+        known = self.crashes.get(key, ())
+        return len(known), known[-1].at if known else 0
+
+    def is_proven(self, key):
+        """Return whether the evidence on a key is enough for a quarantine."""
+        return self.ends_at(key) is not None
+
 
 class PartQuarantine(Quarantine):
     """Evidence on parts of prompts, by their ids.
--- a/pollenmount/fleet/evidence_store.py
+++ b/pollenmount/fleet/evidence_store.py
@@ -1,8 +1,8 @@
 """Evidence of crashes on the disk of a control VM, so that it outlasts all processes.
 
 Each control VM keeps a copy of its own, which needs no quorum: what any of them has
-saved, all VMs learn again when they link. Only what has been in quarantine is saved; a
-single crash mostly says nothing of what the target was serving.
+saved, all VMs learn again when they link. It is what a VM that links is told, so single
+crashes are in it: they add up to a quarantine over restarts.
 """
 
 from typing import NamedTuple
@@ -26,8 +26,6 @@
 SOURCE = "disk"
 # Until a disk that refused a write is tried again.
 RETRY_MS = 2000
-# The newest ones; a document has no more.
-MAX_REPORTS = 1024
 EVIDENCE = (PromptBroke, PartsServed, RequestsCrashed, RequestsAnswered)
 
 logger = get_logger("evidence")
@@ -58,7 +56,6 @@
         self.has_changed = False
         self.not_before = clock.now()
         self.load()
-        self.saved = self.proven_crashes()
         fleet.listeners.append(self.handle_change)
 
     def load(self):
@@ -80,20 +77,12 @@
         if isinstance(message, EVIDENCE):
             self.has_changed = True
 
-    def proven_crashes(self):
-        """Return what to save: the crashes, with their keys, of each quarantine."""
-        fleet = self.fleet
-        return fleet.part_quarantine.proven(), fleet.request_quarantine.proven()
-
     def save(self):
-        """Save the evidence if what is to be saved has changed."""
+        """Save the evidence if it has changed."""
         if not self.has_changed or self.clock.now() < self.not_before:
             return
         self.has_changed = False
-        crashes = self.proven_crashes()
-        if crashes == self.saved:
-            return
-        reports = tuple(self.fleet.make_crash_reports(*crashes))[-MAX_REPORTS:]
+        reports = tuple(self.fleet.crash_reports())
         document = SavedEvidence(self.clock.wall_time(), reports)
         try:
             self.run(write_evidence, self.disk, document)
@@ -102,7 +91,6 @@
             self.not_before = self.clock.now() + RETRY_MS
             logger.error("evidence not saved", extra={"problem": str(error)})
             return
-        self.saved = crashes
         logger.info("evidence saved", extra={"reports": len(reports)})
 
     def close(self):
--- a/pollenmount/fleet/fleet.py
+++ b/pollenmount/fleet/fleet.py
@@ -40,9 +40,12 @@
 from pollenmount.fleet.targets import TargetTable
 from pollenmount.log import get_logger
 
-__all__ = ["Belief", "Fleet"]
+__all__ = ["MAX_REPORTED_KEYS", "Belief", "Fleet"]
 
 CAPACITY_RETENTION_MS = 5000
+# Keys of a kind, of which a VM without evidence is told. Each has up to eight crashes,
+# and a new link takes some 4,000 messages in one turn.
+MAX_REPORTED_KEYS = 200
 
 logger = get_logger("fleet")
 
@@ -328,14 +331,12 @@
 
     def crash_reports(self):
         """Yield the evidence on what crashes targets, for a VM that has none yet."""
-        parts = self.part_quarantine.by_crash()
-        yield from self.make_crash_reports(parts, self.request_quarantine.by_crash())
-
-    def make_crash_reports(self, parts, digests):
-        """Yield the messages on crashes: of `parts`, and of `digests`, by `Crash`."""
         now = self.clock.now()
-        for message, by_crash in ((PromptBroke, parts), (RequestsCrashed, digests)):
-            for crash, keys in by_crash.items():
+        for message, quarantine in (
+            (PromptBroke, self.part_quarantine),
+            (RequestsCrashed, self.request_quarantine),
+        ):
+            for crash, keys in quarantine.by_crash(MAX_REPORTED_KEYS).items():
                 yield message(*crash[:3], tuple(keys), now - crash.at, crash.late)
 
     def region_of(self, failure_domain):
--- a/pollenmount/gateway/roles/control.py
+++ b/pollenmount/gateway/roles/control.py
@@ -19,7 +19,7 @@
 
 SWEEP_INTERVAL_MS = 300
 EVIDENCE_FOLDER = "evidence"
-EVIDENCE_INTERVAL_MS = 100
+EVIDENCE_INTERVAL_MS = 500
 # A heartbeat may be somewhat late; a target that restarted has missed one.
 OVERDUE_HEARTBEATS = 1.5
 MISSED_HEARTBEATS = 3.5
