Tell other VMs when an attempt tries what was in quarantine

Change: a trial begins when an attempt is sent, and all VMs are told (TrialBegan); they wait for 2 s. It ends 2 s after the attempt, or at once if that was not sent. The turns are drawn with BLAKE2.

--- a/pollenmount/crashes/trial_turns.py
+++ b/pollenmount/crashes/trial_turns.py
@@ -5,17 +5,20 @@
 a time of its own, and one attempt at a time, until the evidence is cleared or renewed.
 """
 
-import zlib
+import hashlib
 from typing import NamedTuple
 
 __all__ = ["TrialTurns"]
 
-# Within this time from its start, an attempt has mostly crashed its target or has not.
+# Within this time after its end, an attempt has mostly crashed its target or has not.
 TRIAL_MS = 2000
+# An attempt that takes longer may be a long stream.
+MAX_TRIAL_MS = 10_000
 # What was mended would be out of service for too long in a large fleet.
 MAX_SPREAD_MS = 60_000
 MAX_TRIALS = 1024
-HASH_RANGE = 1 << 32
+HASH_BYTES = 8
+HASH_RANGE = 1 << (8 * HASH_BYTES)
 
 
 class Trial(NamedTuple):
@@ -44,16 +47,15 @@
         It is 0 if none of them was ever in quarantine, and if it is the call's turn to
         try those that were.
         """
-        proven = [key for key in keys if self.quarantine.is_proven(key)]
-        left_ms = max((self.key_left_ms(key, call_id) for key in proven), default=0)
-        if proven and not left_ms:
-            self.start(proven, call_id)
-        return left_ms
+        return max((self.key_left_ms(key, call_id) for key in keys), default=0)
 
     def key_left_ms(self, key, call_id):
         """Return until when one key is not tried by a call, as a time from now."""
+        ends_at = self.quarantine.ends_at(key)
+        if ends_at is None:
+            return 0
         now = self.clock.now()
-        begins_at = self.quarantine.ends_at(key) + self.delay_ms(key)
+        begins_at = ends_at + self.delay_ms(key)
         if now < begins_at:
             return begins_at - now
         trial = self.trials.get(key)
@@ -65,15 +67,35 @@
         """Return how long after the end of a quarantine the turn of this VM begins."""
         spread_ms = min(MAX_SPREAD_MS, TRIAL_MS * (self.count_vms() - 1))
         crashes = self.quarantine.known_crashes((key,))
-        drawn = zlib.crc32(f"{self.name} {key} {crashes}".encode())
-        return spread_ms * drawn // HASH_RANGE
+        text = f"{self.name} {key} {crashes}".encode()
+        drawn = hashlib.blake2b(text, digest_size=HASH_BYTES).digest()
+        return spread_ms * int.from_bytes(drawn) // HASH_RANGE
 
     def start(self, keys, call_id):
-        """Let a call try keys, and others wait for it for a while."""
+        """Let an attempt of a call try keys; others wait for its end.
+
+        Return those of the keys that were in quarantine.
+        """
         now = self.clock.now()
         if len(self.trials) >= MAX_TRIALS:
             self.trials = {k: t for k, t in self.trials.items() if now < t.until}
+        tried = tuple(key for key in keys if self.quarantine.is_proven(key))
+        for key in tried:
+            self.trials[key] = Trial(call_id, now + MAX_TRIAL_MS)
+        return tried
+
+    def hold(self, keys, call_id):
+        """Let a call of another VM try keys for a while."""
+        until = self.clock.now() + TRIAL_MS
+        for key in keys:
+            trial = self.trials.get(key)
+            if trial is None or trial.until < until:
+                self.trials[key] = Trial(call_id, until)
+
+    def end(self, keys, call_id, was_sent):
+        """Let others try keys: a while after the end of an attempt that was sent."""
         for key in keys:
-            known = self.trials.get(key)
-            if known is None or known.call_id != call_id or now >= known.until:
-                self.trials[key] = Trial(call_id, now + TRIAL_MS)
+            trial = self.trials.get(key)
+            if trial is not None and trial.call_id == call_id:
+                until = self.clock.now() + (TRIAL_MS if was_sent else 0)
+                self.trials[key] = trial._replace(until=until)
--- a/pollenmount/fleet/fleet.py
+++ b/pollenmount/fleet/fleet.py
@@ -5,6 +5,7 @@
 
 from pollenmount import task
 from pollenmount.crashes.quarantine import Crash, PartQuarantine, RequestQuarantine
+from pollenmount.crashes.recent_keys import RecentKeys
 from pollenmount.crashes.repeated_lines import RepeatedLines
 from pollenmount.documents import UnreadableDocumentError, decompress
 from pollenmount.fleet.channel import ChannelError
@@ -35,6 +36,7 @@
     TargetRefused,
     TargetSeen,
     TargetSilent,
+    TrialBegan,
 )
 from pollenmount.fleet.stream_origins import RequestOrigins, StreamOrigin, StreamOrigins
 from pollenmount.fleet.targets import TargetTable
@@ -43,6 +45,8 @@
 __all__ = ["MAX_REPORTED_KEYS", "Belief", "Fleet"]
 
 CAPACITY_RETENTION_MS = 5000
+MAX_TRIALS = 2048
+TRIAL_TTL_MS = 60_000
 # Keys of a kind, of which a VM without evidence is told. Each has up to eight crashes,
 # and a new link takes some 4,000 messages in one turn.
 MAX_REPORTED_KEYS = 200
@@ -72,8 +76,9 @@
     None before the first report, and `quorums`, whether each linked control VM is in
     touch with the log's leader. `capacity_rows` are the rows by source, which a control
     VM has from others. `regions` maps failure domains to regions. `quotas` receives the
-    levels of accounts on an entry VM, and is None elsewhere. `crash_lines` bounds the
-    lines on evidence of crashes.
+    levels of accounts on an entry VM, and is None elsewhere. `trials` has the calls
+    that tried what was in quarantine lately, and `crash_lines` bounds the lines on
+    evidence of crashes.
     """
 
     def __init__(self, clock, store, regions, is_control=False):
@@ -85,6 +90,7 @@
         self.members = MemberTable(clock, self.notify)
         self.part_quarantine = PartQuarantine(clock)
         self.request_quarantine = RequestQuarantine(clock)
+        self.trials = RecentKeys(clock, MAX_TRIALS, TRIAL_TTL_MS)
         self.origins = StreamOrigins(clock)
         self.request_origins = RequestOrigins(clock)
         self.freshness = LinkFreshness(clock)
@@ -188,6 +194,12 @@
         if cleared:
             self.notify(RequestsAnswered(cleared, message.survived), source)
 
+    @handle.register
+    def _(self, message: TrialBegan, source):
+        if message.call not in self.trials:
+            self.trials.add(message.call)
+            self.notify(message, source)
+
     @handle.register
     def _(self, message: StreamsBegan, source):
         self.store_streams(message, is_news=False)
--- a/pollenmount/fleet/messages.py
+++ b/pollenmount/fleet/messages.py
@@ -47,6 +47,7 @@
     "TargetRefused",
     "TargetSeen",
     "TargetSilent",
+    "TrialBegan",
     "decode",
     "encode",
 ]
@@ -214,6 +215,17 @@
     survived: bool = False
 
 
+class TrialBegan(Message, frozen=True, array_like=True, tag=True):
+    """An attempt of a call tries what was in quarantine; no other should meanwhile.
+
+    These are parts of its prompt, and the digest of the request.
+    """
+
+    call: str
+    parts: tuple[str, ...]
+    digests: tuple[str, ...]
+
+
 class StreamsBegan(Message, frozen=True, array_like=True, tag=True):
     """Streams with these keys began at a version of a service's software.
 
@@ -355,6 +367,7 @@
     | PartsServed
     | RequestsCrashed
     | RequestsAnswered
+    | TrialBegan
     | StreamsBegan
     | StreamAsked
     | RequestAsked
--- a/pollenmount/fleet/observations.py
+++ b/pollenmount/fleet/observations.py
@@ -12,6 +12,7 @@
     TargetLeaving,
     TargetLimited,
     TargetRefused,
+    TrialBegan,
 )
 
 __all__ = ["OBSERVATIONS", "RESPONSE"]
@@ -26,4 +27,5 @@
     PartsServed,
     RequestsCrashed,
     RequestsAnswered,
+    TrialBegan,
 )
--- a/pollenmount/fleet/session.py
+++ b/pollenmount/fleet/session.py
@@ -19,6 +19,7 @@
     TargetRefused,
     TargetSeen,
     TargetSilent,
+    TrialBegan,
 )
 from pollenmount.fleet.records import CONTROL, ENTRY
 
@@ -97,6 +98,7 @@
 @concerns_entry.register(PartsServed)
 @concerns_entry.register(RequestsCrashed)
 @concerns_entry.register(RequestsAnswered)
+@concerns_entry.register(TrialBegan)
 def _(message, session, fleet):
     return True
 
--- a/pollenmount/gateway/crash_guard.py
+++ b/pollenmount/gateway/crash_guard.py
@@ -10,6 +10,7 @@
     TargetGone,
     TargetLeaving,
     TargetSeen,
+    TrialBegan,
 )
 from pollenmount.fleet.observations import RESPONSE
 from pollenmount.gateway.attempt import NO_CRASH_ERRORS, FailedResponseError
@@ -60,6 +61,9 @@
             self.attempts.handle_crash((message.target, message.born), at)
         elif isinstance(message, TargetSeen):
             self.handle_seen(message.target)
+        elif isinstance(message, TrialBegan) and source != RESPONSE:
+            self.prompt_turns.hold(message.parts, message.call)
+            self.request_turns.hold(message.digests, message.call)
 
     def handle_seen(self, record):
         """Learn from a heartbeat that a target leaves, or has started again."""
@@ -78,6 +82,31 @@
         if not destination.target_id:
             yield
             return
+        with self.trial(call, progress):
+            yield from self.watch_target(call, progress, destination)
+
+    @contextlib.contextmanager
+    def trial(self, call, progress):
+        """Let an attempt be the only one that tries what was in quarantine."""
+        turns = (
+            (self.request_turns, (progress.digest,)),
+            (self.prompt_turns, shared_ids(call.info.prompt)),
+        )
+        was_sent = True
+        digests, parts = (turn.start(keys, call.id) for turn, keys in turns)
+        if parts or digests:
+            self.fleet.handle(TrialBegan(call.id, parts, digests), RESPONSE)
+        try:
+            yield
+        except ExchangeError as error:
+            was_sent = not error.not_run
+            raise
+        finally:
+            for turn, keys in turns:
+                turn.end(keys, call.id, was_sent)
+
+    def watch_target(self, call, progress, destination):
+        """Yield once, while an attempt at a target goes on."""
         attempt = self.attempts.begin(call, progress.digest, destination)
         try:
             yield
