Let prompts try a part that shares all its crashes with a part they lack

Cause: two parts that have all their crashes in common look alike, and both were taken for the cause.

--- a/pollenmount/crashes/quarantine.py
+++ b/pollenmount/crashes/quarantine.py
@@ -38,6 +38,7 @@
 class Quarantine:
     """Evidence by key, in `crashes`: the oldest news first, but for what was kept.
 
+    `keys_of` has all keys that each crash was evidence on, by its identity.
     `cleared_at` is when a key was last found to be survived; what came before that is
     no news, such as that of a VM that was cut off meanwhile.
 
@@ -53,9 +54,11 @@
         self.evidence_ttl_ms = max(self.durations_ms.values()) + EXTRA_TTL_MS
         self.crashes = collections.OrderedDict()
         self.cleared_at = collections.OrderedDict()
+        self.keys_of = collections.OrderedDict()
 
     def record(self, crash, keys):
         """Add a crash to the evidence on each key; return whether any of it is news."""
+        self.note_keys(crash, keys)
         is_news = [self.add(key, crash) for key in keys]
         return any(is_news)
 
@@ -87,6 +90,24 @@
             else:
                 self.crashes.pop(oldest, None)
 
+    def note_keys(self, crash, keys):
+        """Note which keys a crash is evidence on, for a bounded number of crashes."""
+        identity = self.identity(crash)
+        known = self.keys_of.pop(identity, frozenset())
+        self.keys_of[identity] = known | {*keys}
+        if len(self.keys_of) > MAX_KEYS:
+            self.keys_of.popitem(last=False)
+
+    def may_be_another(self, key, present):
+        """Return whether a key not in `present` may have caused all crashes of `key`.
+
+        Then what has the keys in `present` is mostly sound, and can prove it.
+        """
+        known = self.evidence(key)
+        groups = [self.keys_of.get(self.identity(crash), {key}) for crash in known]
+        common = frozenset.intersection(*map(frozenset, groups)) if groups else ()
+        return any(other not in present and self.evidence(other) for other in common)
+
     def clear(self, keys, survived=True):
         """Drop the evidence on keys that were served; return those that had any.
 
