Keep to the refusals for want of room that targets say they bear

Cause: the platform's targets at times name in all responses how many requests a second they can refuse for want of room, and may fail above that. Nothing read it. VMs with a view of the load that is up to half a second old send together to a target whose queue has become shorter, and again after each refusal.

Change: the adapter decodes the number into `ResponseInfo.max_refusals_per_s` (NaN for junk, which neither sets nor ends it). `refusal_limits.py` keeps it by service and target. Each VM keeps to its share by the number of entry VMs of the region: refusals of the last second, and attempts without a response that were sent while the target seemed full, stay within it. With a share under one a VM tries a full target once in a while. New `Obstacle.REFUSALS`, log lines when the targets of a service begin and end to name a number, `pollenmount_target_refusals_total`. A service's limit ends by target, so that one target that never names it does not end it for the others; what no other target has named for 2 s ends as well.

--- a/pollenmount/gateway/dialect.py
+++ b/pollenmount/gateway/dialect.py
@@ -102,8 +102,9 @@
     is present, and `not_run` whether the target reports that it did not run the
     request. `leaving` tells that the target is about to end, and `retry_after_s` how
     long it wants no requests: None if it doesn't say, NaN if that is unreadable.
-    `limit_per_s` is how many requests a second it takes from all VMs together, in the
-    same manner.
+    `limit_per_s` is how many requests a second it takes from all VMs together, and
+    `max_refusals_per_s` how many a second it can refuse for want of room, in the same
+    manner.
     `headers` are passed on, also those with what the target says of itself: the
     response stays the target's.
     """
@@ -115,6 +116,7 @@
     retry_after_s: float | None
     headers: tuple[tuple[str, str], ...]
     limit_per_s: float | None = None
+    max_refusals_per_s: float | None = None
 
 
 class ControlRequestKind(StrEnum):
--- a/pollenmount/gateway/dispatch.py
+++ b/pollenmount/gateway/dispatch.py
@@ -251,14 +251,17 @@
         prompt = call.info.prompt
         tokens = self.uncached_tokens(destination, prompt)
         is_stream = prompt is not None and is_long_stream(prompt)
+        # Its own load is no part of the load at which it is sent.
+        waiting = self.context.track_refusal(call, destination)
         tracked = self.context.loads.track(destination.name, tokens, is_stream)
-        with tracked as end_prefill:
+        with waiting as end_wait, tracked as end_prefill:
             observer = CallObserver(
                 self,
                 progress,
                 destination,
                 call,
                 end_prefill=end_prefill,
+                end_wait=end_wait,
                 sent_at=sent_at,
                 expected_at=sent_at + expected_ms,
                 may_hop=may_hop,
--- a/pollenmount/gateway/metrics.py
+++ b/pollenmount/gateway/metrics.py
@@ -53,6 +53,12 @@
             ("service",),
             registry=self.registry,
         )
+        self.target_refusals = Counter(
+            "pollenmount_target_refusals_total",
+            "Requests of this VM that a target refused for want of room",
+            ("service",),
+            registry=self.registry,
+        )
         self.quarantined = Counter(
             "pollenmount_prompts_refused_total",
             "Calls refused because a part of their prompt is in quarantine",
--- a/pollenmount/gateway/progress.py
+++ b/pollenmount/gateway/progress.py
@@ -6,6 +6,7 @@
     is_success,
 )
 from pollenmount.gateway.call import digest_request
+from pollenmount.gateway.target_notices import is_refused_for_room
 
 __all__ = ["CallObserver", "Progress"]
 
@@ -109,6 +110,7 @@
         call,
         *,
         end_prefill,
+        end_wait,
         sent_at,
         expected_at,
         may_hop,
@@ -118,6 +120,7 @@
         self.destination = destination
         self.call = call
         self.end_prefill = end_prefill
+        self.end_wait = end_wait
         self.sent_at = sent_at
         self.expected_at = expected_at
         self.may_hop = may_hop
@@ -140,6 +143,8 @@
         """Handle what the target says of itself, before the body arrives."""
         notices = self.dispatcher.context.notices
         notices.handle_head(self.call, self.destination, status, info, self.sent_at)
+        now = self.dispatcher.clock.now()
+        self.end_wait(is_refused_for_room(self.call, status, info, now))
         self.progress.head_arrived = is_success(status) and not info.not_run
 
     def on_chunk(self):
--- a/pollenmount/gateway/roles/entry.py
+++ b/pollenmount/gateway/roles/entry.py
@@ -17,6 +17,7 @@
 from pollenmount.gateway.load import LoadTracker
 from pollenmount.gateway.lost_regions import RECORD_INTERVAL_MS
 from pollenmount.gateway.rate_limiter import RateLimiter
+from pollenmount.gateway.refusal_limits import RefusalLimits
 from pollenmount.gateway.replies import empty_reply
 from pollenmount.gateway.retry_policy import make_budget
 from pollenmount.gateway.routing_context import RoutingContext
@@ -61,6 +62,7 @@
         buffer_bytes = node.memory.limits.socket_buffer_bytes
         pool = node.manage(ConnectionPool(clock, receive_buffer_bytes=buffer_bytes))
         pauses = TargetPauses(clock)
+        refusals = RefusalLimits(clock)
         paths = TargetPaths(settings, node.fleet, clock, pool, node.metrics)
         self.context = RoutingContext(
             settings,
@@ -74,8 +76,9 @@
             pool=pool,
             lags=LagTracker(clock),
             pauses=pauses,
+            refusals=refusals,
             paths=paths,
-            notices=TargetNotices(node.fleet, pool, pauses, node.metrics),
+            notices=TargetNotices(node.fleet, pool, pauses, refusals, node.metrics),
             resumption=StreamResumption(node.fleet, clock),
             guard=CrashGuard(
                 node.fleet, clock, node.metrics, CrashProbe(pool), settings.name
--- a/pollenmount/gateway/routing_context.py
+++ b/pollenmount/gateway/routing_context.py
@@ -1,6 +1,7 @@
 """Collects the options for a routing decision from the tables of this VM."""
 
 import collections
+import contextlib
 import itertools
 import random
 from enum import StrEnum
@@ -17,6 +18,7 @@
 from pollenmount.gateway.choosers.expected_time import expected_ms, would_stall_streams
 from pollenmount.gateway.lost_regions import LostRegions
 from pollenmount.gateway.rate_limiter import RateLimit
+from pollenmount.gateway.refusal_limits import TargetRoom, ignore_head
 from pollenmount.gateway.region_choice import SPREADING_CHOOSER, typical_option
 from pollenmount.gateway.stream_separation import StreamSeparation
 
@@ -48,6 +50,7 @@
     UNKNOWN_SERVICE = "unknown_service"
     RATE = "rate"
     CONNECTIONS = "connections"
+    REFUSALS = "refusals"
     FULL = "full"
 
 
@@ -74,6 +77,7 @@
         self.pool = trackers["pool"]
         self.lags = trackers["lags"]
         self.pauses = trackers["pauses"]
+        self.refusals = trackers["refusals"]
         self.notices = trackers["notices"]
         self.paths = trackers["paths"]
         self.guard = trackers["guard"]
@@ -274,6 +278,7 @@
         self.breakers.forget(id_)
         self.lags.forget(id_)
         self.pauses.forget(id_)
+        self.refusals.forget(id_)
 
     def may_send(self, target, sharers):
         """Return whether this VM may send a request to a target of its region now.
@@ -305,10 +310,43 @@
         if service_limits is None:
             yield Obstacle.UNKNOWN_SERVICE
             return
-        if not self.rates.may_send(record.id, self.rate_limits(target)):
+        yield from self.limit_obstacles(target, service_limits, sharers)
+
+    def limit_obstacles(self, target, service_limits, sharers):
+        """Yield each `Obstacle` that is a limit of a target or of its service."""
+        id_ = target.id
+        if not self.rates.may_send(id_, self.rate_limits(target)):
             yield Obstacle.RATE
-        if not self.has_free_connection(record.id, service_limits, sharers):
+        if not self.has_free_connection(id_, service_limits, sharers):
             yield Obstacle.CONNECTIONS
+        if not self.bears_refusal(target, sharers):
+            yield Obstacle.REFUSALS
+
+    def bears_refusal(self, target, sharers):
+        """Return whether a target bears it if it has no room for a request now."""
+        service = target.record.service
+        if self.refusals.limit_of(service, target.id) is None:
+            return True
+        room = self.room_of(target, sharers)
+        return self.refusals.may_send(service, target.id, room)
+
+    def room_of(self, target, sharers):
+        """Return the `TargetRoom` of a target that so many entry VMs share."""
+        record = target.record
+        requests = self.loads.total_at(record.id).requests
+        return TargetRoom(record.slots or DEFAULT_SLOTS, requests, max(1, sharers))
+
+    def track_refusal(self, call, destination):
+        """Return the context manager that counts an attempt before its response.
+
+        It gives a function to call with whether the target refuses for want of room.
+        """
+        target = self.fleet.targets.by_id.get(destination.target_id)
+        if target is None:
+            return contextlib.nullcontext(ignore_head)
+        entries = self.fleet.entry_counter.entries(self.settings.region)
+        room = self.room_of(target, entries)
+        return self.refusals.track(call.service, target.id, room)
 
     def count_obstacles(self, call, tried, version=None):
         """Return how many targets of the region each `Obstacle` keeps from a call.
--- a/pollenmount/gateway/target_notices.py
+++ b/pollenmount/gateway/target_notices.py
@@ -13,7 +13,7 @@
 from pollenmount.log import get_logger
 from pollenmount.wire.errors import ConnectRefusedError
 
-__all__ = ["TargetNotices"]
+__all__ = ["TargetNotices", "is_refused_for_room"]
 
 MISDIRECTED_REQUEST = 421
 UNAVAILABLE = 503
@@ -32,10 +32,11 @@
     `warned` has the warnings that were logged, with the target's id and incarnation.
     """
 
-    def __init__(self, fleet, pool, pauses, metrics):
+    def __init__(self, fleet, pool, pauses, refusals, metrics):
         self.fleet = fleet
         self.pool = pool
         self.pauses = pauses
+        self.refusals = refusals
         self.metrics = metrics
         self.warned = set()
         fleet.listeners.append(self.handle_change)
@@ -53,6 +54,22 @@
             self.handle_pause(call, destination, info.retry_after_s)
         if status != MISDIRECTED_REQUEST:
             self.handle_limit(call, destination, info.limit_per_s, sent_at)
+            self.handle_refusal_limit(call, destination, info, sent_at)
+        if is_refused_for_room(call, status, info, self.fleet.clock.now()):
+            self.metrics.target_refusals.labels(call.service).inc()
+
+    def handle_refusal_limit(self, call, destination, info, sent_at):
+        """Keep how many refusals a second a target bears, or that it names no limit.
+
+        A number that is not valid says neither.
+        """
+        per_s, id_ = info.max_refusals_per_s, destination.target_id
+        if per_s is None:
+            self.refusals.record_unnamed(call.service, id_, sent_at, call.id)
+        elif math.isfinite(per_s) and per_s >= 0:
+            self.refusals.record_named(call.service, id_, per_s, call.id)
+        else:
+            self.warn_once("refusal limit out of range", destination, per_s=str(per_s))
 
     def handle_failure(self, destination, error):
         """Tell all VMs of a target that refused a connection: it may have crashed.
@@ -174,6 +191,14 @@
         logger.warning(warning, extra={"target": id_, "born": born, **fields})
 
 
+def is_refused_for_room(call, status, info, now):
+    """Return whether a target says that it had no room to run a request.
+
+    After the deadline, it says the same of one that has waited there for too long.
+    """
+    return status == UNAVAILABLE and info.not_run and now < call.deadline
+
+
 def is_in_range(seconds):
     """Return whether a pause is a number from 0 to the longest one that is kept."""
     return not math.isnan(seconds) and 0 <= seconds * MS_PER_S <= MAX_PAUSE_MS
--- a/tests/gateway_harness.py
+++ b/tests/gateway_harness.py
@@ -33,6 +33,7 @@
 from pollenmount.gateway.metrics import GatewayMetrics
 from pollenmount.gateway.progress import Progress
 from pollenmount.gateway.rate_limiter import RateLimiter
+from pollenmount.gateway.refusal_limits import RefusalLimits
 from pollenmount.gateway.routing_context import LEARNING_MS, RoutingContext
 from pollenmount.gateway.settings import Bounds, GatewaySettings, Listen
 from pollenmount.gateway.stream_resumption import StreamResumption
@@ -101,6 +102,7 @@
     clock = fleet.clock
     pool = ConnectionPool(clock)
     pauses = TargetPauses(clock)
+    refusals = RefusalLimits(clock)
     paths = TargetPaths(settings, fleet, clock, pool, metrics, spawn=task.run_logged)
     return RoutingContext(
         settings,
@@ -114,8 +116,9 @@
         pool=pool,
         lags=LagTracker(clock),
         pauses=pauses,
+        refusals=refusals,
         paths=paths,
-        notices=TargetNotices(fleet, pool, pauses, metrics),
+        notices=TargetNotices(fleet, pool, pauses, refusals, metrics),
         resumption=StreamResumption(fleet, clock),
         guard=CrashGuard(
             fleet, clock, metrics, CrashProbe(pool, spawn=ignore), settings.name
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -1,6 +1,7 @@
 """The adapter translates the platform's protocol into the gateway's types and back."""
 
 import json
+import math
 import sys
 from pathlib import Path
 
@@ -252,6 +253,24 @@
     ]
 
 
+# A limit in other words than the platform's is not kept to, or junk sets or ends one.
+@pytest.mark.parametrize(
+    ("value", "expected"),
+    [(None, None), ("8", 8.0), (" 2.5 ", 2.5), ("0", 0.0), ("-1", -1.0)],
+)
+def test_how_many_refusals_a_target_bears_is_decoded(value, expected):
+    headers = () if value is None else (("Server-Brittle", value),)
+    info = DIALECT.read_response(HttpResponseHead(200, headers, False))
+    assert info.max_refusals_per_s == expected
+
+
+# Junk that is taken for no limit would end the one that the target has named.
+@pytest.mark.parametrize("value", ["many", "nan", "inf", "1e3", "0x2", "8, 9"])
+def test_junk_for_the_refusals_that_a_target_bears_is_told_from_none(value):
+    head = HttpResponseHead(200, (("Server-Brittle", value),), False)
+    assert math.isnan(DIALECT.read_response(head).max_refusals_per_s)
+
+
 def test_the_settings_template_has_the_settings_keys():
     text = (Path(__file__).parent.parent / "deploy/settings.json.template").read_text()
     from pollenmount.gateway.settings import Bounds, Document, Listen
