Outlast a target that is silent for a second and a half

Callers saw: 502 "no target can take it" for requests that may be repeated and for streams that may be resumed, though their target was sound and went on after 1.0 to 1.5 s: it had not read the rest of a large body (a busy or stopped process), or acknowledged nothing (a silent path).

Cause: TCP_USER_TIMEOUT_MS was 1000. Before a retry is reserved, which takes place after 1500 ms, an attempt that may be repeated is left to TCP without a look at whether there is anything to replace it: no other target, or no budget, and the answer was lost. Linux ends data that nobody acknowledges after that time, and so a peer whose window stays closed, acknowledged probes or not.

Ruled out: keepalive probes. They end a waiting connection 2 s after the last reception, with the old value and the new one; by then a retry is reserved or the time-out is longer.

Change: 1800 ms. A lost path with data on the way is noticed 0.8 s later than before, without data on the way after 2 s as before.

--- a/pollenmount/gateway/retry_policy.py
+++ b/pollenmount/gateway/retry_policy.py
@@ -14,7 +14,8 @@
 __all__ = ["RESERVE_AFTER_MS", "RetryPolicy", "make_budget", "may_have_arrived"]
 
 MAX_SENDS = 5
-# TCP gives up a peer after 2 s without data and without replies to keepalive probes.
+# TCP gives up a peer that acknowledges nothing for 1.8 s, or nothing of which arrives,
+# no reply to a keepalive probe either, for 2 s.
 RESERVE_AFTER_MS = 1500
 MIN_REMAINING_MS = 30
 
--- a/pollenmount/wire/connection.py
+++ b/pollenmount/wire/connection.py
@@ -42,8 +42,8 @@
 MAX_CHUNKS_PER_TURN = 64
 MAX_INLINE_SEND_BYTES = 8192
 # Data unacknowledged for this long means that the peer or the path to it is down. It is
-# also the time-out of keepalive probes, and of a peer that doesn't read.
-TCP_USER_TIMEOUT_MS = 1000
+# also the time-out of a peer that doesn't read. A sound one may be silent for 1.5 s.
+TCP_USER_TIMEOUT_MS = 1800
 # Well before that time-out can end a connection.
 STALL_INTERVAL_MS = 500
 KEEPALIVE_IDLE_S = 1
