Let attempts that were under way not lengthen the time of a breaker

Callers saw: a sole target whose path brought nothing for 1250 or 1500 ms while connections were opened was refused to callers for 1.4 or 1.1 s more, though it took connections again.

Cause: an attempt that had begun before the breaker opened, and failed after it, counted as a failed probe and doubled the time. The doubling is for probes, as the module says.

Change: a failure counts for a breaker that has opened only if its attempt started at the last counted failure or later. Gateway and own interface.

Not changed: a connection that can't be made within 400 ms fails, so a sole target that takes none costs its callers a truthful 503 meanwhile.

--- a/pollenmount/circuit_breakers.py
+++ b/pollenmount/circuit_breakers.py
@@ -32,12 +32,16 @@
 
 
 class Breaker(NamedTuple):
-    """Consecutive failures of one incarnation, and until when nothing is sent to it."""
+    """Consecutive failures of one incarnation, and until when nothing is sent to it.
+
+    `failed_at` is when the last one was counted.
+    """
 
     failures: int
     open_until: int
     updated_at: int
     incarnation: object
+    failed_at: int = 0
 
     @property
     def is_half_open(self):
@@ -93,17 +97,21 @@
         if breaker is not None and breaker.is_half_open:
             self.by_name[name] = breaker._replace(open_until=self.clock.now())
 
-    def record_failure(self, name, incarnation=None, open_now=False):
+    def record_failure(self, name, incarnation=None, open_now=False, started_at=None):
         """Record a failure; return whether it opened the breaker.
 
         `open_now` opens it at the first failure; it is for failures to connect, and for
-        refusals that certainly ran nothing.
+        refusals that certainly ran nothing. One of an attempt that had `started_at`
+        before the last failure is no news of a target whose breaker has opened.
         """
         known = self.get(name, incarnation)
+        if started_at is not None and is_outdated(known, started_at):
+            return False
         failures = known.failures + 1 if known else 1
         if open_now:
             failures = max(failures, FAILURE_THRESHOLD)
-        breaker = Breaker(failures, 0, self.clock.now(), incarnation)
+        now = self.clock.now()
+        breaker = Breaker(failures, 0, now, incarnation, now)
         self.store(name, breaker)
         if breaker.is_half_open:
             exponent = min(failures - FAILURE_THRESHOLD, MAX_EXPONENT)
@@ -159,3 +167,10 @@
             min(self.by_name, key=lambda n: self.by_name[n].updated_at)
         ]:
             del self.by_name[name]
+
+
+def is_outdated(breaker, started_at):
+    """Return whether a breaker had opened already when an attempt under way failed."""
+    return (
+        breaker is not None and breaker.is_half_open and started_at < breaker.failed_at
+    )
--- a/pollenmount/gateway/dispatch.py
+++ b/pollenmount/gateway/dispatch.py
@@ -247,7 +247,7 @@
     def run_attempt(self, call, progress, destination, expected_ms, may_hop=True):
         """Yield the head and body of the response to one attempt."""
         self.record_start(call, progress, destination, expected_ms)
-        sent_at = self.clock.now()
+        sent_at = progress.sent_at
         prompt = call.info.prompt
         tokens = self.uncached_tokens(destination, prompt)
         is_stream = prompt is not None and is_long_stream(prompt)
@@ -313,6 +313,7 @@
             # A hop is counted by the VM that receives it and sends it to a target.
             self.retries.budget.record_request(call.service)
         progress.sends += 1
+        progress.sent_at = self.clock.now()
         progress.belief = self.context.fleet.belief()
         progress.head_arrived = progress.event_arrived = False
         progress.remaining_ms = progress.crashed = None
@@ -354,12 +355,12 @@
             progress.failed_response = error.response
         elif isinstance(error, PeerNotReadyError):
             breakers.record_failure(
-                destination.name, destination.incarnation, open_now=True
+                destination.name, destination.incarnation, True, progress.sent_at
             )
         elif not isinstance(
             error, NotRunError | HopRefusedError | ResponseTimeoutError | NoRoomError
         ):
-            self.record_broken_attempt(destination, error)
+            self.record_broken_attempt(destination, error, progress.sent_at)
         if not error.not_run:
             progress.runs += 1
             progress.may_have_run = progress.may_have_run or not is_denial(error)
@@ -372,19 +373,19 @@
         progress.failures.append(AttemptFailure(str(error), error.not_run))
         log_failed_attempt(call, progress, destination, error, self.clock.now())
 
-    def record_broken_attempt(self, destination, error):
+    def record_broken_attempt(self, destination, error, sent_at):
         """Count an attempt without a response against its target, VM and region."""
         breakers = self.context.breakers
         is_unreachable = isinstance(error, ConnectError | PeerUnreachableError)
         breakers.record_failure(
-            destination.name, destination.incarnation, is_unreachable
+            destination.name, destination.incarnation, is_unreachable, sent_at
         )
         if not is_unreachable:
             return
         if destination.target_id:
             self.context.paths.record_failure(destination.target_id)
         # Several in a row mean that the network to the region is down.
-        elif breakers.record_failure(destination.region):
+        elif breakers.record_failure(destination.region, started_at=sent_at):
             logger.warning("region lost", extra={"ran_in": destination.region})
 
     def record_refused_hop(self, call, progress, destination, error):
--- a/pollenmount/gateway/progress.py
+++ b/pollenmount/gateway/progress.py
@@ -17,6 +17,7 @@
     `overload` the `Overload` it was refused for, None if it was not. `stays` is whether
     it was deferred for a target of this region, so that it leaves only if that fails.
     `obstacles` has how many targets each `Obstacle` kept from it, None if one took it.
+    `sent_at` is when the last attempt started.
     `sends` counts all attempts, `runs` those that may have run on a target.
     `may_have_run` is whether any of those ended otherwise than by a response whose
     status denies it. `tried`
@@ -54,6 +55,7 @@
         self.versions = []
         self.runs = 0
         self.sends = 0
+        self.sent_at = None
         self.is_admitted = False
         self.overload = None
         self.stays = False
--- a/pollenmount/routing/attempt.py
+++ b/pollenmount/routing/attempt.py
@@ -146,7 +146,10 @@
             # The call was close to its deadline, so the candidate may be healthy.
             self.breakers.record_abandoned(name)
         else:
-            self.breakers.record_failure(name, open_now=isinstance(error, ConnectError))
+            is_unreachable = isinstance(error, ConnectError)
+            self.breakers.record_failure(
+                name, open_now=is_unreachable, started_at=started_at
+            )
         if isinstance(error, UpstreamTimeoutError):
             self.tracker.record_lateness(latency_name(candidate), waited_ms)
 
--- a/tests/test_short_silences.py
+++ b/tests/test_short_silences.py
@@ -5,6 +5,7 @@
 
 import contextlib
 import itertools
+import time
 
 import eventlet
 import pytest
@@ -25,6 +26,11 @@
 SLOTS = 128
 EVENTS = 3
 RESPONSE = b"y" * 3000
+# Shorter than the time-out of a second attempt to connect.
+PORT_SILENCE_MS = 1250
+# A time-out of connecting, and twice the time for which a breaker opens.
+MAX_REFUSED_LATER_S = 0.8
+REQUEST_INTERVAL_MS = 50
 PATHS = ("/stream/1", "/once/1", "/again/1", "/resumed/1")
 MOMENTS = (
     "before-request",
@@ -189,3 +195,26 @@
     starts = entry.context.guard.attempts.starts.values()
     assert [(s.broken_at, s.crashed_at) for s in starts] == [(None, None)]
     assert not scripted.errors
+
+
+# Guards against a target that is left out, after a short silence, for as long as the
+# silence and more.
+def test_a_target_that_took_no_connections_is_used_again_soon(start):
+    entry, scripted = start(lambda exchange: exchange.send_response(RESPONSE))
+    resumed_at = time.monotonic() + PORT_SILENCE_MS / 1000
+    eventlet.spawn(lose_packets, scripted.listener, PORT_SILENCE_MS)
+    refused_at = []
+
+    def ask_once(number):
+        sent_at = time.monotonic()
+        if not is_whole(ask(entry, f"{number}", "/again/1", b""), "/again/1"):
+            refused_at.append(sent_at)
+
+    threads = []
+    while time.monotonic() < resumed_at + 2 * MAX_REFUSED_LATER_S:
+        threads.append(eventlet.spawn(ask_once, len(threads)))
+        task.sleep(REQUEST_INTERVAL_MS)
+    for thread in threads:
+        thread.wait()
+    assert refused_at
+    assert max(refused_at) - resumed_at < MAX_REFUSED_LATER_S
