--- a/tests/gateway_sockets.py
+++ b/tests/gateway_sockets.py
@@ -1,5 +1,6 @@
 """Test harness: an entry VM that serves callers over sockets, and scripted targets."""
 
+import contextlib
 import ctypes
 import struct
 import sys
@@ -50,10 +51,17 @@
 
     Nothing is acknowledged then, as if the network to this end were cut.
     """
+    with packets_lost(connected_socket):
+        task.sleep(ms)
+
+
+@contextlib.contextmanager
+def packets_lost(connected_socket):
+    """Let the kernel drop all that arrives at a socket while the context lasts."""
     program = ctypes.create_string_buffer(DROP_ALL)
     packed = struct.pack("HL", 1, ctypes.addressof(program))
     connected_socket.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, packed)
-    task.sleep(ms)
+    yield
     connected_socket.setsockopt(socket.SOL_SOCKET, SO_DETACH_FILTER, 0)
 
 
