Take no reset for the end of a response at the own interface

Callers of the own interface, hops between failure domains and operators' commands got a part of a response as the whole of it: one without a length whose target reset the connection (reported by the users: such a 200 while a long upload was still written).

Cause, two: a green socket's `recv_into` returns a reset as an end of file, so any reset of such a response was missed, with and without an upload. And the kernel reports the failure of a connection once: when the sender of a large body got the report, urllib3 passed over the error and read the response, which then ended in order; so also on plain sockets.

Ruled out: that a look at idle connections takes the report here, as it did on routes. A response without a length leaves its connection without a socket as soon as its head is read, and until then either unread data hides the report or the head is missing, an error in itself.

Change: `task.receive_into` waits and reads without hiding resets; a connection keeps the failure of sending on its socket, and the reader raises it in place of an end of file; after an error nothing is read any more.

--- a/pollenmount/task.py
+++ b/pollenmount/task.py
@@ -31,6 +31,7 @@
     "flush_in_background",
     "listen",
     "monkey_patch",
+    "receive_into",
     "run_logged",
     "sleep",
     "socketpair",
@@ -94,6 +95,23 @@
     eventlet.sleep(ms / MS_PER_S)
 
 
+def receive_into(green_socket, buffer):
+    """Wait for bytes; return how many were received, 0 at the end of the stream.
+
+    A reset raises `ConnectionResetError`, which a green socket's own `recv_into` would
+    return as the end of the stream. The socket's time-out raises `TimeoutError`.
+    """
+    while True:
+        with contextlib.suppress(BlockingIOError):
+            return green_socket.fd.recv_into(buffer)
+        eventlet.hubs.trampoline(
+            green_socket.fd,
+            read=True,
+            timeout=green_socket.gettimeout(),
+            timeout_exc=TimeoutError("timed out"),
+        )
+
+
 class SocketReader:
     """Reads one connection with a lasting registration in the event loop.
 
--- a/pollenmount/wire/strict.py
+++ b/pollenmount/wire/strict.py
@@ -3,7 +3,8 @@
 The standard library, and urllib3 on it, read a head or a trailer that is cut off as if
 it were complete, and ignore a framing that they can't read: the body is then empty,
 short, or ends with the connection. They read lines without end, a time-out of theirs
-begins anew with each byte, and an interim response is the response to them.
+begins anew with each byte, and an interim response is the response to them. A reset may
+be the end of a body to them.
 """
 
 import http.client
@@ -31,18 +32,32 @@
 MIN_FINAL_STATUS = 200
 
 
+class SendFailure:
+    """The `error` with which sending on a connection has failed, or None.
+
+    The kernel reports the failure of a connection once. If the sender got the report,
+    the reader sees an end of file.
+    """
+
+    def __init__(self):
+        self.error = None
+
+
 class TimedReader(io.RawIOBase):
     """A raw file of a socket, of which all reads together end in time.
 
     `ends_at` is when they do, None if the socket has no time-out. Other tasks run
-    between reads, also if the peer sends faster than this process reads.
+    between reads, also if the peer sends faster than this process reads. A connection
+    that has failed, also in sending (`failure`), has no end of file, but an error.
     """
 
-    def __init__(self, file, connected_socket, clock):
+    def __init__(self, file, connected_socket, clock, failure):
         super().__init__()
         self.file = file
         self.socket = connected_socket
         self.clock = clock
+        self.failure = failure
+        self.has_failed = False
         self.reads = 0
         self.ends_at = None
         timeout_s = connected_socket.gettimeout()
@@ -58,7 +73,12 @@
         return True
 
     def readinto(self, buffer):
-        """Read into a buffer; raise `TimeoutError` if the time is up."""
+        """Read into a buffer; raise `TimeoutError` if the time is up.
+
+        After an error, which may have been reported for the only time, none is read.
+        """
+        if self.has_failed:
+            raise OSError("cannot read after an error")
         self.reads += 1
         if self.reads % MAX_READS_PER_TURN == 0:
             task.sleep()
@@ -67,7 +87,21 @@
             if remaining_ms <= 0:
                 raise TimeoutError("timed out")
             self.socket.settimeout(remaining_ms / MS_PER_S)
-        return self.file.readinto(buffer)
+        try:
+            return self.receive_into(buffer)
+        except OSError:
+            self.has_failed = True
+            raise
+
+    def receive_into(self, buffer):
+        """Return how many bytes were received, 0 at an orderly end only."""
+        if hasattr(self.socket, "fd"):
+            count = task.receive_into(self.socket, buffer)
+        else:
+            count = self.file.readinto(buffer)
+        if not count and self.failure.error is not None:
+            raise ConnectionResetError("sending has failed") from self.failure.error
+        return count
 
     def close(self):
         """Close the file."""
@@ -112,9 +146,9 @@
     `timer` is the `TimedReader` that it is read by.
     """
 
-    def __init__(self, sock, *args, **options):
-        super().__init__(sock, *args, **options)
-        self.timer = TimedReader(self.fp.detach(), sock, Clock())
+    def __init__(self, sock, failure, **options):
+        super().__init__(sock, **options)
+        self.timer = TimedReader(self.fp.detach(), sock, Clock(), failure)
         self.fp = WholeLines(io.BufferedReader(self.timer))
 
     def begin(self):
@@ -140,9 +174,23 @@
 
 
 class StrictConnection(HTTPConnection):
-    """A connection of urllib3 with strict responses."""
+    """A connection of urllib3 with strict responses.
 
-    response_class = StrictResponse
+    `failure` is that of sending on its present socket.
+    """
+
+    def __init__(self, *args, **options):
+        super().__init__(*args, **options)
+        self.failure = SendFailure()
+
+    def connect(self):
+        """Connect, also if an earlier socket has failed."""
+        self.failure = SendFailure()
+        super().connect()
+
+    def response_class(self, sock, **options):
+        """Return the response on a socket of this connection."""
+        return StrictResponse(sock, self.failure, **options)
 
     def request(self, method, url, **options):
         """Send a request, with the time-out for sending also on a used connection."""
@@ -151,8 +199,15 @@
         super().request(method, url, **options)
 
     def send(self, data):
-        """Send data; of a view, what is still to be sent is no copy."""
-        super().send(memoryview(data) if isinstance(data, bytes) else data)
+        """Send data; of a view, what is still to be sent is no copy.
+
+        urllib3 reads the response also after some of the errors.
+        """
+        try:
+            super().send(memoryview(data) if isinstance(data, bytes) else data)
+        except OSError as error:
+            self.failure.error = error
+            raise
 
 
 class StrictPool(HTTPConnectionPool):
