Accept only the statuses 100 to 599 of responses at the own interface

The own interface, hops between failure domains and operators' commands took a head with a status from 600 to 999, or one that only Python reads as a number (`+200`, `0200`, `2_0_0`), as a response. The users saw such a one (000) reach a client on another system; 000, 099 and two digits were refused here already, and routes refused all of them.

Cause: `http.client` reads the status with `int` and allows 100 to 999.

Change: the status line has to match the pattern of routes.

--- a/pollenmount/wire/connection.py
+++ b/pollenmount/wire/connection.py
@@ -22,6 +22,7 @@
 
 __all__ = [
     "MAX_INLINE_SEND_BYTES",
+    "STATUS_LINE",
     "Connection",
     "HttpResponseHead",
     "connect",
--- a/pollenmount/wire/strict.py
+++ b/pollenmount/wire/strict.py
@@ -17,6 +17,7 @@
 
 from pollenmount import task
 from pollenmount.clock import Clock
+from pollenmount.wire.connection import STATUS_LINE
 from pollenmount.wire.numbers import parse_decimal
 
 __all__ = ["StrictConnection", "make_pool_manager"]
@@ -112,12 +113,14 @@
 class WholeLines:
     """A binary file whose `readline` returns whole lines only, and not too many.
 
-    `lines` and `line_bytes` count those since a part of a body was read.
+    `lines` and `line_bytes` count those since a part of a body was read. `line` is the
+    last one.
     """
 
     def __init__(self, file):
         self.file = file
         self.lines = self.line_bytes = 0
+        self.line = b""
 
     def __getattr__(self, name):
         """Return an attribute of the file."""
@@ -131,6 +134,7 @@
         if self.lines > MAX_LINES_IN_ROW or self.line_bytes > MAX_LINE_BYTES_IN_ROW:
             raise http.client.HTTPException("too many lines that are no body")
         if line.endswith(b"\n") or len(line) == limit:
+            self.line = line
             return line
         raise http.client.RemoteDisconnected("the connection was closed inside a line")
 
@@ -161,6 +165,13 @@
             self.headers = None
         raise http.client.HTTPException("too many interim responses")
 
+    def _read_status(self):
+        """Return version, status (100 to 599) and reason of a head."""
+        status_line = super()._read_status()
+        if not STATUS_LINE.fullmatch(self.fp.line.rstrip(b"\r\n")):
+            raise http.client.BadStatusLine("malformed status line")
+        return status_line
+
     def read_head(self):
         """Read one head, interim or final; raise `HTTPException` if malformed."""
         super().begin()
--- a/tests/test_cut_responses.py
+++ b/tests/test_cut_responses.py
@@ -40,6 +40,11 @@
     *(b"Content-Length: 1\r\nContent-Length: 2", b"Content-Length: "),
     *(b"Transfer-Encoding: gzip", b"Content-Length 14", b" Content-Length: 14"),
 )
+# Not from 100 to 599, or not three digits.
+ODD_STATUSES = (
+    *(b"000", b"099", b"600", b"999", b"20", b"1000"),
+    *(b"+200", b"0200", b"2_0_0", b" 200"),
+)
 
 
 class CuttingServer(socketserver.ThreadingTCPServer):
@@ -132,6 +137,16 @@
     assert read(server, HEAD + framing + b"\r\n\r\n" + BODY) is None
 
 
+# Targets in trouble sent such heads, and callers got them as responses.
+@pytest.mark.parametrize("read", READERS)
+@pytest.mark.parametrize("status", ODD_STATUSES)
+def test_no_response_with_a_status_that_is_none_is_taken(server, read, status):
+    head = COUNTED.replace(b"200", status, 1)
+    assert read(server, head) is None
+    # It must not follow an interim response either.
+    assert read(server, b"HTTP/1.1 100 Continue\r\n\r\n" + head) is None
+
+
 @pytest.mark.parametrize(
     "framing",
     [
