Pass on the parts of a body without a length as they arrive

At the own interface, events of a stream without a length came to callers in blocks of 64 kB or at its end. Since a reset is no end any more, the last block was lost with it, and a stream whose end mark had arrived counted as failed if its target reset the connection then.

Cause: urllib3's `stream` of such a body collects whole blocks, and drops what it has collected when a read fails.

Change: the `stream` of such a response yields what one read brings.

--- a/pollenmount/targets/upstream.py
+++ b/pollenmount/targets/upstream.py
@@ -5,6 +5,7 @@
 """
 
 import contextlib
+import functools
 import socket
 
 import urllib3
@@ -87,7 +88,8 @@
 class Connection(RawTargetConnection):
     """A connection whose responses keep their timer, for time-outs of the body.
 
-    They also tell whether they are the first on the connection (`is_first`).
+    They also tell whether they are the first on the connection (`is_first`). Of a body
+    without a length, their `stream` yields the parts as they arrive.
     """
 
     responses = 0
@@ -98,6 +100,8 @@
         response.timer = response._original_response.timer
         response.is_first = not self.responses
         self.responses += 1
+        if not response.chunked and response.length_remaining is None:
+            response.stream = functools.partial(stream_arrivals, response)
         return response
 
     def close(self):
@@ -106,6 +110,15 @@
         super().close()
 
 
+def stream_arrivals(response, max_bytes, decode_content):
+    """Yield the parts of a body as they arrive.
+
+    urllib3 would hold back up to `max_bytes`, and lose them if the connection is reset.
+    """
+    while part := response.read1(max_bytes, decode_content=decode_content):
+        yield part
+
+
 class Pool(urllib3.HTTPConnectionPool):
     """Connection pool of one address."""
 
--- a/tests/test_reset_responses.py
+++ b/tests/test_reset_responses.py
@@ -10,12 +10,15 @@
 import struct
 import threading
 import time
+import types
 
 import pytest
 from eventlet.green import socket as green_socket
 
 from pollenmount import task
+from pollenmount.clock import Clock
 from pollenmount.commands.base import NodeError, OperatorClient
+from pollenmount.routing.attempt import read_checked
 from pollenmount.targets.upstream import Upstream, UpstreamError, read_body
 from pollenmount.wire import connection as wire_connection
 from pollenmount.wire.connection import encode_head
@@ -33,6 +36,7 @@
 # JSON, so that operators' commands can read it.
 PART = b'{"part": 1}'
 NO_LENGTH = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n" + PART
+END_MARK = b"\n\ndata: [DONE]\n\n"
 COUNTED = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n42"
 
 
@@ -45,7 +49,7 @@
         while data.startswith(b"GET /counted"):
             self.request.sendall(COUNTED)
             data = self.read_head()
-        self.request.sendall(NO_LENGTH)
+        self.request.sendall(self.server.data)
         if self.server.resets:
             time.sleep(SETTLE_MS / MS_PER_S)
             linger = socket.SO_LINGER
@@ -73,6 +77,7 @@
     allow_reuse_address = True
     daemon_threads = True
     resets = True
+    data = NO_LENGTH
 
     def __init__(self, address):
         super().__init__(address, Handler)
@@ -212,3 +217,36 @@
 def test_a_body_that_an_orderly_end_ends_on_a_plain_socket(server, read, size):
     server.resets = False
     assert read(server.address, bytes(size)) == PART
+
+
+# Events of a stream without a length came to callers in blocks of 64 kB, and a reset
+# took those of the last block away.
+@pytest.mark.parametrize("resets", [True, False])
+def test_what_comes_before_the_end_is_passed_on(server, green_sockets, resets):
+    server.resets = resets
+    with contextlib.closing(Upstream()) as upstream:
+        response = upstream.open(server.address, "POST", "/", {}, b"", TIMEOUT_MS)
+        parts = read_body(response)
+        assert next(parts) == PART
+        expected = pytest.raises(UpstreamError) if resets else contextlib.nullcontext()
+        with expected:
+            assert not [*parts]
+
+
+# A stream is complete once its end mark has arrived, whatever ends its connection.
+@pytest.mark.parametrize("is_whole", [True, False])
+def test_a_reset_after_the_end_mark_of_a_stream(server, green_sockets, is_whole):
+    server.data = NO_LENGTH + (END_MARK if is_whole else b"")
+    clock = Clock()
+    call = types.SimpleNamespace(stream=True, deadline=clock.now() + TIMEOUT_MS)
+    attempter = types.SimpleNamespace(clock=clock)
+    with contextlib.closing(Upstream()) as upstream:
+        response = upstream.open(server.address, "POST", "/", {}, b"", TIMEOUT_MS)
+        chunks = read_checked(response, attempter, call, 200)
+        data = next(chunks).data
+        assert data == PART + (END_MARK if is_whole else b"")
+        expected = (
+            contextlib.nullcontext() if is_whole else pytest.raises(UpstreamError)
+        )
+        with expected:
+            assert not [*chunks]
