Show that a target that takes no connections for a while has not crashed

Subject: a target breaks off one request and takes no connections for 1250 ms afterwards; the watch on it looks for 1 s.

With a time-out of connecting taken for a refused connection the test fails.

--- a/tests/test_short_silences.py
+++ b/tests/test_short_silences.py
@@ -5,6 +5,7 @@
 
 import contextlib
 import itertools
+import socket
 import time
 
 import eventlet
@@ -218,3 +219,19 @@
         thread.wait()
     assert refused_at
     assert max(refused_at) - resumed_at < MAX_REFUSED_LATER_S
+
+
+# Guards against a target that counts as crashed because it broke off one request and
+# then took no connections for a short while.
+def test_a_silent_target_that_broke_off_a_request_has_not_crashed(start):
+    def run(exchange):
+        eventlet.spawn(lose_packets, target.listener, PORT_SILENCE_MS)
+        task.sleep(REQUEST_INTERVAL_MS)
+        exchange.connection.shutdown(socket.SHUT_RDWR)
+
+    entry, target = start(run)
+    assert ask(entry, "1", "/once/1", b"").startswith(b"HTTP/1.1 502")
+    task.sleep(PORT_SILENCE_MS)
+    (watched,) = entry.context.guard.attempts.starts.values()
+    assert watched.broken_at is not None
+    assert watched.crashed_at is None
