Break off responses without a length whose target was killed

Cause: the kernel closes the connections of a process that is killed in good order (FIN, no reset) if it has read all that was sent to it. At the edge of an event that is how a whole stream ends. Nothing asked whether the target was still there, though the probe for crashes knows within ms.

Ruled out: resets, and ends inside an event: none looked complete, before or after.

Change: at the end of a response without a length, the sender waits for 10 ms (a process closes its sockets at almost one moment) and asks the probe; if nothing listens any more, and the target had not said that it leaves, the response has broken off: resumable streams go on elsewhere, what may be repeated is, the others are cut or get 502. Responses with a length or in chunks do not wait. Where no connection to the target is kept, the probe opens one.

--- a/pollenmount/crashes/probe.py
+++ b/pollenmount/crashes/probe.py
@@ -12,6 +12,8 @@
 
 # Several round trips within a region.
 CONNECT_TIMEOUT_MS = 100
+# The connections and the port of a process that is killed close at almost one moment.
+SETTLE_MS = 10
 # A process that ends may take as long to close its connections and its port.
 WATCH_MS = 1000
 WATCH_INTERVAL_MS = 20
@@ -83,6 +85,14 @@
             watch.close()
         return False
 
+    def has_ended(self, destination):
+        """Return whether a target has ended as it closed a connection in good order.
+
+        The kernel closes the connections of a process that is killed so.
+        """
+        self.sleep(SETTLE_MS)
+        return self.has_crashed(destination)
+
     def up_since(self, destination):
         """Return since when a connection to a target, which is up, is open, or None."""
         return self.pool.open_since(destination.connection_key)
--- a/pollenmount/gateway/attempt.py
+++ b/pollenmount/gateway/attempt.py
@@ -178,12 +178,17 @@
 
 
 class Sender:
-    """Sends attempts over pooled connections and reads the responses."""
+    """Sends attempts over pooled connections and reads the responses.
 
-    def __init__(self, pool, dialect, clock):
+    `has_ended` returns whether the target at a destination crashed as it closed a
+    connection in good order.
+    """
+
+    def __init__(self, pool, dialect, clock, has_ended):
         self.pool = pool
         self.dialect = dialect
         self.clock = clock
+        self.has_ended = has_ended
 
     def run(self, attempt):
         """Yield a `ResponseHead` and the body, or raise `ExchangeError`.
@@ -270,6 +275,8 @@
         call = attempt.call
         parts = connection.read_body(head, call.method, self.make_remaining_ms(call))
         with contextlib.closing(parts):
+            if not head.is_framed and attempt.destination.target_id:
+                parts = self.check_end(parts, attempt.destination)
             if info.not_run or head.status == MISDIRECTED_REQUEST:
                 discard(parts)
                 raise not_run_error(head.status, info)
@@ -290,6 +297,15 @@
                 length = parse_decimal(head.header("content-length")) or 0
                 yield from self.read_complete(response_head, parts, attempt, length)
 
+    def check_end(self, parts, destination):
+        """Yield a body that ends with its connection; raise if its target has crashed.
+
+        It ends as a whole one would.
+        """
+        yield from parts
+        if self.has_ended(destination):
+            raise ExchangeError("the target ended while it sent the response")
+
     def read_complete(self, head, parts, attempt, length):
         """Yield a response once complete; raise `FailedResponseError` for a failure.
 
--- a/pollenmount/gateway/crash_guard.py
+++ b/pollenmount/gateway/crash_guard.py
@@ -31,6 +31,7 @@
 
     def __init__(self, fleet, clock, metrics, probe, name):
         self.fleet = fleet
+        self.probe = probe
         self.prompts = PromptGuard(fleet, clock, metrics)
         self.evidence = RequestEvidence(fleet, metrics)
         self.requests = RequestGuard(fleet.request_quarantine, self.evidence, clock)
@@ -117,6 +118,10 @@
         known = self.fleet.targets.by_id.get(destination.target_id)
         return known is None or known.record.draining
 
+    def has_ended(self, destination):
+        """Return whether a target crashed as it closed a connection in good order."""
+        return not self.is_leaving(destination) and self.probe.has_ended(destination)
+
     def record_failure(self, call, progress, destination, error):
         """Report a response that broke off as it began, maybe because of its prompt."""
         self.prompts.record_break(call.info.prompt, destination, progress, error)
--- a/pollenmount/gateway/roles/entry.py
+++ b/pollenmount/gateway/roles/entry.py
@@ -93,7 +93,8 @@
         running = RunningClock(clock)
         node.manage(task.PeriodicTask(running.now, READ_INTERVAL_MS))
         node.budget = make_budget(settings, node.fleet, clock, running)
-        sender = Sender(pool, node.dialect, clock)
+        has_ended = self.context.guard.has_ended
+        sender = Sender(pool, node.dialect, clock, has_ended)
         chooser = make_chooser(settings.chooser)
         node.dispatcher = Dispatcher(self.context, chooser, sender, node.budget, clock)
         self.links = node.manage(
--- a/tests/faults/flooded.py
+++ b/tests/faults/flooded.py
@@ -59,7 +59,8 @@
     destination = AttemptDestination("a", address, 1, "west", "a")
     attempt = Attempt(call, destination, "", ResponseObserver())
     try:
-        for part in Sender(ConnectionPool(clock), DIALECT, clock).run(attempt):
+        sender = Sender(ConnectionPool(clock), DIALECT, clock, lambda target: False)
+        for part in sender.run(attempt):
             last = part
     except ExchangeError as error:
         return type(error).__name__
--- a/tests/gateway_sockets.py
+++ b/tests/gateway_sockets.py
@@ -83,7 +83,9 @@
         dialect = FleetDialect()
         self.dispatcher.sleep = task.sleep
         self.context.guard.attempts.probe.spawn = task.spawn
-        self.dispatcher.sender = Sender(self.context.pool, dialect, self.clock)
+        self.dispatcher.sender = Sender(
+            self.context.pool, dialect, self.clock, self.context.guard.has_ended
+        )
         self.metrics = GatewayMetrics()
         self.node = types.SimpleNamespace(
             settings=self.settings,
--- a/tests/scripted_vm.py
+++ b/tests/scripted_vm.py
@@ -1,10 +1,12 @@
 """An entry VM that reads the bytes of scripted responses with the real sender."""
 
+from pollenmount.crashes import probe
 from pollenmount.fleet.messages import TargetLeaving, TargetLimited
 from pollenmount.gateway.attempt import Sender
 from pollenmount.gateway.progress import Progress
 from pollenmount.routes.plan import RetryMode
 from pollenmount.wire import pool as wire_pool
+from pollenmount.wire.errors import ConnectRefusedError
 from tests.gateway_harness import EntryHarness, make_route
 from tests.test_gateway_sender import STAMP, ScriptedConnection
 from tests.test_platform_adapter import DIALECT
@@ -43,7 +45,10 @@
 
 
 class Vm:
-    """An entry VM that reads scripted responses; `opened` are its connections."""
+    """An entry VM that reads scripted responses; `opened` are its connections.
+
+    `ended` are the addresses of targets that refuse the connections of probes.
+    """
 
     def __init__(self, monkeypatch, *targets):
         self.harness = EntryHarness()
@@ -51,7 +56,14 @@
         self.scripts = []
         monkeypatch.setattr(wire_pool, "connect", self.connect)
         harness = self.harness
-        harness.dispatcher.sender = Sender(harness.context.pool, DIALECT, harness.clock)
+        harness.dispatcher.sender = Sender(
+            harness.context.pool,
+            DIALECT,
+            harness.clock,
+            harness.context.guard.has_ended,
+        )
+        monkeypatch.setattr(probe, "connect", self.look)
+        self.ended = set()
         for name in targets:
             harness.add_target(name)
 
@@ -62,6 +74,12 @@
         self.opened.append(connection)
         return connection
 
+    def look(self, address, timeout_ms):
+        """Return a connection of a probe, unless the target at the address ended."""
+        if address in self.ended:
+            raise ConnectRefusedError(f"can't connect to {address}")
+        return LiveConnection([], reset=False)
+
     def progress(self, call):
         """Return the progress of a call that begins."""
         return Progress(call)
