--- a/pollenmount/gateway/crash_guard.py
+++ b/pollenmount/gateway/crash_guard.py
@@ -38,6 +38,7 @@
         self.fleet = fleet
         self.clock = clock
         self.paths = paths
+        self.probe = probe
         self.prompts = PromptGuard(fleet, clock, metrics)
         self.evidence = RequestEvidence(fleet, metrics)
         self.requests = RequestGuard(fleet.request_quarantine, self.evidence, clock)
@@ -156,6 +157,10 @@
         known = self.fleet.targets.by_id.get(destination.target_id)
         return known is None or known.record.draining
 
+    def has_ended(self, destination):
+        """Return whether a target crashed as it closed a connection in good order."""
+        return not self.is_leaving(destination) and self.probe.has_ended(destination)
+
     def record_failure(self, call, progress, destination, error):
         """Report a response that broke off as it began, maybe because of its prompt."""
         self.prompts.record_break(call.info.prompt, destination, progress, error)
--- a/tests/test_short_silences.py
+++ b/tests/test_short_silences.py
@@ -12,6 +12,8 @@
 import pytest
 
 from pollenmount import task
+from pollenmount.gateway import routing_context
+from pollenmount.wire.pool import CONNECT_TIMEOUT_MS
 from tests.gateway_sockets import (
     lose_packets,
     read_stream,
@@ -140,6 +142,8 @@
 def start(network, monkeypatch):
     """Return a function that starts an entry VM and a target with a script."""
     use_green_sockets(monkeypatch)
+    # The VM and its only target share an event loop, so connecting may take long.
+    monkeypatch.setattr(routing_context, "SLOW_CONNECT_MS", CONNECT_TIMEOUT_MS)
     with contextlib.ExitStack() as stack:
 
         def start(run):
