--- a/pollenmount/crashes/quarantine.py
+++ b/pollenmount/crashes/quarantine.py
@@ -38,6 +38,10 @@
 class Quarantine:
     """Evidence by key, in `crashes`: the oldest news first, but for what was kept.
 
+    `keys_of` has all keys that each crash was evidence on, by its identity.
+    `cleared_at` is when a key was last found to be survived; what came before that is
+    no news, such as that of a VM that was cut off meanwhile.
+
     `durations_ms` is how long a key is not served after its last crash, by the number
     of crashes. A target has much that it had begun to answer, or that has just ended,
     so it takes one crash more if any came late.
@@ -49,15 +53,20 @@
         self.clock = clock
         self.evidence_ttl_ms = max(self.durations_ms.values()) + EXTRA_TTL_MS
         self.crashes = collections.OrderedDict()
+        self.cleared_at = collections.OrderedDict()
+        self.keys_of = collections.OrderedDict()
 
     def record(self, crash, keys):
         """Add a crash to the evidence on each key; return whether any of it is news."""
+        self.note_keys(crash, keys)
         is_news = [self.add(key, crash) for key in keys]
         return any(is_news)
 
     def add(self, key, crash):
         """Add a crash to the evidence on one key; return whether it is news."""
         known = self.crashes.get(key, ())
+        if crash.at <= self.cleared_at.get(key, crash.at - 1):
+            return False
         if any(self.is_same(old, crash) for old in known):
             return False
         in_order = sorted((*known, crash), key=lambda known_crash: known_crash.at)
@@ -81,6 +90,24 @@
             else:
                 self.crashes.pop(oldest, None)
 
+    def note_keys(self, crash, keys):
+        """Note which keys a crash is evidence on, for a bounded number of crashes."""
+        identity = self.identity(crash)
+        known = self.keys_of.pop(identity, frozenset())
+        self.keys_of[identity] = known | {*keys}
+        if len(self.keys_of) > MAX_KEYS:
+            self.keys_of.popitem(last=False)
+
+    def may_be_another(self, key, present):
+        """Return whether a key not in `present` may have caused all crashes of `key`.
+
+        Then what has the keys in `present` is mostly sound, and can prove it.
+        """
+        known = self.evidence(key)
+        groups = [self.keys_of.get(self.identity(crash), {key}) for crash in known]
+        common = frozenset.intersection(*map(frozenset, groups)) if groups else ()
+        return any(other not in present and self.evidence(other) for other in common)
+
     def clear(self, keys, survived=True):
         """Drop the evidence on keys that were served; return those that had any.
 
@@ -91,6 +118,8 @@
     def clear_one(self, key, survived):
         """Drop evidence on one key; return whether there was any."""
         known = self.crashes.get(key, ())
+        if known and survived:
+            self.note_cleared(key)
         kept = () if survived else tuple(crash for crash in known if crash.late)
         if kept:
             self.crashes[key] = kept
@@ -98,6 +127,13 @@
             self.crashes.pop(key, None)
         return kept != known
 
+    def note_cleared(self, key):
+        """Note that a target has survived a key, for a bounded number of keys."""
+        self.cleared_at[key] = self.clock.now()
+        self.cleared_at.move_to_end(key)
+        if len(self.cleared_at) > MAX_KEYS:
+            self.cleared_at.popitem(last=False)
+
     def is_suspected(self, keys):
         """Return whether there is evidence on any of the keys."""
         return any(self.evidence(key) for key in keys)
@@ -124,14 +160,15 @@
 
     def key_left_ms(self, key):
         """Return for how long a key is not served, 0 if it is."""
-        if not self.is_proven(key):
-            return 0
-        return max(0, self.ends_at(key) - self.clock.now())
+        ends_at = self.ends_at(key)
+        return 0 if ends_at is None else max(0, ends_at - self.clock.now())
 
     def ends_at(self, key):
-        """Return when the newest quarantine of a key ends, or ended."""
+        """Return when the newest quarantine of a key ends, or ended; None without."""
         known = self.evidence(key)
         count = min(self.count(known), max(self.durations_ms))
+        if count < min(self.durations_ms):
+            return None
         return known[-1].at + self.durations_ms[count]
 
     def is_same(self, known, crash):
@@ -152,26 +189,30 @@
         """Return how many crashes are not of one cause beside the key."""
         raise NotImplementedError
 
-    def by_crash(self):
-        """Return the keys of each `Crash`, for a VM that has no evidence yet."""
-        return self.crashes_of(self.crashes)
-
-    def proven(self):
-        """Return the keys of each `Crash`, of those that have been in quarantine."""
-        return self.crashes_of(key for key in [*self.crashes] if self.is_proven(key))
+    def by_crash(self, max_keys):
+        """Return the keys of each `Crash`, for a VM that has no evidence yet.
 
-    def is_proven(self, key):
-        """Return whether the evidence on a key is enough for a quarantine."""
-        return self.count(self.evidence(key)) >= min(self.durations_ms)
-
-    def crashes_of(self, keys):
-        """Return those of the keys that each `Crash` is evidence on."""
+        Of more than `max_keys` keys it is those with the most crashes, and of these the
+        ones with the newest crashes.
+        """
+        keys = [key for key in [*self.crashes] if self.evidence(key)]
+        if len(keys) > max_keys:
+            keys.sort(key=self.rank, reverse=True)
         by_crash = collections.defaultdict(list)
-        for key in [*keys]:
+        for key in keys[:max_keys]:
             for crash in self.evidence(key):
                 by_crash[crash].append(key)
         return by_crash
 
+    def rank(self, key):
+        """Return what orders keys by how much the evidence on them is worth."""
+        known = self.crashes.get(key, ())
+        return len(known), known[-1].at if known else 0
+
+    def is_proven(self, key):
+        """Return whether the evidence on a key is enough for a quarantine."""
+        return self.ends_at(key) is not None
+
 
 class PartQuarantine(Quarantine):
     """Evidence on parts of prompts, by their ids.
--- a/pollenmount/gateway/progress.py
+++ b/pollenmount/gateway/progress.py
@@ -6,6 +6,7 @@
     is_success,
 )
 from pollenmount.gateway.call import digest_request
+from pollenmount.gateway.target_notices import is_refused_for_room
 
 __all__ = ["CallObserver", "Progress"]
 
@@ -17,6 +18,7 @@
     `overload` the `Overload` it was refused for, None if it was not. `stays` is whether
     it was deferred for a target of this region, so that it leaves only if that fails.
     `obstacles` has how many targets each `Obstacle` kept from it, None if one took it.
+    `sent_at` is when the last attempt started.
     `sends` counts all attempts, `runs` those that may have run on a target.
     `may_have_run` is whether any of those ended otherwise than by a response whose
     status denies it. `tried`
@@ -54,6 +56,7 @@
         self.versions = []
         self.runs = 0
         self.sends = 0
+        self.sent_at = None
         self.is_admitted = False
         self.overload = None
         self.stays = False
@@ -109,6 +112,7 @@
         call,
         *,
         end_prefill,
+        end_wait,
         sent_at,
         expected_at,
         may_hop,
@@ -118,6 +122,7 @@
         self.destination = destination
         self.call = call
         self.end_prefill = end_prefill
+        self.end_wait = end_wait
         self.sent_at = sent_at
         self.expected_at = expected_at
         self.may_hop = may_hop
@@ -140,6 +145,8 @@
         """Handle what the target says of itself, before the body arrives."""
         notices = self.dispatcher.context.notices
         notices.handle_head(self.call, self.destination, status, info, self.sent_at)
+        now = self.dispatcher.clock.now()
+        self.end_wait(is_refused_for_room(self.call, status, info, now))
         self.progress.head_arrived = is_success(status) and not info.not_run
 
     def on_chunk(self):
--- a/pollenmount/gateway/roles/entry.py
+++ b/pollenmount/gateway/roles/entry.py
@@ -17,6 +17,7 @@
 from pollenmount.gateway.load import LoadTracker
 from pollenmount.gateway.lost_regions import RECORD_INTERVAL_MS
 from pollenmount.gateway.rate_limiter import RateLimiter
+from pollenmount.gateway.refusal_limits import RefusalLimits
 from pollenmount.gateway.replies import empty_reply
 from pollenmount.gateway.retry_policy import make_budget
 from pollenmount.gateway.routing_context import RoutingContext
@@ -61,6 +62,7 @@
         buffer_bytes = node.memory.limits.socket_buffer_bytes
         pool = node.manage(ConnectionPool(clock, receive_buffer_bytes=buffer_bytes))
         pauses = TargetPauses(clock)
+        refusals = RefusalLimits(clock)
         paths = TargetPaths(settings, node.fleet, clock, pool, node.metrics)
         self.context = RoutingContext(
             settings,
@@ -74,8 +76,11 @@
             pool=pool,
             lags=LagTracker(clock),
             pauses=pauses,
+            refusals=refusals,
             paths=paths,
-            notices=TargetNotices(node.fleet, pool, paths, pauses, node.metrics),
+            notices=TargetNotices(
+                node.fleet, pool, paths, pauses, refusals, node.metrics
+            ),
             resumption=StreamResumption(node.fleet, clock),
             guard=CrashGuard(
                 *(node.fleet, clock, node.metrics),
@@ -94,7 +99,8 @@
         running = RunningClock(clock)
         node.manage(task.PeriodicTask(running.now, READ_INTERVAL_MS))
         node.budget = make_budget(settings, node.fleet, clock, running)
-        sender = Sender(pool, node.dialect, clock)
+        has_ended = self.context.guard.has_ended
+        sender = Sender(pool, node.dialect, clock, has_ended)
         chooser = make_chooser(settings.chooser)
         node.dispatcher = Dispatcher(self.context, chooser, sender, node.budget, clock)
         self.links = node.manage(
