--- a/pollenmount/gateway/callers.py
+++ b/pollenmount/gateway/callers.py
@@ -318,7 +318,8 @@
         if not self.may_hop:
             not_run = error_response.status == UNAVAILABLE
             # Another VM of the region may still take what this one can't.
-            is_unfit = self.node.stopping or not self.node.has_paths()
+            paths = self.node.dispatcher.context.paths
+            is_unfit = self.node.stopping or paths.is_lost
             is_ready = not (not_run and is_unfit)
             headers = refusal_headers(
                 error_response, not_run, self.progress.sends, is_ready
