Do not wait for the end of a late copy without a length

What callers saw: 504 at their deadline, beside a target that sends answers a second time without a length on a kept connection. Nobody got such a copy.

Cause: the response to another request was read to its end before the next one, and without a length that is the end of the connection, which the target keeps.

The new test of test_gateway_sender.py fails with the code before.

Change: the attempt fails at once, as nothing can follow on that connection; what may be repeated is sent to another target, the rest gets 502.

--- a/pollenmount/gateway/attempt.py
+++ b/pollenmount/gateway/attempt.py
@@ -247,6 +247,7 @@
         A target may respond twice to an earlier request on the same connection; such
         responses are recognized by their request id and skipped. A refusal without one
         may be a copy as well, unless this is the first request on the connection.
+        One that ends with the connection is not read: nothing can follow it.
         """
         remaining_ms = self.make_remaining_ms(attempt.call)
         for _ in range(MAX_FOREIGN_RESPONSES):
@@ -263,6 +264,8 @@
                     raise MalformedResponseError("a refusal of an unknown request")
                 connection.ids.add(info.id, False)
                 return head, info
+            if not head.is_framed:
+                break
             discard(connection.read_body(head, attempt.call.method, remaining_ms))
             if not connection.reusable:
                 break
--- a/tests/faults/answers.py
+++ b/tests/faults/answers.py
@@ -55,6 +55,8 @@
 class Seen(NamedTuple):
     """A request as its caller saw it; it was sent on a connection's `position`.
 
+    It had ended after `took_s`.
+
     `is_old` is whether it is of HTTP/1.0, in which only the end of the connection tells
     where a stream ends: that of a VM that is killed looks like any other.
     """
@@ -69,6 +71,7 @@
     body: bytes
     position: int
     is_old: bool
+    took_s: float
 
 
 class PlayFleet(Fleet):
@@ -175,6 +178,7 @@
             *([f"Last-Event-Id: {first - 1}"] if first > 1 else []),
         ]
         status, body, answer_id, ending = 0, b"", "", "complete"
+        began_at = time.monotonic()
         try:
             if self.reader is None:
                 self.connect()
@@ -194,7 +198,8 @@
         if not is_kept or is_old or self.random.random() > KEPT_SHARE:
             self.disconnect()
         seen = Seen(
-            id_, route, name, first, status, ending, answer_id, body, position, is_old
+            *(id_, route, name, first, status, ending, answer_id, body, position),
+            *(is_old, time.monotonic() - began_at),
         )
         self.seen.append(seen)
         return seen
@@ -211,7 +216,8 @@
         runs[record.id].append(record)
         counts[f"target: {name_event(record, fleet.form)}"] += 1
     for one in seen:
-        counts[f"{one.route} {one.status} {one.ending}"] += 1
+        late = ", late" if one.took_s > TIMEOUT_MS / 1000 else ""
+        counts[f"{one.route} {one.status} {one.ending}{late}"] += 1
         problem = find_problem(fleet.form, one, runs[one.id])
         if problem:
             counts[problem] += 1
--- a/tests/faults/stutterer.py
+++ b/tests/faults/stutterer.py
@@ -9,6 +9,7 @@
 import json
 import os
 import random
+import re
 import signal
 import socket
 import struct
@@ -28,11 +29,12 @@
 PIECE_INTERVAL_S = 0.005
 COPY_DELAYS_S = (0.02, 0.3, 2.0)
 FRAMINGS = ("length", "chunked", "none")
-COPIES = ("", "whole", "pieces", "head", "across")
+COPIES = ("", "whole", "pieces", "head", "across", "bare")
 REFUSED_SHARE = 0.2
 ENDS = {"whole": 20, "fin": 10, "reset": 10}
 CRASH_WEIGHT = 4
 EVENT_STREAM = b"Content-Type: text/event-stream"
+FRAMING = re.compile(rb"(Content-Length|Transfer-Encoding): *[^\r\n]*\r\n")
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
@@ -40,9 +42,10 @@
     """How a target answers one request.
 
     `framing` tells how the body ends: by a length, in chunks, or with the connection.
-    A `copy` comes `delay_s` later: whole, in two pieces, split in its head, or with its
-    second half before the next answer. A stream has an `end` other than `whole` after
-    the event `last`, `inside` the next one if that is true.
+    A `copy` comes `delay_s` later: whole, in two pieces, split in its head, with its
+    second half before the next answer, or bare of what tells where it ends.
+    A stream has an `end` other than `whole` after the event `last`, `inside` the next
+    one if that is true.
     """
 
     framing: str
@@ -134,6 +137,8 @@
             if copy == "across":
                 self.send(answer[:cut])
                 self.owed = answer[cut:]
+            elif copy == "bare":
+                self.send(FRAMING.sub(b"", answer))
             elif copy == "whole":
                 self.send(answer)
             else:
--- a/tests/test_gateway_sender.py
+++ b/tests/test_gateway_sender.py
@@ -102,6 +102,15 @@
     assert parts[1:] == [b"done"]
 
 
+# Guards against a request that waits until its deadline for the end of a late copy,
+# which only the end of the connection would tell.
+def test_the_end_of_another_response_without_a_length_is_not_waited_for():
+    head = response_bytes("id-0").replace(b"Content-Length: 4\r\n", b"")
+    parts, pool = run(head, reset=True)
+    assert isinstance(parts[0], MalformedResponseError)
+    assert not pool.returned
+
+
 def test_only_a_response_to_another_request_is_an_error():
     parts, pool = run(response_bytes("id-0"))
     assert isinstance(parts[0], ExchangeError)
