--- a/tests/faults/deadly_parts.py
+++ b/tests/faults/deadly_parts.py
@@ -10,16 +10,14 @@
 import collections
 import contextlib
 import json
-import random
 import signal
 import tempfile
 import threading
 import time
-from concurrent.futures import ThreadPoolExecutor
 from typing import NamedTuple
 
 from standins.cluster import wait_until
-from tests.faults.deadly import WORKERS, Mortals, make_form_route, serves
+from tests.faults.deadly import Callers, Mortals, make_form_route, serves
 from tests.faults.mortal import DEADLY, FORMS, TIMEOUT_MS
 from tests.faults.plays import apply_plan, send_request
 from tests.soak.fleet import Fleet
@@ -52,17 +50,9 @@
     sound: dict[str, int]
 
 
-class Callers:
+class PartCallers(Callers):
     """Callers of all forms, each prompt on a connection of its own, at any VM."""
 
-    def __init__(self, fleet, forms, seed):
-        self.fleet = fleet
-        self.forms = forms
-        self.random = random.Random(seed)
-        self.outcomes = collections.defaultdict(collections.Counter)
-        self.numbers = collections.Counter()
-        self.pool = ThreadPoolExecutor(WORKERS)
-
     def run(self, seconds):
         """Send deadly and sound prompts of all forms, for some seconds."""
         deadly_at = time.monotonic() + WARM_UP_S
@@ -168,7 +158,7 @@
             restarter.start()
             stack.callback(restarter.join)
             stack.callback(stopped.set)
-        callers = Callers(fleet, forms, seed)
+        callers = PartCallers(fleet, forms, seed)
         callers.run(seconds)
         mortals.close()
         return find_results(mortals.records, forms, callers.outcomes)
