Look at a target for longer at the end of a stream without a length

The suspected cause: on a busy machine a process that is killed takes longer than 10 ms to close all its sockets, and the target was looked at once.

At the end of a stream, whose events its caller has, the target is now watched for 100 ms more, over one connection; a plain response waits for 10 ms as before.

--- a/pollenmount/crashes/probe.py
+++ b/pollenmount/crashes/probe.py
@@ -14,6 +14,8 @@
 CONNECT_TIMEOUT_MS = 100
 # The connections and the port of a process that is killed close at almost one moment.
 SETTLE_MS = 10
+# On a busy machine, it takes longer.
+LONG_SETTLE_MS = 100
 # A process that ends may take as long to close its connections and its port.
 WATCH_MS = 1000
 WATCH_INTERVAL_MS = 20
@@ -85,13 +87,19 @@
             watch.close()
         return False
 
-    def has_ended(self, destination):
+    def has_ended(self, destination, may_wait):
         """Return whether a target has ended as it closed a connection in good order.
 
-        The kernel closes the connections of a process that is killed so.
+        The kernel closes the connections of a process that is killed so. If this may
+        wait, it goes on to look for a while.
         """
+        crashes = []
         self.sleep(SETTLE_MS)
-        return self.has_crashed(destination)
+        if self.has_crashed(destination, lambda: crashes.append(destination)):
+            return True
+        if may_wait:
+            self.sleep(LONG_SETTLE_MS)
+        return bool(crashes)
 
     def up_since(self, destination):
         """Return since when a connection to a target, which is up, is open, or None."""
--- a/pollenmount/gateway/attempt.py
+++ b/pollenmount/gateway/attempt.py
@@ -279,7 +279,7 @@
         parts = connection.read_body(head, call.method, self.make_remaining_ms(call))
         with contextlib.closing(parts):
             if not head.is_framed and attempt.destination.target_id:
-                parts = self.check_end(parts, attempt.destination)
+                parts = self.check_end(parts, attempt)
             if info.not_run or head.status == MISDIRECTED_REQUEST:
                 discard(parts)
                 raise not_run_error(head.status, info)
@@ -300,13 +300,14 @@
                 length = parse_decimal(head.header("content-length")) or 0
                 yield from self.read_complete(response_head, parts, attempt, length)
 
-    def check_end(self, parts, destination):
+    def check_end(self, parts, attempt):
         """Yield a body that ends with its connection; raise if its target has crashed.
 
-        It ends as a whole one would.
+        It ends as a whole one would. Of a stream, the caller has all events already.
         """
         yield from parts
-        if self.has_ended(destination):
+        is_stream = attempt.call.route.retry_mode is RetryMode.STREAM
+        if self.has_ended(attempt.destination, is_stream):
             raise ExchangeError("the target ended while it sent the response")
 
     def read_complete(self, head, parts, attempt, length):
--- a/pollenmount/gateway/crash_guard.py
+++ b/pollenmount/gateway/crash_guard.py
@@ -157,9 +157,14 @@
         known = self.fleet.targets.by_id.get(destination.target_id)
         return known is None or known.record.draining
 
-    def has_ended(self, destination):
-        """Return whether a target crashed as it closed a connection in good order."""
-        return not self.is_leaving(destination) and self.probe.has_ended(destination)
+    def has_ended(self, destination, may_wait):
+        """Return whether a target crashed as it closed a connection in good order.
+
+        `may_wait` is whether it is no harm to wait for a while.
+        """
+        if self.is_leaving(destination):
+            return False
+        return self.probe.has_ended(destination, may_wait)
 
     def record_failure(self, call, progress, destination, error):
         """Report a response that broke off as it began, maybe because of its prompt."""
--- a/tests/faults/flooded.py
+++ b/tests/faults/flooded.py
@@ -59,7 +59,7 @@
     destination = AttemptDestination("a", address, 1, "west", "a")
     attempt = Attempt(call, destination, "", ResponseObserver())
     try:
-        sender = Sender(ConnectionPool(clock), DIALECT, clock, lambda target: False)
+        sender = Sender(ConnectionPool(clock), DIALECT, clock, lambda *args: False)
         for part in sender.run(attempt):
             last = part
     except ExchangeError as error:
--- a/tests/stream_traffic.py
+++ b/tests/stream_traffic.py
@@ -262,9 +262,7 @@
         context.guard.attempts.probe = probe
         clock = self.fleet.clock
         budget = RetryBudget(clock, BOUNDS.retry_limits, node.fleet.entry_counter.share)
-        sender = Sender(
-            Pool(self, node.region), DIALECT, clock, lambda destination: False
-        )
+        sender = Sender(Pool(self, node.region), DIALECT, clock, lambda *args: False)
         dispatcher = Dispatcher(
             context, make_chooser("random"), sender, budget, clock, self.sleep
         )
--- a/tests/test_gateway_sender.py
+++ b/tests/test_gateway_sender.py
@@ -77,7 +77,7 @@
 def run(*blocks, route=None, reset=False, target="a"):
     """Return (parts, pool) of one attempt, at a VM of another region if no target."""
     pool = ScriptedPool(ScriptedConnection(blocks, reset))
-    sender = Sender(pool, DIALECT, ManualClock(1_000_000), lambda destination: False)
+    sender = Sender(pool, DIALECT, ManualClock(1_000_000), lambda *args: False)
     call = EntryHarness().make_call(route)
     destination = AttemptDestination("a", "a:1", 1, "west", target)
     parts = []
