Show that a disk lost after a machine was replaced can end the log

Cause: a successor at another address votes only after 3 s of the old machine's silence, counted from the election of a new leader, which is up to 4.6 s after the loss.

--- a/review/harness2.py
+++ b/review/harness2.py
@@ -112,14 +112,22 @@
 
     def seeds(self):
         """Return the names of the control VMs that all VMs are told of: three."""
-        return [f"control-{region}-{self.zones[0]}" for region in REGIONS]
+        first = (n for n in self.control_ips if n.split("-")[2][0] == self.zones[0])
+        return [*first][: len(REGIONS)]
+
+    def replace_control(self, old, new, host):
+        """Replace a control VM in all lists; the new one has another address."""
+        number = REGIONS.index(old.split("-")[1]) + 1
+        self.record.write(f"{old} is gone for good; {new} comes in its place")
+        del self.control_ips[old]
+        self.control_ips[new] = self.ip(number, host)
 
     def settings(self, name, first_start):
         """Return the settings of a VM, in the layout of the deploy template."""
         is_control = name in self.control_ips
         ip = self.control_ips[name] if is_control else self.entry_ips[name]
         _, region, last = name.split("-")
-        zone = last if is_control else self.zones[0]
+        zone = last[0] if is_control else self.zones[0]
         listen = dict.fromkeys(("callers", "readiness", "operators", "directory"), "")
         if is_control:
             listen["operators"] = f"{ip}:{PORTS['control']}"
